--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+GOLANGCI_LINT_VERSION := v2.15.0
+TOOLS := $(CURDIR)/.tools/bin
+LINT := $(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION)
+
+# Tests listed as "test: NAME" in KNOWN-RED.txt are skipped and printed.
+KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
+SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
+
+.PHONY: check lint fmt test build demo bench
+
+check: lint build test
+	@if [ -n "$(KNOWN_RED)" ]; then echo "known red, not run:"; cat KNOWN-RED.txt; fi
+
+$(LINT):
+	mkdir -p $(TOOLS)
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+	mv $(TOOLS)/golangci-lint $(LINT)
+
+lint: $(LINT)
+	$(LINT) run ./...
+
+fmt: $(LINT)
+	$(LINT) fmt ./...
+
+build:
+	go build -o bin/ ./cmd/...
+
+test:
+	go test -race -timeout 20m $(SKIP) ./...
+
+demo:
+	go run ./cmd/celerydeck-demo
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
--- /dev/null
+++ b/cmd/celerydeck-demo/main.go
@@ -0,0 +1,4 @@
+// Command celerydeck-demo is part of celerydeck.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/celerydeckd/main.go
@@ -0,0 +1,4 @@
+// Command celerydeckd is part of celerydeck.
+package main
+
+func main() {}
--- /dev/null
+++ b/deckconfig/config.go
@@ -0,0 +1,79 @@
+// Package deckconfig describes the configuration of a celerydeck deployment.
+// Operators write Go programs that build a Config and print it; the celerydeck
+// command submits the printed JSON.
+package deckconfig
+
+// Format is the version of the configuration format.
+const Format = "celerydeck/v1"
+
+// Config is the whole configuration of a deployment.
+type Config struct {
+	Format    string     `json:"format"`
+	Ranks     []Rank     `json:"ranks"`
+	Customers []Customer `json:"customers"`
+	Services  []Service  `json:"services"`
+}
+
+// Rank is a rank of work with its targets. The first rank is the most urgent.
+type Rank struct {
+	Name string `json:"name"`
+	// FirstTokenMS is the target for the first token in milliseconds.
+	FirstTokenMS int `json:"first_token_ms"`
+	// BetweenTokensMS is the target between two tokens in milliseconds.
+	BetweenTokensMS int `json:"between_tokens_ms"`
+	// Worth is the value of a request that meets its targets.
+	Worth float64 `json:"worth"`
+	// Share is the least share of the fleet that the rank keeps in overload, 0 to 1.
+	Share float64 `json:"share"`
+}
+
+// Customer is a caller of the system with its API keys.
+type Customer struct {
+	Name string `json:"name"`
+	// KeyHashes are SHA-256 hashes of API keys, in lower-case hex.
+	KeyHashes []string `json:"key_hashes"`
+	// Share is the least share of the fleet that the customer keeps in overload, 0 to 1.
+	Share float64 `json:"share,omitempty"`
+	// RequestsPerSecond limits the customer; 0 is no limit.
+	RequestsPerSecond float64 `json:"requests_per_second,omitempty"`
+}
+
+// ServiceKind tells services of model engines from plain services.
+type ServiceKind string
+
+// Kinds of services.
+const (
+	ModelService ServiceKind = "model"
+	PlainService ServiceKind = "plain"
+)
+
+// Service is a named group of adapters, or a plain HTTP service.
+type Service struct {
+	Name string      `json:"name"`
+	Kind ServiceKind `json:"kind"`
+	// BaseModel is the base model of the adapters; model services only.
+	BaseModel string `json:"base_model,omitempty"`
+	// DefaultRank is the rank of requests without a rank header.
+	DefaultRank string `json:"default_rank"`
+	// Customers may call the service; empty admits every customer.
+	Customers []string `json:"customers,omitempty"`
+	// NonRepeatable marks calls that must run at most once. For plain services it
+	// holds for every method but GET and HEAD.
+	NonRepeatable bool      `json:"non_repeatable,omitempty"`
+	Adapters      []Adapter `json:"adapters,omitempty"`
+}
+
+// Adapter is a fine-tuned adapter of the service's base model.
+type Adapter struct {
+	Name string `json:"name"`
+	// Default is the version that answers requests that name none.
+	Default  string    `json:"default"`
+	Versions []Version `json:"versions"`
+}
+
+// Version is an immutable version of an adapter.
+type Version struct {
+	Name string `json:"name"`
+	// Source is the location of the weights in the weight store.
+	Source string `json:"source"`
+}
--- /dev/null
+++ b/internal/protocol/messages.go
@@ -0,0 +1,137 @@
+package protocol
+
+import (
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+// Version is the version of the protocol between daemons.
+const Version = 1
+
+// MessageKind tells the messages of the protocol apart.
+type MessageKind uint8
+
+// Kinds of messages. Values are part of the wire format.
+const (
+	MsgHello MessageKind = iota + 1
+	MsgCall
+	MsgHead
+	MsgChunk
+	MsgEnd
+	MsgHeartbeat
+	MsgHeartbeatAck
+)
+
+// Hello opens every stream and negotiates the version.
+type Hello struct {
+	MinVersion  uint16            `cbor:"1,keyasint"`
+	MaxVersion  uint16            `cbor:"2,keyasint"`
+	Daemon      state.DaemonID    `cbor:"3,keyasint"`
+	Incarnation state.Incarnation `cbor:"4,keyasint"`
+}
+
+// Call asks the owner of an upstream to run a request. Exactly one of Model and
+// Plain is set.
+type Call struct {
+	RequestID   string           `cbor:"1,keyasint"`
+	Attempt     uint32           `cbor:"2,keyasint"`
+	Upstream    state.UpstreamID `cbor:"3,keyasint"`
+	Customer    state.CustomerID `cbor:"4,keyasint"`
+	Service     state.ServiceID  `cbor:"5,keyasint"`
+	Rank        state.Rank       `cbor:"6,keyasint"`
+	Budget      time.Duration    `cbor:"7,keyasint"` // time left until the caller's deadline
+	Repeatable  bool             `cbor:"8,keyasint"`
+	Fingerprint uint64           `cbor:"9,keyasint"`
+	Model       *ModelCall       `cbor:"10,keyasint,omitempty"`
+	Plain       *PlainCall       `cbor:"11,keyasint,omitempty"`
+}
+
+// Class returns the class of the call.
+func (c *Call) Class() state.Class {
+	return state.Class{Customer: c.Customer, Service: c.Service, Rank: c.Rank}
+}
+
+// ModelCall is a completion by an adapter.
+type ModelCall struct {
+	Adapter   state.AdapterRef `cbor:"1,keyasint"`
+	Chat      bool             `cbor:"2,keyasint"`
+	Body      []byte           `cbor:"3,keyasint"` // JSON body of the caller
+	Resume    uint32           `cbor:"4,keyasint"` // first token offset that is still missing
+	MaxTokens uint32           `cbor:"5,keyasint"`
+	PromptLen uint32           `cbor:"6,keyasint"` // estimated prompt tokens
+	Prefix    uint64           `cbor:"7,keyasint"` // hash of the conversation's first message
+	Source    string           `cbor:"8,keyasint"` // location of the weights
+}
+
+// PlainCall is an HTTP call of a plain service.
+type PlainCall struct {
+	Method string        `cbor:"1,keyasint"`
+	Path   string        `cbor:"2,keyasint"`
+	Header []HeaderField `cbor:"3,keyasint"`
+	Body   []byte        `cbor:"4,keyasint"`
+}
+
+// HeaderField is one HTTP header field.
+type HeaderField struct {
+	Name  string `cbor:"1,keyasint"`
+	Value string `cbor:"2,keyasint"`
+}
+
+// Head starts an answer. It is sent when the upstream has accepted the request.
+type Head struct {
+	Attempt  uint32           `cbor:"1,keyasint"`
+	Upstream state.UpstreamID `cbor:"2,keyasint"`
+	Adapter  state.AdapterRef `cbor:"3,keyasint"`
+	Boot     state.BootID     `cbor:"4,keyasint"`
+	Status   int              `cbor:"5,keyasint"`
+	Header   []HeaderField    `cbor:"6,keyasint,omitempty"`
+}
+
+// Chunk is a part of an answer. Offset counts tokens for model calls and bytes
+// for plain calls.
+type Chunk struct {
+	Attempt uint32 `cbor:"1,keyasint"`
+	Offset  uint32 `cbor:"2,keyasint"`
+	Count   uint32 `cbor:"3,keyasint"`
+	Data    []byte `cbor:"4,keyasint"`
+}
+
+// End finishes an answer. Err is nil when the answer is whole.
+type End struct {
+	Attempt      uint32 `cbor:"1,keyasint"`
+	Total        uint32 `cbor:"2,keyasint"` // tokens or bytes of the whole answer
+	FinishReason string `cbor:"3,keyasint,omitempty"`
+	PromptTokens uint32 `cbor:"4,keyasint,omitempty"`
+	Err          *Error `cbor:"5,keyasint,omitempty"`
+}
+
+// UpstreamStatus is what an owner tells other daemons about an upstream.
+type UpstreamStatus struct {
+	ID       state.UpstreamID   `cbor:"1,keyasint"`
+	Epoch    state.Epoch        `cbor:"2,keyasint"`
+	Boot     state.BootID       `cbor:"3,keyasint"`
+	Healthy  bool               `cbor:"4,keyasint"`
+	Running  int                `cbor:"5,keyasint"`
+	Queued   int                `cbor:"6,keyasint"`
+	Slots    int                `cbor:"7,keyasint"`
+	Batch    int                `cbor:"8,keyasint"`
+	Resident []state.AdapterRef `cbor:"9,keyasint"`
+}
+
+// Heartbeat tells a peer that a daemon is alive and what it owns.
+type Heartbeat struct {
+	Daemon      state.DaemonID    `cbor:"1,keyasint"`
+	Incarnation state.Incarnation `cbor:"2,keyasint"`
+	Zone        state.Zone        `cbor:"3,keyasint"`
+	Sequence    uint64            `cbor:"4,keyasint"`
+	Revision    uint64            `cbor:"5,keyasint"` // configuration in force
+	Draining    bool              `cbor:"6,keyasint"`
+	Upstreams   []UpstreamStatus  `cbor:"7,keyasint,omitempty"`
+}
+
+// HeartbeatAck answers a heartbeat with the receiver's configuration revision.
+type HeartbeatAck struct {
+	Sequence uint64 `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint"`
+}
--- /dev/null
+++ b/internal/state/adapter.go
@@ -0,0 +1,45 @@
+package state
+
+import (
+	"errors"
+	"strings"
+)
+
+// ErrBadModelName reports a model name that is not service/adapter[@version].
+var ErrBadModelName = errors.New("model name must be service/adapter or service/adapter@version")
+
+// AdapterRef names one version of an adapter. An empty version stands for the
+// default version until the entry daemon resolves it.
+type AdapterRef struct {
+	Service ServiceID
+	Adapter string
+	Version string
+}
+
+// ParseAdapterRef parses "service/adapter" or "service/adapter@version".
+func ParseAdapterRef(name string) (AdapterRef, error) {
+	service, rest, ok := strings.Cut(name, "/")
+	if !ok || service == "" {
+		return AdapterRef{}, ErrBadModelName
+	}
+	adapter, version, versioned := strings.Cut(rest, "@")
+	if adapter == "" || strings.Contains(adapter, "/") {
+		return AdapterRef{}, ErrBadModelName
+	}
+	if versioned && version == "" || strings.ContainsAny(version, "/@") {
+		return AdapterRef{}, ErrBadModelName
+	}
+	return AdapterRef{Service: ServiceID(service), Adapter: adapter, Version: version}, nil
+}
+
+// String returns service/adapter@version. Engines know the adapter by this name.
+func (r AdapterRef) String() string {
+	name := string(r.Service) + "/" + r.Adapter
+	if r.Version == "" {
+		return name
+	}
+	return name + "@" + r.Version
+}
+
+// IsZero reports whether r names no adapter.
+func (r AdapterRef) IsZero() bool { return r == AdapterRef{} }
