--- a/cmd/celerydeck-demo/main.go
+++ b/cmd/celerydeck-demo/main.go
@@ -1,4 +1,63 @@
-// Command celerydeck-demo is part of celerydeck.
+// Command celerydeck-demo runs a small deployment on loopback and prints the
+// calls to try.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/demo"
+)
+
+const startTimeout = 30 * time.Second
+
+const usage = `celerydeck is running: daemons at %[1]s and %[2]s
+
+Ask the advice adapter, streamed:
+  curl -N http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[3]s' \
+    -H 'Content-Type: application/json' \
+    -d '{"model":"advice/blitz@v1","stream":true,"messages":[{"role":"user","content":"Set the clock"}]}'
+
+Ask at once, with an urgent rank, at the other daemon:
+  curl http://%[2]s/v1/completions -H 'Authorization: Bearer %[3]s' \
+    -H 'X-Celerydeck-Rank: arbiter' -H 'Content-Type: application/json' \
+    -d '{"model":"advice/rapid","prompt":"Set the clock","max_tokens":8}'
+
+Book a clock, at most once:
+  curl http://%[1]s/services/booking/bookings -H 'Authorization: Bearer %[3]s' \
+    -H 'Idempotency-Key: loan-1' -d '{"item":"clock-7"}'
+
+List the adapters:
+  curl http://%[1]s/v1/models -H 'Authorization: Bearer %[3]s'
+
+Stop with Ctrl-C.
+`
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	d, err := demo.Start(ctx, demo.DefaultOptions())
+	if err != nil {
+		return err
+	}
+	defer d.Close(context.Background())
+	ready, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := d.WaitReady(ready); err != nil {
+		return err
+	}
+	fmt.Printf(usage, d.Daemons[0].CallerAddr(), d.Daemons[1].CallerAddr(), demo.Key)
+	<-ctx.Done()
+	return nil
+}
--- a/cmd/celerydeckd/main.go
+++ b/cmd/celerydeckd/main.go
@@ -1,4 +1,10 @@
-// Command celerydeckd is part of celerydeck.
+// Command celerydeckd is the daemon of celerydeck.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/celerydeck/celerydeck/internal/app"
+)
+
+func main() { os.Exit(app.Main(os.Args[1:])) }
--- /dev/null
+++ b/internal/app/daemon.go
@@ -0,0 +1,265 @@
+package app
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"k8s.io/klog/v2"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/routing"
+
+	ownercore "github.com/celerydeck/celerydeck/internal/coordination/owner"
+	"github.com/celerydeck/celerydeck/internal/node/cluster"
+	"github.com/celerydeck/celerydeck/internal/node/entry"
+	"github.com/celerydeck/celerydeck/internal/node/owner"
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/transport/callers"
+	"github.com/celerydeck/celerydeck/internal/transport/peer"
+	"github.com/celerydeck/celerydeck/internal/transport/platform"
+	"github.com/celerydeck/celerydeck/internal/transport/upstream"
+)
+
+const (
+	idBytes           = 12
+	announceTimeout   = 2 * time.Second
+	readHeaderTimeout = 10 * time.Second
+)
+
+// Daemon is a running daemon.
+type Daemon struct {
+	settings Settings
+	app      *fx.App
+	parts    parts
+	drained  atomic.Bool
+}
+
+type parts struct {
+	fx.In
+	Fleet   *state.Fleet
+	Cluster *cluster.Cluster
+	Owner   *owner.Manager
+	Server  *http.Server
+	Caller  net.Listener
+	Peers   *peer.Server
+}
+
+// Start starts a daemon with an identity of its own.
+func Start(ctx context.Context, settings Settings, id peer.Identity) (*Daemon, error) {
+	d := &Daemon{settings: settings}
+	d.app = fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(settings, id),
+		fx.Supply(fx.Annotate(d, fx.As(new(readiness)))),
+		fx.Provide(
+			state.NewFleet, newSockets, newPool, newOwner, newCluster, newGateway, newCallers, newPlatform,
+			upstream.NewClient, newCallerListener, newPeerServer,
+		),
+		fx.Populate(&d.parts),
+	)
+	if err := d.app.Start(ctx); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// CallerAddr returns the address for callers.
+func (d *Daemon) CallerAddr() string { return d.parts.Caller.Addr().String() }
+
+// Ready reports whether the daemon takes new requests.
+func (d *Daemon) Ready() bool {
+	return !d.drained.Load() && d.parts.Cluster != nil && d.parts.Cluster.Catalog() != nil
+}
+
+// Shutdown stops taking requests, hands the upstreams over, waits for requests
+// in progress and stops. It gives up waiting when ctx is done.
+func (d *Daemon) Shutdown(ctx context.Context) error {
+	d.drained.Store(true)
+	klog.InfoS("Draining", "daemon", d.settings.ID)
+	announce, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	d.parts.Cluster.Drain(announce)
+	err := d.parts.Server.Shutdown(ctx)
+	err = errors.Join(err, d.parts.Owner.Wait(ctx), d.parts.Peers.Drain(ctx))
+	stop, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), announceTimeout)
+	defer cancelStop()
+	return errors.Join(err, d.app.Stop(stop))
+}
+
+type readiness interface{ Ready() bool }
+
+type sockets struct {
+	fx.Out
+	Listen net.PacketConn `name:"peer-listen"`
+	Dial   net.PacketConn `name:"peer-dial"`
+}
+
+func newSockets(s Settings) (sockets, error) {
+	listen, err := net.ListenPacket("udp", s.PeerAddr)
+	if err != nil {
+		return sockets{}, fmt.Errorf("listen for daemons: %w", err)
+	}
+	host, _, _ := net.SplitHostPort(s.PeerAddr)
+	dial, err := net.ListenPacket("udp", net.JoinHostPort(host, "0"))
+	if err != nil {
+		return sockets{}, fmt.Errorf("open socket to daemons: %w", err)
+	}
+	return sockets{Listen: listen, Dial: dial}, nil
+}
+
+type poolParams struct {
+	fx.In
+	Dial net.PacketConn `name:"peer-dial"`
+	ID   peer.Identity
+}
+
+func newPool(lc fx.Lifecycle, p poolParams) *peer.Pool {
+	pool := peer.NewPool(p.Dial, p.ID)
+	lc.Append(fx.StopHook(pool.Close))
+	return pool
+}
+
+func newPlatform(lc fx.Lifecycle, s Settings) *platform.Client {
+	client := platform.NewClient(s.PlatformURL)
+	lc.Append(fx.StopHook(client.Close))
+	return client
+}
+
+func newOwner(lc fx.Lifecycle, s Settings, fleet *state.Fleet, client *upstream.Client) *owner.Manager {
+	m := owner.New(owner.Options{
+		Self:    state.DaemonID(s.ID),
+		Fleet:   fleet,
+		Client:  client,
+		NewCore: func(*state.Upstream) ownercore.Core { return ownercore.NewFifo() },
+		Clock:   time.Now,
+	})
+	lc.Append(fx.StopHook(func() { m.Close(); client.Close() }))
+	return m
+}
+
+func newCluster(lc fx.Lifecycle, s Settings, client *platform.Client, pool *peer.Pool, fleet *state.Fleet, m *owner.Manager) *cluster.Cluster {
+	c := cluster.New(cluster.Options{
+		Self:        peer.Peer{ID: state.DaemonID(s.ID), Addr: s.PeerAddr},
+		Incarnation: state.Incarnation(newID()),
+		Zone:        state.Zone(s.Zone),
+		Region:      state.Region(s.Region),
+		Platform:    client,
+		Pool:        pool,
+		Fleet:       fleet,
+		Owner:       m,
+		Clock:       time.Now,
+	})
+	lc.Append(fx.StartStopHook(c.Start, c.Close))
+	return c
+}
+
+func newGateway(s Settings, fleet *state.Fleet, m *owner.Manager, pool *peer.Pool, c *cluster.Cluster) *entry.Gateway {
+	return entry.New(entry.Options{
+		Self:   state.DaemonID(s.ID),
+		Zone:   state.Zone(s.Zone),
+		Region: state.Region(s.Region),
+		Router: routing.NewSimple(fleet),
+		Owner:  m,
+		Peers:  peers{pool: pool, cluster: c},
+		Clock:  time.Now,
+	})
+}
+
+func newCallerListener(s Settings) (net.Listener, error) {
+	l, err := net.Listen("tcp", s.CallerAddr)
+	if err != nil {
+		return nil, fmt.Errorf("listen for callers: %w", err)
+	}
+	return l, nil
+}
+
+func newCallers(lc fx.Lifecycle, l net.Listener, g *entry.Gateway, c *cluster.Cluster, r readiness) *http.Server {
+	api := callers.New(callers.Options{
+		Gateway: g,
+		Catalog: c.Catalog,
+		Ready:   r.Ready,
+		NewID:   newID,
+	})
+	server := &http.Server{Handler: api.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	lc.Append(fx.StartStopHook(
+		func() { go func() { _ = server.Serve(l) }() },
+		func() { _ = server.Close() },
+	))
+	return server
+}
+
+type serverParams struct {
+	fx.In
+	Listen  net.PacketConn `name:"peer-listen"`
+	ID      peer.Identity
+	Owner   *owner.Manager
+	Cluster *cluster.Cluster
+}
+
+func newPeerServer(lc fx.Lifecycle, p serverParams) (*peer.Server, error) {
+	server, err := peer.Listen(p.Listen, p.ID, peerHandler{owner: p.Owner, cluster: p.Cluster})
+	if err != nil {
+		return nil, fmt.Errorf("serve daemons: %w", err)
+	}
+	lc.Append(fx.StopHook(func() {
+		server.Close()
+		_ = p.Listen.Close()
+	}))
+	return server, nil
+}
+
+// peers finds the address of a daemon before it calls it.
+type peers struct {
+	pool    *peer.Pool
+	cluster *cluster.Cluster
+}
+
+// Call implements entry.Peers.
+func (p peers) Call(ctx context.Context, id state.DaemonID, call *protocol.Call, sink protocol.Sink) *protocol.Error {
+	to, ok := p.cluster.Address(id)
+	if !ok {
+		return protocol.Errorf(protocol.KindUnavailable, "find owner", protocol.OutcomeNotRun, "daemon is not known").WithPeer(string(id))
+	}
+	return p.pool.Call(ctx, to, call, sink)
+}
+
+// peerHandler serves the messages of other daemons.
+type peerHandler struct {
+	owner   *owner.Manager
+	cluster *cluster.Cluster
+}
+
+// ServeCall implements peer.Handler.
+func (h peerHandler) ServeCall(ctx context.Context, _ state.DaemonID, call *protocol.Call, sink protocol.Sink) {
+	if err := h.owner.Submit(ctx, call, sink); err != nil {
+		_ = sink.End(protocol.End{Attempt: call.Attempt, Err: err})
+	}
+}
+
+// ServeMessage implements peer.Handler.
+func (h peerHandler) ServeMessage(_ context.Context, from state.DaemonID, frame protocol.Frame) (protocol.MessageKind, any, error) {
+	if frame.Kind != protocol.MsgHeartbeat {
+		return 0, nil, fmt.Errorf("unknown message kind %d", frame.Kind)
+	}
+	var beat protocol.Heartbeat
+	if err := frame.Decode(&beat); err != nil {
+		return 0, nil, err
+	}
+	ack, err := h.cluster.HandleHeartbeat(from, &beat)
+	return protocol.MsgHeartbeatAck, ack, err
+}
+
+func newID() string {
+	var b [idBytes]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/internal/coordination/owner/fifo.go
@@ -0,0 +1,301 @@
+package owner
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+const (
+	fifoMaxQueue   = 4096
+	fifoRetryAfter = time.Second
+	plainBatch     = 64
+)
+
+type slotState uint8
+
+const (
+	slotLoading slotState = iota
+	slotReady
+	slotUnloading
+)
+
+type slot struct {
+	state    slotState
+	running  int
+	lastUsed time.Time
+}
+
+// Fifo serves by rank and then by arrival, and evicts the least recently used
+// adapter that serves no request.
+//
+// Invariant: an adapter with running > 0 is never in slotUnloading.
+type Fifo struct {
+	auth     Authority
+	boot     state.BootID
+	slots    int
+	batch    int
+	healthy  bool
+	leaving  bool
+	queue    []Request
+	running  map[string]Request
+	adapters map[state.AdapterRef]*slot
+}
+
+// NewFifo returns a core that waits for its first report and authority.
+func NewFifo() *Fifo {
+	return &Fifo{
+		batch:    plainBatch,
+		running:  make(map[string]Request),
+		adapters: make(map[state.AdapterRef]*slot),
+	}
+}
+
+// Handle implements Core.
+func (f *Fifo) Handle(now time.Time, event Event) []Action {
+	var out []Action
+	switch e := event.(type) {
+	case Enqueue:
+		out = f.enqueue(e.Request)
+	case Cancel:
+		out = f.cancel(e.ID)
+	case Ended:
+		f.ended(now, e.ID)
+	case LoadDone:
+		out = f.loadDone(now, e)
+	case UnloadDone:
+		f.unloadDone(e)
+	case Report:
+		f.report(now, e)
+	case Unreachable:
+		f.healthy = false
+	case Authority:
+		f.auth = e
+		if !e.MayDispatch {
+			out = f.refuseAll(RefuseNoOwner)
+		}
+	case Leaving:
+		f.leaving = true
+		out = f.refuseAll(RefuseLeaving)
+	case Tick:
+		out = f.expire(now)
+	}
+	return append(out, f.schedule(now)...)
+}
+
+// Status implements Core.
+func (f *Fifo) Status() Status {
+	s := Status{
+		Boot:    f.boot,
+		Healthy: f.healthy && !f.leaving,
+		Slots:   f.slots,
+		Batch:   f.batch,
+		Running: len(f.running),
+		Queued:  len(f.queue),
+	}
+	for ref, sl := range f.adapters {
+		if sl.state == slotReady {
+			s.Resident = append(s.Resident, ref)
+		}
+	}
+	slices.SortFunc(s.Resident, func(a, b state.AdapterRef) int {
+		if a.String() < b.String() {
+			return -1
+		}
+		return 1
+	})
+	return s
+}
+
+func (f *Fifo) enqueue(r Request) []Action {
+	switch {
+	case f.leaving:
+		return []Action{Refuse{ID: r.ID, Reason: RefuseLeaving}}
+	case !f.auth.MayDispatch:
+		return []Action{Refuse{ID: r.ID, Reason: RefuseNoOwner}}
+	case len(f.queue) >= fifoMaxQueue:
+		return []Action{Refuse{ID: r.ID, Reason: RefuseOverload, RetryAfter: fifoRetryAfter}}
+	}
+	at := len(f.queue)
+	for at > 0 && f.queue[at-1].Class.Rank > r.Class.Rank {
+		at--
+	}
+	f.queue = slices.Insert(f.queue, at, r)
+	return nil
+}
+
+func (f *Fifo) cancel(id string) []Action {
+	if _, ok := f.running[id]; ok {
+		return []Action{Abort{ID: id}}
+	}
+	for i, r := range f.queue {
+		if r.ID == id {
+			f.queue = slices.Delete(f.queue, i, i+1)
+			return []Action{Refuse{ID: id, Reason: RefuseCanceled}}
+		}
+	}
+	return nil
+}
+
+func (f *Fifo) ended(now time.Time, id string) {
+	r, ok := f.running[id]
+	if !ok {
+		return
+	}
+	delete(f.running, id)
+	if s := f.adapters[r.Adapter]; s != nil {
+		s.running--
+		s.lastUsed = now
+	}
+}
+
+func (f *Fifo) loadDone(now time.Time, e LoadDone) []Action {
+	s := f.adapters[e.Adapter]
+	if s == nil || s.state != slotLoading {
+		return nil
+	}
+	if !e.Failed && (f.boot == "" || e.Boot == f.boot) {
+		s.state = slotReady
+		s.lastUsed = now
+		return nil
+	}
+	delete(f.adapters, e.Adapter)
+	if !e.Failed {
+		return nil
+	}
+	var out []Action
+	f.queue = slices.DeleteFunc(f.queue, func(r Request) bool {
+		if r.Adapter != e.Adapter {
+			return false
+		}
+		out = append(out, Refuse{ID: r.ID, Reason: RefuseLoad, RetryAfter: fifoRetryAfter})
+		return true
+	})
+	return out
+}
+
+func (f *Fifo) unloadDone(e UnloadDone) {
+	s := f.adapters[e.Adapter]
+	if s == nil || s.state != slotUnloading {
+		return
+	}
+	if e.Failed {
+		s.state = slotReady
+		return
+	}
+	delete(f.adapters, e.Adapter)
+}
+
+func (f *Fifo) report(now time.Time, e Report) {
+	f.healthy = true
+	f.slots, f.batch = e.Slots, e.Batch
+	if e.Boot == f.boot {
+		return
+	}
+	f.boot = e.Boot
+	f.adapters = make(map[state.AdapterRef]*slot)
+	for _, ref := range e.Resident {
+		f.adapters[ref] = &slot{state: slotReady, lastUsed: now}
+	}
+}
+
+func (f *Fifo) refuseAll(reason RefuseReason) []Action {
+	var out []Action
+	for _, r := range f.queue {
+		out = append(out, Refuse{ID: r.ID, Reason: reason})
+	}
+	f.queue = nil
+	return out
+}
+
+func (f *Fifo) expire(now time.Time) []Action {
+	var out []Action
+	f.queue = slices.DeleteFunc(f.queue, func(r Request) bool {
+		if r.Deadline.After(now) {
+			return false
+		}
+		out = append(out, Refuse{ID: r.ID, Reason: RefuseDeadline})
+		return true
+	})
+	if !f.healthy {
+		out = append(out, f.refuseAll(RefuseDown)...)
+	}
+	return out
+}
+
+func (f *Fifo) schedule(now time.Time) []Action {
+	var out []Action
+	if !f.healthy || !f.auth.MayDispatch {
+		return nil
+	}
+	kept := f.queue[:0]
+	for _, r := range f.queue {
+		if len(f.running) < f.batch && f.ready(r.Adapter) {
+			f.start(now, r)
+			out = append(out, Dispatch{ID: r.ID})
+			continue
+		}
+		kept = append(kept, r)
+		out = append(out, f.want(r)...)
+	}
+	f.queue = kept
+	return out
+}
+
+func (f *Fifo) ready(ref state.AdapterRef) bool {
+	if ref.IsZero() {
+		return true
+	}
+	s := f.adapters[ref]
+	return s != nil && s.state == slotReady
+}
+
+func (f *Fifo) start(now time.Time, r Request) {
+	f.running[r.ID] = r
+	if s := f.adapters[r.Adapter]; s != nil {
+		s.running++
+		s.lastUsed = now
+	}
+}
+
+// want orders a load of the adapter, or an unload that makes room for it.
+func (f *Fifo) want(r Request) []Action {
+	if r.Adapter.IsZero() || f.adapters[r.Adapter] != nil || !f.auth.MayLoad {
+		return nil
+	}
+	if len(f.adapters) < f.slots {
+		f.adapters[r.Adapter] = &slot{state: slotLoading}
+		return []Action{Load{Adapter: r.Adapter, Source: r.Source, Epoch: f.auth.Epoch}}
+	}
+	victim, ok := f.victim()
+	if !ok || !f.auth.MayUnload {
+		return nil
+	}
+	s := f.adapters[victim]
+	if s.running != 0 {
+		panic(fmt.Sprintf("owner: unload of serving adapter %s", victim))
+	}
+	s.state = slotUnloading
+	return []Action{Unload{Adapter: victim, Epoch: f.auth.Epoch}}
+}
+
+func (f *Fifo) victim() (state.AdapterRef, bool) {
+	var victim state.AdapterRef
+	var best *slot
+	for ref, s := range f.adapters {
+		if s.state == slotUnloading {
+			return victim, false
+		}
+		if s.state != slotReady || s.running > 0 {
+			continue
+		}
+		older := best == nil || s.lastUsed.Before(best.lastUsed)
+		tie := best != nil && s.lastUsed.Equal(best.lastUsed) && ref.String() < victim.String()
+		if older || tie {
+			victim, best = ref, s
+		}
+	}
+	return victim, best != nil
+}
--- /dev/null
+++ b/internal/coordination/routing/simple.go
@@ -0,0 +1,61 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+// Simple prefers the least loaded upstream that holds the adapter, and the
+// rendezvous order of the adapter otherwise.
+type Simple struct {
+	fleet *state.Fleet
+}
+
+// NewSimple returns a router over fleet.
+func NewSimple(fleet *state.Fleet) *Simple { return &Simple{fleet: fleet} }
+
+// Pick implements Router.
+func (s *Simple) Pick(_ time.Time, req *Request) Choice {
+	var best Choice
+	var bestScore uint64
+	for _, u := range s.fleet.All() {
+		if !eligible(u, req) {
+			continue
+		}
+		score := simpleScore(u, req)
+		if best.Upstream == nil || score > bestScore {
+			best = Choice{Upstream: u, Resident: u.Holds(req.Adapter)}
+			bestScore = score
+		}
+	}
+	return best
+}
+
+func simpleScore(u *state.Upstream, req *Request) uint64 {
+	const (
+		residentBonus = 1 << 62
+		loadShift     = 40
+		maxLoad       = 1 << 20
+	)
+	weight := state.RendezvousWeight(req.Adapter.String(), string(u.ID)) >> 24
+	if !u.Holds(req.Adapter) && !req.Adapter.IsZero() {
+		return weight
+	}
+	load := min(u.Running+u.Queued, maxLoad)
+	return residentBonus + uint64(maxLoad-load)<<loadShift + weight
+}
+
+func eligible(u *state.Upstream, req *Request) bool {
+	if u.Leaving || !u.Healthy || u.Owner == "" {
+		return false
+	}
+	if slices.Contains(req.Exclude, u.ID) {
+		return false
+	}
+	if req.Adapter.IsZero() {
+		return u.Kind == state.KindPlain && u.Service == req.Service
+	}
+	return u.Kind == state.KindEngine && u.Base == req.Base
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,232 @@
+// Package demo runs stand-ins of the platform and of the upstreams together with
+// two daemons in one process on loopback.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/celerydeck/celerydeck/deckconfig"
+	"github.com/celerydeck/celerydeck/internal/app"
+	"github.com/celerydeck/celerydeck/internal/node/cluster"
+	"github.com/celerydeck/celerydeck/internal/standin/booking"
+	"github.com/celerydeck/celerydeck/internal/standin/engine"
+	"github.com/celerydeck/celerydeck/internal/standin/objectapi"
+	"github.com/celerydeck/celerydeck/internal/standin/vmlist"
+	"github.com/celerydeck/celerydeck/internal/standin/weightstore"
+	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/transport/peer"
+)
+
+const (
+	loopback     = "127.0.0.1"
+	region       = "cascadia"
+	baseModel    = "base-7b"
+	keyValidity  = 24 * time.Hour
+	drainTimeout = 30 * time.Second
+)
+
+// Options sets the size and speed of the demo.
+type Options struct {
+	Zones          []string
+	DaemonsPerZone int
+	EnginesPerZone int
+	Config         *deckconfig.Config
+	Engine         engine.Options
+	ListLag        time.Duration
+	StoreLoad      time.Duration
+	StoreKnee      int
+	// CallerPorts are the ports of the daemons; 0 takes a free one.
+	CallerPorts []int
+}
+
+// DefaultOptions returns two availability zones with a daemon and two engines each.
+func DefaultOptions() Options {
+	return Options{
+		Zones:          []string{"cascadia-a", "cascadia-b"},
+		DaemonsPerZone: 1,
+		EnginesPerZone: 2,
+		Config:         DefaultConfig(),
+		Engine:         engine.Options{Slots: 4, Batch: 8, TokenTime: 20 * time.Millisecond},
+		StoreLoad:      250 * time.Millisecond,
+		StoreKnee:      8,
+		CallerPorts:    []int{8080, 8081},
+	}
+}
+
+// Demo is a running deployment.
+type Demo struct {
+	Objects *objectapi.Server
+	VMs     *vmlist.Server
+	Store   *weightstore.Store
+	Booking *booking.Server
+	Engines []*engine.Engine
+	Daemons []*app.Daemon
+
+	opts      Options
+	authority *peer.Authority
+	platform  string
+	servers   []*http.Server
+}
+
+// Start starts a deployment. The caller must Close it.
+func Start(ctx context.Context, opts Options) (*Demo, error) {
+	d := &Demo{
+		Objects: objectapi.New(),
+		VMs:     vmlist.New(opts.ListLag),
+		Store:   weightstore.New(opts.StoreLoad, opts.StoreKnee),
+		Booking: booking.New(),
+		opts:    opts,
+	}
+	if err := d.start(ctx); err != nil {
+		d.Close(ctx)
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Demo) start(ctx context.Context) error {
+	var err error
+	if d.authority, err = peer.NewAuthority(time.Now(), keyValidity); err != nil {
+		return err
+	}
+	config, err := json.Marshal(d.opts.Config)
+	if err != nil {
+		return err
+	}
+	d.Objects.Put(cluster.ConfigKey, config)
+	mux := http.NewServeMux()
+	mux.Handle("GET /v1/vms", d.VMs)
+	mux.Handle("/", d.Objects.Handler())
+	addr, err := d.serve(mux)
+	if err != nil {
+		return err
+	}
+	d.platform = "http://" + addr
+	for _, zone := range d.opts.Zones {
+		if err := d.startUpstreams(zone); err != nil {
+			return err
+		}
+	}
+	for _, zone := range d.opts.Zones {
+		for i := range d.opts.DaemonsPerZone {
+			if _, err := d.StartDaemon(ctx, zone, fmt.Sprintf("%s-entry-%d", zone, i+1)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (d *Demo) startUpstreams(zone string) error {
+	for i := range d.opts.EnginesPerZone {
+		opts := d.opts.Engine
+		opts.ID = fmt.Sprintf("%s-engine-%d", zone, i+1)
+		opts.Store = d.Store
+		e := engine.New(opts)
+		addr, err := d.serve(e.Handler())
+		if err != nil {
+			return err
+		}
+		d.Engines = append(d.Engines, e)
+		d.VMs.Put(vmlist.VM{
+			ID: opts.ID, Zone: zone, Region: region, Address: addr, Kind: "engine",
+			Base: baseModel, Fenced: opts.Fenced, State: "live",
+		})
+	}
+	addr, err := d.serve(d.Booking.Handler())
+	if err != nil {
+		return err
+	}
+	d.VMs.Put(vmlist.VM{
+		ID: zone + "-booking-1", Zone: zone, Region: region, Address: addr,
+		Kind: "plain", Service: "booking", State: "live",
+	})
+	return nil
+}
+
+// StartDaemon starts one more daemon.
+func (d *Demo) StartDaemon(ctx context.Context, zone, id string) (*app.Daemon, error) {
+	peerAddr, err := freeUDP()
+	if err != nil {
+		return nil, err
+	}
+	port := 0
+	if n := len(d.Daemons); n < len(d.opts.CallerPorts) {
+		port = d.opts.CallerPorts[n]
+	}
+	identity, err := d.authority.Issue(state.DaemonID(id))
+	if err != nil {
+		return nil, err
+	}
+	d.VMs.Put(vmlist.VM{ID: id, Zone: zone, Region: region, Address: peerAddr, Kind: "entry", State: "live"})
+	daemon, err := app.Start(ctx, app.Settings{
+		ID:           id,
+		Zone:         zone,
+		Region:       region,
+		CallerAddr:   fmt.Sprintf("%s:%d", loopback, port),
+		PeerAddr:     peerAddr,
+		PlatformURL:  d.platform,
+		DrainTimeout: drainTimeout,
+	}, identity)
+	if err != nil {
+		return nil, err
+	}
+	d.Daemons = append(d.Daemons, daemon)
+	return daemon, nil
+}
+
+// WaitReady waits until every daemon takes requests.
+func (d *Demo) WaitReady(ctx context.Context) error {
+	const gap = 10 * time.Millisecond
+	for _, daemon := range d.Daemons {
+		for !daemon.Ready() {
+			select {
+			case <-time.After(gap):
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+	}
+	return nil
+}
+
+// Close stops the daemons and then the stand-ins.
+func (d *Demo) Close(ctx context.Context) {
+	for _, daemon := range d.Daemons {
+		_ = daemon.Shutdown(ctx)
+	}
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+}
+
+func (d *Demo) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", loopback+":0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	d.servers = append(d.servers, server)
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			panic(err)
+		}
+	}()
+	return l.Addr().String(), nil
+}
+
+// freeUDP returns a free address; the daemon binds it a moment later.
+func freeUDP() (string, error) {
+	conn, err := net.ListenPacket("udp", loopback+":0")
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close()
+	return conn.LocalAddr().String(), nil
+}
--- /dev/null
+++ b/internal/node/cluster/cluster.go
@@ -0,0 +1,365 @@
+// Package cluster keeps a daemon's view of the other daemons, of the upstreams
+// and of the configuration up to date.
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/celerydeck/celerydeck/deckconfig"
+	core "github.com/celerydeck/celerydeck/internal/coordination/owner"
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/transport/peer"
+	"github.com/celerydeck/celerydeck/internal/transport/platform"
+)
+
+const (
+	heartbeatInterval = 200 * time.Millisecond
+	heartbeatTimeout  = time.Second
+	aliveFor          = 3 * time.Second
+	listInterval      = 500 * time.Millisecond
+	configWait        = 20 * time.Second
+	retryInterval     = 500 * time.Millisecond
+)
+
+// ConfigKey is the object that holds the configuration.
+const ConfigKey = "config/head"
+
+// Owner is told what this daemon owns.
+type Owner interface {
+	Own(u *state.Upstream, auth core.Authority)
+	Disown(id state.UpstreamID)
+	Leaving(id state.UpstreamID)
+	Owned() []protocol.UpstreamStatus
+}
+
+// Options sets up a Cluster.
+type Options struct {
+	Self        peer.Peer
+	Incarnation state.Incarnation
+	Zone        state.Zone
+	Region      state.Region
+	Platform    *platform.Client
+	Pool        *peer.Pool
+	Fleet       *state.Fleet
+	Owner       Owner
+	Clock       func() time.Time
+}
+
+type member struct {
+	peer     peer.Peer
+	zone     state.Zone
+	lastSeen time.Time
+	draining bool
+}
+
+// Cluster runs the loops that keep the view up to date.
+type Cluster struct {
+	opts    Options
+	catalog atomic.Pointer[state.Catalog]
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
+
+	mu       sync.Mutex
+	members  map[state.DaemonID]*member
+	owned    map[state.UpstreamID]bool
+	draining bool
+	sequence uint64
+}
+
+// New returns a cluster that is not running.
+func New(opts Options) *Cluster {
+	return &Cluster{
+		opts:    opts,
+		members: make(map[state.DaemonID]*member),
+		owned:   make(map[state.UpstreamID]bool),
+	}
+}
+
+// Start runs the loops until Close.
+func (c *Cluster) Start() {
+	ctx, stop := context.WithCancel(context.Background())
+	c.stop = stop
+	c.loop(ctx, listInterval, c.syncList)
+	c.loop(ctx, heartbeatInterval, c.heartbeat)
+	c.wg.Add(1)
+	go c.watchConfig(ctx)
+}
+
+// Close stops the loops.
+func (c *Cluster) Close() {
+	c.stop()
+	c.wg.Wait()
+}
+
+// Catalog returns the configuration in force, or nil before the first one.
+func (c *Cluster) Catalog() *state.Catalog { return c.catalog.Load() }
+
+// Drain announces that this daemon leaves and gives up its upstreams.
+func (c *Cluster) Drain(ctx context.Context) {
+	c.mu.Lock()
+	c.draining = true
+	c.mu.Unlock()
+	c.heartbeat(ctx)
+	c.assign()
+}
+
+// Address returns the address of a daemon.
+func (c *Cluster) Address(id state.DaemonID) (peer.Peer, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.members[id]
+	if m == nil {
+		return peer.Peer{}, false
+	}
+	return m.peer, true
+}
+
+func (c *Cluster) loop(ctx context.Context, every time.Duration, step func(context.Context)) {
+	c.wg.Add(1)
+	go func() {
+		defer c.wg.Done()
+		ticker := time.NewTicker(every)
+		defer ticker.Stop()
+		for {
+			step(ctx)
+			select {
+			case <-ticker.C:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+}
+
+func (c *Cluster) syncList(ctx context.Context) {
+	vms, err := c.opts.Platform.VMs(ctx)
+	if err != nil {
+		return
+	}
+	listed := make(map[state.UpstreamID]bool)
+	c.mu.Lock()
+	for _, vm := range vms {
+		if vm.Kind == platform.VMEntry {
+			c.noteDaemon(vm)
+		}
+	}
+	c.mu.Unlock()
+	for _, vm := range vms {
+		if vm.Kind == platform.VMEntry {
+			continue
+		}
+		listed[state.UpstreamID(vm.ID)] = true
+		c.noteUpstream(vm)
+	}
+	for _, u := range c.opts.Fleet.All() {
+		if !listed[u.ID] && len(vms) > 0 {
+			c.opts.Fleet.Delete(u.ID)
+		}
+	}
+	c.assign()
+}
+
+// noteDaemon records a listed daemon. The caller must hold mu.
+func (c *Cluster) noteDaemon(vm platform.VM) {
+	id := state.DaemonID(vm.ID)
+	if id == c.opts.Self.ID || c.members[id] != nil {
+		return
+	}
+	c.members[id] = &member{peer: peer.Peer{ID: id, Addr: vm.Address}, zone: vm.Zone}
+}
+
+func (c *Cluster) noteUpstream(vm platform.VM) {
+	id := state.UpstreamID(vm.ID)
+	leaving := vm.State == platform.VMLeaving
+	if c.opts.Fleet.Get(id) == nil {
+		c.opts.Fleet.Put(newUpstream(vm))
+	}
+	c.opts.Fleet.Update(id, func(u *state.Upstream) { u.Leaving = leaving })
+	if leaving {
+		c.opts.Owner.Leaving(id)
+	}
+}
+
+func newUpstream(vm platform.VM) state.Upstream {
+	kind := state.KindEngine
+	if vm.Kind == platform.VMPlain {
+		kind = state.KindPlain
+	}
+	return state.Upstream{
+		ID:      state.UpstreamID(vm.ID),
+		VM:      vm.ID,
+		Zone:    vm.Zone,
+		Region:  vm.Region,
+		Addr:    vm.Address,
+		Kind:    kind,
+		Service: state.ServiceID(vm.Service),
+		Base:    vm.Base,
+		Fenced:  vm.Fenced,
+	}
+}
+
+// assign recomputes the owners of the upstreams of this zone.
+func (c *Cluster) assign() {
+	daemons := c.liveDaemons()
+	for _, u := range c.opts.Fleet.All() {
+		if u.Zone != c.opts.Zone {
+			continue
+		}
+		owner := state.RendezvousOwner(string(u.ID), daemons)
+		if owner != u.Owner {
+			c.opts.Fleet.Update(u.ID, func(u *state.Upstream) {
+				u.Owner = owner
+				u.Epoch++
+			})
+		}
+		c.take(u, owner == c.opts.Self.ID)
+	}
+}
+
+func (c *Cluster) take(u *state.Upstream, mine bool) {
+	c.mu.Lock()
+	had := c.owned[u.ID]
+	c.owned[u.ID] = mine
+	c.mu.Unlock()
+	switch {
+	case mine && !had:
+		auth := core.Authority{Epoch: u.Epoch + 1, MayDispatch: true, MayLoad: true, MayUnload: true}
+		c.opts.Owner.Own(u, auth)
+	case had && !mine:
+		c.opts.Owner.Disown(u.ID)
+	}
+}
+
+// liveDaemons returns the daemons of this zone that may own upstreams.
+func (c *Cluster) liveDaemons() []state.DaemonID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var daemons []state.DaemonID
+	if !c.draining {
+		daemons = append(daemons, c.opts.Self.ID)
+	}
+	now := c.opts.Clock()
+	for id, m := range c.members {
+		alive := now.Sub(m.lastSeen) < aliveFor
+		if m.zone == c.opts.Zone && alive && !m.draining {
+			daemons = append(daemons, id)
+		}
+	}
+	slices.Sort(daemons)
+	return daemons
+}
+
+func (c *Cluster) heartbeat(ctx context.Context) {
+	statuses := c.opts.Owner.Owned()
+	for _, s := range statuses {
+		c.applyStatus(c.opts.Self.ID, s)
+	}
+	c.mu.Lock()
+	c.sequence++
+	beat := protocol.Heartbeat{
+		Daemon:      c.opts.Self.ID,
+		Incarnation: c.opts.Incarnation,
+		Zone:        c.opts.Zone,
+		Sequence:    c.sequence,
+		Draining:    c.draining,
+		Upstreams:   statuses,
+	}
+	if cat := c.Catalog(); cat != nil {
+		beat.Revision = cat.Revision
+	}
+	peers := make([]peer.Peer, 0, len(c.members))
+	for _, m := range c.members {
+		peers = append(peers, m.peer)
+	}
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, p := range peers {
+		wg.Go(func() {
+			var ack protocol.HeartbeatAck
+			_ = c.opts.Pool.Exchange(ctx, p, protocol.MsgHeartbeat, beat, &ack)
+		})
+	}
+	wg.Wait()
+}
+
+// HandleHeartbeat takes the heartbeat of a peer.
+func (c *Cluster) HandleHeartbeat(from state.DaemonID, beat *protocol.Heartbeat) (protocol.HeartbeatAck, error) {
+	if from != beat.Daemon {
+		return protocol.HeartbeatAck{}, errors.New("cluster: heartbeat names another daemon")
+	}
+	c.mu.Lock()
+	if m := c.members[from]; m != nil {
+		m.lastSeen = c.opts.Clock()
+		m.draining = beat.Draining
+	}
+	c.mu.Unlock()
+	for _, s := range beat.Upstreams {
+		c.applyStatus(from, s)
+	}
+	ack := protocol.HeartbeatAck{Sequence: beat.Sequence}
+	if cat := c.Catalog(); cat != nil {
+		ack.Revision = cat.Revision
+	}
+	return ack, nil
+}
+
+func (c *Cluster) applyStatus(owner state.DaemonID, s protocol.UpstreamStatus) {
+	c.opts.Fleet.Update(s.ID, func(u *state.Upstream) {
+		if u.Zone != c.opts.Zone {
+			u.Owner = owner
+		}
+		if u.Owner != owner {
+			return
+		}
+		u.Boot = s.Boot
+		u.Healthy = s.Healthy
+		u.Running = s.Running
+		u.Queued = s.Queued
+		u.Slots = s.Slots
+		u.Batch = s.Batch
+		u.Resident = s.Resident
+	})
+}
+
+func (c *Cluster) watchConfig(ctx context.Context) {
+	defer c.wg.Done()
+	var seen platform.Version
+	for ctx.Err() == nil {
+		page, err := c.opts.Platform.Watch(ctx, ConfigKey, seen, configWait)
+		if err != nil {
+			select {
+			case <-time.After(retryInterval):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		seen = page.Revision
+		if len(page.Objects) > 0 {
+			c.applyConfig(page.Objects[len(page.Objects)-1])
+		}
+	}
+}
+
+func (c *Cluster) applyConfig(o platform.Object) {
+	var config deckconfig.Config
+	if err := json.Unmarshal(o.Value, &config); err != nil {
+		klog.ErrorS(err, "Configuration is unreadable", "version", o.Version)
+		return
+	}
+	if old := c.Catalog(); old != nil && old.Revision >= uint64(o.Version) {
+		return
+	}
+	c.catalog.Store(state.NewCatalog(uint64(o.Version), "", &config))
+	klog.InfoS("Configuration in force", "revision", o.Version)
+}
--- /dev/null
+++ b/internal/node/owner/worker.go
@@ -0,0 +1,257 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	core "github.com/celerydeck/celerydeck/internal/coordination/owner"
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+const (
+	pollInterval  = 250 * time.Millisecond
+	reportTimeout = 2 * time.Second
+	orderTimeout  = time.Minute
+	cancelTimeout = 2 * time.Second
+	minBudget     = time.Millisecond
+)
+
+// worker runs the core of one upstream.
+type worker struct {
+	m    *Manager
+	u    *state.Upstream
+	ctx  context.Context
+	stop context.CancelFunc
+
+	mu      sync.Mutex // guards core and pending; never held across I/O
+	core    core.Core
+	pending map[string]*pending
+}
+
+type pending struct {
+	id     string
+	call   *protocol.Call
+	sink   protocol.Sink
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   chan *protocol.Error // buffered; receives exactly one result
+}
+
+func (w *worker) handle(event core.Event) {
+	w.mu.Lock()
+	actions := w.core.Handle(w.m.opts.Clock(), event)
+	w.mu.Unlock()
+	for _, a := range actions {
+		w.run(a)
+	}
+}
+
+func (w *worker) status() protocol.UpstreamStatus {
+	w.mu.Lock()
+	s := w.core.Status()
+	w.mu.Unlock()
+	return protocol.UpstreamStatus{
+		ID:       w.u.ID,
+		Boot:     s.Boot,
+		Healthy:  s.Healthy,
+		Running:  s.Running,
+		Queued:   s.Queued,
+		Slots:    s.Slots,
+		Batch:    s.Batch,
+		Resident: s.Resident,
+	}
+}
+
+func (w *worker) submit(ctx context.Context, call *protocol.Call, sink protocol.Sink) *protocol.Error {
+	runCtx, cancel := context.WithTimeout(ctx, max(call.Budget, minBudget))
+	defer cancel()
+	p := &pending{
+		id:     requestID(call),
+		call:   call,
+		sink:   sink,
+		ctx:    runCtx,
+		cancel: cancel,
+		done:   make(chan *protocol.Error, 1),
+	}
+	w.mu.Lock()
+	if w.pending[p.id] != nil {
+		w.mu.Unlock()
+		return protocol.Errorf(protocol.KindConflict, "queue request", protocol.OutcomeNotRun,
+			"attempt %s is already here", p.id).WithPeer(string(w.u.ID))
+	}
+	w.pending[p.id] = p
+	w.mu.Unlock()
+	w.handle(core.Enqueue{Request: coreRequest(p.id, call, w.m.opts.Clock())})
+	select {
+	case err := <-p.done:
+		return err
+	case <-runCtx.Done():
+		w.handle(core.Cancel{ID: p.id})
+		return <-p.done
+	}
+}
+
+func coreRequest(id string, call *protocol.Call, now time.Time) core.Request {
+	r := core.Request{
+		ID:          id,
+		Class:       call.Class(),
+		Deadline:    now.Add(call.Budget),
+		Fingerprint: call.Fingerprint,
+		Repeatable:  call.Repeatable,
+	}
+	if call.Model != nil {
+		r.Adapter = call.Model.Adapter
+		r.Source = call.Model.Source
+		r.PromptTokens = call.Model.PromptLen
+		r.MaxTokens = call.Model.MaxTokens
+		r.Prefix = call.Model.Prefix
+	}
+	return r
+}
+
+func (w *worker) run(action core.Action) {
+	switch a := action.(type) {
+	case core.Dispatch:
+		if p := w.lookup(a.ID); p != nil {
+			go w.dispatch(p)
+		}
+	case core.Refuse:
+		if p := w.take(a.ID); p != nil {
+			p.done <- refusal(a, string(w.u.ID))
+		}
+	case core.Abort:
+		if p := w.lookup(a.ID); p != nil {
+			p.cancel()
+			go w.cancelUpstream(p)
+		}
+	case core.Load:
+		go w.load(a)
+	case core.Unload:
+		go w.unload(a)
+	}
+}
+
+func (w *worker) lookup(id string) *pending {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.pending[id]
+}
+
+func (w *worker) take(id string) *pending {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p := w.pending[id]
+	delete(w.pending, id)
+	return p
+}
+
+func (w *worker) dispatch(p *pending) {
+	var err *protocol.Error
+	if p.call.Model != nil {
+		err = w.m.opts.Client.Complete(p.ctx, w.u, p.call, p.sink)
+	} else {
+		err = w.m.opts.Client.Plain(p.ctx, w.u, p.call, p.sink)
+	}
+	w.take(p.id)
+	w.handle(core.Ended{ID: p.id, Failed: err != nil})
+	p.done <- err
+}
+
+// cancelUpstream stops a request whose connection may outlive its caller.
+func (w *worker) cancelUpstream(p *pending) {
+	if p.call.Model == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(w.m.ctx, cancelTimeout)
+	defer cancel()
+	_ = w.m.opts.Client.Cancel(ctx, w.u, p.call.RequestID)
+}
+
+func (w *worker) load(a core.Load) {
+	ctx, cancel := context.WithTimeout(w.m.ctx, orderTimeout)
+	defer cancel()
+	boot, err := w.m.opts.Client.Load(ctx, w.u, a.Adapter, a.Source, a.Epoch)
+	if err != nil {
+		klog.InfoS("Load failed", "adapter", a.Adapter, "upstream", w.u.ID, "err", err)
+	}
+	w.handle(core.LoadDone{Adapter: a.Adapter, Boot: boot, Failed: err != nil})
+}
+
+func (w *worker) unload(a core.Unload) {
+	ctx, cancel := context.WithTimeout(w.m.ctx, orderTimeout)
+	defer cancel()
+	err := w.m.opts.Client.Unload(ctx, w.u, a.Adapter, a.Epoch)
+	if err != nil {
+		klog.InfoS("Unload failed", "adapter", a.Adapter, "upstream", w.u.ID, "err", err)
+	}
+	w.handle(core.UnloadDone{Adapter: a.Adapter, Failed: err != nil})
+}
+
+// poll feeds load reports and ticks to the core until the worker stops.
+func (w *worker) poll() {
+	defer w.m.wg.Done()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		w.report()
+		select {
+		case <-ticker.C:
+		case <-w.ctx.Done():
+			return
+		}
+	}
+}
+
+func (w *worker) report() {
+	if w.u.Kind == state.KindPlain {
+		w.handle(core.Report{Boot: "plain", Batch: plainBatch})
+		w.handle(core.Tick{})
+		return
+	}
+	ctx, cancel := context.WithTimeout(w.ctx, reportTimeout)
+	defer cancel()
+	report, err := w.m.opts.Client.Report(ctx, w.u)
+	if err != nil {
+		w.handle(core.Unreachable{})
+		w.handle(core.Tick{})
+		return
+	}
+	event := core.Report{
+		Boot:    report.BootID,
+		Slots:   report.Slots,
+		Batch:   report.Batch,
+		Running: report.Running,
+		Waiting: report.Waiting,
+	}
+	for _, name := range report.Adapters {
+		ref, err := state.ParseAdapterRef(name)
+		if err == nil {
+			event.Resident = append(event.Resident, ref)
+		}
+	}
+	w.handle(event)
+	w.handle(core.Tick{})
+}
+
+const plainBatch = 64
+
+func refusal(a core.Refuse, peer string) *protocol.Error {
+	kind := protocol.KindUnavailable
+	switch a.Reason {
+	case core.RefuseOverload:
+		kind = protocol.KindOverloaded
+	case core.RefuseDeadline:
+		kind = protocol.KindDeadline
+	case core.RefuseNoOwner:
+		kind = protocol.KindNotOwner
+	case core.RefuseCanceled:
+		kind = protocol.KindCanceled
+	}
+	err := protocol.Errorf(kind, "queue request", protocol.OutcomeNotRun, "refused: %s", a.Reason).WithPeer(peer)
+	err.RetryAfter = a.RetryAfter
+	return err
+}
--- /dev/null
+++ b/internal/standin/vmlist/vmlist.go
@@ -0,0 +1,116 @@
+// Package vmlist is a small stand-in for the platform's list of VMs. The list
+// lags behind the changes by a settable time.
+package vmlist
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+// VM is one entry of the list.
+type VM struct {
+	ID      string `json:"id"`
+	Zone    string `json:"zone"`
+	Region  string `json:"region"`
+	Address string `json:"address"` // host:port of what the VM runs
+	Kind    string `json:"kind"`    // "entry", "engine" or "plain"
+	Service string `json:"service,omitempty"`
+	Base    string `json:"base,omitempty"`
+	Fenced  bool   `json:"fenced,omitempty"`
+	State   string `json:"state"` // "live" or "leaving"
+}
+
+// List is the answer of the list.
+type List struct {
+	VMs []VM `json:"vms"`
+}
+
+type snapshot struct {
+	at  time.Time
+	vms []VM
+}
+
+// Server is the stand-in.
+type Server struct {
+	mu      sync.Mutex
+	lag     time.Duration
+	down    bool
+	history []snapshot
+}
+
+// New returns an empty list whose answers lag behind by lag.
+func New(lag time.Duration) *Server {
+	return &Server{lag: lag, history: []snapshot{{}}}
+}
+
+// SetDown makes every call fail.
+func (s *Server) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// Put adds or replaces a VM.
+func (s *Server) Put(vm VM) {
+	s.change(func(vms []VM) []VM {
+		i := slices.IndexFunc(vms, func(v VM) bool { return v.ID == vm.ID })
+		if i < 0 {
+			return append(vms, vm)
+		}
+		vms[i] = vm
+		return vms
+	})
+}
+
+// Remove removes a VM.
+func (s *Server) Remove(id string) {
+	s.change(func(vms []VM) []VM {
+		return slices.DeleteFunc(vms, func(v VM) bool { return v.ID == id })
+	})
+}
+
+// SetState sets the state of a VM.
+func (s *Server) SetState(id, state string) {
+	s.change(func(vms []VM) []VM {
+		for i := range vms {
+			if vms[i].ID == id {
+				vms[i].State = state
+			}
+		}
+		return vms
+	})
+}
+
+func (s *Server) change(apply func([]VM) []VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := s.history[len(s.history)-1]
+	next := snapshot{at: time.Now(), vms: apply(slices.Clone(last.vms))}
+	s.history = append(s.history, next)
+}
+
+// ServeHTTP serves GET /v1/vms.
+func (s *Server) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	vms, down := s.visible()
+	if down {
+		http.Error(w, "list is down", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(List{VMs: vms})
+}
+
+func (s *Server) visible() ([]VM, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := time.Now().Add(-s.lag)
+	for i := len(s.history) - 1; i > 0; i-- {
+		if !s.history[i].at.After(limit) {
+			return slices.Clone(s.history[i].vms), s.down
+		}
+	}
+	return []VM{}, s.down
+}
--- /dev/null
+++ b/internal/transport/callers/completion.go
@@ -0,0 +1,195 @@
+package callers
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/protocol"
+)
+
+type usage struct {
+	PromptTokens     uint32 `json:"prompt_tokens"`
+	CompletionTokens uint32 `json:"completion_tokens"`
+	TotalTokens      uint32 `json:"total_tokens"`
+}
+
+type completionResponse struct {
+	ID      string           `json:"id"`
+	Object  string           `json:"object"`
+	Created int64            `json:"created"`
+	Model   string           `json:"model"`
+	Choices []responseChoice `json:"choices"`
+	Usage   *usage           `json:"usage,omitempty"`
+}
+
+type responseChoice struct {
+	Index        int          `json:"index"`
+	Text         *string      `json:"text,omitempty"`
+	Message      *chatMessage `json:"message,omitempty"`
+	Delta        *chatMessage `json:"delta,omitempty"`
+	FinishReason *string      `json:"finish_reason"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+func (s *Server) completion(chat bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		id := s.opts.NewID()
+		w.Header().Set(HeaderRequestID, id)
+		who, err := s.authenticate(r)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		body, err := readBody(w, r)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		call, req, service, err := who.modelCall(r, chat, body)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		call.RequestID = id
+		sink := &completionSink{w: w, call: &call, chat: chat, stream: req.Stream, created: time.Now().Unix()}
+		sink.includeUsage = req.Options != nil && req.Options.IncludeUsage
+		sink.setHeaders()
+		if err := s.opts.Gateway.Serve(r.Context(), &call, service.BaseModel, sink); err != nil {
+			sink.fail(err)
+		}
+	}
+}
+
+// completionSink writes the answer of a completion, streamed or at once.
+type completionSink struct {
+	w            http.ResponseWriter
+	call         *protocol.Call
+	chat         bool
+	stream       bool
+	includeUsage bool
+	created      int64
+	started      bool
+	text         strings.Builder
+	buf          []byte
+}
+
+func (c *completionSink) setHeaders() {
+	h := c.w.Header()
+	h.Set(HeaderAdapter, string(c.call.Model.Adapter.Service)+"/"+c.call.Model.Adapter.Adapter)
+	h.Set(HeaderVersion, c.call.Model.Adapter.Version)
+}
+
+// Head implements protocol.Sink.
+func (c *completionSink) Head(protocol.Head) error { return nil }
+
+// Chunk implements protocol.Sink.
+func (c *completionSink) Chunk(chunk protocol.Chunk) error {
+	if !c.stream {
+		c.text.Write(chunk.Data)
+		return nil
+	}
+	return c.event(c.response(c.partChoice(string(chunk.Data), nil)))
+}
+
+// End implements protocol.Sink.
+func (c *completionSink) End(end protocol.End) error {
+	u := &usage{
+		PromptTokens:     end.PromptTokens,
+		CompletionTokens: end.Total,
+		TotalTokens:      end.PromptTokens + end.Total,
+	}
+	if !c.stream {
+		c.w.Header().Set(HeaderOutcome, string(protocol.OutcomeRan))
+		resp := c.response(c.wholeChoice(end.FinishReason))
+		resp.Usage = u
+		writeJSON(c.w, http.StatusOK, resp)
+		return nil
+	}
+	if err := c.event(c.response(c.partChoice("", &end.FinishReason))); err != nil {
+		return err
+	}
+	if c.includeUsage {
+		last := c.response()
+		last.Usage = u
+		if err := c.event(last); err != nil {
+			return err
+		}
+	}
+	return c.write([]byte("data: [DONE]\n\n"))
+}
+
+// fail ends the answer with an error. A stream that has begun gets an error
+// event and no end marker, so that it can't be taken for a whole answer.
+func (c *completionSink) fail(err *protocol.Error) {
+	if !c.started {
+		writeError(c.w, err)
+		return
+	}
+	data, _ := json.Marshal(errorBody{Error: detail(err)})
+	_ = c.write([]byte("event: error\ndata: " + string(data) + "\n\n"))
+	panic(http.ErrAbortHandler)
+}
+
+func (c *completionSink) response(choices ...responseChoice) completionResponse {
+	resp := completionResponse{
+		ID:      c.call.RequestID,
+		Object:  "text_completion",
+		Created: c.created,
+		Model:   c.call.Model.Adapter.String(),
+		Choices: choices,
+	}
+	if c.chat {
+		resp.Object = "chat.completion"
+		if c.stream {
+			resp.Object = "chat.completion.chunk"
+		}
+	}
+	if resp.Choices == nil {
+		resp.Choices = []responseChoice{}
+	}
+	return resp
+}
+
+func (c *completionSink) partChoice(text string, finish *string) responseChoice {
+	if c.chat {
+		return responseChoice{Delta: &chatMessage{Role: "assistant", Content: text}, FinishReason: finish}
+	}
+	return responseChoice{Text: &text, FinishReason: finish}
+}
+
+func (c *completionSink) wholeChoice(finish string) responseChoice {
+	text := c.text.String()
+	if c.chat {
+		return responseChoice{Message: &chatMessage{Role: "assistant", Content: text}, FinishReason: &finish}
+	}
+	return responseChoice{Text: &text, FinishReason: &finish}
+}
+
+func (c *completionSink) event(resp completionResponse) error {
+	data, err := json.Marshal(resp)
+	if err != nil {
+		return err
+	}
+	c.buf = append(c.buf[:0], "data: "...)
+	c.buf = append(c.buf, data...)
+	c.buf = append(c.buf, "\n\n"...)
+	return c.write(c.buf)
+}
+
+func (c *completionSink) write(data []byte) error {
+	if !c.started {
+		c.started = true
+		c.w.Header().Set("Content-Type", "text/event-stream")
+		c.w.Header().Set("Cache-Control", "no-cache")
+	}
+	if _, err := c.w.Write(data); err != nil {
+		return err
+	}
+	return http.NewResponseController(c.w).Flush()
+}
--- /dev/null
+++ b/internal/transport/callers/server.go
@@ -0,0 +1,86 @@
+// Package callers serves the HTTP API of callers: completions in the form of the
+// OpenAI API, and calls of plain services.
+package callers
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+// Header fields of the API.
+const (
+	HeaderRank      = "X-Celerydeck-Rank"
+	HeaderTimeout   = "X-Celerydeck-Timeout"
+	HeaderOutcome   = "X-Celerydeck-Outcome"
+	HeaderAdapter   = "X-Celerydeck-Adapter"
+	HeaderVersion   = "X-Celerydeck-Version"
+	HeaderRequestID = "X-Request-Id"
+)
+
+// Limits of requests.
+const (
+	MaxBody        = 8 << 20
+	DefaultTimeout = 60 * time.Second
+	MaxTimeout     = 10 * time.Minute
+)
+
+// Gateway serves a call from end to end.
+type Gateway interface {
+	Serve(ctx context.Context, call *protocol.Call, base string, sink protocol.Sink) *protocol.Error
+}
+
+// Options sets up a Server.
+type Options struct {
+	Gateway Gateway
+	// Catalog returns the configuration in force, or nil before the first one.
+	Catalog func() *state.Catalog
+	// Ready reports whether the daemon takes new requests.
+	Ready func() bool
+	// NewID returns a new request id.
+	NewID func() string
+	// Metrics serves /metrics.
+	Metrics http.Handler
+}
+
+// Server serves the API.
+type Server struct {
+	opts Options
+}
+
+// New returns a server.
+func New(opts Options) *Server { return &Server{opts: opts} }
+
+// Handler returns the routes of the API.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/healthz", s.health).Methods(http.MethodGet)
+	r.HandleFunc("/readyz", s.ready).Methods(http.MethodGet)
+	if s.opts.Metrics != nil {
+		r.Handle("/metrics", s.opts.Metrics).Methods(http.MethodGet)
+	}
+	r.HandleFunc("/v1/completions", s.completion(false)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/chat/completions", s.completion(true)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/models", s.models).Methods(http.MethodGet)
+	r.PathPrefix("/services/{service}/").HandlerFunc(s.plain)
+	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		writeError(w, protocol.Errorf(protocol.KindNotFound, "route request", protocol.OutcomeNotRun, "no route for %s %s", r.Method, r.URL.Path))
+	})
+	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		writeError(w, protocol.Errorf(protocol.KindBadRequest, "route request", protocol.OutcomeNotRun, "method %s is not allowed", r.Method))
+	})
+	return r
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if !s.opts.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/internal/transport/peer/server.go
@@ -0,0 +1,190 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"k8s.io/klog/v2"
+
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/state/inflight"
+)
+
+const (
+	idleTimeout     = 10 * time.Second
+	keepAlive       = 3 * time.Second
+	maxStreams      = 8192
+	streamWindow    = 256 << 10
+	codeCanceled    = quic.StreamErrorCode(1)
+	codeBadMessage  = quic.StreamErrorCode(2)
+	codeShutdown    = quic.ApplicationErrorCode(1)
+	codeStranger    = quic.ApplicationErrorCode(2)
+	firstFrameLimit = 5 * time.Second
+	ackTimeout      = 5 * time.Second
+)
+
+// Handler serves the messages of peers.
+type Handler interface {
+	// ServeCall runs a call and hands its answer to sink, its End included.
+	ServeCall(ctx context.Context, from state.DaemonID, call *protocol.Call, sink protocol.Sink)
+	// ServeMessage answers any other message.
+	ServeMessage(ctx context.Context, from state.DaemonID, frame protocol.Frame) (protocol.MessageKind, any, error)
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		MaxIdleTimeout:             idleTimeout,
+		KeepAlivePeriod:            keepAlive,
+		MaxIncomingStreams:         maxStreams,
+		InitialStreamReceiveWindow: streamWindow,
+		MaxStreamReceiveWindow:     streamWindow,
+	}
+}
+
+// Server accepts the connections of peers.
+type Server struct {
+	listener *quic.Listener
+	handler  Handler
+	wg       sync.WaitGroup
+	cancel   context.CancelFunc
+	calls    *inflight.Counter
+}
+
+// Listen starts a server on a packet connection.
+func Listen(conn net.PacketConn, id Identity, handler Handler) (*Server, error) {
+	listener, err := quic.Listen(conn, id.serverConfig(), quicConfig())
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{listener: listener, handler: handler, cancel: cancel, calls: inflight.New()}
+	s.wg.Add(1)
+	go s.accept(ctx)
+	return s, nil
+}
+
+// Drain waits until the peers have received the answers of all calls in progress,
+// or returns the error of ctx.
+func (s *Server) Drain(ctx context.Context) error { return s.calls.Wait(ctx) }
+
+// Close ends all connections and waits for their calls to return.
+func (s *Server) Close() {
+	s.cancel()
+	_ = s.listener.Close()
+	s.wg.Wait()
+}
+
+func (s *Server) accept(ctx context.Context) {
+	defer s.wg.Done()
+	for {
+		conn, err := s.listener.Accept(ctx)
+		if err != nil {
+			return
+		}
+		s.wg.Add(1)
+		go s.serveConn(ctx, conn)
+	}
+}
+
+func (s *Server) serveConn(ctx context.Context, conn *quic.Conn) {
+	defer s.wg.Done()
+	certs := conn.ConnectionState().TLS.PeerCertificates
+	if len(certs) == 0 {
+		_ = conn.CloseWithError(codeStranger, "no certificate")
+		return
+	}
+	from := state.DaemonID(certs[0].Subject.CommonName)
+	for {
+		stream, err := conn.AcceptStream(ctx)
+		if err != nil {
+			_ = conn.CloseWithError(codeShutdown, "closing")
+			return
+		}
+		s.wg.Add(1)
+		go s.serveStream(ctx, from, stream)
+	}
+}
+
+func (s *Server) serveStream(ctx context.Context, from state.DaemonID, stream *quic.Stream) {
+	defer s.wg.Done()
+	_ = stream.SetReadDeadline(time.Now().Add(firstFrameLimit))
+	frame, err := protocol.ReadFrame(stream)
+	if err != nil {
+		reset(stream, codeBadMessage)
+		return
+	}
+	_ = stream.SetReadDeadline(time.Time{})
+	if frame.Kind == protocol.MsgCall {
+		s.serveCall(ctx, from, stream, frame)
+		return
+	}
+	kind, reply, err := s.handler.ServeMessage(ctx, from, frame)
+	if err != nil {
+		klog.V(2).InfoS("Refused peer message", "peer", from, "kind", frame.Kind, "err", err)
+		reset(stream, codeBadMessage)
+		return
+	}
+	if err := protocol.WriteMessage(stream, kind, reply); err != nil {
+		reset(stream, codeCanceled)
+		return
+	}
+	_ = stream.Close()
+}
+
+func (s *Server) serveCall(ctx context.Context, from state.DaemonID, stream *quic.Stream, frame protocol.Frame) {
+	var call protocol.Call
+	if err := frame.Decode(&call); err != nil || (call.Model == nil) == (call.Plain == nil) {
+		reset(stream, codeBadMessage)
+		return
+	}
+	s.calls.Add()
+	defer s.calls.Done()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		waitForPeer(stream, cancel)
+	}()
+	s.handler.ServeCall(ctx, from, &call, streamSink{stream})
+	_ = stream.Close()
+	select {
+	case <-finished:
+	case <-time.After(ackTimeout):
+	}
+}
+
+// waitForPeer returns when the peer has read the whole answer, which it shows by
+// closing its side. When the peer resets its side, the call is canceled.
+func waitForPeer(stream *quic.Stream, cancel context.CancelFunc) {
+	var one [1]byte
+	_, err := stream.Read(one[:])
+	if !errors.Is(err, io.EOF) {
+		cancel()
+	}
+}
+
+func reset(stream *quic.Stream, code quic.StreamErrorCode) {
+	stream.CancelRead(code)
+	stream.CancelWrite(code)
+}
+
+type streamSink struct{ stream *quic.Stream }
+
+func (s streamSink) Head(m protocol.Head) error {
+	return protocol.WriteMessage(s.stream, protocol.MsgHead, m)
+}
+
+func (s streamSink) Chunk(m protocol.Chunk) error {
+	return protocol.WriteMessage(s.stream, protocol.MsgChunk, m)
+}
+
+func (s streamSink) End(m protocol.End) error {
+	return protocol.WriteMessage(s.stream, protocol.MsgEnd, m)
+}
--- /dev/null
+++ b/internal/transport/peer/tls.go
@@ -0,0 +1,124 @@
+// Package peer carries the protocol between daemons over QUIC with mutual TLS.
+package peer
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"errors"
+	"fmt"
+	"math/big"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+// ErrUnknownPeer reports a peer whose certificate names another daemon.
+var ErrUnknownPeer = errors.New("peer: certificate names another daemon")
+
+var alpn = []string{fmt.Sprintf("celerydeck/%d", protocol.Version)}
+
+// Identity is the certificate of a daemon and the authority of its peers.
+type Identity struct {
+	Certificate tls.Certificate
+	Authority   *x509.CertPool
+}
+
+// LoadIdentity reads an identity from PEM files.
+func LoadIdentity(certPEM, keyPEM, caPEM []byte) (Identity, error) {
+	cert, err := tls.X509KeyPair(certPEM, keyPEM)
+	if err != nil {
+		return Identity{}, fmt.Errorf("daemon certificate: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(caPEM) {
+		return Identity{}, errors.New("authority: no certificate found")
+	}
+	return Identity{Certificate: cert, Authority: pool}, nil
+}
+
+func (id Identity) serverConfig() *tls.Config {
+	return &tls.Config{
+		Certificates: []tls.Certificate{id.Certificate},
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ClientCAs:    id.Authority,
+		NextProtos:   alpn,
+		MinVersion:   tls.VersionTLS13,
+	}
+}
+
+// clientConfig checks the chain and that the certificate names the daemon. The
+// address is an IP number, so the name check replaces the one by host name.
+func (id Identity) clientConfig(daemon state.DaemonID) *tls.Config {
+	return &tls.Config{
+		Certificates: []tls.Certificate{id.Certificate},
+		RootCAs:      id.Authority,
+		ServerName:   string(daemon),
+		NextProtos:   alpn,
+		MinVersion:   tls.VersionTLS13,
+	}
+}
+
+// Authority signs the certificates of daemons.
+type Authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+// NewAuthority returns an authority that is valid for the given time from now.
+func NewAuthority(now time.Time, valid time.Duration) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	template := &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		Subject:               pkix.Name{CommonName: "celerydeck authority"},
+		NotBefore:             now.Add(-time.Hour),
+		NotAfter:              now.Add(valid),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, err
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, err
+	}
+	return &Authority{cert: cert, key: key}, nil
+}
+
+// Issue returns the identity of a daemon.
+func (a *Authority) Issue(daemon state.DaemonID) (Identity, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Identity{}, err
+	}
+	serial, err := rand.Int(rand.Reader, big.NewInt(1<<62))
+	if err != nil {
+		return Identity{}, err
+	}
+	template := &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: string(daemon)},
+		DNSNames:     []string{string(daemon)},
+		NotBefore:    a.cert.NotBefore,
+		NotAfter:     a.cert.NotAfter,
+		KeyUsage:     x509.KeyUsageDigitalSignature,
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		return Identity{}, err
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(a.cert)
+	return Identity{Certificate: tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, Authority: pool}, nil
+}
--- /dev/null
+++ b/internal/transport/platform/platform.go
@@ -0,0 +1,241 @@
+// Package platform speaks to the platform's object API and its list of VMs.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+// Errors of the object API.
+var (
+	ErrNotFound = errors.New("platform: no such object")
+	ErrConflict = errors.New("platform: version conflict")
+	ErrTooLarge = errors.New("platform: value over one megabyte")
+	// ErrUnknown reports a write whose answer was lost. It may have taken effect.
+	ErrUnknown = errors.New("platform: outcome of the call is unknown")
+)
+
+// MaxValue is the largest value of an object in bytes.
+const MaxValue = 1 << 20
+
+const (
+	callTimeout = 5 * time.Second
+	maxPage     = 64 << 20
+)
+
+// Version is the version of an object. Zero stands for an absent object.
+type Version uint64
+
+// Object is an object of the platform.
+type Object struct {
+	Key     string  `json:"key"`
+	Version Version `json:"version"`
+	Value   []byte  `json:"value"`
+	Deleted bool    `json:"deleted"`
+}
+
+// Page is the result of a list or a watch.
+type Page struct {
+	Revision Version  `json:"revision"`
+	Objects  []Object `json:"objects"`
+}
+
+// Objects is the platform's object API.
+type Objects interface {
+	Get(ctx context.Context, key string) (Object, error)
+	// Put stores a value if the object still has version base; base 0 creates it.
+	Put(ctx context.Context, key string, value []byte, base Version) (Version, error)
+	Delete(ctx context.Context, key string, base Version) error
+	List(ctx context.Context, prefix string) (Page, error)
+	// Watch waits for changes after a revision, at most for wait.
+	Watch(ctx context.Context, prefix string, after Version, wait time.Duration) (Page, error)
+}
+
+// Client implements Objects over HTTP.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the platform at base, such as http://10.0.0.1:80.
+func NewClient(base string) *Client {
+	return &Client{base: base, http: &http.Client{}}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get implements Objects.
+func (c *Client) Get(ctx context.Context, key string) (Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := c.call(ctx, http.MethodGet, "/v1/objects/"+key, nil, nil)
+	if err != nil {
+		return Object{}, eris.Wrapf(err, "get %s", key)
+	}
+	defer resp.Body.Close()
+	if err := statusErr(resp, http.MethodGet); err != nil {
+		return Object{}, eris.Wrapf(err, "get %s", key)
+	}
+	value, err := io.ReadAll(io.LimitReader(resp.Body, MaxValue+1))
+	if err != nil {
+		return Object{}, eris.Wrapf(err, "get %s", key)
+	}
+	return Object{Key: key, Version: version(resp), Value: value}, nil
+}
+
+// Put implements Objects.
+func (c *Client) Put(ctx context.Context, key string, value []byte, base Version) (Version, error) {
+	if len(value) > MaxValue {
+		return 0, eris.Wrapf(ErrTooLarge, "put %s", key)
+	}
+	return c.write(ctx, http.MethodPut, key, value, base)
+}
+
+// Delete implements Objects.
+func (c *Client) Delete(ctx context.Context, key string, base Version) error {
+	_, err := c.write(ctx, http.MethodDelete, key, nil, base)
+	return err
+}
+
+func (c *Client) write(ctx context.Context, method, key string, value []byte, base Version) (Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	header := http.Header{}
+	if base == 0 {
+		header.Set("If-None-Match", "*")
+	} else {
+		header.Set("If-Match", strconv.Quote(strconv.FormatUint(uint64(base), 10)))
+	}
+	resp, err := c.call(ctx, method, "/v1/objects/"+key, header, value)
+	if err != nil {
+		return 0, eris.Wrapf(errors.Join(ErrUnknown, err), "%s %s", method, key)
+	}
+	defer resp.Body.Close()
+	if err := statusErr(resp, method); err != nil {
+		return 0, eris.Wrapf(err, "%s %s", method, key)
+	}
+	return version(resp), nil
+}
+
+// List implements Objects.
+func (c *Client) List(ctx context.Context, prefix string) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return c.page(ctx, "/v1/list?prefix="+url.QueryEscape(prefix))
+}
+
+// Watch implements Objects.
+func (c *Client) Watch(ctx context.Context, prefix string, after Version, wait time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	query := url.Values{}
+	query.Set("prefix", prefix)
+	query.Set("after", strconv.FormatUint(uint64(after), 10))
+	query.Set("wait", wait.String())
+	return c.page(ctx, "/v1/watch?"+query.Encode())
+}
+
+func (c *Client) page(ctx context.Context, path string) (Page, error) {
+	var page Page
+	err := c.getJSON(ctx, path, &page)
+	return page, err
+}
+
+func (c *Client) getJSON(ctx context.Context, path string, v any) error {
+	resp, err := c.call(ctx, http.MethodGet, path, nil, nil)
+	if err != nil {
+		return eris.Wrapf(err, "get %s", path)
+	}
+	defer resp.Body.Close()
+	if err := statusErr(resp, http.MethodGet); err != nil {
+		return eris.Wrapf(err, "get %s", path)
+	}
+	return eris.Wrapf(json.NewDecoder(io.LimitReader(resp.Body, maxPage)).Decode(v), "decode %s", path)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	return c.http.Do(req)
+}
+
+func statusErr(resp *http.Response, method string) error {
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusPreconditionFailed:
+		return ErrConflict
+	case http.StatusRequestEntityTooLarge:
+		return ErrTooLarge
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return fmt.Errorf("platform: status %d", resp.StatusCode)
+	}
+	if method == http.MethodGet {
+		return fmt.Errorf("platform: status %d", resp.StatusCode)
+	}
+	return fmt.Errorf("%w: status %d", ErrUnknown, resp.StatusCode)
+}
+
+func version(resp *http.Response) Version {
+	tag, err := strconv.Unquote(resp.Header.Get("ETag"))
+	if err != nil {
+		return 0
+	}
+	v, _ := strconv.ParseUint(tag, 10, 64)
+	return Version(v)
+}
+
+// VM is an entry of the platform's list of VMs.
+type VM struct {
+	ID      string       `json:"id"`
+	Zone    state.Zone   `json:"zone"`
+	Region  state.Region `json:"region"`
+	Address string       `json:"address"`
+	Kind    string       `json:"kind"`
+	Service string       `json:"service"`
+	Base    string       `json:"base"`
+	Fenced  bool         `json:"fenced"`
+	State   string       `json:"state"`
+}
+
+// Kinds and states of VMs.
+const (
+	VMEntry   = "entry"
+	VMEngine  = "engine"
+	VMPlain   = "plain"
+	VMLive    = "live"
+	VMLeaving = "leaving"
+)
+
+type vmList struct {
+	VMs []VM `json:"vms"`
+}
+
+// VMs reads the list of live and leaving VMs. The list lags.
+func (c *Client) VMs(ctx context.Context) ([]VM, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var list vmList
+	err := c.getJSON(ctx, "/v1/vms", &list)
+	return list.VMs, err
+}
--- /dev/null
+++ b/internal/transport/upstream/plain.go
@@ -0,0 +1,98 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+const plainChunk = 32 << 10
+
+// hopHeaders are header fields that belong to one connection.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Authorization",
+}
+
+// ForwardHeader returns the header fields that are passed on.
+func ForwardHeader(h http.Header) []protocol.HeaderField {
+	var fields []protocol.HeaderField
+	for name, values := range h {
+		if slices.Contains(hopHeaders, name) {
+			continue
+		}
+		for _, v := range values {
+			fields = append(fields, protocol.HeaderField{Name: name, Value: v})
+		}
+	}
+	slices.SortStableFunc(fields, func(a, b protocol.HeaderField) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		if a.Name > b.Name {
+			return 1
+		}
+		return 0
+	})
+	return fields
+}
+
+// Plain runs a call of a plain service and hands its parts to sink.
+func (c *Client) Plain(ctx context.Context, u *state.Upstream, call *protocol.Call, sink protocol.Sink) *protocol.Error {
+	const step = "call plain service"
+	req, err := http.NewRequestWithContext(ctx, call.Plain.Method, "http://"+u.Addr+call.Plain.Path, nil)
+	if err != nil {
+		return protocol.Errorf(protocol.KindBadRequest, step, protocol.OutcomeNotRun, "%v", err)
+	}
+	for _, f := range call.Plain.Header {
+		req.Header.Add(f.Name, f.Value)
+	}
+	req.Header.Set("X-Request-Id", call.RequestID)
+	resp, sent, err := c.do(req, call.Plain.Body)
+	if err != nil {
+		return transportError(step, u, sent, err)
+	}
+	defer resp.Body.Close()
+	head := protocol.Head{
+		Attempt:  call.Attempt,
+		Upstream: u.ID,
+		Boot:     state.BootID(resp.Header.Get(bootHeader)),
+		Status:   resp.StatusCode,
+		Header:   ForwardHeader(resp.Header),
+	}
+	if err := sink.Head(head); err != nil {
+		return protocol.Errorf(protocol.KindCanceled, step, protocol.OutcomeUnknown, "caller is gone: %v", err)
+	}
+	return copyPlain(u, call, resp.Body, sink)
+}
+
+func copyPlain(u *state.Upstream, call *protocol.Call, body io.Reader, sink protocol.Sink) *protocol.Error {
+	const step = "read plain answer"
+	var total uint32
+	for {
+		buf := make([]byte, plainChunk)
+		n, err := body.Read(buf)
+		if n > 0 {
+			chunk := protocol.Chunk{Attempt: call.Attempt, Offset: total, Count: uint32(n), Data: buf[:n]}
+			if err := sink.Chunk(chunk); err != nil {
+				return protocol.Errorf(protocol.KindCanceled, step, protocol.OutcomeUnknown, "caller is gone: %v", err)
+			}
+			total += uint32(n)
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return transportError(step, u, true, err)
+		}
+	}
+	if err := sink.End(protocol.End{Attempt: call.Attempt, Total: total}); err != nil {
+		return protocol.Errorf(protocol.KindCanceled, step, protocol.OutcomeUnknown, "caller is gone: %v", err)
+	}
+	return nil
+}
