Order configuration changes by create-only records and follow them from platform and peers

Cause: a single object held the whole configuration; every change would have cost every daemon a full read. Now record N exists at most once, so that its creation orders all submissions; daemons apply records incrementally to a shared catalog, and take them from the platform, their relay or any peer that is ahead.

--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -19,6 +19,7 @@
 
 	ownercore "github.com/celerydeck/celerydeck/internal/coordination/owner"
 	"github.com/celerydeck/celerydeck/internal/node/cluster"
+	"github.com/celerydeck/celerydeck/internal/node/config"
 	"github.com/celerydeck/celerydeck/internal/node/entry"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
 	"github.com/celerydeck/celerydeck/internal/protocol"
@@ -47,6 +48,7 @@
 	fx.In
 	Fleet   *state.Fleet
 	Cluster *cluster.Cluster
+	Config  *config.Node
 	Owner   *owner.Manager
 	Server  *http.Server
 	Caller  net.Listener
@@ -61,7 +63,7 @@
 		fx.Supply(settings, id),
 		fx.Supply(fx.Annotate(d, fx.As(new(readiness)))),
 		fx.Provide(
-			state.NewFleet, newSockets, newPool, newOwner, newCluster, newGateway, newCallers, newPlatform,
+			state.NewFleet, newSockets, newPool, newOwner, newCluster, newConfig, newLateMembers, newGateway, newCallers, newPlatform,
 			upstream.NewClient, newCallerListener, newPeerServer,
 		),
 		fx.Populate(&d.parts),
@@ -77,7 +79,7 @@
 
 // Ready reports whether the daemon takes new requests.
 func (d *Daemon) Ready() bool {
-	return !d.drained.Load() && d.parts.Cluster != nil && d.parts.Cluster.Catalog() != nil
+	return !d.drained.Load() && d.parts.Config != nil && d.parts.Config.Ready()
 }
 
 // Shutdown stops taking requests, hands the upstreams over, waits for requests
@@ -146,7 +148,7 @@
 	return m
 }
 
-func newCluster(lc fx.Lifecycle, s Settings, client *platform.Client, pool *peer.Pool, fleet *state.Fleet, m *owner.Manager) *cluster.Cluster {
+func newCluster(lc fx.Lifecycle, s Settings, client *platform.Client, pool *peer.Pool, fleet *state.Fleet, m *owner.Manager, members *lateMembers, n *config.Node) *cluster.Cluster {
 	c := cluster.New(cluster.Options{
 		Self:        peer.Peer{ID: state.DaemonID(s.ID), Addr: s.PeerAddr},
 		Incarnation: state.Incarnation(newID()),
@@ -156,9 +158,12 @@
 		Pool:        pool,
 		Fleet:       fleet,
 		Owner:       m,
+		Config:      n,
 		Clock:       time.Now,
 	})
+	members.set(c)
 	lc.Append(fx.StartStopHook(c.Start, c.Close))
+	lc.Append(fx.StartStopHook(n.Start, n.Close))
 	return c
 }
 
@@ -182,10 +187,10 @@
 	return l, nil
 }
 
-func newCallers(lc fx.Lifecycle, l net.Listener, g *entry.Gateway, c *cluster.Cluster, r readiness) *http.Server {
+func newCallers(lc fx.Lifecycle, l net.Listener, g *entry.Gateway, n *config.Node, r readiness) *http.Server {
 	api := callers.New(callers.Options{
 		Gateway: g,
-		Catalog: c.Catalog,
+		Catalog: n.Catalog,
 		Ready:   r.Ready,
 		NewID:   newID,
 	})
@@ -203,10 +208,11 @@
 	ID      peer.Identity
 	Owner   *owner.Manager
 	Cluster *cluster.Cluster
+	Config  *config.Node
 }
 
 func newPeerServer(lc fx.Lifecycle, p serverParams) (*peer.Server, error) {
-	server, err := peer.Listen(p.Listen, p.ID, peerHandler{owner: p.Owner, cluster: p.Cluster})
+	server, err := peer.Listen(p.Listen, p.ID, peerHandler{owner: p.Owner, cluster: p.Cluster, config: p.Config})
 	if err != nil {
 		return nil, fmt.Errorf("serve daemons: %w", err)
 	}
@@ -232,32 +238,6 @@
 	return p.pool.Call(ctx, to, call, sink)
 }
 
-// peerHandler serves the messages of other daemons.
-type peerHandler struct {
-	owner   *owner.Manager
-	cluster *cluster.Cluster
-}
-
-// ServeCall implements peer.Handler.
-func (h peerHandler) ServeCall(ctx context.Context, _ state.DaemonID, call *protocol.Call, sink protocol.Sink) {
-	if err := h.owner.Submit(ctx, call, sink); err != nil {
-		_ = sink.End(protocol.End{Attempt: call.Attempt, Err: err})
-	}
-}
-
-// ServeMessage implements peer.Handler.
-func (h peerHandler) ServeMessage(_ context.Context, from state.DaemonID, frame protocol.Frame) (protocol.MessageKind, any, error) {
-	if frame.Kind != protocol.MsgHeartbeat {
-		return 0, nil, fmt.Errorf("unknown message kind %d", frame.Kind)
-	}
-	var beat protocol.Heartbeat
-	if err := frame.Decode(&beat); err != nil {
-		return 0, nil, err
-	}
-	ack, err := h.cluster.HandleHeartbeat(from, &beat)
-	return protocol.MsgHeartbeatAck, ack, err
-}
-
 func newID() string {
 	var b [idBytes]byte
 	_, _ = rand.Read(b[:])
--- /dev/null
+++ b/internal/app/handler.go
@@ -0,0 +1,53 @@
+package app
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/celerydeck/celerydeck/internal/node/cluster"
+	"github.com/celerydeck/celerydeck/internal/node/config"
+	"github.com/celerydeck/celerydeck/internal/node/owner"
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+// peerHandler serves the messages of other daemons.
+type peerHandler struct {
+	owner   *owner.Manager
+	cluster *cluster.Cluster
+	config  *config.Node
+}
+
+// ServeCall implements peer.Handler.
+func (h peerHandler) ServeCall(ctx context.Context, _ state.DaemonID, call *protocol.Call, sink protocol.Sink) {
+	if err := h.owner.Submit(ctx, call, sink); err != nil {
+		_ = sink.End(protocol.End{Attempt: call.Attempt, Err: err})
+	}
+}
+
+// ServeMessage implements peer.Handler.
+func (h peerHandler) ServeMessage(_ context.Context, from state.DaemonID, frame protocol.Frame) (protocol.MessageKind, any, error) {
+	switch frame.Kind {
+	case protocol.MsgHeartbeat:
+		var beat protocol.Heartbeat
+		if err := frame.Decode(&beat); err != nil {
+			return 0, nil, err
+		}
+		ack, err := h.cluster.HandleHeartbeat(from, &beat)
+		return protocol.MsgHeartbeatAck, ack, err
+	case protocol.MsgConfigStateRequest:
+		var req protocol.ConfigStateRequest
+		if err := frame.Decode(&req); err != nil {
+			return 0, nil, err
+		}
+		return protocol.MsgConfigState, h.config.HandleState(from, req), nil
+	case protocol.MsgConfigFetch:
+		var req protocol.ConfigFetch
+		if err := frame.Decode(&req); err != nil {
+			return 0, nil, err
+		}
+		records, err := h.config.HandleFetch(req)
+		return protocol.MsgConfigRecords, records, err
+	}
+	return 0, nil, fmt.Errorf("unknown message kind %d", frame.Kind)
+}
--- /dev/null
+++ b/internal/coordination/configsync/edits.go
@@ -0,0 +1,64 @@
+package configsync
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/celerydeck/celerydeck/deckconfig"
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+// Edits returns the changes in the form that a catalog takes.
+func Edits(changes []Change) ([]state.Edit, error) {
+	edits := make([]state.Edit, 0, len(changes))
+	for _, c := range changes {
+		edit, err := editOf(c)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", c.Key, err)
+		}
+		edits = append(edits, edit)
+	}
+	return edits, nil
+}
+
+func editOf(c Change) (state.Edit, error) {
+	switch c.Key.Kind {
+	case ObjectRanks:
+		var ranks []deckconfig.Rank
+		err := decodeOptional(c.Value, &ranks)
+		return state.RanksEdit{Ranks: ranks}, err
+	case ObjectCustomer:
+		customer, err := decodePointer[deckconfig.Customer](c.Value)
+		return state.CustomerEdit{Name: state.CustomerID(c.Key.Name), Customer: customer}, err
+	case ObjectService:
+		service, err := decodePointer[deckconfig.Service](c.Value)
+		return state.ServiceEdit{Name: state.ServiceID(c.Key.Name), Service: service}, err
+	case ObjectAdapter:
+		service, adapter, ok := strings.Cut(c.Key.Name, "/")
+		if !ok {
+			return nil, ErrBadAdapterName
+		}
+		value, err := decodePointer[deckconfig.Adapter](c.Value)
+		ref := state.AdapterRef{Service: state.ServiceID(service), Adapter: adapter}
+		return state.AdapterEdit{Ref: ref, Adapter: value}, err
+	}
+	return nil, ErrUnknownKind
+}
+
+func decodePointer[T any](value []byte) (*T, error) {
+	if len(value) == 0 {
+		return nil, nil
+	}
+	var v T
+	if err := strictUnmarshal(value, &v); err != nil {
+		return nil, err
+	}
+	return &v, nil
+}
+
+func decodeOptional(value []byte, v any) error {
+	if len(value) == 0 {
+		return nil
+	}
+	return strictUnmarshal(value, v)
+}
--- /dev/null
+++ b/internal/coordination/configsync/snapshot.go
@@ -0,0 +1,127 @@
+package configsync
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// BucketTarget is the intended size of a bucket before compression, in bytes.
+	BucketTarget = 256 << 10
+	// maxBucket bounds the size of a decompressed bucket in bytes.
+	maxBucket = 64 << 20
+	// SnapshotEvery is the number of records after which a snapshot is due.
+	SnapshotEvery = 1000
+	// KeepRecords is the number of records that are kept for the history.
+	KeepRecords = 20000
+)
+
+// Snapshot is a whole configuration.
+type Snapshot struct {
+	Revision uint64
+	Digest   StateDigest
+	Objects  []Stored
+}
+
+// Head is the object that names the latest snapshot.
+type Head struct {
+	Revision uint64      `json:"revision"`
+	Digest   StateDigest `json:"digest"`
+	Buckets  []Digest    `json:"buckets"`
+	// Previous lists buckets of the last snapshot that readers may still fetch.
+	Previous []Digest `json:"previous,omitempty"`
+	// Compacted is the last record that may have been deleted. A record at or
+	// below it is not part of the configuration, even if it exists.
+	Compacted uint64 `json:"compacted"`
+}
+
+// Bucket is a content-addressed part of a snapshot.
+type Bucket struct {
+	Digest Digest
+	Data   []byte
+}
+
+// Buckets divides a snapshot by the hash of the object keys, so that a bucket
+// changes only when an object in it does.
+func (s *Snapshot) Buckets() ([]Bucket, error) {
+	size := 0
+	for _, o := range s.Objects {
+		size += len(o.Value) + len(o.Key.Name)
+	}
+	count := bucketCount(size)
+	parts := make([][]Stored, count)
+	for _, o := range s.Objects {
+		i := xxhash.Sum64String(o.Key.String()) % uint64(count)
+		parts[i] = append(parts[i], o)
+	}
+	buckets := make([]Bucket, 0, count)
+	for _, part := range parts {
+		slices.SortFunc(part, func(a, b Stored) int { return CompareKeys(a.Key, b.Key) })
+		data, err := EncodeBucket(part)
+		if err != nil {
+			return nil, err
+		}
+		buckets = append(buckets, Bucket{Digest: DigestOf(data), Data: data})
+	}
+	return buckets, nil
+}
+
+// bucketCount is a power of two, so that growth divides buckets evenly.
+func bucketCount(size int) int {
+	count := 1
+	for count*BucketTarget < size {
+		count *= 2
+	}
+	return count
+}
+
+// EncodeBucket returns the compressed form of objects.
+func EncodeBucket(objects []Stored) ([]byte, error) {
+	raw, err := json.Marshal(objects)
+	if err != nil {
+		return nil, err
+	}
+	var buf bytes.Buffer
+	w, err := gzip.NewWriterLevel(&buf, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(raw); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return buf.Bytes(), nil
+}
+
+// DecodeBucket reverses EncodeBucket and checks the digests of the objects.
+func DecodeBucket(data []byte) ([]Stored, error) {
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, fmt.Errorf("bucket: %w", err)
+	}
+	raw, err := io.ReadAll(io.LimitReader(r, maxBucket+1))
+	if err != nil {
+		return nil, fmt.Errorf("bucket: %w", err)
+	}
+	if len(raw) > maxBucket {
+		return nil, fmt.Errorf("bucket: larger than %d bytes", maxBucket)
+	}
+	var objects []Stored
+	if err := json.Unmarshal(raw, &objects); err != nil {
+		return nil, fmt.Errorf("bucket: %w", err)
+	}
+	for _, o := range objects {
+		if DigestOf(o.Value) != o.Digest {
+			return nil, fmt.Errorf("bucket: digest of %s does not match", o.Key)
+		}
+	}
+	return objects, nil
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -13,7 +13,8 @@
 
 	"github.com/celerydeck/celerydeck/deckconfig"
 	"github.com/celerydeck/celerydeck/internal/app"
-	"github.com/celerydeck/celerydeck/internal/node/cluster"
+	"github.com/celerydeck/celerydeck/internal/coordination/configsync"
+	"github.com/celerydeck/celerydeck/internal/node/config"
 	"github.com/celerydeck/celerydeck/internal/standin/booking"
 	"github.com/celerydeck/celerydeck/internal/standin/engine"
 	"github.com/celerydeck/celerydeck/internal/standin/objectapi"
@@ -95,11 +96,9 @@
 	if d.authority, err = peer.NewAuthority(time.Now(), keyValidity); err != nil {
 		return err
 	}
-	config, err := json.Marshal(d.opts.Config)
-	if err != nil {
+	if err := d.putConfig(); err != nil {
 		return err
 	}
-	d.Objects.Put(cluster.ConfigKey, config)
 	mux := http.NewServeMux()
 	mux.Handle("GET /v1/vms", d.VMs)
 	mux.Handle("/", d.Objects.Handler())
@@ -123,6 +122,20 @@
 	return nil
 }
 
+// putConfig stores the first configuration as an operator's submission would.
+func (d *Demo) putConfig() error {
+	rec, err := configsync.FirstRecord(d.opts.Config, "demo", time.Now())
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return err
+	}
+	d.Objects.Put(config.RecordKey(rec.Revision), value)
+	return nil
+}
+
 func (d *Demo) startUpstreams(zone string) error {
 	for i := range d.opts.EnginesPerZone {
 		opts := d.opts.Engine
--- a/internal/node/cluster/cluster.go
+++ b/internal/node/cluster/cluster.go
@@ -4,16 +4,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"k8s.io/klog/v2"
-
-	"github.com/celerydeck/celerydeck/deckconfig"
 	core "github.com/celerydeck/celerydeck/internal/coordination/owner"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
@@ -26,13 +21,8 @@
 	heartbeatTimeout  = time.Second
 	aliveFor          = 3 * time.Second
 	listInterval      = 500 * time.Millisecond
-	configWait        = 20 * time.Second
-	retryInterval     = 500 * time.Millisecond
 )
 
-// ConfigKey is the object that holds the configuration.
-const ConfigKey = "config/head"
-
 // Owner is told what this daemon owns.
 type Owner interface {
 	Own(u *state.Upstream, auth core.Authority)
@@ -41,6 +31,12 @@
 	Owned() []protocol.UpstreamStatus
 }
 
+// Config is the configuration whose revision the heartbeats carry.
+type Config interface {
+	Revision() uint64
+	NotePeer(id state.DaemonID, revision uint64)
+}
+
 // Options sets up a Cluster.
 type Options struct {
 	Self        peer.Peer
@@ -51,6 +47,7 @@
 	Pool        *peer.Pool
 	Fleet       *state.Fleet
 	Owner       Owner
+	Config      Config
 	Clock       func() time.Time
 }
 
@@ -63,10 +60,9 @@
 
 // Cluster runs the loops that keep the view up to date.
 type Cluster struct {
-	opts    Options
-	catalog atomic.Pointer[state.Catalog]
-	stop    context.CancelFunc
-	wg      sync.WaitGroup
+	opts Options
+	stop context.CancelFunc
+	wg   sync.WaitGroup
 
 	mu       sync.Mutex
 	members  map[state.DaemonID]*member
@@ -90,8 +86,6 @@
 	c.stop = stop
 	c.loop(ctx, listInterval, c.syncList)
 	c.loop(ctx, heartbeatInterval, c.heartbeat)
-	c.wg.Add(1)
-	go c.watchConfig(ctx)
 }
 
 // Close stops the loops.
@@ -100,8 +94,35 @@
 	c.wg.Wait()
 }
 
-// Catalog returns the configuration in force, or nil before the first one.
-func (c *Cluster) Catalog() *state.Catalog { return c.catalog.Load() }
+// ZonePeers returns the live daemons of the own availability zone without self.
+func (c *Cluster) ZonePeers() []peer.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var peers []peer.Peer
+	now := c.opts.Clock()
+	for _, m := range c.members {
+		if m.zone == c.opts.Zone && now.Sub(m.lastSeen) < aliveFor {
+			peers = append(peers, m.peer)
+		}
+	}
+	return peers
+}
+
+// AllPeers returns all known daemons without self.
+func (c *Cluster) AllPeers() []peer.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	peers := make([]peer.Peer, 0, len(c.members))
+	for _, m := range c.members {
+		peers = append(peers, m.peer)
+	}
+	return peers
+}
+
+// IsRelay reports whether this daemon reads the platform for its zone.
+func (c *Cluster) IsRelay() bool {
+	return state.RendezvousOwner("relay/"+string(c.opts.Zone), c.liveDaemons()) == c.opts.Self.ID
+}
 
 // Drain announces that this daemon leaves and gives up its upstreams.
 func (c *Cluster) Drain(ctx context.Context) {
@@ -273,9 +294,7 @@
 		Draining:    c.draining,
 		Upstreams:   statuses,
 	}
-	if cat := c.Catalog(); cat != nil {
-		beat.Revision = cat.Revision
-	}
+	beat.Revision = c.opts.Config.Revision()
 	peers := make([]peer.Peer, 0, len(c.members))
 	for _, m := range c.members {
 		peers = append(peers, m.peer)
@@ -308,9 +327,8 @@
 		c.applyStatus(from, s)
 	}
 	ack := protocol.HeartbeatAck{Sequence: beat.Sequence}
-	if cat := c.Catalog(); cat != nil {
-		ack.Revision = cat.Revision
-	}
+	ack.Revision = c.opts.Config.Revision()
+	c.opts.Config.NotePeer(from, beat.Revision)
 	return ack, nil
 }
 
@@ -331,35 +349,3 @@
 		u.Resident = s.Resident
 	})
 }
-
-func (c *Cluster) watchConfig(ctx context.Context) {
-	defer c.wg.Done()
-	var seen platform.Version
-	for ctx.Err() == nil {
-		page, err := c.opts.Platform.Watch(ctx, ConfigKey, seen, configWait)
-		if err != nil {
-			select {
-			case <-time.After(retryInterval):
-			case <-ctx.Done():
-			}
-			continue
-		}
-		seen = page.Revision
-		if len(page.Objects) > 0 {
-			c.applyConfig(page.Objects[len(page.Objects)-1])
-		}
-	}
-}
-
-func (c *Cluster) applyConfig(o platform.Object) {
-	var config deckconfig.Config
-	if err := json.Unmarshal(o.Value, &config); err != nil {
-		klog.ErrorS(err, "Configuration is unreadable", "version", o.Version)
-		return
-	}
-	if old := c.Catalog(); old != nil && old.Revision >= uint64(o.Version) {
-		return
-	}
-	c.catalog.Store(state.NewCatalog(uint64(o.Version), "", &config))
-	klog.InfoS("Configuration in force", "revision", o.Version)
-}
--- /dev/null
+++ b/internal/node/config/peers.go
@@ -0,0 +1,122 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/configsync"
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/transport/peer"
+)
+
+var errUnknownPeer = errors.New("config: peer is not known")
+
+// encodedSnapshot caches the compressed state for peers that start.
+type encodedSnapshot struct {
+	revision uint64
+	digest   configsync.StateDigest
+	data     []byte
+}
+
+// announce tells the peers of the zone about the revision in force.
+func (n *Node) announce(ctx context.Context) {
+	if !n.opts.Members.IsRelay() {
+		return
+	}
+	var wg sync.WaitGroup
+	for _, p := range n.opts.Members.ZonePeers() {
+		wg.Go(func() { _, _ = n.askState(ctx, p) })
+	}
+	wg.Wait()
+}
+
+// askState exchanges revisions with a peer.
+func (n *Node) askState(ctx context.Context, p peer.Peer) (protocol.ConfigState, *protocol.Error) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	var reply protocol.ConfigState
+	msg := protocol.ConfigStateRequest{Announced: n.Revision()}
+	err := n.opts.Peers.Exchange(ctx, p, protocol.MsgConfigStateRequest, msg, &reply)
+	if err == nil {
+		n.handle(configsync.PeerAt{Peer: p.ID, Revision: reply.Revision})
+	}
+	return reply, err
+}
+
+// readPeer takes the records after the revision in force from a peer.
+func (n *Node) readPeer(ctx context.Context, id state.DaemonID) error {
+	to, ok := n.findPeer(id)
+	if !ok {
+		return errUnknownPeer
+	}
+	var reply protocol.ConfigRecords
+	msg := protocol.ConfigFetch{After: n.Revision()}
+	if err := n.opts.Peers.Exchange(ctx, to, protocol.MsgConfigFetch, msg, &reply); err != nil {
+		return err
+	}
+	if len(reply.Snapshot) > 0 {
+		objects, err := configsync.DecodeBucket(reply.Snapshot)
+		if err != nil {
+			return err
+		}
+		return n.restore(&configsync.Snapshot{
+			Revision: reply.Revision,
+			Digest:   configsync.StateDigest(reply.Digest),
+			Objects:  objects,
+		})
+	}
+	records := make([]*configsync.Record, 0, len(reply.Records))
+	for _, value := range reply.Records {
+		var rec configsync.Record
+		if err := json.Unmarshal(value, &rec); err != nil {
+			return fmt.Errorf("record from %s: %w", id, err)
+		}
+		records = append(records, &rec)
+	}
+	return n.apply(records)
+}
+
+func (n *Node) findPeer(id state.DaemonID) (peer.Peer, bool) {
+	for _, p := range n.opts.Members.AllPeers() {
+		if p.ID == id {
+			return p, true
+		}
+	}
+	return peer.Peer{}, false
+}
+
+// HandleState answers a ConfigStateRequest.
+func (n *Node) HandleState(from state.DaemonID, req protocol.ConfigStateRequest) protocol.ConfigState {
+	n.handle(configsync.PeerAt{Peer: from, Revision: req.Announced})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return protocol.ConfigState{Revision: n.replica.Revision(), Digest: uint64(n.replica.Digest())}
+}
+
+// HandleFetch answers a ConfigFetch.
+func (n *Node) HandleFetch(req protocol.ConfigFetch) (protocol.ConfigRecords, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if req.After >= n.replica.Revision() {
+		return protocol.ConfigRecords{}, nil
+	}
+	if records, ok := n.log.after(req.After); ok {
+		return protocol.ConfigRecords{Records: records}, nil
+	}
+	if n.snapshot.revision != n.replica.Revision() {
+		data, err := configsync.EncodeBucket(n.replica.Objects())
+		if err != nil {
+			return protocol.ConfigRecords{}, err
+		}
+		n.snapshot = encodedSnapshot{revision: n.replica.Revision(), digest: n.replica.Digest(), data: data}
+	}
+	return protocol.ConfigRecords{
+		Revision: n.snapshot.revision,
+		Digest:   uint64(n.snapshot.digest),
+		Snapshot: n.snapshot.data,
+	}, nil
+}
--- /dev/null
+++ b/internal/node/config/platform.go
@@ -0,0 +1,111 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/configsync"
+	"github.com/celerydeck/celerydeck/internal/transport/platform"
+)
+
+// readPlatform brings the replica to the head of the platform.
+func (n *Node) readPlatform(ctx context.Context) error {
+	head, _, err := n.readHead(ctx)
+	if err != nil {
+		return err
+	}
+	if head.Revision > n.Revision() {
+		if err := n.readSnapshot(ctx, head); err != nil {
+			return err
+		}
+	}
+	for {
+		rec, err := n.readRecord(ctx, n.Revision()+1)
+		if err != nil || rec == nil {
+			return err
+		}
+		if err := n.applyOne(rec); err != nil {
+			return err
+		}
+	}
+}
+
+// readHead returns the snapshot head, which is zero before the first snapshot.
+func (n *Node) readHead(ctx context.Context) (configsync.Head, platform.Version, error) {
+	var head configsync.Head
+	o, err := n.opts.Objects.Get(ctx, headKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return head, 0, nil
+	}
+	if err != nil {
+		return head, 0, err
+	}
+	if err := json.Unmarshal(o.Value, &head); err != nil {
+		return head, 0, fmt.Errorf("snapshot head: %w", err)
+	}
+	return head, o.Version, nil
+}
+
+func (n *Node) readSnapshot(ctx context.Context, head configsync.Head) error {
+	s := &configsync.Snapshot{Revision: head.Revision, Digest: head.Digest}
+	for _, digest := range head.Buckets {
+		o, err := n.opts.Objects.Get(ctx, bucketKey(digest))
+		if err != nil {
+			return err
+		}
+		if configsync.DigestOf(o.Value) != digest {
+			return fmt.Errorf("bucket %s: content does not match its name", digest)
+		}
+		objects, err := configsync.DecodeBucket(o.Value)
+		if err != nil {
+			return err
+		}
+		s.Objects = append(s.Objects, objects...)
+	}
+	return n.restore(s)
+}
+
+// readRecord returns a record, or nil if it does not exist.
+func (n *Node) readRecord(ctx context.Context, revision uint64) (*configsync.Record, error) {
+	o, err := n.opts.Objects.Get(ctx, RecordKey(revision))
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	rec, err := decodeRecord(o.Value, func(submission string, i int) ([]byte, error) {
+		blob, err := n.opts.Objects.Get(ctx, blobKey(submission, i))
+		return blob.Value, err
+	})
+	if err == nil && rec.Revision != revision {
+		err = fmt.Errorf("record %d is stored as %d", rec.Revision, revision)
+	}
+	return rec, err
+}
+
+// createRecord writes a record and its blobs if the record does not exist.
+func (n *Node) createRecord(ctx context.Context, rec configsync.Record) configsync.SubmitEvent {
+	value, blobs, err := encodeRecord(rec)
+	if err != nil {
+		panic("config: record can't be encoded: " + err.Error())
+	}
+	for i, blob := range blobs {
+		_, err := n.opts.Objects.Put(ctx, blobKey(rec.Submission.ID, i), blob, 0)
+		if err != nil && !errors.Is(err, platform.ErrConflict) {
+			return configsync.PlatformFailed{}
+		}
+	}
+	_, err = n.opts.Objects.Put(ctx, RecordKey(rec.Revision), value, 0)
+	switch {
+	case err == nil:
+		return configsync.RecordCreated{}
+	case errors.Is(err, platform.ErrConflict):
+		return configsync.RecordExists{}
+	case errors.Is(err, platform.ErrUnknown):
+		return configsync.CreateUnknown{}
+	}
+	return configsync.PlatformFailed{}
+}
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -21,6 +21,10 @@
 	MsgEnd
 	MsgHeartbeat
 	MsgHeartbeatAck
+	MsgConfigStateRequest
+	MsgConfigState
+	MsgConfigFetch
+	MsgConfigRecords
 )
 
 // Hello opens every stream and negotiates the version.
@@ -135,3 +139,29 @@
 	Sequence uint64 `cbor:"1,keyasint"`
 	Revision uint64 `cbor:"2,keyasint"`
 }
+
+// ConfigStateRequest asks for the configuration in force at a daemon.
+type ConfigStateRequest struct {
+	// Announced is the sender's own revision; the receiver may fetch it.
+	Announced uint64 `cbor:"1,keyasint"`
+}
+
+// ConfigState tells which configuration is in force at a daemon.
+type ConfigState struct {
+	Revision uint64 `cbor:"1,keyasint"`
+	Digest   uint64 `cbor:"2,keyasint"`
+}
+
+// ConfigFetch asks for the records after a revision.
+type ConfigFetch struct {
+	After uint64 `cbor:"1,keyasint"`
+}
+
+// ConfigRecords answers a ConfigFetch with records in order, or with a snapshot
+// when the records are no longer held.
+type ConfigRecords struct {
+	Records  [][]byte `cbor:"1,keyasint,omitempty"` // JSON of configsync.Record
+	Revision uint64   `cbor:"2,keyasint,omitempty"` // of the snapshot
+	Digest   uint64   `cbor:"3,keyasint,omitempty"`
+	Snapshot []byte   `cbor:"4,keyasint,omitempty"` // compressed objects
+}
--- a/internal/state/catalog.go
+++ b/internal/state/catalog.go
@@ -3,12 +3,20 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 	"slices"
+	"strings"
+	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/celerydeck/celerydeck/deckconfig"
 )
 
+// catalogShards divides the adapters, so that a change copies one small part.
+const catalogShards = 1024
+
 // RankInfo is a rank of the configuration with its targets.
 type RankInfo struct {
 	Rank          Rank
@@ -19,33 +27,134 @@
 	Share         float64
 }
 
-// Catalog is one compiled revision of the configuration. It is immutable.
+// Catalog is one compiled revision of the configuration. It is immutable. A newer
+// revision shares all parts that did not change.
 type Catalog struct {
 	Revision uint64
 	Digest   string
 
-	config    *deckconfig.Config
 	ranks     []RankInfo
 	rankIndex map[string]Rank
+	rawRanks  []deckconfig.Rank
 	keys      map[string]CustomerID
 	customers map[CustomerID]*deckconfig.Customer
-	services  map[ServiceID]*deckconfig.Service
-	adapters  map[AdapterRef]*deckconfig.Adapter // keyed without version
+	services  map[ServiceID]*deckconfig.Service                 // without adapters
+	adapters  [catalogShards]map[AdapterRef]*deckconfig.Adapter // keyed without version
+
+	whole func() *deckconfig.Config
+}
+
+// Edit is a change of one object of the configuration.
+type Edit interface{ edit(*Catalog) }
+
+// Edits of a Catalog. A nil object deletes it.
+type (
+	// RanksEdit replaces the ranks.
+	RanksEdit struct{ Ranks []deckconfig.Rank }
+	// CustomerEdit replaces a customer.
+	CustomerEdit struct {
+		Name     CustomerID
+		Customer *deckconfig.Customer
+	}
+	// ServiceEdit replaces a service without its adapters.
+	ServiceEdit struct {
+		Name    ServiceID
+		Service *deckconfig.Service
+	}
+	// AdapterEdit replaces an adapter. Ref has no version.
+	AdapterEdit struct {
+		Ref     AdapterRef
+		Adapter *deckconfig.Adapter
+	}
+)
+
+// EmptyCatalog returns revision 0.
+func EmptyCatalog() *Catalog {
+	c := &Catalog{
+		rankIndex: make(map[string]Rank),
+		keys:      make(map[string]CustomerID),
+		customers: make(map[CustomerID]*deckconfig.Customer),
+		services:  make(map[ServiceID]*deckconfig.Service),
+	}
+	c.whole = sync.OnceValue(c.build)
+	return c
 }
 
 // NewCatalog compiles a configuration. The caller must not change config after.
 func NewCatalog(revision uint64, digest string, config *deckconfig.Config) *Catalog {
-	c := &Catalog{
+	edits := []Edit{RanksEdit{Ranks: config.Ranks}}
+	for i := range config.Customers {
+		customer := &config.Customers[i]
+		edits = append(edits, CustomerEdit{Name: CustomerID(customer.Name), Customer: customer})
+	}
+	for _, service := range config.Services {
+		bare := service
+		bare.Adapters = nil
+		edits = append(edits, ServiceEdit{Name: ServiceID(service.Name), Service: &bare})
+		for j := range service.Adapters {
+			ref := AdapterRef{Service: ServiceID(service.Name), Adapter: service.Adapters[j].Name}
+			edits = append(edits, AdapterEdit{Ref: ref, Adapter: &service.Adapters[j]})
+		}
+	}
+	return EmptyCatalog().With(revision, digest, edits)
+}
+
+// With returns the catalog that results from edits.
+func (c *Catalog) With(revision uint64, digest string, edits []Edit) *Catalog {
+	next := &Catalog{
 		Revision:  revision,
 		Digest:    digest,
-		config:    config,
-		rankIndex: make(map[string]Rank, len(config.Ranks)),
-		keys:      make(map[string]CustomerID),
-		customers: make(map[CustomerID]*deckconfig.Customer, len(config.Customers)),
-		services:  make(map[ServiceID]*deckconfig.Service, len(config.Services)),
-		adapters:  make(map[AdapterRef]*deckconfig.Adapter),
+		ranks:     c.ranks,
+		rankIndex: c.rankIndex,
+		rawRanks:  c.rawRanks,
+		keys:      c.keys,
+		customers: c.customers,
+		services:  c.services,
+		adapters:  c.adapters,
+	}
+	next.copyTouched(edits)
+	for _, e := range edits {
+		e.edit(next)
+	}
+	next.whole = sync.OnceValue(next.build)
+	return next
+}
+
+// copyTouched copies the maps that the edits will change.
+func (c *Catalog) copyTouched(edits []Edit) {
+	var customers, services bool
+	copied := make(map[uint64]bool)
+	for _, e := range edits {
+		switch e := e.(type) {
+		case CustomerEdit:
+			customers = true
+		case ServiceEdit:
+			services = true
+		case AdapterEdit:
+			i := adapterShard(e.Ref)
+			if copied[i] {
+				continue
+			}
+			copied[i] = true
+			shard := make(map[AdapterRef]*deckconfig.Adapter, len(c.adapters[i])+1)
+			maps.Copy(shard, c.adapters[i])
+			c.adapters[i] = shard
+		}
 	}
-	for i, r := range config.Ranks {
+	if customers {
+		c.customers = maps.Clone(c.customers)
+		c.keys = maps.Clone(c.keys)
+	}
+	if services {
+		c.services = maps.Clone(c.services)
+	}
+}
+
+func (e RanksEdit) edit(c *Catalog) {
+	c.rawRanks = e.Ranks
+	c.ranks = make([]RankInfo, 0, len(e.Ranks))
+	c.rankIndex = make(map[string]Rank, len(e.Ranks))
+	for i, r := range e.Ranks {
 		c.rankIndex[r.Name] = Rank(i)
 		c.ranks = append(c.ranks, RankInfo{
 			Rank:          Rank(i),
@@ -56,26 +165,69 @@
 			Share:         r.Share,
 		})
 	}
-	for i := range config.Customers {
-		customer := &config.Customers[i]
-		c.customers[CustomerID(customer.Name)] = customer
-		for _, hash := range customer.KeyHashes {
-			c.keys[hash] = CustomerID(customer.Name)
+}
+
+func (e CustomerEdit) edit(c *Catalog) {
+	if old := c.customers[e.Name]; old != nil {
+		for _, hash := range old.KeyHashes {
+			delete(c.keys, hash)
 		}
 	}
-	for i := range config.Services {
-		service := &config.Services[i]
-		c.services[ServiceID(service.Name)] = service
-		for j := range service.Adapters {
-			ref := AdapterRef{Service: ServiceID(service.Name), Adapter: service.Adapters[j].Name}
-			c.adapters[ref] = &service.Adapters[j]
-		}
+	delete(c.customers, e.Name)
+	if e.Customer == nil {
+		return
+	}
+	c.customers[e.Name] = e.Customer
+	for _, hash := range e.Customer.KeyHashes {
+		c.keys[hash] = e.Name
+	}
+}
+
+func (e ServiceEdit) edit(c *Catalog) {
+	delete(c.services, e.Name)
+	if e.Service != nil {
+		c.services[e.Name] = e.Service
+	}
+}
+
+func (e AdapterEdit) edit(c *Catalog) {
+	shard := c.adapters[adapterShard(e.Ref)]
+	delete(shard, e.Ref)
+	if e.Adapter != nil {
+		shard[e.Ref] = e.Adapter
 	}
-	return c
 }
 
-// Config returns the configuration. Callers must not change it.
-func (c *Catalog) Config() *deckconfig.Config { return c.config }
+func adapterShard(ref AdapterRef) uint64 {
+	return (xxhash.Sum64String(ref.Adapter) ^ xxhash.Sum64String(string(ref.Service))) % catalogShards
+}
+
+// Config returns the whole configuration, ordered by name. Callers must not
+// change it.
+func (c *Catalog) Config() *deckconfig.Config { return c.whole() }
+
+// build assembles the configuration. Config calls it once, when first needed.
+func (c *Catalog) build() *deckconfig.Config {
+	config := &deckconfig.Config{Format: deckconfig.Format, Ranks: c.rawRanks}
+	for _, name := range slices.Sorted(maps.Keys(c.customers)) {
+		config.Customers = append(config.Customers, *c.customers[name])
+	}
+	byService := make(map[ServiceID][]deckconfig.Adapter)
+	for _, shard := range c.adapters {
+		for ref, a := range shard {
+			byService[ref.Service] = append(byService[ref.Service], *a)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.services)) {
+		service := *c.services[name]
+		service.Adapters = byService[name]
+		slices.SortFunc(service.Adapters, func(a, b deckconfig.Adapter) int {
+			return strings.Compare(a.Name, b.Name)
+		})
+		config.Services = append(config.Services, service)
+	}
+	return config
+}
 
 // HashKey returns the form in which the configuration holds an API key.
 func HashKey(key string) string {
@@ -93,7 +245,7 @@
 // Customer returns a customer, or nil.
 func (c *Catalog) Customer(id CustomerID) *deckconfig.Customer { return c.customers[id] }
 
-// Service returns a service, or nil.
+// Service returns a service without its adapters, or nil.
 func (c *Catalog) Service(id ServiceID) *deckconfig.Service { return c.services[id] }
 
 // Admits reports whether a customer may call a service.
@@ -110,10 +262,16 @@
 	return r, ok
 }
 
+// Adapter returns an adapter, or nil. The version of ref is ignored.
+func (c *Catalog) Adapter(ref AdapterRef) *deckconfig.Adapter {
+	ref.Version = ""
+	return c.adapters[adapterShard(ref)][ref]
+}
+
 // Resolve fills in the default version of ref and returns the version. It
 // reports false when the adapter or the version is not configured.
 func (c *Catalog) Resolve(ref AdapterRef) (AdapterRef, deckconfig.Version, bool) {
-	adapter := c.adapters[AdapterRef{Service: ref.Service, Adapter: ref.Adapter}]
+	adapter := c.Adapter(ref)
 	if adapter == nil {
 		return ref, deckconfig.Version{}, false
 	}
