--- a/internal/coordination/configsync/follower.go
+++ b/internal/coordination/configsync/follower.go
@@ -40,6 +40,8 @@
 		OK       bool
 		Revision uint64 // in force after the read
 	}
+	// Applied reports that a submission made here is in force.
+	Applied struct{ Revision uint64 }
 	// PeerAt reports the revision of a peer.
 	PeerAt struct {
 		Peer     state.DaemonID
@@ -57,6 +59,7 @@
 func (RelayChanged) followEvent()    {}
 func (PlatformChanged) followEvent() {}
 func (PlatformRead) followEvent()    {}
+func (Applied) followEvent()         {}
 func (PeerAt) followEvent()          {}
 func (PeerRead) followEvent()        {}
 
@@ -119,6 +122,8 @@
 		f.nextPoll = now
 	case PlatformRead:
 		out = f.platformRead(now, e)
+	case Applied:
+		out = f.advance(max(f.revision, e.Revision))
 	case PeerAt:
 		if e.Revision > max(f.revision, f.aheadAt) {
 			f.ahead, f.aheadAt = e.Peer, e.Revision
@@ -180,11 +185,10 @@
 	return f.advance(e.Revision)
 }
 
+// advance notes the revision in force. Reads that end at the same time may report
+// it out of order.
 func (f *Follower) advance(revision uint64) []FollowAction {
-	if revision < f.revision {
-		panic("configsync: the revision in force went back")
-	}
-	if revision == f.revision {
+	if revision <= f.revision {
 		return nil
 	}
 	f.revision = revision
--- /dev/null
+++ b/internal/coordination/configsync/model_test.go
@@ -0,0 +1,387 @@
+package configsync_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/configsync"
+)
+
+// The model explores every interleaving of two submitters over the real state
+// machines, with lost answers, delayed creates, a resend of the same submission
+// through the other daemon, and a compaction that deletes records.
+
+type modelFault struct {
+	noHeadRead   bool // accept without reading the compaction mark
+	applyUnheard bool // apply records that were read before the mark
+}
+
+type modelDaemon struct {
+	replica  *configsync.Replica
+	subs     []configsync.Submission
+	current  *configsync.Submitter
+	sub      int
+	action   configsync.SubmitAction
+	read     []*configsync.Record // records of a refresh under way
+	reading  bool
+	outcomes []configsync.Finish
+}
+
+type modelWorld struct {
+	records   []*configsync.Record // platform, by revision - 1; nil when deleted
+	inFlight  []configsync.Record  // creates that may still take effect
+	snapshot  *configsync.Snapshot
+	compacted uint64
+	daemons   [2]*modelDaemon
+	losses    int
+}
+
+var modelTime = time.Unix(1_000_000, 0)
+
+func modelSub(id, name, base, value string) configsync.Submission {
+	key := configsync.ObjectKey{Kind: configsync.ObjectCustomer, Name: name}
+	return configsync.Submission{ID: id, Changes: []configsync.Change{{
+		Key:   key,
+		Base:  configsync.DigestOf([]byte(base)),
+		Value: json.RawMessage(value),
+	}}}
+}
+
+func newModelWorld() *modelWorld {
+	a := modelSub("a", "x", "", `"a"`)
+	b := modelSub("b", "x", "", `"b"`)
+	c := modelSub("c", "y", "", `"c"`)
+	w := &modelWorld{losses: 2, snapshot: configsync.NewReplica().Snapshot()}
+	w.daemons[0] = &modelDaemon{replica: configsync.NewReplica(), subs: []configsync.Submission{a, c}}
+	w.daemons[1] = &modelDaemon{replica: configsync.NewReplica(), subs: []configsync.Submission{b, a}}
+	return w
+}
+
+type modelView struct{ r *configsync.Replica }
+
+func (v modelView) Prepare(s *configsync.Submission, at time.Time) (configsync.Record, error) {
+	if err := v.r.Check(s); err != nil {
+		return configsync.Record{}, err
+	}
+	return v.r.Next(s, at), nil
+}
+
+func (v modelView) Accepted(s *configsync.Submission) (uint64, bool) { return v.r.Accepted(s) }
+
+func (w *modelWorld) get(revision uint64) *configsync.Record {
+	if revision == 0 || revision > uint64(len(w.records)) {
+		return nil
+	}
+	return w.records[revision-1]
+}
+
+// create stores a record if none is stored under its revision.
+func (w *modelWorld) create(rec configsync.Record) bool {
+	for uint64(len(w.records)) < rec.Revision {
+		w.records = append(w.records, nil)
+	}
+	if w.records[rec.Revision-1] != nil {
+		return false
+	}
+	w.records[rec.Revision-1] = &rec
+	return true
+}
+
+// refresh brings a replica to the head as a daemon reads it.
+func (w *modelWorld) refresh(r *configsync.Replica) {
+	if err := r.Restore(w.snapshot); err != nil {
+		panic(err)
+	}
+	for {
+		rec := w.get(r.Revision() + 1)
+		if rec == nil {
+			return
+		}
+		if err := r.Apply(rec); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// readRecords is the first half of a refresh: the records after the replica.
+func (w *modelWorld) readRecords(d *modelDaemon) {
+	d.reading, d.read = true, nil
+	for {
+		rec := w.get(d.replica.Revision() + 1 + uint64(len(d.read)))
+		if rec == nil {
+			return
+		}
+		d.read = append(d.read, rec)
+	}
+}
+
+// applyRead is the second half: the head, and then whatever it leaves valid.
+func (w *modelWorld) applyRead(d *modelDaemon, fault modelFault) {
+	compacted := w.compacted
+	if fault.applyUnheard {
+		compacted = 0
+	}
+	d.reading = false
+	if compacted > d.replica.Revision() || len(d.read) == 0 {
+		w.refresh(d.replica)
+		return
+	}
+	for _, rec := range d.read {
+		if err := d.replica.Apply(rec); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// step takes choice number n; it reports false when there is no such choice.
+func (w *modelWorld) step(n int, fault modelFault) bool {
+	for _, d := range w.daemons {
+		choices := w.daemonChoices(d, fault)
+		if n < len(choices) {
+			choices[n]()
+			return true
+		}
+		n -= len(choices)
+	}
+	for i, rec := range w.inFlight {
+		if n == 0 {
+			w.create(rec)
+			w.inFlight = append(w.inFlight[:i:i], w.inFlight[i+1:]...)
+			return true
+		}
+		n--
+	}
+	if n == 0 && w.canCompact() {
+		w.compact()
+		return true
+	}
+	return false
+}
+
+func (w *modelWorld) canCompact() bool {
+	r := configsync.NewReplica()
+	w.refresh(r)
+	return r.Revision() > w.compacted && w.compacted == 0
+}
+
+// compact writes a snapshot with its mark and deletes the records below it.
+func (w *modelWorld) compact() {
+	r := configsync.NewReplica()
+	w.refresh(r)
+	w.snapshot = r.Snapshot()
+	w.compacted = r.Revision()
+	for i := range w.records {
+		if uint64(i) < w.compacted {
+			w.records[i] = nil
+		}
+	}
+}
+
+func (w *modelWorld) daemonChoices(d *modelDaemon, fault modelFault) []func() {
+	if d.current == nil {
+		if d.sub == len(d.subs) {
+			return nil
+		}
+		return []func(){func() {
+			d.current = configsync.NewSubmitter(&d.subs[d.sub], modelView{d.replica})
+			d.handle(configsync.Begin{})
+		}}
+	}
+	switch a := d.action.(type) {
+	case configsync.Refresh:
+		if !d.reading {
+			return []func(){func() { w.readRecords(d) }}
+		}
+		return []func(){func() {
+			w.applyRead(d, fault)
+			d.handle(configsync.Refreshed{})
+		}}
+	case configsync.CreateRecord:
+		choices := []func(){func() { w.createAnswered(d, a.Record) }}
+		if w.losses > 0 {
+			choices = append(choices,
+				func() { w.losses--; w.create(a.Record); d.handle(configsync.CreateUnknown{}) },
+				func() {
+					w.losses--
+					w.inFlight = append(w.inFlight, a.Record)
+					d.handle(configsync.CreateUnknown{})
+				})
+		}
+		return choices
+	case configsync.ReadRecord:
+		return []func(){func() { d.handle(configsync.RecordRead{Record: w.get(a.Revision)}) }}
+	case configsync.ReadHead:
+		return []func(){func() {
+			compacted := w.compacted
+			if fault.noHeadRead {
+				compacted = 0
+			}
+			d.handle(configsync.HeadRead{Compacted: compacted})
+		}}
+	}
+	panic(fmt.Sprintf("unexpected action %T", d.action))
+}
+
+func (w *modelWorld) createAnswered(d *modelDaemon, rec configsync.Record) {
+	if w.create(rec) {
+		d.handle(configsync.RecordCreated{})
+		return
+	}
+	d.handle(configsync.RecordExists{})
+}
+
+func (d *modelDaemon) handle(event configsync.SubmitEvent) {
+	d.action = d.current.Handle(modelTime, event)
+	if finish, ok := d.action.(configsync.Finish); ok {
+		d.outcomes = append(d.outcomes, finish)
+		d.current = nil
+		d.sub++
+	}
+}
+
+// check verifies what must hold in every state: an accepted submission is part of
+// what a reader sees, and no object has two values accepted from the same base.
+func (w *modelWorld) check() (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("a reader diverged: %v", r)
+		}
+	}()
+	reader := configsync.NewReplica()
+	w.refresh(reader)
+	for _, d := range w.daemons {
+		if d.replica.Revision() == reader.Revision() && d.replica.Digest() != reader.Digest() {
+			return fmt.Errorf("two replicas differ at revision %d", reader.Revision())
+		}
+	}
+	winners := make(map[configsync.ObjectKey]string)
+	for _, d := range w.daemons {
+		for i, o := range d.outcomes {
+			if o.Err != nil {
+				continue
+			}
+			sub := d.subs[i]
+			c := sub.Changes[0]
+			stored, ok := reader.Get(c.Key)
+			if !ok || string(stored.Value) != string(c.Value) {
+				return fmt.Errorf("submission %s was accepted at %d but is not in force", sub.ID, o.Accepted.Revision)
+			}
+			if other := winners[c.Key]; other != "" && other != sub.ID {
+				return fmt.Errorf("submissions %s and %s were both accepted", other, sub.ID)
+			}
+			winners[c.Key] = sub.ID
+		}
+	}
+	return nil
+}
+
+// key identifies the state for the search.
+func (w *modelWorld) key() string {
+	var b strings.Builder
+	for _, rec := range w.records {
+		if rec == nil {
+			b.WriteString("-;")
+			continue
+		}
+		b.WriteString(rec.Submission.ID + ";")
+	}
+	for _, rec := range w.inFlight {
+		fmt.Fprintf(&b, "f%s%d;", rec.Submission.ID, rec.Revision)
+	}
+	fmt.Fprintf(&b, "c%d l%d ", w.compacted, w.losses)
+	for _, d := range w.daemons {
+		for _, rec := range d.read {
+			fmt.Fprintf(&b, "%s", rec.Submission.ID)
+		}
+		fmt.Fprintf(&b, "%t", d.reading)
+		fmt.Fprintf(&b, "|%d r%d %s %s %T", d.sub, d.replica.Revision(), d.replica.Digest(), acceptedIDs(d.replica), d.action)
+		if c, ok := d.action.(configsync.CreateRecord); ok {
+			fmt.Fprintf(&b, "%d", c.Record.Revision)
+		}
+		if c, ok := d.action.(configsync.ReadRecord); ok {
+			fmt.Fprintf(&b, "%d", c.Revision)
+		}
+		if d.current != nil {
+			fmt.Fprintf(&b, "%s", d.current.DebugKey())
+		}
+		for _, o := range d.outcomes {
+			fmt.Fprintf(&b, "o%d%t", o.Accepted.Revision, o.Err == nil)
+		}
+	}
+	return b.String()
+}
+
+func acceptedIDs(r *configsync.Replica) string {
+	var ids string
+	for _, id := range []string{"a", "b", "c"} {
+		if _, ok := r.Accepted(&configsync.Submission{ID: id}); ok {
+			ids += id
+		}
+	}
+	return ids
+}
+
+// explore searches all states by replaying paths, since the machines are mutable.
+func explore(fault modelFault) (int, error) {
+	seen := map[string]bool{}
+	queue := [][]int{nil}
+	for len(queue) > 0 {
+		path := queue[0]
+		queue = queue[1:]
+		for n := 0; ; n++ {
+			w := newModelWorld()
+			for _, choice := range path {
+				w.step(choice, fault)
+			}
+			if !w.step(n, fault) {
+				break
+			}
+			next := append(path[:len(path):len(path)], n)
+			if err := w.check(); err != nil {
+				return len(seen), fmt.Errorf("path %v: %w", next, err)
+			}
+			if key := w.key(); !seen[key] {
+				seen[key] = true
+				queue = append(queue, next)
+			}
+		}
+	}
+	return len(seen), nil
+}
+
+func TestModelOfRacingSubmissionsWithLostAnswersAndCompaction(t *testing.T) {
+	states, err := explore(modelFault{})
+	t.Logf("explored %d states", states)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, states > 500, qt.IsTrue)
+}
+
+func TestModelCatchesAcceptanceWithoutTheCompactionMark(t *testing.T) {
+	states, err := explore(modelFault{noHeadRead: true})
+	t.Logf("caught after %d states: %v", states, err)
+	qt.Assert(t, err, qt.ErrorMatches, ".*accepted at .* but is not in force.*")
+}
+
+func TestModelCatchesRecordsThatWereReadBeforeTheMark(t *testing.T) {
+	states, err := explore(modelFault{applyUnheard: true})
+	t.Logf("caught after %d states: %v", states, err)
+	qt.Assert(t, err, qt.IsNotNil)
+}
+
+func TestRaceNamesTheChangeThatWon(t *testing.T) {
+	r := configsync.NewReplica()
+	first := modelSub("a", "x", "", `"a"`)
+	first.Author, first.Message = "ana", "new key"
+	rec := r.Next(&first, modelTime)
+	qt.Assert(t, r.Apply(&rec), qt.IsNil)
+	second := modelSub("b", "x", "", `"b"`)
+	var conflict *configsync.ConflictError
+	qt.Assert(t, errors.As(r.Check(&second), &conflict), qt.IsTrue)
+	qt.Assert(t, conflict.Error(), qt.Equals, `customer/x was changed by "ana" in revision 1 (new key)`)
+}
--- a/internal/coordination/configsync/replica.go
+++ b/internal/coordination/configsync/replica.go
@@ -54,10 +54,11 @@
 // Stored is an object in force with the change that put it there.
 type Stored struct {
 	Object
-	Digest   Digest `json:"digest"`
-	Revision uint64 `json:"revision"`
-	Author   string `json:"author"`
-	Message  string `json:"message,omitempty"`
+	Digest     Digest `json:"digest"`
+	Revision   uint64 `json:"revision"`
+	Submission string `json:"submission"`
+	Author     string `json:"author"`
+	Message    string `json:"message,omitempty"`
 }
 
 // Replica is the configuration of one daemon. It is not safe for concurrent use.
@@ -103,10 +104,17 @@
 	return o, ok
 }
 
-// Accepted returns the revision of a recent submission.
-func (r *Replica) Accepted(id string) (uint64, bool) {
-	revision, ok := r.accepted[id]
-	return revision, ok
+// Accepted returns the revision of a submission that is in force or recent.
+func (r *Replica) Accepted(s *Submission) (uint64, bool) {
+	if revision, ok := r.accepted[s.ID]; ok {
+		return revision, true
+	}
+	for _, c := range s.Changes {
+		if o, ok := r.objects[c.Key]; ok && o.Submission == s.ID {
+			return o.Revision, true
+		}
+	}
+	return 0, false
 }
 
 // Check reports why a submission can't be accepted at the revision in force. The
@@ -248,11 +256,12 @@
 		return
 	}
 	r.objects[c.Key] = Stored{
-		Object:   Object{Key: c.Key, Value: c.Value},
-		Digest:   DigestOf(c.Value),
-		Revision: rec.Revision,
-		Author:   rec.Submission.Author,
-		Message:  rec.Submission.Message,
+		Object:     Object{Key: c.Key, Value: c.Value},
+		Digest:     DigestOf(c.Value),
+		Revision:   rec.Revision,
+		Submission: rec.Submission.ID,
+		Author:     rec.Submission.Author,
+		Message:    rec.Submission.Message,
 	}
 }
 
--- a/internal/coordination/configsync/snapshot.go
+++ b/internal/coordination/configsync/snapshot.go
@@ -33,14 +33,24 @@
 type Head struct {
 	Revision uint64      `json:"revision"`
 	Digest   StateDigest `json:"digest"`
-	Buckets  []Digest    `json:"buckets"`
+	Buckets  []BucketRef `json:"buckets"`
 	// Previous lists buckets of the last snapshot that readers may still fetch.
-	Previous []Digest `json:"previous,omitempty"`
+	Previous []BucketRef `json:"previous,omitempty"`
+	// Garbage lists buckets that nothing names any more. Their names are never
+	// used again, so that deleting them late is harmless.
+	Garbage []BucketRef `json:"garbage,omitempty"`
 	// Compacted is the last record that may have been deleted. A record at or
 	// below it is not part of the configuration, even if it exists.
 	Compacted uint64 `json:"compacted"`
 }
 
+// BucketRef names a stored bucket. The name is unique to the snapshot that wrote
+// it; a later snapshot takes it over while the content is the same.
+type BucketRef struct {
+	Name   string `json:"name"`
+	Digest Digest `json:"digest"`
+}
+
 // Bucket is a content-addressed part of a snapshot.
 type Bucket struct {
 	Digest Digest
--- a/internal/coordination/configsync/submitter.go
+++ b/internal/coordination/configsync/submitter.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -66,6 +67,9 @@
 	Finish struct {
 		Accepted Accepted
 		Err      error
+		// Record is the confirmed record, to be brought into force at once. It is
+		// nil for a repeated submission.
+		Record *Record
 	}
 )
 
@@ -81,15 +85,14 @@
 	// Prepare checks a submission against the revision in force and returns the
 	// record that would accept it, in one step.
 	Prepare(*Submission, time.Time) (Record, error)
-	// Accepted returns the revision of a recent submission.
-	Accepted(id string) (uint64, bool)
-	// Apply brings a record into force.
-	Apply(*Record) error
+	// Accepted returns the revision of a submission that was accepted before.
+	Accepted(*Submission) (uint64, bool)
 }
 
 // Submitter brings one submission into the order of records. It handles lost
 // answers by reading the record back, and races by checking the submission again
-// on top of the record that won.
+// on top of the record that won. A record that was read here is never applied: it
+// may lie below the compaction mark, where a late writer can create it anew.
 //
 // Invariant: it reports acceptance at revision N only if record N is its own and
 // lies above the compaction mark that was read after the record existed.
@@ -129,7 +132,7 @@
 	case PlatformFailed:
 		return Retry{Step: s.pending}
 	case RecordRead:
-		return s.settle(now, e.Record)
+		return s.settle(e.Record)
 	case HeadRead:
 		return s.confirm(e.Compacted)
 	case DeadlineReached:
@@ -141,7 +144,7 @@
 // create builds the record on the revision in force.
 func (s *Submitter) create(now time.Time) SubmitAction {
 	s.sent = false
-	if revision, ok := s.view.Accepted(s.sub.ID); ok {
+	if revision, ok := s.view.Accepted(s.sub); ok {
 		return Finish{Accepted: Accepted{Revision: revision, Repeated: true}}
 	}
 	rec, err := s.view.Prepare(s.sub, now)
@@ -154,7 +157,7 @@
 }
 
 // settle compares the record that exists with our own.
-func (s *Submitter) settle(now time.Time, rec *Record) SubmitAction {
+func (s *Submitter) settle(rec *Record) SubmitAction {
 	if rec == nil {
 		// The create had no effect so far. It may still be on its way, so only the
 		// same record is sent again.
@@ -163,10 +166,8 @@
 	if rec.Submission.ID == s.sub.ID {
 		return ReadHead{}
 	}
-	if err := s.view.Apply(rec); err != nil {
-		return Refresh{}
-	}
-	return s.create(now)
+	s.sent = false
+	return Refresh{}
 }
 
 // confirm accepts the record unless it was written where records were deleted.
@@ -175,7 +176,7 @@
 	if s.record.Revision <= compacted {
 		return Refresh{}
 	}
-	return Finish{Accepted: Accepted{Revision: s.record.Revision}}
+	return Finish{Accepted: Accepted{Revision: s.record.Revision}, Record: &s.record}
 }
 
 func (s *Submitter) giveUp() SubmitAction {
@@ -190,3 +191,8 @@
 	}
 	return Finish{Err: errors.New("configsync: the platform can't be reached; nothing was changed")}
 }
+
+// DebugKey returns the internal state in a form that tells states apart.
+func (s *Submitter) DebugKey() string {
+	return fmt.Sprintf("%d/%t/%T", s.record.Revision, s.sent, s.pending)
+}
--- a/internal/node/config/node.go
+++ b/internal/node/config/node.go
@@ -69,6 +69,7 @@
 	log      recordLog
 	snapshot encodedSnapshot
 	diverged bool
+	cleaned  uint64 // snapshot whose garbage was deleted
 }
 
 // New returns a node that is not running.
@@ -85,10 +86,11 @@
 
 // Start runs the loops until Close.
 func (n *Node) Start() {
-	n.wg.Add(3)
+	n.wg.Add(4)
 	go n.tick()
 	go n.watch()
 	go n.gossip()
+	go n.compaction()
 }
 
 // Close stops the loops and waits for them.
--- a/internal/node/config/peers.go
+++ b/internal/node/config/peers.go
@@ -24,9 +24,13 @@
 
 // announce tells the peers of the zone about the revision in force.
 func (n *Node) announce(ctx context.Context) {
-	if !n.opts.Members.IsRelay() {
-		return
+	if n.opts.Members.IsRelay() {
+		n.tellZone(ctx)
 	}
+}
+
+// tellZone exchanges revisions with the peers of the zone.
+func (n *Node) tellZone(ctx context.Context) {
 	var wg sync.WaitGroup
 	for _, p := range n.opts.Members.ZonePeers() {
 		wg.Go(func() { _, _ = n.askState(ctx, p) })
--- a/internal/node/config/records.go
+++ b/internal/node/config/records.go
@@ -33,8 +33,6 @@
 	return fmt.Sprintf("%s%s/%d", blobPrefix, submission, i)
 }
 
-func bucketKey(d configsync.Digest) string { return bucketPrefix + string(d) }
-
 // payload is the part of a record that moves to blobs when it is large.
 type payload struct {
 	Changes  []configsync.Change `json:"changes"`
--- a/internal/node/config/submit.go
+++ b/internal/node/config/submit.go
@@ -41,9 +41,7 @@
 	for {
 		action := submitter.Handle(n.opts.Clock(), event)
 		if finish, ok := action.(configsync.Finish); ok {
-			if finish.Err == nil {
-				n.handle(configsync.PlatformChanged{})
-			}
+			n.bringIntoForce(finish.Record)
 			return finish.Accepted, finish.Err
 		}
 		event = n.runSubmit(ctx, action)
@@ -53,6 +51,21 @@
 	}
 }
 
+// bringIntoForce applies an accepted record here and tells the peers of the zone,
+// so that it spreads even if the platform fails now. If the replica is not at the
+// revision before, the follower reads the records in between.
+func (n *Node) bringIntoForce(rec *configsync.Record) {
+	if rec == nil {
+		return
+	}
+	if err := n.applyOne(rec); err != nil {
+		n.handle(configsync.PlatformChanged{})
+		return
+	}
+	n.handle(configsync.Applied{Revision: n.Revision()})
+	n.spawn(n.tellZone)
+}
+
 func (n *Node) runSubmit(ctx context.Context, action configsync.SubmitAction) configsync.SubmitEvent {
 	switch a := action.(type) {
 	case configsync.CreateRecord:
@@ -81,8 +94,7 @@
 	panic(fmt.Sprintf("config: unknown submit action %T", action))
 }
 
-// lockedView gives a submitter the replica under its lock. A record that a
-// submitter reads is applied with its catalog.
+// lockedView gives a submitter the replica under its lock.
 type lockedView struct{ n *Node }
 
 // Prepare implements configsync.View. The configuration is checked outside the
@@ -112,14 +124,13 @@
 	return rec, nil
 }
 
-func (v lockedView) Accepted(id string) (uint64, bool) {
+// Accepted implements configsync.View.
+func (v lockedView) Accepted(s *configsync.Submission) (uint64, bool) {
 	v.n.mu.Lock()
 	defer v.n.mu.Unlock()
-	return v.n.replica.Accepted(id)
+	return v.n.replica.Accepted(s)
 }
 
-func (v lockedView) Apply(rec *configsync.Record) error { return v.n.applyOne(rec) }
-
 // Progress asks all known daemons whether a revision is in force there.
 func (n *Node) Progress(revision uint64) configsync.Progress {
 	peers := n.opts.Members.AllPeers()
