Suspect requests by content after a crash and admit one run alone at a time

Cause: nothing kept a request that crashes upstreams from being retried. The table merges between daemons without order; one tracker per fingerprint admits runs. Not wired yet.

--- a/internal/protocol/errors.go
+++ b/internal/protocol/errors.go
@@ -24,8 +24,10 @@
 	KindInterrupted   ErrorKind = "interrupted"
 	KindWrongAdapter  ErrorKind = "wrong_adapter"
 	KindRefusedPoison ErrorKind = "refused_fingerprint"
-	KindNotOwner      ErrorKind = "not_owner"
-	KindInternal      ErrorKind = "internal"
+	// KindUpstreamCrashed reports that the upstream went down while it ran the request.
+	KindUpstreamCrashed ErrorKind = "upstream_crashed"
+	KindNotOwner        ErrorKind = "not_owner"
+	KindInternal        ErrorKind = "internal"
 )
 
 // Outcome says what is known about the execution of a request.
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/suspects"
 	"github.com/celerydeck/celerydeck/internal/state"
 )
 
@@ -25,6 +26,10 @@
 	MsgConfigState
 	MsgConfigFetch
 	MsgConfigRecords
+	MsgSuspects
+	MsgSuspectsReply
+	MsgSuspectAsk
+	MsgSuspectAnswer
 )
 
 // Hello opens every stream and negotiates the version.
@@ -165,3 +170,22 @@
 	Digest   uint64   `cbor:"3,keyasint,omitempty"`
 	Snapshot []byte   `cbor:"4,keyasint,omitempty"` // compressed objects
 }
+
+// Suspects carries entries of the table of requests that crash upstreams. With no
+// entries it compares digests.
+type Suspects struct {
+	Digest  uint64           `cbor:"1,keyasint"`
+	Entries []suspects.Entry `cbor:"2,keyasint,omitempty"`
+}
+
+// SuspectAsk asks the tracker of a fingerprint whether a request may run, or ends
+// the permit of an earlier answer.
+type SuspectAsk struct {
+	Fingerprint suspects.Fingerprint `cbor:"1,keyasint"`
+	Release     bool                 `cbor:"2,keyasint,omitempty"`
+}
+
+// SuspectAnswer answers a SuspectAsk.
+type SuspectAnswer struct {
+	Answer suspects.Answer `cbor:"1,keyasint"`
+}
