Measure the decision code in virtual time

Decisions under load could not be compared. internal/measure runs routers and owner cores against fakes of engines and of the weight store, seeded and in virtual time, at two sizes and ten scenarios, with three baselines behind the same interface. The owner contract gains the events StoreBudget and Ranks.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
-.PHONY: check lint fmt test build demo bench
+.PHONY: check lint fmt test build demo bench measure
 
 check: lint build test
 	@if [ -n "$(KNOWN_RED)" ]; then echo "known red, not run:"; cat KNOWN-RED.txt; fi
@@ -33,3 +33,6 @@
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
+
+measure:
+	go run ./cmd/deckmeasure
--- a/internal/coordination/owner/fifo.go
+++ b/internal/coordination/owner/fifo.go
@@ -42,6 +42,14 @@
 	queue    []Request
 	running  map[string]Request
 	adapters map[state.AdapterRef]*slot
+	rankless bool
+}
+
+// NewFirstCome returns a Fifo that disregards ranks.
+func NewFirstCome() *Fifo {
+	f := NewFifo()
+	f.rankless = true
+	return f
 }
 
 // NewFifo returns a core that waits for its first report and authority.
@@ -119,7 +127,7 @@
 		return []Action{Refuse{ID: r.ID, Reason: RefuseOverload, RetryAfter: fifoRetryAfter}}
 	}
 	at := len(f.queue)
-	for at > 0 && f.queue[at-1].Class.Rank > r.Class.Rank {
+	for !f.rankless && at > 0 && f.queue[at-1].Class.Rank > r.Class.Rank {
 		at--
 	}
 	f.queue = slices.Insert(f.queue, at, r)
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -67,6 +67,15 @@
 	}
 	// Leaving reports that the upstream is listed as leaving.
 	Leaving struct{}
+	// StoreBudget is the upstream's share of the weight store's limits. It holds
+	// until the next one. A core that was given none is not limited.
+	StoreBudget struct {
+		Rate     float64 // loads a second
+		Burst    float64 // loads that may start at once after a pause
+		InFlight int     // loads that may be in progress
+	}
+	// Ranks sets the targets, worth and shares of the ranks, most urgent first.
+	Ranks struct{ Ranks []state.RankInfo }
 	// Tick lets time pass.
 	Tick struct{}
 )
@@ -80,6 +89,8 @@
 func (Unreachable) event() {}
 func (Authority) event()   {}
 func (Leaving) event()     {}
+func (StoreBudget) event() {}
+func (Ranks) event()       {}
 func (Tick) event()        {}
 
 // Action is an output of a Core.
@@ -146,4 +157,7 @@
 	Running  int
 	Queued   int
 	Resident []state.AdapterRef
+
+	Loading    int     // loads in progress
+	LoadDemand float64 // worth a second of the loads that wait for budget
 }
--- /dev/null
+++ b/internal/measure/baseline.go
@@ -0,0 +1,129 @@
+package measure
+
+import (
+	"slices"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/owner"
+	"github.com/celerydeck/celerydeck/internal/coordination/routing"
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+// Baselines returns the simple alternatives. All queue first come, first served
+// and evict the least recently used adapter.
+func Baselines() []Policy {
+	fifo := func(*state.Upstream) owner.Core { return owner.NewFirstCome() }
+	return []Policy{
+		{
+			Name:      "round robin",
+			NewRouter: func(env Env) routing.Router { return &roundRobin{fleet: env.Fleet, next: int(env.Seed)} },
+			NewCore:   fifo,
+		},
+		{
+			Name: "least loaded",
+			NewRouter: func(env Env) routing.Router {
+				return &leastLoaded{fleet: env.Fleet, sent: make(map[state.UpstreamID]int)}
+			},
+			NewCore: fifo,
+		},
+		{
+			Name:      "rendezvous",
+			NewRouter: func(env Env) routing.Router { return &rendezvous{fleet: env.Fleet} },
+			NewCore:   fifo,
+		},
+	}
+}
+
+func usable(fleet *state.Fleet, req *routing.Request) []*state.Upstream {
+	return slices.DeleteFunc(fleet.All(), func(u *state.Upstream) bool {
+		return !u.Healthy || u.Leaving || slices.Contains(req.Exclude, u.ID)
+	})
+}
+
+// roundRobin takes the engines in turn.
+type roundRobin struct {
+	fleet *state.Fleet
+	next  int
+}
+
+// Pick implements routing.Router.
+func (r *roundRobin) Pick(_ time.Time, req *routing.Request) routing.Choice {
+	all := usable(r.fleet, req)
+	if len(all) == 0 {
+		return routing.Choice{}
+	}
+	r.next++
+	return routing.Choice{Upstream: all[r.next%len(all)]}
+}
+
+// leastLoaded takes the engine with the fewest requests, counting what this
+// entry has sent and not yet seen end.
+type leastLoaded struct {
+	fleet *state.Fleet
+	sent  map[state.UpstreamID]int
+}
+
+// Pick implements routing.Router.
+func (l *leastLoaded) Pick(_ time.Time, req *routing.Request) routing.Choice {
+	var best *state.Upstream
+	bestLoad := 0
+	for _, u := range usable(l.fleet, req) {
+		load := max(u.Running+u.Queued, l.sent[u.ID])
+		if best == nil || load < bestLoad {
+			best, bestLoad = u, load
+		}
+	}
+	return routing.Choice{Upstream: best}
+}
+
+// Sent implements Dispatches.
+func (l *leastLoaded) Sent(_ time.Time, _ *routing.Request, to state.UpstreamID) { l.sent[to]++ }
+
+// Done implements Dispatches.
+func (l *leastLoaded) Done(_ time.Time, _ *routing.Request, to state.UpstreamID, _, _ bool) {
+	l.sent[to]--
+}
+
+// rendezvous takes the first engine in the rendezvous order of the adapter.
+type rendezvous struct{ fleet *state.Fleet }
+
+// Pick implements routing.Router.
+func (r *rendezvous) Pick(_ time.Time, req *routing.Request) routing.Choice {
+	var best *state.Upstream
+	var bestWeight uint64
+	key := req.Adapter.String()
+	for _, u := range usable(r.fleet, req) {
+		if w := state.RendezvousWeight(key, string(u.ID)); best == nil || w > bestWeight {
+			best, bestWeight = u, w
+		}
+	}
+	return routing.Choice{Upstream: best}
+}
+
+// byDemand divides the store's limits in proportion to the demand for loads.
+type byDemand struct{ spec StoreSpec }
+
+func newByDemand(spec StoreSpec) Shares { return &byDemand{spec: spec} }
+
+// Divide implements Shares.
+func (b *byDemand) Divide(_ time.Time, statuses []owner.Status) []owner.StoreBudget {
+	const floor = 0.2 // part of the rate that is divided evenly
+	total := 0.0
+	for _, s := range statuses {
+		total += s.LoadDemand
+	}
+	budgets := make([]owner.StoreBudget, len(statuses))
+	even := 1 / float64(len(statuses))
+	for i, s := range statuses {
+		part := even
+		if total > 0 {
+			part = floor*even + (1-floor)*s.LoadDemand/total
+		}
+		budgets[i] = owner.StoreBudget{
+			Rate:     part * b.spec.Rate,
+			Burst:    1,
+			InFlight: max(1, int(part*float64(b.spec.Knee))),
+		}
+	}
+	return budgets
+}
--- /dev/null
+++ b/internal/measure/call.go
@@ -0,0 +1,89 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/owner"
+	"github.com/celerydeck/celerydeck/internal/coordination/routing"
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+type outcome uint8
+
+const (
+	waiting outcome = iota
+	completed
+	refused
+	timedOut
+)
+
+// call is a request on its way.
+type call struct {
+	id       int
+	arrival  *Arrival
+	adapter  state.AdapterRef
+	customer state.CustomerID
+	prefix   uint64
+	prompt   int
+	left     int
+	deadline time.Time
+	attempt  int
+	exclude  []state.UpstreamID
+	at       state.UpstreamID
+
+	dispatched bool
+	waitsLoad  bool
+	waitsSince time.Time
+
+	outcome    outcome
+	retryAfter time.Duration
+	arrived    time.Time
+	first      time.Time
+	last       time.Time
+	stall      time.Duration
+}
+
+func (c *call) token(now time.Time) {
+	if c.first.IsZero() {
+		c.first = now
+	}
+	c.last = now
+	c.left--
+}
+
+func (c *call) request(id string) owner.Request {
+	return owner.Request{
+		ID:           id,
+		Class:        state.Class{Customer: c.customer, Service: service, Rank: c.arrival.Rank},
+		Adapter:      c.adapter,
+		Source:       c.adapter.Adapter,
+		Deadline:     c.deadline,
+		PromptTokens: uint32(c.prompt),
+		MaxTokens:    uint32(c.left),
+		Prefix:       c.prefix,
+		Repeatable:   true,
+	}
+}
+
+func (c *call) route(zone state.Zone) *routing.Request {
+	return &routing.Request{
+		Adapter:      c.adapter,
+		Base:         baseModel,
+		Service:      service,
+		Rank:         c.arrival.Rank,
+		Zone:         zone,
+		Region:       region,
+		Prefix:       c.prefix,
+		PromptTokens: uint32(c.prompt),
+		Exclude:      c.exclude,
+	}
+}
+
+// inTime reports whether both targets of the rank were met.
+func (c *call) inTime(rank state.RankInfo) bool {
+	if c.outcome != completed || c.first.Sub(c.arrived) > rank.FirstToken {
+		return false
+	}
+	gaps := c.arrival.Output - 1
+	return gaps < 1 || c.last.Sub(c.first)/time.Duration(gaps) <= rank.BetweenTokens
+}
--- /dev/null
+++ b/internal/measure/policy.go
@@ -0,0 +1,57 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/owner"
+	"github.com/celerydeck/celerydeck/internal/coordination/routing"
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+// Policy is a set of decisions under measurement.
+type Policy struct {
+	Name string
+	// NewRouter returns the router of one entry daemon.
+	NewRouter func(env Env) routing.Router
+	// NewCore returns the owner core of one engine.
+	NewCore func(u *state.Upstream) owner.Core
+	// NewShares returns the division of the weight store's limits, or nil when the
+	// policy leaves the store to itself.
+	NewShares func(spec StoreSpec) Shares
+}
+
+// Env is what an entry daemon has.
+type Env struct {
+	Fleet *state.Fleet
+	Zone  state.Zone
+	Seed  uint64
+	Ranks []state.RankInfo
+}
+
+// Shares divides the weight store's limits among the engines. Statuses are in
+// order of the engines, and so are the budgets.
+type Shares interface {
+	Divide(now time.Time, statuses []owner.Status) []owner.StoreBudget
+}
+
+// Dispatches is implemented by routers that correct reported load by what they
+// sent since.
+type Dispatches interface {
+	Sent(now time.Time, req *routing.Request, to state.UpstreamID)
+	Done(now time.Time, req *routing.Request, to state.UpstreamID, refused, failed bool)
+}
+
+// Policies returns the baselines and then the policies of the daemon.
+func Policies() []Policy {
+	return append(Baselines(), Current())
+}
+
+// Current returns the decisions that the daemon uses.
+func Current() Policy {
+	return Policy{
+		Name:      "celerydeck",
+		NewRouter: func(env Env) routing.Router { return routing.NewSimple(env.Fleet) },
+		NewCore:   func(*state.Upstream) owner.Core { return owner.NewFifo() },
+		NewShares: newByDemand,
+	}
+}
