Run calls with an idempotency key or a ticket at most once

A call of a non-repeatable service could only be sent blindly again by its caller. A key now has a record in the platform, created before the dispatch, and a ticket is run only by the daemon incarnation that issued it. net/http repeated a POST, OPTIONS or TRACE without a body on a broken connection; the client now rules this out.

--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -20,6 +20,7 @@
 	ownercore "github.com/celerydeck/celerydeck/internal/coordination/owner"
 	"github.com/celerydeck/celerydeck/internal/node/cluster"
 	"github.com/celerydeck/celerydeck/internal/node/entry"
+	"github.com/celerydeck/celerydeck/internal/node/once"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
@@ -31,6 +32,7 @@
 
 const (
 	idBytes           = 12
+	secretBytes       = 32
 	announceTimeout   = 2 * time.Second
 	readHeaderTimeout = 10 * time.Second
 )
@@ -51,6 +53,7 @@
 	Server  *http.Server
 	Caller  net.Listener
 	Peers   *peer.Server
+	Once    *once.Gateway
 }
 
 // Start starts a daemon with an identity of its own.
@@ -62,7 +65,7 @@
 		fx.Supply(fx.Annotate(d, fx.As(new(readiness)))),
 		fx.Provide(
 			state.NewFleet, newSockets, newPool, newOwner, newCluster, newGateway, newCallers, newPlatform,
-			upstream.NewClient, newCallerListener, newPeerServer,
+			newIncarnation, newOnce, upstream.NewClient, newCallerListener, newPeerServer,
 		),
 		fx.Populate(&d.parts),
 	)
@@ -89,7 +92,7 @@
 	defer cancel()
 	d.parts.Cluster.Drain(announce)
 	err := d.parts.Server.Shutdown(ctx)
-	err = errors.Join(err, d.parts.Owner.Wait(ctx), d.parts.Peers.Drain(ctx))
+	err = errors.Join(err, d.parts.Owner.Wait(ctx), d.parts.Peers.Drain(ctx), d.parts.Once.Wait(ctx))
 	stop, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), announceTimeout)
 	defer cancelStop()
 	return errors.Join(err, d.app.Stop(stop))
@@ -146,10 +149,12 @@
 	return m
 }
 
-func newCluster(lc fx.Lifecycle, s Settings, client *platform.Client, pool *peer.Pool, fleet *state.Fleet, m *owner.Manager) *cluster.Cluster {
+func newIncarnation() state.Incarnation { return state.Incarnation(newID()) }
+
+func newCluster(lc fx.Lifecycle, s Settings, run state.Incarnation, client *platform.Client, pool *peer.Pool, fleet *state.Fleet, m *owner.Manager) *cluster.Cluster {
 	c := cluster.New(cluster.Options{
 		Self:        peer.Peer{ID: state.DaemonID(s.ID), Addr: s.PeerAddr},
-		Incarnation: state.Incarnation(newID()),
+		Incarnation: run,
 		Zone:        state.Zone(s.Zone),
 		Region:      state.Region(s.Region),
 		Platform:    client,
@@ -174,6 +179,34 @@
 	})
 }
 
+type onceParams struct {
+	fx.In
+	Settings    Settings
+	Incarnation state.Incarnation
+	Gateway     *entry.Gateway
+	Pool        *peer.Pool
+	Cluster     *cluster.Cluster
+	Platform    *platform.Client
+}
+
+func newOnce(lc fx.Lifecycle, p onceParams) *once.Gateway {
+	secret := make([]byte, secretBytes)
+	_, _ = rand.Read(secret)
+	g := once.New(once.Options{
+		Self:        state.DaemonID(p.Settings.ID),
+		Incarnation: p.Incarnation,
+		Next:        p.Gateway,
+		Peers:       peers{pool: p.Pool, cluster: p.Cluster},
+		Store:       p.Platform,
+		Clock:       time.Now,
+		Secret:      secret,
+		NewNonce:    newID,
+		Daemons:     p.Cluster.Daemons,
+	})
+	lc.Append(fx.StartStopHook(g.Start, g.Close))
+	return g
+}
+
 func newCallerListener(s Settings) (net.Listener, error) {
 	l, err := net.Listen("tcp", s.CallerAddr)
 	if err != nil {
@@ -182,9 +215,10 @@
 	return l, nil
 }
 
-func newCallers(lc fx.Lifecycle, l net.Listener, g *entry.Gateway, c *cluster.Cluster, r readiness) *http.Server {
+func newCallers(lc fx.Lifecycle, l net.Listener, g *once.Gateway, c *cluster.Cluster, r readiness) *http.Server {
 	api := callers.New(callers.Options{
 		Gateway: g,
+		Tickets: g,
 		Catalog: c.Catalog,
 		Ready:   r.Ready,
 		NewID:   newID,
@@ -203,10 +237,11 @@
 	ID      peer.Identity
 	Owner   *owner.Manager
 	Cluster *cluster.Cluster
+	Once    *once.Gateway
 }
 
 func newPeerServer(lc fx.Lifecycle, p serverParams) (*peer.Server, error) {
-	server, err := peer.Listen(p.Listen, p.ID, peerHandler{owner: p.Owner, cluster: p.Cluster})
+	server, err := peer.Listen(p.Listen, p.ID, peerHandler{owner: p.Owner, cluster: p.Cluster, once: p.Once})
 	if err != nil {
 		return nil, fmt.Errorf("serve daemons: %w", err)
 	}
@@ -236,15 +271,24 @@
 type peerHandler struct {
 	owner   *owner.Manager
 	cluster *cluster.Cluster
+	once    *once.Gateway
 }
 
 // ServeCall implements peer.Handler.
 func (h peerHandler) ServeCall(ctx context.Context, _ state.DaemonID, call *protocol.Call, sink protocol.Sink) {
-	if err := h.owner.Submit(ctx, call, sink); err != nil {
+	serve := h.owner.Submit
+	if call.Ticket != "" {
+		serve = h.serveTicket
+	}
+	if err := serve(ctx, call, sink); err != nil {
 		_ = sink.End(protocol.End{Attempt: call.Attempt, Err: err})
 	}
 }
 
+func (h peerHandler) serveTicket(ctx context.Context, call *protocol.Call, sink protocol.Sink) *protocol.Error {
+	return h.once.Serve(ctx, call, call.Base, sink)
+}
+
 // ServeMessage implements peer.Handler.
 func (h peerHandler) ServeMessage(_ context.Context, from state.DaemonID, frame protocol.Frame) (protocol.MessageKind, any, error) {
 	if frame.Kind != protocol.MsgHeartbeat {
--- a/internal/node/cluster/cluster.go
+++ b/internal/node/cluster/cluster.go
@@ -123,6 +123,13 @@
 	return m.peer, true
 }
 
+// Daemons returns the number of known daemons, this one included.
+func (c *Cluster) Daemons() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.members) + 1
+}
+
 func (c *Cluster) loop(ctx context.Context, every time.Duration, step func(context.Context)) {
 	c.wg.Add(1)
 	go func() {
--- /dev/null
+++ b/internal/node/once/key.go
@@ -0,0 +1,174 @@
+package once
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	core "github.com/celerydeck/celerydeck/internal/coordination/once"
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/transport/platform"
+)
+
+// keyedCall carries out the actions of one core.Call.
+type keyedCall struct {
+	g        *Gateway
+	core     *core.Call
+	key      string // object of the record
+	call     *protocol.Call
+	base     string
+	sink     protocol.Sink
+	deadline time.Time
+}
+
+func (g *Gateway) serveKey(ctx context.Context, call *protocol.Call, base string, sink protocol.Sink) *protocol.Error {
+	deadline := g.opts.Clock().Add(min(call.Budget, core.MaxRun))
+	k := &keyedCall{
+		g:    g,
+		key:  core.RecordKey(call.Customer, call.Service, call.IdempotencyKey),
+		call: call,
+		base: base,
+		sink: sink,
+		core: core.NewCall(core.Params{
+			Key:         call.IdempotencyKey,
+			Nonce:       g.opts.NewNonce(),
+			Digest:      digest(call),
+			RequestID:   call.RequestID,
+			Daemon:      g.opts.Self,
+			Incarnation: g.opts.Incarnation,
+			Deadline:    deadline,
+		}),
+		deadline: deadline,
+	}
+	return k.open(ctx)
+}
+
+// open runs the steps up to the answer of the caller. The steps that close the
+// record follow in the background.
+func (k *keyedCall) open(ctx context.Context) *protocol.Error {
+	var event core.Event = core.Begin{}
+	for {
+		switch a := k.core.Handle(k.g.opts.Clock(), event).(type) {
+		case core.Dispatch:
+			result, err := k.g.run(ctx, k.call, k.base, k.sink, k.deadline)
+			k.close(ctx, result)
+			return err
+		case core.Replay:
+			if err := replay(a.Record.Answer, k.sink); err != nil {
+				return protocol.Errorf(protocol.KindCanceled, stepKey, protocol.OutcomeRan, "%v", err)
+			}
+			return nil
+		case core.Refuse:
+			return k.g.refusal(stepKey, a.Reason)
+		default:
+			event = k.step(ctx, a)
+		}
+		if ctx.Err() != nil {
+			return k.abandon(ctx, event)
+		}
+	}
+}
+
+// abandon ends a call whose caller left before the dispatch. A record that may
+// have been created stays; it expires as interrupted.
+func (k *keyedCall) abandon(ctx context.Context, event core.Event) *protocol.Error {
+	if created, ok := event.(core.Created); ok {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+		defer cancel()
+		_ = k.g.opts.Store.Delete(ctx, k.key, platform.Version(created.Version))
+	}
+	return protocol.Errorf(protocol.KindCanceled, stepKey, protocol.OutcomeNotRun, "%v", ctx.Err())
+}
+
+func (k *keyedCall) close(ctx context.Context, result core.Result) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+	k.g.closing.Add()
+	go func() {
+		defer k.g.closing.Done()
+		defer cancel()
+		var event core.Event = core.Finished{Result: result}
+		for {
+			action := k.core.Handle(k.g.opts.Clock(), event)
+			if _, done := action.(core.Done); done {
+				return
+			}
+			event = k.step(ctx, action)
+		}
+	}()
+}
+
+func (k *keyedCall) step(ctx context.Context, action core.Action) core.Event {
+	switch a := action.(type) {
+	case core.CreateRecord:
+		return k.create(ctx, a.Record)
+	case core.ReadRecord:
+		return k.read(ctx)
+	case core.StoreRecord:
+		return stored(k.put(ctx, a.Record, platform.Version(a.Base)))
+	case core.RemoveRecord:
+		return stored(k.g.opts.Store.Delete(ctx, k.key, platform.Version(a.Base)))
+	case core.Wait:
+		wait(ctx, a.For)
+		return core.Waited{}
+	}
+	panic(fmt.Sprintf("once: unexpected action %T", action))
+}
+
+func (k *keyedCall) create(ctx context.Context, r core.Record) core.Event {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return core.CreateFailed{}
+	}
+	version, err := k.g.opts.Store.Put(ctx, k.key, data, 0)
+	switch {
+	case err == nil:
+		return core.Created{Version: core.Version(version)}
+	case errors.Is(err, platform.ErrConflict):
+		return core.CreateConflict{}
+	case errors.Is(err, platform.ErrUnknown):
+		return core.CreateLost{}
+	}
+	return core.CreateFailed{}
+}
+
+func (k *keyedCall) put(ctx context.Context, r core.Record, base platform.Version) error {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return err
+	}
+	_, err = k.g.opts.Store.Put(ctx, k.key, data, base)
+	return err
+}
+
+func (k *keyedCall) read(ctx context.Context) core.Event {
+	o, err := k.g.opts.Store.Get(ctx, k.key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return core.Missing{}
+	}
+	if err != nil {
+		return core.ReadFailed{}
+	}
+	var r core.Record
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		return core.ReadFailed{}
+	}
+	return core.Found{Record: r, Version: core.Version(o.Version)}
+}
+
+func stored(err error) core.Event {
+	if err == nil {
+		return core.Stored{}
+	}
+	return core.StoreFailed{}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/node/once/recorder.go
@@ -0,0 +1,88 @@
+package once
+
+import (
+	core "github.com/celerydeck/celerydeck/internal/coordination/once"
+	"github.com/celerydeck/celerydeck/internal/protocol"
+)
+
+// recorder passes an answer on and keeps a copy up to the bound of a record. It
+// goes on when the caller is gone.
+type recorder struct {
+	sink   protocol.Sink
+	gone   bool
+	answer core.Answer
+	whole  bool
+}
+
+// Head implements protocol.Sink.
+func (r *recorder) Head(h protocol.Head) error {
+	r.answer.Status = h.Status
+	r.answer.Adapter = h.Adapter
+	r.answer.Upstream = h.Upstream
+	r.answer.Boot = h.Boot
+	for _, f := range h.Header {
+		r.answer.Header = append(r.answer.Header, core.Field(f))
+	}
+	r.pass(func() error { return r.sink.Head(h) })
+	return nil
+}
+
+// Chunk implements protocol.Sink.
+func (r *recorder) Chunk(c protocol.Chunk) error {
+	if len(r.answer.Data) <= core.MaxKeptAnswer {
+		room := core.MaxKeptAnswer + 1 - len(r.answer.Data)
+		r.answer.Data = append(r.answer.Data, c.Data[:min(room, len(c.Data))]...)
+	}
+	r.pass(func() error { return r.sink.Chunk(c) })
+	return nil
+}
+
+// End implements protocol.Sink.
+func (r *recorder) End(e protocol.End) error {
+	r.whole = e.Err == nil
+	r.answer.Total = e.Total
+	r.answer.FinishReason = e.FinishReason
+	r.answer.PromptTokens = e.PromptTokens
+	r.pass(func() error { return r.sink.End(e) })
+	return nil
+}
+
+func (r *recorder) pass(deliver func() error) {
+	if !r.gone {
+		r.gone = deliver() != nil
+	}
+}
+
+// result returns how the call ended.
+func (r *recorder) result(err *protocol.Error) core.Result {
+	switch {
+	case err == nil && r.whole:
+		return core.Result{Outcome: core.OutcomeRan, Answer: &r.answer}
+	case err != nil && err.Outcome == protocol.OutcomeNotRun:
+		return core.Result{Outcome: core.OutcomeNotRun}
+	}
+	return core.Result{Outcome: core.OutcomeUnknown}
+}
+
+// replay delivers a kept answer.
+func replay(a *core.Answer, sink protocol.Sink) error {
+	head := protocol.Head{
+		Status:   a.Status,
+		Adapter:  a.Adapter,
+		Upstream: a.Upstream,
+		Boot:     a.Boot,
+		Replayed: true,
+	}
+	for _, f := range a.Header {
+		head.Header = append(head.Header, protocol.HeaderField(f))
+	}
+	if err := sink.Head(head); err != nil {
+		return err
+	}
+	if len(a.Data) > 0 {
+		if err := sink.Chunk(protocol.Chunk{Count: a.Total, Data: a.Data}); err != nil {
+			return err
+		}
+	}
+	return sink.End(protocol.End{Total: a.Total, FinishReason: a.FinishReason, PromptTokens: a.PromptTokens})
+}
--- a/internal/protocol/errors.go
+++ b/internal/protocol/errors.go
@@ -26,6 +26,9 @@
 	KindRefusedPoison ErrorKind = "refused_fingerprint"
 	KindNotOwner      ErrorKind = "not_owner"
 	KindInternal      ErrorKind = "internal"
+	KindInProgress    ErrorKind = "in_progress"
+	KindExpired       ErrorKind = "expired"
+	KindNotKept       ErrorKind = "answer_not_kept"
 )
 
 // Outcome says what is known about the execution of a request.
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -45,6 +45,12 @@
 	Fingerprint uint64           `cbor:"9,keyasint"`
 	Model       *ModelCall       `cbor:"10,keyasint,omitempty"`
 	Plain       *PlainCall       `cbor:"11,keyasint,omitempty"`
+	// Ticket is set when the daemon that issued it is asked to run the call. The
+	// call then names no upstream.
+	Ticket string `cbor:"12,keyasint,omitempty"`
+	Base   string `cbor:"13,keyasint,omitempty"` // base model, with Ticket only
+	// IdempotencyKey stays with the entry daemon.
+	IdempotencyKey string `cbor:"-"`
 }
 
 // Class returns the class of the call.
@@ -86,6 +92,7 @@
 	Boot     state.BootID     `cbor:"4,keyasint"`
 	Status   int              `cbor:"5,keyasint"`
 	Header   []HeaderField    `cbor:"6,keyasint,omitempty"`
+	Replayed bool             `cbor:"7,keyasint,omitempty"` // the answer was kept from an earlier request
 }
 
 // Chunk is a part of an answer. Offset counts tokens for model calls and bytes
--- a/internal/transport/callers/completion.go
+++ b/internal/transport/callers/completion.go
@@ -57,6 +57,10 @@
 			return
 		}
 		call.RequestID = id
+		if err := onceHeaders(r, &call); err != nil {
+			writeError(w, err)
+			return
+		}
 		sink := &completionSink{w: w, call: &call, chat: chat, stream: req.Stream, created: time.Now().Unix()}
 		sink.includeUsage = req.Options != nil && req.Options.IncludeUsage
 		sink.setHeaders()
@@ -86,7 +90,10 @@
 }
 
 // Head implements protocol.Sink.
-func (c *completionSink) Head(protocol.Head) error { return nil }
+func (c *completionSink) Head(h protocol.Head) error {
+	noteReplay(c.w, h)
+	return nil
+}
 
 // Chunk implements protocol.Sink.
 func (c *completionSink) Chunk(chunk protocol.Chunk) error {
--- a/internal/transport/callers/errors.go
+++ b/internal/transport/callers/errors.go
@@ -56,8 +56,10 @@
 		return http.StatusUnprocessableEntity
 	case protocol.KindDeadline:
 		return http.StatusGatewayTimeout
-	case protocol.KindConflict:
+	case protocol.KindConflict, protocol.KindInProgress:
 		return http.StatusConflict
+	case protocol.KindExpired, protocol.KindNotKept:
+		return http.StatusGone
 	}
 	if err.Outcome != protocol.OutcomeNotRun {
 		return http.StatusBadGateway
@@ -73,7 +75,7 @@
 	if err.Outcome != "" {
 		h.Set(HeaderOutcome, string(err.Outcome))
 	}
-	if err.Outcome != protocol.OutcomeNotRun {
+	if err.Outcome != protocol.OutcomeNotRun || err.Kind == protocol.KindConflict {
 		h.Set("X-Should-Retry", "false")
 	}
 	if err.RetryAfter > 0 {
--- /dev/null
+++ b/internal/transport/callers/once.go
@@ -0,0 +1,100 @@
+package callers
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/celerydeck/celerydeck/deckconfig"
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+type ticketRequest struct {
+	Service string `json:"service"`
+}
+
+type ticketResponse struct {
+	Ticket  string         `json:"ticket"`
+	Service string         `json:"service"`
+	Daemon  state.DaemonID `json:"daemon"`
+	Expires time.Time      `json:"expires"`
+}
+
+// ticket issues a ticket for one call of a service.
+func (s *Server) ticket(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HeaderRequestID, s.opts.NewID())
+	who, err := s.authenticate(r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	body, err := readBody(w, r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	var req ticketRequest
+	if err := json.Unmarshal(body, &req); err != nil {
+		writeError(w, notRun(protocol.KindBadRequest, stepParse, "the body is not valid JSON: %v", err))
+		return
+	}
+	service, err := who.nonRepeatable(state.ServiceID(req.Service))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	ticket := s.opts.Tickets.IssueTicket(who.customer, state.ServiceID(service.Name))
+	writeJSON(w, http.StatusCreated, ticketResponse{
+		Ticket:  ticket.String(),
+		Service: service.Name,
+		Daemon:  ticket.Daemon,
+		Expires: ticket.Expires.UTC(),
+	})
+}
+
+// nonRepeatable returns a service whose calls need tickets.
+func (c caller) nonRepeatable(id state.ServiceID) (*deckconfig.Service, *protocol.Error) {
+	service := c.catalog.Service(id)
+	if service == nil {
+		return nil, notRun(protocol.KindNotFound, stepParse, "no service %q", id)
+	}
+	if !c.catalog.Admits(service, c.customer) {
+		return nil, notRun(protocol.KindForbidden, stepAuthenticate, "customer %q may not call service %q", c.customer, id)
+	}
+	if !service.NonRepeatable {
+		return nil, notRun(protocol.KindBadRequest, stepParse, "calls of service %q may repeat and take no ticket", id)
+	}
+	return service, nil
+}
+
+// onceHeaders takes the key or the ticket of a call that must not repeat. Calls
+// that may repeat need neither.
+func onceHeaders(r *http.Request, call *protocol.Call) *protocol.Error {
+	if call.Repeatable {
+		return nil
+	}
+	keys, tickets := r.Header.Values(HeaderKey), r.Header.Values(HeaderTicket)
+	if len(keys)+len(tickets) > 1 {
+		return notRun(protocol.KindBadRequest, stepParse, "send one %s or one %s", HeaderKey, HeaderTicket)
+	}
+	if len(keys) == 1 {
+		if keys[0] == "" {
+			return notRun(protocol.KindBadRequest, stepParse, "%s must not be empty", HeaderKey)
+		}
+		call.IdempotencyKey = keys[0]
+	}
+	if len(tickets) == 1 {
+		if tickets[0] == "" {
+			return notRun(protocol.KindBadRequest, stepParse, "%s must not be empty", HeaderTicket)
+		}
+		call.Ticket = tickets[0]
+	}
+	return nil
+}
+
+func noteReplay(w http.ResponseWriter, h protocol.Head) {
+	if h.Replayed {
+		w.Header().Set(HeaderReplayed, "true")
+	}
+}
--- a/internal/transport/callers/plain.go
+++ b/internal/transport/callers/plain.go
@@ -39,6 +39,10 @@
 	}
 	call.RequestID = id
 	call.Repeatable = !service.NonRepeatable || r.Method == http.MethodGet || r.Method == http.MethodHead
+	if err := onceHeaders(r, &call); err != nil {
+		writeError(w, err)
+		return
+	}
 	call.Plain = &protocol.PlainCall{
 		Method: r.Method,
 		Path:   strings.TrimPrefix(r.URL.RequestURI(), "/services/"+service.Name),
@@ -64,6 +68,7 @@
 		p.w.Header().Add(f.Name, f.Value)
 	}
 	p.w.Header().Set(HeaderOutcome, string(protocol.OutcomeRan))
+	noteReplay(p.w, h)
 	p.w.WriteHeader(h.Status)
 	return nil
 }
--- a/internal/transport/callers/server.go
+++ b/internal/transport/callers/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/once"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 )
@@ -21,6 +22,9 @@
 	HeaderAdapter   = "X-Celerydeck-Adapter"
 	HeaderVersion   = "X-Celerydeck-Version"
 	HeaderRequestID = "X-Request-Id"
+	HeaderKey       = "Idempotency-Key"
+	HeaderTicket    = "X-Celerydeck-Ticket"
+	HeaderReplayed  = "X-Celerydeck-Replayed"
 )
 
 // Limits of requests.
@@ -35,9 +39,15 @@
 	Serve(ctx context.Context, call *protocol.Call, base string, sink protocol.Sink) *protocol.Error
 }
 
+// Tickets issues tickets for calls that must not repeat.
+type Tickets interface {
+	IssueTicket(customer state.CustomerID, service state.ServiceID) once.Ticket
+}
+
 // Options sets up a Server.
 type Options struct {
 	Gateway Gateway
+	Tickets Tickets
 	// Catalog returns the configuration in force, or nil before the first one.
 	Catalog func() *state.Catalog
 	// Ready reports whether the daemon takes new requests.
@@ -67,6 +77,7 @@
 	r.HandleFunc("/v1/completions", s.completion(false)).Methods(http.MethodPost)
 	r.HandleFunc("/v1/chat/completions", s.completion(true)).Methods(http.MethodPost)
 	r.HandleFunc("/v1/models", s.models).Methods(http.MethodGet)
+	r.HandleFunc("/v1/tickets", s.ticket).Methods(http.MethodPost)
 	r.PathPrefix("/services/{service}/").HandlerFunc(s.plain)
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		writeError(w, protocol.Errorf(protocol.KindNotFound, "route request", protocol.OutcomeNotRun, "no route for %s %s", r.Method, r.URL.Path))
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -49,8 +50,11 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// do sends a request once. The result reports whether a byte may have left. The
-// body is wrapped so that net/http can't replay the request on its own.
+// do sends a request once. The result reports whether a byte may have left.
+//
+// net/http sends a request again on its own when a reused connection breaks and
+// the request looks replayable: it has no body and either a safe method or an
+// Idempotency-Key header. A body that can't be rewound prevents this.
 func (c *Client) do(req *http.Request, body []byte) (*http.Response, bool, error) {
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{
@@ -59,14 +63,31 @@
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	req.ContentLength = int64(len(body))
 	req.GetBody = nil
-	req.Body = http.NoBody
-	if len(body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(body))
+	req.Body = io.NopCloser(bytes.NewReader(body))
+	if len(body) == 0 && mayHaveBody(req.Method) {
+		req.Body = http.NoBody
+		hideIdempotencyKey(req.Header)
 	}
 	resp, err := c.http.Do(req)
 	return resp, sent.Load(), err
 }
 
+// mayHaveBody reports whether net/http would send an empty body as chunks.
+func mayHaveBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
+// hideIdempotencyKey renames the key to lower case, which is the same field on the
+// wire, but which net/http does not take for a permit to repeat the request.
+func hideIdempotencyKey(h http.Header) {
+	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
+		if values, ok := h[name]; ok {
+			delete(h, name)
+			h[strings.ToLower(name)] = values
+		}
+	}
+}
+
 // transportError classifies a failed exchange with an upstream.
 func transportError(step string, u *state.Upstream, sent bool, err error) *protocol.Error {
 	outcome := protocol.OutcomeNotRun
--- a/internal/transport/upstream/plain.go
+++ b/internal/transport/upstream/plain.go
@@ -17,6 +17,7 @@
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Authorization",
+	"X-Celerydeck-Ticket",
 }
 
 // ForwardHeader returns the header fields that are passed on.
