--- /dev/null
+++ b/internal/node/once/key_test.go
@@ -0,0 +1,260 @@
+package once_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	core "github.com/celerydeck/celerydeck/internal/coordination/once"
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/transport/platform"
+)
+
+var noError = (*protocol.Error)(nil)
+
+func checkRefused(t *testing.T, err *protocol.Error, kind protocol.ErrorKind, outcome protocol.Outcome) {
+	t.Helper()
+	qt.Assert(t, err, qt.Not(qt.Equals), noError)
+	qt.Check(t, err.Kind, qt.Equals, kind)
+	qt.Check(t, err.Outcome, qt.Equals, outcome)
+	qt.Check(t, err.Step, qt.Not(qt.Equals), "")
+	qt.Check(t, err.Peer, qt.Not(qt.Equals), "")
+}
+
+// faultyStore lets a test change single calls.
+type faultyStore struct {
+	*fakeStore
+	put func(next func() (platform.Version, error)) (platform.Version, error)
+}
+
+func (s *faultyStore) Put(ctx context.Context, key string, value []byte, base platform.Version) (platform.Version, error) {
+	next := func() (platform.Version, error) { return s.fakeStore.Put(ctx, key, value, base) }
+	if s.put == nil {
+		return next()
+	}
+	put := s.put
+	s.put = nil
+	return put(next)
+}
+
+func TestLostAnswerToTheCreateIsSettledByTheNonce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1)
+		f.store.setFaults(faults{lost: 100})
+		r, err := send(t.Context(), f.at(0), keyed("r1", "k", "clock"))
+		qt.Assert(t, err, qt.Equals, noError)
+		qt.Check(t, r.replayed, qt.IsFalse)
+		qt.Check(t, f.service.count("clock"), qt.Equals, 1)
+		time.Sleep(settleTime)
+		f.store.setFaults(faults{})
+		r, err = send(t.Context(), f.at(0), keyed("r2", "k", "clock"))
+		qt.Assert(t, err, qt.Equals, noError)
+		qt.Check(t, r.replayed, qt.IsTrue)
+		qt.Check(t, f.service.count("clock"), qt.Equals, 1)
+	})
+}
+
+func TestCreateThatTakesEffectLateRunsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1)
+		f.store.setFaults(faults{late: 100, maxDelay: 20 * time.Millisecond})
+		_, err := send(t.Context(), f.at(0), keyed("r1", "k", "clock"))
+		qt.Check(t, f.service.count("clock") == 1, qt.Equals, err == nil)
+		time.Sleep(settleTime)
+		f.store.setFaults(faults{})
+		_, _ = send(t.Context(), f.at(0), keyed("r2", "k", "clock"))
+		qt.Check(t, f.service.count("clock") <= 1, qt.IsTrue)
+	})
+}
+
+func TestCrashBetweenRecordAndDispatchIsUnknownForEver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2, 1)
+		store := &faultyStore{fakeStore: f.store}
+		dying := f.startWith(0, store)
+		store.put = func(next func() (platform.Version, error)) (platform.Version, error) {
+			defer dying.crashed.Store(true)
+			return next()
+		}
+		_, err := send(t.Context(), dying, keyed("r1", "k", "clock"))
+		qt.Assert(t, err.Outcome, qt.Equals, protocol.OutcomeUnknown)
+		checkInterrupted(t, f.start(0))
+		checkInProgress(t, f)
+		time.Sleep(settleTime)
+		checkInterrupted(t, f.at(1))
+		qt.Check(t, f.service.count("clock"), qt.Equals, 0)
+	})
+}
+
+func TestCrashBetweenDispatchAndCompletionIsNeverRunAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2, 1)
+		f.service.took = time.Second
+		first := f.at(0)
+		go func() { _, _ = send(t.Context(), first, keyed("r1", "k", "clock")) }()
+		time.Sleep(500 * time.Millisecond)
+		first.crashed.Store(true)
+		checkInterrupted(t, f.start(0))
+		checkInProgress(t, f)
+		time.Sleep(settleTime)
+		checkInterrupted(t, f.at(1))
+		qt.Check(t, f.service.count("clock"), qt.Equals, 1)
+	})
+}
+
+func checkInterrupted(t *testing.T, d *daemon) {
+	t.Helper()
+	_, err := send(t.Context(), d, keyed("r2", "k", "clock"))
+	checkRefused(t, err, protocol.KindInterrupted, protocol.OutcomeUnknown)
+}
+
+// checkInProgress sends to a daemon that can't know that the first one is gone.
+func checkInProgress(t *testing.T, f *fleet) {
+	t.Helper()
+	call := keyed("r3", "k", "clock")
+	call.Budget = time.Second
+	_, err := send(t.Context(), f.at(1), call)
+	checkRefused(t, err, protocol.KindInProgress, protocol.OutcomeUnknown)
+}
+
+func TestResendToAnotherDaemonWaitsForTheFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2, 1)
+		f.service.took = 3 * time.Second
+		caller, leave := context.WithCancel(t.Context())
+		go func() { _, _ = send(caller, f.at(0), keyed("r1", "k", "clock")) }()
+		time.Sleep(time.Second)
+		leave() // the caller lost its connection and sends again
+		r, err := send(t.Context(), f.at(1), keyed("r2", "k", "clock"))
+		qt.Assert(t, err, qt.Equals, noError)
+		qt.Check(t, r.replayed, qt.IsTrue)
+		qt.Check(t, string(r.data), qt.Equals, "clock ran as 1 for r1")
+		qt.Check(t, f.service.count("clock"), qt.Equals, 1)
+	})
+}
+
+func TestResendThatCannotWaitIsToldOfTheFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2, 1)
+		f.service.took = 30 * time.Second
+		go func() { _, _ = send(t.Context(), f.at(0), keyed("r1", "k", "clock")) }()
+		time.Sleep(time.Second)
+		call := keyed("r2", "k", "clock")
+		call.Budget = time.Second
+		_, err := send(t.Context(), f.at(1), call)
+		checkRefused(t, err, protocol.KindInProgress, protocol.OutcomeUnknown)
+		time.Sleep(settleTime)
+	})
+}
+
+func TestWithoutPlatformNothingRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1)
+		f.store.setFaults(faults{down: 100})
+		_, err := send(t.Context(), f.at(0), keyed("r1", "k", "clock"))
+		checkRefused(t, err, protocol.KindUnavailable, protocol.OutcomeNotRun)
+		qt.Check(t, err.RetryAfter > 0, qt.IsTrue)
+		qt.Check(t, f.service.count("clock"), qt.Equals, 0)
+		f.store.setFaults(faults{})
+		_, err = send(t.Context(), f.at(0), keyed("r2", "k", "clock"))
+		qt.Check(t, err, qt.Equals, noError)
+	})
+}
+
+func TestDaemonPausedAfterTheCreateDoesNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1)
+		store := &faultyStore{fakeStore: f.store}
+		store.put = func(next func() (platform.Version, error)) (platform.Version, error) {
+			version, err := next()
+			time.Sleep(25 * time.Hour)
+			return version, err
+		}
+		d := f.startWith(0, store)
+		_, err := send(t.Context(), d, keyed("r1", "k", "clock"))
+		checkRefused(t, err, protocol.KindDeadline, protocol.OutcomeNotRun)
+		qt.Check(t, f.service.count("clock"), qt.Equals, 0)
+		qt.Check(t, f.store.objects, qt.HasLen, 0)
+	})
+}
+
+func TestSameKeyWithAnotherBodyConflicts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2, 1)
+		_, err := send(t.Context(), f.at(0), keyed("r1", "k", "clock"))
+		qt.Assert(t, err, qt.Equals, noError)
+		_, err = send(t.Context(), f.at(1), keyed("r2", "k", "board"))
+		checkRefused(t, err, protocol.KindConflict, protocol.OutcomeNotRun)
+		qt.Check(t, f.service.count("board"), qt.Equals, 0)
+	})
+}
+
+func TestCallThatWasNotRunFreesItsKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2, 1)
+		f.service.fail = func() *protocol.Error {
+			return protocol.Errorf(protocol.KindOverloaded, "queue request", protocol.OutcomeNotRun, "full")
+		}
+		_, err := send(t.Context(), f.at(0), keyed("r1", "k", "clock"))
+		qt.Assert(t, err.Outcome, qt.Equals, protocol.OutcomeNotRun)
+		f.service.fail = nil
+		r, err := send(t.Context(), f.at(1), keyed("r2", "k", "clock"))
+		qt.Assert(t, err, qt.Equals, noError)
+		qt.Check(t, r.replayed, qt.IsFalse)
+		qt.Check(t, f.service.count("clock"), qt.Equals, 1)
+	})
+}
+
+func TestAnswerTooLargeToKeepIsNotRunAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1)
+		f.service.body = make([]byte, core.MaxKeptAnswer+1)
+		r, err := send(t.Context(), f.at(0), keyed("r1", "k", "clock"))
+		qt.Assert(t, err, qt.Equals, noError)
+		qt.Check(t, len(r.data) > core.MaxKeptAnswer, qt.IsTrue)
+		time.Sleep(settleTime)
+		_, err = send(t.Context(), f.at(0), keyed("r2", "k", "clock"))
+		checkRefused(t, err, protocol.KindNotKept, protocol.OutcomeRan)
+		qt.Check(t, f.service.count("clock"), qt.Equals, 1)
+	})
+}
+
+func TestOldKeyIsRefusedAfterItsRecordMayBeSwept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1)
+		created := time.Now().UnixMilli()
+		key := fmt.Sprintf("%08x-%04x-7abc-8def-0123456789ab", created>>16, created&0xffff)
+		_, err := send(t.Context(), f.at(0), keyed("r1", key, "clock"))
+		qt.Assert(t, err, qt.Equals, noError)
+		time.Sleep(core.RecordTTL + 2*time.Hour)
+		qt.Assert(t, f.at(0).SweepBucket(t.Context(), 0), qt.Equals, 1)
+		_, err = send(t.Context(), f.at(0), keyed("r2", key, "clock"))
+		checkRefused(t, err, protocol.KindExpired, protocol.OutcomeUnknown)
+		qt.Check(t, f.service.count("clock"), qt.Equals, 1)
+	})
+}
+
+func TestSweeperKeepsWhatMayStillGuardACallAndBoundsItsWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3, 1)
+		for i := range 200 {
+			r := core.Record{State: core.StateRunning, Expires: time.Now().Add(-2 * time.Hour)}
+			if i%2 == 0 {
+				r.Expires = time.Now()
+			}
+			data, err := json.Marshal(r)
+			qt.Assert(t, err, qt.IsNil)
+			_, err = f.store.Put(t.Context(), fmt.Sprintf("once/000/%d", i), data, 0)
+			qt.Assert(t, err, qt.IsNil)
+		}
+		qt.Check(t, f.at(0).SweepBucket(t.Context(), 0), qt.Equals, core.SweepLimit(3))
+		for f.at(0).SweepBucket(t.Context(), 0) > 0 {
+		}
+		qt.Check(t, f.store.objects, qt.HasLen, 100)
+	})
+}
--- a/internal/transport/upstream/replay_test.go
+++ b/internal/transport/upstream/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -41,9 +42,11 @@
 func serveOne(conn net.Conn, received *atomic.Int32) {
 	defer conn.Close()
 	r := bufio.NewReader(conn)
-	if _, err := http.ReadRequest(r); err != nil {
+	first, err := http.ReadRequest(r)
+	if err != nil {
 		return
 	}
+	_, _ = io.Copy(io.Discard, first.Body)
 	received.Add(1)
 	_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
 	if _, err := http.ReadRequest(r); err == nil {
