--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -19,6 +19,7 @@
 
 	ownercore "github.com/celerydeck/celerydeck/internal/coordination/owner"
 	"github.com/celerydeck/celerydeck/internal/node/cluster"
+	"github.com/celerydeck/celerydeck/internal/node/config"
 	"github.com/celerydeck/celerydeck/internal/node/entry"
 	"github.com/celerydeck/celerydeck/internal/node/once"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
@@ -32,7 +33,6 @@
 
 const (
 	idBytes           = 12
-	secretBytes       = 32
 	announceTimeout   = 2 * time.Second
 	readHeaderTimeout = 10 * time.Second
 )
@@ -49,6 +49,7 @@
 	fx.In
 	Fleet   *state.Fleet
 	Cluster *cluster.Cluster
+	Config  *config.Node
 	Owner   *owner.Manager
 	Server  *http.Server
 	Caller  net.Listener
@@ -64,7 +65,7 @@
 		fx.Supply(settings, id),
 		fx.Supply(fx.Annotate(d, fx.As(new(readiness)))),
 		fx.Provide(
-			state.NewFleet, newSockets, newPool, newOwner, newCluster, newGateway, newCallers, newPlatform,
+			state.NewFleet, newSockets, newPool, newOwner, newCluster, newConfig, newLateMembers, newGateway, newCallers, newPlatform,
 			newIncarnation, newOnce, upstream.NewClient, newCallerListener, newPeerServer,
 		),
 		fx.Populate(&d.parts),
@@ -80,7 +81,7 @@
 
 // Ready reports whether the daemon takes new requests.
 func (d *Daemon) Ready() bool {
-	return !d.drained.Load() && d.parts.Cluster != nil && d.parts.Cluster.Catalog() != nil
+	return !d.drained.Load() && d.parts.Config != nil && d.parts.Config.Ready()
 }
 
 // Shutdown stops taking requests, hands the upstreams over, waits for requests
@@ -149,9 +150,7 @@
 	return m
 }
 
-func newIncarnation() state.Incarnation { return state.Incarnation(newID()) }
-
-func newCluster(lc fx.Lifecycle, s Settings, run state.Incarnation, client *platform.Client, pool *peer.Pool, fleet *state.Fleet, m *owner.Manager) *cluster.Cluster {
+func newCluster(lc fx.Lifecycle, s Settings, run state.Incarnation, client *platform.Client, pool *peer.Pool, fleet *state.Fleet, m *owner.Manager, members *lateMembers, n *config.Node) *cluster.Cluster {
 	c := cluster.New(cluster.Options{
 		Self:        peer.Peer{ID: state.DaemonID(s.ID), Addr: s.PeerAddr},
 		Incarnation: run,
@@ -161,9 +160,12 @@
 		Pool:        pool,
 		Fleet:       fleet,
 		Owner:       m,
+		Config:      n,
 		Clock:       time.Now,
 	})
+	members.set(c)
 	lc.Append(fx.StartStopHook(c.Start, c.Close))
+	lc.Append(fx.StartStopHook(n.Start, n.Close))
 	return c
 }
 
@@ -179,34 +181,6 @@
 	})
 }
 
-type onceParams struct {
-	fx.In
-	Settings    Settings
-	Incarnation state.Incarnation
-	Gateway     *entry.Gateway
-	Pool        *peer.Pool
-	Cluster     *cluster.Cluster
-	Platform    *platform.Client
-}
-
-func newOnce(lc fx.Lifecycle, p onceParams) *once.Gateway {
-	secret := make([]byte, secretBytes)
-	_, _ = rand.Read(secret)
-	g := once.New(once.Options{
-		Self:        state.DaemonID(p.Settings.ID),
-		Incarnation: p.Incarnation,
-		Next:        p.Gateway,
-		Peers:       peers{pool: p.Pool, cluster: p.Cluster},
-		Store:       p.Platform,
-		Clock:       time.Now,
-		Secret:      secret,
-		NewNonce:    newID,
-		Daemons:     p.Cluster.Daemons,
-	})
-	lc.Append(fx.StartStopHook(g.Start, g.Close))
-	return g
-}
-
 func newCallerListener(s Settings) (net.Listener, error) {
 	l, err := net.Listen("tcp", s.CallerAddr)
 	if err != nil {
@@ -215,11 +189,11 @@
 	return l, nil
 }
 
-func newCallers(lc fx.Lifecycle, l net.Listener, g *once.Gateway, c *cluster.Cluster, r readiness) *http.Server {
+func newCallers(lc fx.Lifecycle, l net.Listener, g *once.Gateway, n *config.Node, r readiness) *http.Server {
 	api := callers.New(callers.Options{
 		Gateway: g,
 		Tickets: g,
-		Catalog: c.Catalog,
+		Catalog: n.Catalog,
 		Ready:   r.Ready,
 		NewID:   newID,
 	})
@@ -238,10 +212,12 @@
 	Owner   *owner.Manager
 	Cluster *cluster.Cluster
 	Once    *once.Gateway
+	Config  *config.Node
 }
 
 func newPeerServer(lc fx.Lifecycle, p serverParams) (*peer.Server, error) {
-	server, err := peer.Listen(p.Listen, p.ID, peerHandler{owner: p.Owner, cluster: p.Cluster, once: p.Once})
+	handler := peerHandler{owner: p.Owner, cluster: p.Cluster, config: p.Config, once: p.Once}
+	server, err := peer.Listen(p.Listen, p.ID, handler)
 	if err != nil {
 		return nil, fmt.Errorf("serve daemons: %w", err)
 	}
@@ -267,41 +243,6 @@
 	return p.pool.Call(ctx, to, call, sink)
 }
 
-// peerHandler serves the messages of other daemons.
-type peerHandler struct {
-	owner   *owner.Manager
-	cluster *cluster.Cluster
-	once    *once.Gateway
-}
-
-// ServeCall implements peer.Handler.
-func (h peerHandler) ServeCall(ctx context.Context, _ state.DaemonID, call *protocol.Call, sink protocol.Sink) {
-	serve := h.owner.Submit
-	if call.Ticket != "" {
-		serve = h.serveTicket
-	}
-	if err := serve(ctx, call, sink); err != nil {
-		_ = sink.End(protocol.End{Attempt: call.Attempt, Err: err})
-	}
-}
-
-func (h peerHandler) serveTicket(ctx context.Context, call *protocol.Call, sink protocol.Sink) *protocol.Error {
-	return h.once.Serve(ctx, call, call.Base, sink)
-}
-
-// ServeMessage implements peer.Handler.
-func (h peerHandler) ServeMessage(_ context.Context, from state.DaemonID, frame protocol.Frame) (protocol.MessageKind, any, error) {
-	if frame.Kind != protocol.MsgHeartbeat {
-		return 0, nil, fmt.Errorf("unknown message kind %d", frame.Kind)
-	}
-	var beat protocol.Heartbeat
-	if err := frame.Decode(&beat); err != nil {
-		return 0, nil, err
-	}
-	ack, err := h.cluster.HandleHeartbeat(from, &beat)
-	return protocol.MsgHeartbeatAck, ack, err
-}
-
 func newID() string {
 	var b [idBytes]byte
 	_, _ = rand.Read(b[:])
