Give the platform client a budget with priorities

Cause: calls to the platform were neither counted nor limited, so status writes could crowd out the lease, and a fleet could exceed its share.

Change: each client has a token bucket for reads and one for writes, sized by the number of daemons; lower priorities leave a reserve and wait behind higher ones; a waiting watch counts as a read. Backoff with jitter for retries, and PutSettled, which settles a write with a lost answer by reading back.

--- /dev/null
+++ b/internal/transport/platform/budget_test.go
@@ -0,0 +1,95 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/celerydeck/celerydeck/internal/standin/objectapi"
+	"github.com/celerydeck/celerydeck/internal/transport/platform"
+)
+
+func TestFloodOfStatusCallsLeavesRoomForTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := platform.NewBudget(390)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for range 200 {
+			go func() {
+				for b.Wait(platform.WithPriority(ctx, platform.PriorityStatus), platform.CallWrite) == nil {
+				}
+			}()
+		}
+		time.Sleep(time.Minute)
+		start := time.Now()
+		qt.Assert(t, b.Wait(platform.WithPriority(ctx, platform.PriorityLease), platform.CallWrite), qt.IsNil)
+		qt.Assert(t, time.Since(start), qt.Equals, time.Duration(0))
+	})
+}
+
+func TestFleetAtTargetSizeStaysWithinItsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := platform.NewBudget(390)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Minute)
+		defer cancel()
+		for b.Wait(ctx, platform.CallRead) == nil {
+		}
+		perSecond := float64(b.Calls().Reads) / 600
+		qt.Assert(t, perSecond*390 <= platform.FleetReadsPerSecond*1.05, qt.IsTrue, qt.Commentf("%f", perSecond))
+	})
+}
+
+func TestCallsGiveUpWhenTheBudgetIsExhausted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := platform.NewBudget(1 << 20)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		var err error
+		for err == nil {
+			err = b.Wait(ctx, platform.CallWrite)
+		}
+		qt.Assert(t, errors.Is(err, context.DeadlineExceeded), qt.IsTrue)
+		qt.Assert(t, b.Calls().Refused, qt.Equals, uint64(1))
+	})
+}
+
+func TestRetriesAfterAnOutageAreSpread(t *testing.T) {
+	const daemons, buckets = 390, 10
+	var counts [buckets]int
+	limit := 10 * time.Second
+	for i := range daemons {
+		b := platform.Backoff{Min: 100 * time.Millisecond, Max: limit, Rand: rand.New(rand.NewPCG(1, uint64(i)))}
+		var pause time.Duration
+		for range 12 {
+			pause = b.Next()
+		}
+		counts[min(int(pause*buckets/limit), buckets-1)]++
+	}
+	for _, n := range counts {
+		qt.Check(t, n < daemons/4, qt.IsTrue, qt.Commentf("%v", counts))
+	}
+}
+
+func TestLostAnswerToAWriteIsSettledByReadingBack(t *testing.T) {
+	store := objectapi.New()
+	server := httptest.NewServer(store.Handler())
+	defer server.Close()
+	c := platform.NewClient(server.URL)
+	defer c.Close()
+	store.SetFaults(objectapi.Faults{LoseWrites: 1})
+	version, err := platform.PutSettled(t.Context(), c, "owner/a", []byte("x"), 0)
+	qt.Assert(t, err, qt.IsNil)
+	o, _ := store.Get("owner/a")
+	qt.Assert(t, uint64(version), qt.Equals, o.Version)
+
+	store.SetFaults(objectapi.Faults{LoseWrites: 1})
+	store.Put("owner/a", []byte("other"))
+	_, err = platform.PutSettled(t.Context(), c, "owner/a", []byte("y"), version)
+	qt.Assert(t, errors.Is(err, platform.ErrConflict), qt.IsTrue)
+}
--- a/internal/transport/platform/platform.go
+++ b/internal/transport/platform/platform.go
@@ -25,6 +25,8 @@
 	ErrTooLarge = errors.New("platform: value over one megabyte")
 	// ErrUnknown reports a write whose answer was lost. It may have taken effect.
 	ErrUnknown = errors.New("platform: outcome of the call is unknown")
+
+	errNotSent = errors.New("platform: call waited too long for the daemon's budget")
 )
 
 // MaxValue is the largest value of an object in bytes.
@@ -65,15 +67,19 @@
 
 // Client implements Objects over HTTP.
 type Client struct {
-	base string
-	http *http.Client
+	base   string
+	http   *http.Client
+	budget *Budget
 }
 
 // NewClient returns a client of the platform at base, such as http://10.0.0.1:80.
 func NewClient(base string) *Client {
-	return &Client{base: base, http: &http.Client{}}
+	return &Client{base: base, http: &http.Client{}, budget: NewBudget(1)}
 }
 
+// Budget returns the budget that all calls of the client share.
+func (c *Client) Budget() *Budget { return c.budget }
+
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -120,6 +126,9 @@
 		header.Set("If-Match", strconv.Quote(strconv.FormatUint(uint64(base), 10)))
 	}
 	resp, err := c.call(ctx, method, "/v1/objects/"+key, header, value)
+	if errors.Is(err, errNotSent) {
+		return 0, eris.Wrapf(err, "%s %s", method, key)
+	}
 	if err != nil {
 		return 0, eris.Wrapf(errors.Join(ErrUnknown, err), "%s %s", method, key)
 	}
@@ -167,6 +176,13 @@
 }
 
 func (c *Client) call(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, error) {
+	kind := CallRead
+	if method != http.MethodGet {
+		kind = CallWrite
+	}
+	if err := c.budget.Wait(ctx, kind); err != nil {
+		return nil, errors.Join(errNotSent, err)
+	}
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
