--- a/deckconfig/config.go
+++ b/deckconfig/config.go
@@ -8,10 +8,12 @@
 
 // Config is the whole configuration of a deployment.
 type Config struct {
-	Format    string     `json:"format"`
+	Format    string     `json:"format" jsonschema:"enum=celerydeck/v1"`
 	Ranks     []Rank     `json:"ranks"`
 	Customers []Customer `json:"customers"`
 	Services  []Service  `json:"services"`
+	// Operators may read or change the deployment.
+	Operators []Operator `json:"operators,omitempty"`
 }
 
 // Rank is a rank of work with its targets. The first rank is the most urgent.
@@ -38,6 +40,23 @@
 	RequestsPerSecond float64 `json:"requests_per_second,omitempty"`
 }
 
+// OperatorRole says what an operator may do.
+type OperatorRole string
+
+// Roles of operators. A viewer reads; an operator also changes.
+const (
+	RoleViewer   OperatorRole = "viewer"
+	RoleOperator OperatorRole = "operator"
+)
+
+// Operator is a person or program that looks after the deployment.
+type Operator struct {
+	Name string       `json:"name"`
+	Role OperatorRole `json:"role" jsonschema:"enum=viewer,enum=operator"`
+	// KeyHashes are SHA-256 hashes of operator keys, in lower-case hex.
+	KeyHashes []string `json:"key_hashes"`
+}
+
 // ServiceKind tells services of model engines from plain services.
 type ServiceKind string
 
@@ -50,7 +69,7 @@
 // Service is a named group of adapters, or a plain HTTP service.
 type Service struct {
 	Name string      `json:"name"`
-	Kind ServiceKind `json:"kind"`
+	Kind ServiceKind `json:"kind" jsonschema:"enum=model,enum=plain"`
 	// BaseModel is the base model of the adapters; model services only.
 	BaseModel string `json:"base_model,omitempty"`
 	// DefaultRank is the rank of requests without a rank header.
@@ -59,8 +78,11 @@
 	Customers []string `json:"customers,omitempty"`
 	// NonRepeatable marks calls that must run at most once. For plain services it
 	// holds for every method but GET and HEAD.
-	NonRepeatable bool      `json:"non_repeatable,omitempty"`
-	Adapters      []Adapter `json:"adapters,omitempty"`
+	NonRepeatable bool `json:"non_repeatable,omitempty"`
+	// TimeoutMS is the deadline of requests that bring none, in milliseconds; 0 is
+	// the default of the API.
+	TimeoutMS int       `json:"timeout_ms,omitempty"`
+	Adapters  []Adapter `json:"adapters,omitempty"`
 }
 
 // Adapter is a fine-tuned adapter of the service's base model.
--- /dev/null
+++ b/deckconfig/schema.go
@@ -0,0 +1,8 @@
+package deckconfig
+
+import _ "embed"
+
+// Schema is the JSON Schema of the format.
+//
+//go:embed schema.json
+var Schema []byte
--- /dev/null
+++ b/deckconfig/validate.go
@@ -0,0 +1,251 @@
+package deckconfig
+
+import (
+	"math"
+	"regexp"
+)
+
+// Limits of a configuration.
+const (
+	MaxRanks     = 16
+	MaxVersions  = 256
+	maxTimeoutMS = 600_000
+	maxNameLen   = 63
+)
+
+// shareSlack allows for the rounding of sums of shares.
+const shareSlack = 1e-9
+
+var (
+	namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$`)
+	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+// Validate checks the whole configuration and returns every error as Errors.
+func (c *Config) Validate() error {
+	v := validator{config: c, keys: make(map[string]string)}
+	if c.Format != Format {
+		v.errs.add("configuration", "format", "is %q, must be %q", c.Format, Format)
+	}
+	v.ranks()
+	v.customers()
+	v.operators()
+	v.services()
+	return v.errs.orNil()
+}
+
+type validator struct {
+	config    *Config
+	errs      Errors
+	keys      map[string]string // owner of each key hash
+	rankNames map[string]bool
+	customer  map[string]bool
+}
+
+func (v *validator) ranks() {
+	ranks := v.config.Ranks
+	if len(ranks) == 0 || len(ranks) > MaxRanks {
+		v.errs.add("configuration", "ranks", "has %d ranks, must have 1 to %d", len(ranks), MaxRanks)
+	}
+	v.rankNames = make(map[string]bool, len(ranks))
+	var shares float64
+	for _, r := range ranks {
+		object := "rank " + r.Name
+		v.name(object, r.Name, v.rankNames)
+		v.positive(object, "first_token_ms", float64(r.FirstTokenMS))
+		v.positive(object, "between_tokens_ms", float64(r.BetweenTokensMS))
+		v.positive(object, "worth", r.Worth)
+		v.share(object, r.Share)
+		shares += r.Share
+	}
+	v.shareSum("ranks", shares)
+}
+
+func (v *validator) customers() {
+	v.customer = make(map[string]bool, len(v.config.Customers))
+	var shares float64
+	for _, c := range v.config.Customers {
+		object := "customer " + c.Name
+		v.name(object, c.Name, v.customer)
+		v.hashes(object, c.KeyHashes)
+		v.share(object, c.Share)
+		if !finite(c.RequestsPerSecond) || c.RequestsPerSecond < 0 {
+			v.errs.add(object, "requests_per_second", "is %v, must be 0 or positive", c.RequestsPerSecond)
+		}
+		shares += c.Share
+	}
+	v.shareSum("customers", shares)
+}
+
+func (v *validator) operators() {
+	names := make(map[string]bool, len(v.config.Operators))
+	for _, o := range v.config.Operators {
+		object := "operator " + o.Name
+		v.name(object, o.Name, names)
+		v.hashes(object, o.KeyHashes)
+		if o.Role != RoleViewer && o.Role != RoleOperator {
+			v.errs.add(object, "role", "is %q, must be %q or %q", o.Role, RoleViewer, RoleOperator)
+		}
+	}
+}
+
+func (v *validator) services() {
+	names := make(map[string]bool, len(v.config.Services))
+	for i := range v.config.Services {
+		s := &v.config.Services[i]
+		object := "service " + s.Name
+		v.name(object, s.Name, names)
+		v.service(object, s)
+		v.kind(object, s)
+		v.adapters(s)
+	}
+}
+
+func (v *validator) service(object string, s *Service) {
+	if !v.rankNames[s.DefaultRank] {
+		v.errs.add(object, "default_rank", "names rank %q, which does not exist", s.DefaultRank)
+	}
+	if s.TimeoutMS < 0 || s.TimeoutMS > maxTimeoutMS {
+		v.errs.add(object, "timeout_ms", "is %d, must be 0 to %d", s.TimeoutMS, maxTimeoutMS)
+	}
+	seen := make(map[string]bool, len(s.Customers))
+	for _, name := range s.Customers {
+		if !v.customer[name] {
+			v.errs.add(object, "customers", "names customer %q, which does not exist", name)
+		}
+		if seen[name] {
+			v.errs.add(object, "customers", "names customer %q twice", name)
+		}
+		seen[name] = true
+	}
+}
+
+func (v *validator) kind(object string, s *Service) {
+	switch s.Kind {
+	case ModelService:
+		if s.BaseModel == "" {
+			v.errs.add(object, "base_model", "is required for a model service")
+		}
+	case PlainService:
+		if s.BaseModel != "" {
+			v.errs.add(object, "base_model", "must be empty for a plain service")
+		}
+		if len(s.Adapters) > 0 {
+			v.errs.add(object, "adapters", "must be empty for a plain service")
+		}
+	default:
+		v.errs.add(object, "kind", "is %q, must be %q or %q", s.Kind, ModelService, PlainService)
+	}
+}
+
+func (v *validator) adapters(s *Service) {
+	names := make(map[string]bool, len(s.Adapters))
+	for i := range s.Adapters {
+		a := &s.Adapters[i]
+		object := "adapter " + s.Name + "/" + a.Name
+		v.name(object, a.Name, names)
+		if len(a.Versions) == 0 || len(a.Versions) > MaxVersions {
+			v.errs.add(object, "versions", "has %d versions, must have 1 to %d", len(a.Versions), MaxVersions)
+		}
+		versions := make(map[string]bool, len(a.Versions))
+		for _, version := range a.Versions {
+			v.name(object+"@"+version.Name, version.Name, versions)
+			if version.Source == "" {
+				v.errs.add(object+"@"+version.Name, "source", "is required")
+			}
+		}
+		if !versions[a.Default] {
+			v.errs.add(object, "default", "names version %q, which does not exist", a.Default)
+		}
+	}
+}
+
+// name checks a name and that it is unique among seen.
+func (v *validator) name(object, name string, seen map[string]bool) {
+	if len(name) > maxNameLen || !namePattern.MatchString(name) {
+		v.errs.add(object, "name", "is %q, must be 1 to %d characters of a-z, 0-9, '.', '_' and '-', with a letter or digit at both ends", name, maxNameLen)
+	}
+	if seen[name] {
+		v.errs.add(object, "name", "is used twice")
+	}
+	seen[name] = true
+}
+
+func (v *validator) hashes(object string, hashes []string) {
+	if len(hashes) == 0 {
+		v.errs.add(object, "key_hashes", "must hold at least one hash")
+	}
+	for _, hash := range hashes {
+		if !hashPattern.MatchString(hash) {
+			v.errs.add(object, "key_hashes", "holds %q, must be SHA-256 in 64 lower-case hex digits", shorten(hash))
+			continue
+		}
+		if owner, used := v.keys[hash]; used {
+			v.errs.add(object, "key_hashes", "holds a key that %s holds as well", owner)
+		}
+		v.keys[hash] = object
+	}
+}
+
+// shorten keeps a key that was given in place of its hash out of messages.
+func shorten(hash string) string {
+	const shown = 4
+	if len(hash) <= shown {
+		return "..."
+	}
+	return hash[:shown] + "..."
+}
+
+func (v *validator) share(object string, share float64) {
+	if !finite(share) || share < 0 || share > 1 {
+		v.errs.add(object, "share", "is %v, must be 0 to 1", share)
+	}
+}
+
+func (v *validator) shareSum(field string, sum float64) {
+	if sum > 1+shareSlack {
+		v.errs.add("configuration", field, "have shares that add up to %.4g, must be at most 1", sum)
+	}
+}
+
+func (v *validator) positive(object, field string, value float64) {
+	if !finite(value) || value <= 0 {
+		v.errs.add(object, field, "is %v, must be positive", value)
+	}
+}
+
+func finite(x float64) bool { return !math.IsNaN(x) && !math.IsInf(x, 0) }
+
+// CheckChange returns the changes from base to next that are never allowed: the
+// weights behind an existing version may not change, since engines and callers
+// know a version as immutable.
+func CheckChange(base, next *Config) error {
+	if base == nil {
+		return nil
+	}
+	var errs Errors
+	old := sources(base)
+	for _, s := range next.Services {
+		for _, a := range s.Adapters {
+			for _, version := range a.Versions {
+				key := s.Name + "/" + a.Name + "@" + version.Name
+				if source, exists := old[key]; exists && source != version.Source {
+					errs.add("adapter "+key, "source", "changes from %q to %q; a version is immutable, add a new version instead", source, version.Source)
+				}
+			}
+		}
+	}
+	return errs.orNil()
+}
+
+func sources(c *Config) map[string]string {
+	all := make(map[string]string)
+	for _, s := range c.Services {
+		for _, a := range s.Adapters {
+			for _, version := range a.Versions {
+				all[s.Name+"/"+a.Name+"@"+version.Name] = version.Source
+			}
+		}
+	}
+	return all
+}
--- a/internal/transport/callers/request.go
+++ b/internal/transport/callers/request.go
@@ -103,6 +103,9 @@
 		return call, notRun(protocol.KindBadRequest, stepParse, "unknown rank %q in %s", name, HeaderRank)
 	}
 	call.Rank = rank
+	if service.TimeoutMS > 0 {
+		call.Budget = time.Duration(service.TimeoutMS) * time.Millisecond
+	}
 	if text := r.Header.Get(HeaderTimeout); text != "" {
 		budget, err := time.ParseDuration(text)
 		if err != nil || budget <= 0 || budget > MaxTimeout {
