--- a/deckconfig/parse.go
+++ b/deckconfig/parse.go
@@ -11,7 +11,8 @@
 )
 
 // Parse reads a configuration and checks it. It refuses unknown fields, fields
-// that stand twice, data after the configuration and whatever Validate refuses.
+// that stand twice, data after the configuration and whatever Validate
+// refuses. The result is in canonical order.
 func Parse(data []byte) (*Config, error) {
 	if err := checkFields(data); err != nil {
 		return nil, err
@@ -23,7 +24,7 @@
 	if err := config.Validate(); err != nil {
 		return nil, err
 	}
-	return &config, nil
+	return config.sorted(), nil
 }
 
 // describe adds the line to an error of the JSON library.
--- a/deckconfig/validate.go
+++ b/deckconfig/validate.go
@@ -223,29 +223,37 @@
 	if base == nil {
 		return nil
 	}
+	old := make(map[string]*Adapter)
+	for i := range base.Services {
+		s := &base.Services[i]
+		for j := range s.Adapters {
+			old[s.Name+"/"+s.Adapters[j].Name] = &s.Adapters[j]
+		}
+	}
 	var errs Errors
-	old := sources(base)
-	for _, s := range next.Services {
-		for _, a := range s.Adapters {
-			for _, version := range a.Versions {
-				key := s.Name + "/" + a.Name + "@" + version.Name
-				if source, exists := old[key]; exists && source != version.Source {
-					errs.add("adapter "+key, "source", "changes from %q to %q; a version is immutable, add a new version instead", source, version.Source)
-				}
+	for i := range next.Services {
+		s := &next.Services[i]
+		for j := range s.Adapters {
+			if before := old[s.Name+"/"+s.Adapters[j].Name]; before != nil {
+				errs = append(errs, CheckAdapterChange(s.Name, before, &s.Adapters[j])...)
 			}
 		}
 	}
 	return errs.orNil()
 }
 
-func sources(c *Config) map[string]string {
-	all := make(map[string]string)
-	for _, s := range c.Services {
-		for _, a := range s.Adapters {
-			for _, version := range a.Versions {
-				all[s.Name+"/"+a.Name+"@"+version.Name] = version.Source
-			}
+// CheckAdapterChange compares one adapter as CheckChange does.
+func CheckAdapterChange(service string, base, next *Adapter) Errors {
+	sources := make(map[string]string, len(base.Versions))
+	for _, v := range base.Versions {
+		sources[v.Name] = v.Source
+	}
+	var errs Errors
+	for _, v := range next.Versions {
+		if source, exists := sources[v.Name]; exists && source != v.Source {
+			errs.add("adapter "+service+"/"+next.Name+"@"+v.Name, "source",
+				"changes from %q to %q; a version is immutable, add a new version instead", source, v.Source)
 		}
 	}
-	return all
+	return errs
 }
--- a/internal/app/config.go
+++ b/internal/app/config.go
@@ -47,7 +47,7 @@
 }
 
 // validateConfig checks a whole configuration before it is accepted.
-func validateConfig(*deckconfig.Config) error { return nil }
+func validateConfig(c *deckconfig.Config) error { return c.Validate() }
 
 // newRand returns a generator with a seed of its own for each run of a daemon.
 func newRand() *rand.Rand {
--- a/internal/coordination/configsync/edits.go
+++ b/internal/coordination/configsync/edits.go
@@ -33,6 +33,9 @@
 	case ObjectService:
 		service, err := decodePointer[deckconfig.Service](c.Value)
 		return state.ServiceEdit{Name: state.ServiceID(c.Key.Name), Service: service}, err
+	case ObjectOperator:
+		operator, err := decodePointer[deckconfig.Operator](c.Value)
+		return state.OperatorEdit{Name: c.Key.Name, Operator: operator}, err
 	case ObjectAdapter:
 		service, adapter, ok := strings.Cut(c.Key.Name, "/")
 		if !ok {
--- a/internal/coordination/configsync/objects.go
+++ b/internal/coordination/configsync/objects.go
@@ -58,6 +58,9 @@
 	for _, c := range config.Customers {
 		s.add(ObjectKey{Kind: ObjectCustomer, Name: c.Name}, c)
 	}
+	for _, o := range config.Operators {
+		s.add(ObjectKey{Kind: ObjectOperator, Name: o.Name}, o)
+	}
 	for _, service := range config.Services {
 		bare := service
 		bare.Adapters = nil
@@ -112,6 +115,11 @@
 		err := strictUnmarshal(o.Value, &c)
 		config.Customers = append(config.Customers, c)
 		return err
+	case ObjectOperator:
+		var operator deckconfig.Operator
+		err := strictUnmarshal(o.Value, &operator)
+		config.Operators = append(config.Operators, operator)
+		return err
 	case ObjectService:
 		var s deckconfig.Service
 		err := strictUnmarshal(o.Value, &s)
--- a/internal/coordination/configsync/types.go
+++ b/internal/coordination/configsync/types.go
@@ -24,6 +24,7 @@
 	ObjectCustomer ObjectKind = "customer"
 	ObjectService  ObjectKind = "service"
 	ObjectAdapter  ObjectKind = "adapter"
+	ObjectOperator ObjectKind = "operator"
 )
 
 // ObjectKey names an object. Name is empty for ranks and service/adapter for
--- a/internal/coordination/owner/fifo.go
+++ b/internal/coordination/owner/fifo.go
@@ -79,6 +79,8 @@
 	case Leaving:
 		f.leaving = true
 		out = f.refuseAll(RefuseLeaving)
+	case Staying:
+		f.leaving = false
 	case Tick:
 		out = f.expire(now)
 	}
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -67,6 +67,8 @@
 	}
 	// Leaving reports that the upstream is listed as leaving.
 	Leaving struct{}
+	// Staying reports that an upstream that was leaving takes work again.
+	Staying struct{}
 	// Tick lets time pass.
 	Tick struct{}
 )
@@ -80,6 +82,7 @@
 func (Unreachable) event() {}
 func (Authority) event()   {}
 func (Leaving) event()     {}
+func (Staying) event()     {}
 func (Tick) event()        {}
 
 // Action is an output of a Core.
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,245 @@
+// Package metrics counts and times what a daemon does, for Prometheus and for the
+// status that operators see.
+package metrics
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+// Names of the metrics, without the prefix.
+const (
+	prefix             = "celerydeck"
+	nameRequests       = "requests_total"
+	nameTokens         = "tokens_total"
+	nameFirstToken     = "first_token_seconds"
+	nameBetweenTokens  = "between_tokens_seconds"
+	nameWait           = "wait_seconds"
+	nameStall          = "stall_seconds"
+	nameBatch          = "batch_requests"
+	nameLoads          = "loads_total"
+	nameLoad           = "load_seconds"
+	nameRevision       = "configuration_revision"
+	nameOwned          = "owned_upstreams"
+	nameClassesDropped = "classes_dropped_total"
+)
+
+// Names returns the full names of all metrics.
+func Names() []string {
+	short := []string{
+		nameRequests, nameTokens, nameFirstToken, nameBetweenTokens, nameWait, nameStall, nameBatch,
+		nameLoads, nameLoad, nameRevision, nameOwned, nameClassesDropped,
+	}
+	names := make([]string, len(short))
+	for i, name := range short {
+		names[i] = prefix + "_" + name
+	}
+	return names
+}
+
+// Other stands in labels for all classes beyond the limit.
+const Other = "other"
+
+const reportInterval = time.Second
+
+var (
+	durationBuckets = tally.DurationBuckets{
+		5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond, 40 * time.Millisecond,
+		65 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond,
+		970 * time.Millisecond, 2 * time.Second, 5 * time.Second, 15 * time.Second, time.Minute, 5 * time.Minute,
+	}
+	batchBuckets = tally.ValueBuckets{1, 2, 4, 8, 16, 32, 64, 128, 256}
+)
+
+// Options sets up a Recorder.
+type Options struct {
+	// MaxClasses is the number of classes with labels of their own.
+	MaxClasses int
+	// RankName returns the name of a rank for labels.
+	RankName func(state.Rank) string
+	Clock    func() time.Time
+}
+
+// Recorder takes what happens. It is safe for concurrent use.
+type Recorder struct {
+	opts    Options
+	scope   tally.Scope
+	closer  io.Closer
+	handler http.Handler
+	dropped tally.Counter
+	loads   map[bool]tally.Counter
+	load    tally.Histogram
+	recent  *recent
+
+	mu      sync.RWMutex
+	classes map[state.Class]*classMetrics
+	other   *classMetrics
+}
+
+type classMetrics struct {
+	scope         tally.Scope
+	tokens        tally.Counter
+	firstToken    tally.Histogram
+	betweenTokens tally.Histogram
+	wait          tally.Histogram
+	stall         tally.Histogram
+	batch         tally.Histogram
+}
+
+// New returns a recorder. The caller must Close it.
+func New(opts Options) *Recorder {
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer: registry,
+		Gatherer:   registry,
+		OnRegisterError: func(err error) {
+			var exists prom.AlreadyRegisteredError
+			if !errors.As(err, &exists) {
+				panic("metrics: " + err.Error())
+			}
+		},
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 prefix,
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	r := &Recorder{
+		opts:    opts,
+		scope:   scope,
+		closer:  closer,
+		handler: reporter.HTTPHandler(),
+		dropped: scope.Counter(nameClassesDropped),
+		loads: map[bool]tally.Counter{
+			true:  scope.Tagged(map[string]string{"result": "failed"}).Counter(nameLoads),
+			false: scope.Tagged(map[string]string{"result": "ok"}).Counter(nameLoads),
+		},
+		load:    scope.Histogram(nameLoad, durationBuckets),
+		recent:  newRecent(),
+		classes: make(map[state.Class]*classMetrics),
+	}
+	r.other = r.newClass(Other, Other, Other)
+	return r
+}
+
+// Close stops the reports.
+func (r *Recorder) Close() { _ = r.closer.Close() }
+
+// Handler serves the metrics as Prometheus text.
+func (r *Recorder) Handler() http.Handler { return r.handler }
+
+func (r *Recorder) newClass(customer, service, rank string) *classMetrics {
+	scope := r.scope.Tagged(map[string]string{"customer": customer, "service": service, "rank": rank})
+	return &classMetrics{
+		scope:         scope,
+		tokens:        scope.Counter(nameTokens),
+		firstToken:    scope.Histogram(nameFirstToken, durationBuckets),
+		betweenTokens: scope.Histogram(nameBetweenTokens, durationBuckets),
+		wait:          scope.Histogram(nameWait, durationBuckets),
+		stall:         scope.Histogram(nameStall, durationBuckets),
+		batch:         scope.Histogram(nameBatch, batchBuckets),
+	}
+}
+
+// class returns the metrics of a class. Classes beyond the limit share one.
+func (r *Recorder) class(c state.Class) *classMetrics {
+	r.mu.RLock()
+	m, full := r.classes[c], len(r.classes) >= r.opts.MaxClasses
+	r.mu.RUnlock()
+	if m != nil {
+		return m
+	}
+	if full {
+		r.dropped.Inc(1)
+		return r.other
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m := r.classes[c]; m != nil {
+		return m
+	}
+	if len(r.classes) >= r.opts.MaxClasses {
+		return r.other
+	}
+	m = r.newClass(string(c.Customer), string(c.Service), r.opts.RankName(c.Rank))
+	r.classes[c] = m
+	return m
+}
+
+// Result is the label that says how a request ended.
+type Result string
+
+// Results of requests.
+const (
+	ResultOK      Result = "ok"
+	ResultRefused Result = "refused" // not run
+	ResultFailed  Result = "failed"
+)
+
+func resultOf(err *protocol.Error) Result {
+	switch {
+	case err == nil:
+		return ResultOK
+	case err.Outcome == protocol.OutcomeNotRun:
+		return ResultRefused
+	}
+	return ResultFailed
+}
+
+// ended counts a request.
+func (r *Recorder) ended(c state.Class, err *protocol.Error) {
+	result := resultOf(err)
+	tags := map[string]string{"result": string(result)}
+	r.class(c).scope.Tagged(tags).Counter(nameRequests).Inc(1)
+	r.recent.ended(r.opts.Clock(), c, result)
+}
+
+// firstToken times the first token of a request.
+func (r *Recorder) firstToken(c state.Class, d time.Duration) {
+	r.class(c).firstToken.RecordDuration(d)
+	r.recent.firstToken(r.opts.Clock(), c, d)
+}
+
+// betweenTokens times count tokens that came d after the ones before them.
+func (r *Recorder) betweenTokens(c state.Class, d time.Duration, count uint32) {
+	m := r.class(c)
+	each := d / time.Duration(max(count, 1))
+	m.betweenTokens.RecordDuration(each)
+	r.recent.gap(r.opts.Clock(), c, each)
+}
+
+// Dispatched times a request that starts to run on an upstream: how long it waited
+// in the queue, how long of that for a load of its adapter, and how many requests
+// run there with it.
+func (r *Recorder) Dispatched(c state.Class, wait, stall time.Duration, batch int) {
+	m := r.class(c)
+	m.wait.RecordDuration(wait)
+	m.stall.RecordDuration(stall)
+	m.batch.RecordValue(float64(batch))
+}
+
+// Loaded counts and times a load of an adapter.
+func (r *Recorder) Loaded(d time.Duration, failed bool) {
+	r.loads[failed].Inc(1)
+	r.load.RecordDuration(d)
+}
+
+// SetRevision sets the revision of the configuration in force.
+func (r *Recorder) SetRevision(revision uint64) {
+	r.scope.Gauge(nameRevision).Update(float64(revision))
+}
+
+// SetOwned sets the number of upstreams that this daemon owns.
+func (r *Recorder) SetOwned(n int) { r.scope.Gauge(nameOwned).Update(float64(n)) }
--- a/internal/node/cluster/cluster.go
+++ b/internal/node/cluster/cluster.go
@@ -28,6 +28,7 @@
 	Own(u *state.Upstream, auth core.Authority)
 	Disown(id state.UpstreamID)
 	Leaving(id state.UpstreamID)
+	Staying(id state.UpstreamID)
 	Owned() []protocol.UpstreamStatus
 }
 
@@ -49,6 +50,8 @@
 	Owner       Owner
 	Config      Config
 	Clock       func() time.Time
+	// Drained reports whether operators drain an upstream; nil for none.
+	Drained func(id state.UpstreamID) bool
 }
 
 type member struct {
@@ -200,14 +203,10 @@
 
 func (c *Cluster) noteUpstream(vm platform.VM) {
 	id := state.UpstreamID(vm.ID)
-	leaving := vm.State == platform.VMLeaving
 	if c.opts.Fleet.Get(id) == nil {
 		c.opts.Fleet.Put(newUpstream(vm))
 	}
-	c.opts.Fleet.Update(id, func(u *state.Upstream) { u.Leaving = leaving })
-	if leaving {
-		c.opts.Owner.Leaving(id)
-	}
+	c.setLeaving(id, vm.State == platform.VMLeaving)
 }
 
 func newUpstream(vm platform.VM) state.Upstream {
--- /dev/null
+++ b/internal/node/operator/status.go
@@ -0,0 +1,135 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+// Status returns the status of this daemon.
+func (n *Node) Status() protocol.DaemonStatus {
+	now := n.opts.Clock()
+	status := protocol.DaemonStatus{
+		Daemon:      n.opts.Self,
+		Incarnation: n.opts.Incarnation,
+		Zone:        n.opts.Zone,
+		Region:      n.opts.Region,
+		At:          now.UTC(),
+		Started:     n.started.UTC(),
+		Upstreams:   n.owned(),
+		Ranks:       []protocol.RankStatus{},
+		Conditions:  []protocol.Condition{},
+	}
+	if catalog := n.opts.Catalog(); catalog != nil {
+		status.Revision, status.Digest = catalog.Revision, catalog.Digest
+		status.Ranks = n.opts.Stats.Ranks(now, catalog.Ranks())
+		status.Classes = n.opts.Stats.Classes(now, catalog.Ranks())
+	}
+	for _, r := range n.opts.Reporters {
+		for _, c := range r.Conditions(now) {
+			c.Daemon = n.opts.Self
+			status.Conditions = append(status.Conditions, c)
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	status.Draining = n.draining
+	status.Changes = n.changes.all()
+	for i := range status.Upstreams {
+		status.Upstreams[i].Restarts = len(n.restarts[status.Upstreams[i].ID])
+	}
+	return status
+}
+
+// owned returns the upstreams of this daemon, ordered by name.
+func (n *Node) owned() []protocol.OwnedUpstream {
+	list := []protocol.OwnedUpstream{}
+	for _, s := range n.opts.Owned() {
+		var u protocol.OwnedUpstream
+		if listed := n.opts.Fleet.Get(s.ID); listed != nil {
+			u = listedUpstream(listed)
+		}
+		u.ID, u.Owner = s.ID, n.opts.Self
+		u.Epoch = max(u.Epoch, s.Epoch)
+		u.Boot = s.Boot
+		u.Healthy = s.Healthy
+		u.Running, u.Queued = s.Running, s.Queued
+		u.Slots, u.Batch = s.Slots, s.Batch
+		u.Resident = s.Resident
+		list = append(list, u)
+	}
+	slices.SortFunc(list, func(a, b protocol.OwnedUpstream) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// listedUpstream returns what the table of the fleet knows of an upstream.
+func listedUpstream(u *state.Upstream) protocol.OwnedUpstream {
+	kind := protocol.UpstreamEngine
+	if u.Kind == state.KindPlain {
+		kind = protocol.UpstreamPlain
+	}
+	return protocol.OwnedUpstream{
+		ID: u.ID, Zone: u.Zone, Region: u.Region, Kind: kind, Service: u.Service, Base: u.Base,
+		Fenced: u.Fenced, Owner: u.Owner, Epoch: u.Epoch, Boot: u.Boot, Healthy: u.Healthy, Leaving: u.Leaving,
+		Running: u.Running, Queued: u.Queued, Slots: u.Slots, Batch: u.Batch,
+	}
+}
+
+// Collect asks all known daemons for their status. Those that do not answer in
+// time are listed as missing.
+func (n *Node) Collect(ctx context.Context) protocol.FleetView {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	view := protocol.FleetView{
+		At:      n.opts.Clock().UTC(),
+		From:    n.opts.Self,
+		Daemons: []protocol.DaemonStatus{n.Status()},
+		Missing: []protocol.MissingDaemon{},
+		Unowned: []protocol.OwnedUpstream{},
+		Drains:  n.Drains(),
+	}
+	var mu sync.Mutex
+	var group errgroup.Group
+	group.SetLimit(askParallel)
+	for _, to := range n.opts.Members.AllPeers() {
+		group.Go(func() error {
+			var status protocol.DaemonStatus
+			err := n.opts.Peers.Exchange(ctx, to, protocol.MsgStatusQuery, protocol.StatusQuery{}, &status)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				missing := protocol.MissingDaemon{Daemon: to.ID, Zone: n.opts.Members.ZoneOf(to.ID), Reason: err.Message}
+				view.Missing = append(view.Missing, missing)
+				return nil
+			}
+			view.Daemons = append(view.Daemons, status)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	slices.SortFunc(view.Daemons, func(a, b protocol.DaemonStatus) int { return cmp.Compare(a.Daemon, b.Daemon) })
+	slices.SortFunc(view.Missing, func(a, b protocol.MissingDaemon) int { return cmp.Compare(a.Daemon, b.Daemon) })
+	n.addUnowned(&view)
+	return view
+}
+
+// addUnowned adds the listed upstreams that no answering daemon owns.
+func (n *Node) addUnowned(view *protocol.FleetView) {
+	owned := make(map[state.UpstreamID]bool)
+	for _, d := range view.Daemons {
+		for _, u := range d.Upstreams {
+			owned[u.ID] = true
+		}
+	}
+	for _, u := range n.opts.Fleet.All() {
+		if !owned[u.ID] {
+			view.Unowned = append(view.Unowned, listedUpstream(u))
+		}
+	}
+}
--- a/internal/node/owner/manager.go
+++ b/internal/node/owner/manager.go
@@ -24,6 +24,8 @@
 	Client  *upstream.Client
 	NewCore func(u *state.Upstream) core.Core
 	Clock   func() time.Time
+	// Observer is told about dispatches and loads; nil for none.
+	Observer Observer
 }
 
 // Manager owns upstreams. It is safe for concurrent use.
@@ -42,6 +44,9 @@
 // New returns a manager that owns nothing.
 func New(opts Options) *Manager {
 	ctx, stop := context.WithCancel(context.Background())
+	if opts.Observer == nil {
+		opts.Observer = noObserver{}
+	}
 	return &Manager{
 		opts:     opts,
 		ctx:      ctx,
@@ -82,6 +87,13 @@
 	}
 }
 
+// Staying tells the core of an upstream that it takes work again.
+func (m *Manager) Staying(id state.UpstreamID) {
+	if w := m.find(id); w != nil {
+		w.handle(core.Staying{})
+	}
+}
+
 // Owned returns the status of every upstream that this daemon owns.
 func (m *Manager) Owned() []protocol.UpstreamStatus {
 	m.mu.Lock()
@@ -130,6 +142,7 @@
 		ctx:     ctx,
 		stop:    stop,
 		pending: make(map[string]*pending),
+		loads:   make(map[state.AdapterRef]loadSpan),
 	}
 	m.workers[u.ID] = w
 	m.wg.Add(1)
--- a/internal/node/owner/worker.go
+++ b/internal/node/owner/worker.go
@@ -30,6 +30,7 @@
 	mu      sync.Mutex // guards core and pending; never held across I/O
 	core    core.Core
 	pending map[string]*pending
+	loads   map[state.AdapterRef]loadSpan
 }
 
 type pending struct {
@@ -39,6 +40,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   chan *protocol.Error // buffered; receives exactly one result
+	queued time.Time
 }
 
 func (w *worker) handle(event core.Event) {
@@ -76,6 +78,7 @@
 		ctx:    runCtx,
 		cancel: cancel,
 		done:   make(chan *protocol.Error, 1),
+		queued: w.m.opts.Clock(),
 	}
 	w.mu.Lock()
 	if w.pending[p.id] != nil {
@@ -150,6 +153,7 @@
 }
 
 func (w *worker) dispatch(p *pending) {
+	w.observeDispatch(p)
 	var err *protocol.Error
 	if p.call.Model != nil {
 		err = w.m.opts.Client.Complete(p.ctx, w.u, p.call, p.sink)
@@ -174,10 +178,12 @@
 func (w *worker) load(a core.Load) {
 	ctx, cancel := context.WithTimeout(w.m.ctx, orderTimeout)
 	defer cancel()
+	start := w.m.opts.Clock()
 	boot, err := w.m.opts.Client.Load(ctx, w.u, a.Adapter, a.Source, a.Epoch)
 	if err != nil {
 		klog.InfoS("Load failed", "adapter", a.Adapter, "upstream", w.u.ID, "err", err)
 	}
+	w.observeLoad(a.Adapter, start, err != nil)
 	w.handle(core.LoadDone{Adapter: a.Adapter, Boot: boot, Failed: err != nil})
 }
 
@@ -188,6 +194,7 @@
 	if err != nil {
 		klog.InfoS("Unload failed", "adapter", a.Adapter, "upstream", w.u.ID, "err", err)
 	}
+	w.forgetLoad(a)
 	w.handle(core.UnloadDone{Adapter: a.Adapter, Failed: err != nil})
 }
 
--- /dev/null
+++ b/internal/protocol/operators.go
@@ -0,0 +1,237 @@
+package protocol
+
+import (
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+// Kinds of messages about the state of daemons. Values are part of the wire format.
+const (
+	MsgStatusQuery MessageKind = iota + 64
+	MsgStatusReply
+)
+
+// StatusQuery asks a daemon for its status.
+type StatusQuery struct{}
+
+// DaemonStatus is what a daemon tells operators about itself and its upstreams.
+type DaemonStatus struct {
+	Daemon      state.DaemonID    `json:"daemon"`
+	Incarnation state.Incarnation `json:"incarnation"`
+	Zone        state.Zone        `json:"zone"`
+	Region      state.Region      `json:"region"`
+	At          time.Time         `json:"at"`
+	Started     time.Time         `json:"started"`
+	Draining    bool              `json:"draining,omitempty"`
+	Revision    uint64            `json:"revision"` // configuration in force
+	Digest      string            `json:"digest,omitempty"`
+	Upstreams   []OwnedUpstream   `json:"upstreams"`
+	Ranks       []RankStatus      `json:"ranks"`
+	Classes     []ClassStatus     `json:"classes,omitempty"` // busiest first
+	Conditions  []Condition       `json:"conditions"`
+	Changes     []StateChange     `json:"changes"` // oldest first
+}
+
+// Kinds of upstreams in a status.
+const (
+	UpstreamEngine = "engine"
+	UpstreamPlain  = "plain"
+)
+
+// OwnedUpstream is the state of an upstream as its owner sees it.
+type OwnedUpstream struct {
+	ID       state.UpstreamID   `json:"id"`
+	Zone     state.Zone         `json:"zone"`
+	Region   state.Region       `json:"region"`
+	Kind     string             `json:"kind"`
+	Service  state.ServiceID    `json:"service,omitempty"`
+	Base     string             `json:"base,omitempty"`
+	Fenced   bool               `json:"fenced,omitempty"`
+	Owner    state.DaemonID     `json:"owner"`
+	Epoch    state.Epoch        `json:"epoch"`
+	Boot     state.BootID       `json:"boot,omitempty"`
+	Healthy  bool               `json:"healthy"`
+	Leaving  bool               `json:"leaving,omitempty"`
+	Running  int                `json:"running"`
+	Queued   int                `json:"queued"`
+	Slots    int                `json:"slots"`
+	Batch    int                `json:"batch"`
+	Resident []state.AdapterRef `json:"resident,omitempty"`
+	Restarts int                `json:"restarts,omitempty"` // in the time that changes are kept
+}
+
+// RankStatus compares the requests of a rank with its targets.
+type RankStatus struct {
+	Rank         string        `json:"rank"`
+	TargetFirst  time.Duration `json:"target_first"`
+	TargetGap    time.Duration `json:"target_gap"`
+	Requests     uint64        `json:"requests"`
+	FirstInTime  uint64        `json:"first_in_time"` // first tokens within the target
+	Firsts       uint64        `json:"firsts"`
+	GapsInTime   uint64        `json:"gaps_in_time"` // gaps between tokens within the target
+	Gaps         uint64        `json:"gaps"`
+	Failed       uint64        `json:"failed"`
+	Refused      uint64        `json:"refused"`
+	FirstP95     time.Duration `json:"first_p95"`
+	GapP95       time.Duration `json:"gap_p95"`
+	Intervals    []Interval    `json:"intervals"` // oldest first
+	IntervalSize time.Duration `json:"interval_size"`
+}
+
+// Interval counts the first tokens of a rank in a span of time.
+type Interval struct {
+	Start       time.Time `json:"start"`
+	Firsts      uint64    `json:"firsts"`
+	FirstInTime uint64    `json:"first_in_time"`
+}
+
+// ClassStatus counts the recent requests of a class.
+type ClassStatus struct {
+	Customer state.CustomerID `json:"customer"`
+	Service  state.ServiceID  `json:"service"`
+	Rank     string           `json:"rank"`
+	Requests uint64           `json:"requests"`
+	Refused  uint64           `json:"refused"`
+	Failed   uint64           `json:"failed"`
+	FirstP95 time.Duration    `json:"first_p95"`
+}
+
+// Severity orders conditions by what operators have to do.
+type Severity string
+
+// Severities, the most severe first.
+const (
+	SeverityUrgent Severity = "urgent" // someone has to act now
+	SeverityWatch  Severity = "watch"  // may need someone soon
+	SeverityNote   Severity = "note"   // good to know
+)
+
+// ConditionKind names a condition that operators should know of.
+type ConditionKind string
+
+// Kinds of conditions.
+const (
+	ConditionDaemonSilent       ConditionKind = "daemon_silent"
+	ConditionUpstreamUnowned    ConditionKind = "upstream_unowned"
+	ConditionUpstreamDown       ConditionKind = "upstream_down"
+	ConditionUpstreamCrashed    ConditionKind = "upstream_crashed"
+	ConditionEngineCold         ConditionKind = "engine_cold"
+	ConditionLoadFailing        ConditionKind = "load_failing"
+	ConditionLoadStalled        ConditionKind = "load_stalled"
+	ConditionUnloadFrozen       ConditionKind = "unload_frozen"
+	ConditionLeaseLost          ConditionKind = "lease_lost"
+	ConditionPlatformDown       ConditionKind = "platform_unreachable"
+	ConditionPartition          ConditionKind = "network_partition"
+	ConditionConfigBehind       ConditionKind = "configuration_behind"
+	ConditionFlood              ConditionKind = "flood"
+	ConditionRankLate           ConditionKind = "rank_late"
+	ConditionFingerprintRefused ConditionKind = "fingerprint_refused"
+	ConditionOutcomeUnknown     ConditionKind = "outcome_unknown"
+	ConditionDrained            ConditionKind = "drained"
+)
+
+// ConditionKinds lists every kind of condition.
+func ConditionKinds() []ConditionKind {
+	return []ConditionKind{
+		ConditionDaemonSilent, ConditionUpstreamUnowned, ConditionUpstreamDown, ConditionUpstreamCrashed,
+		ConditionEngineCold, ConditionLoadFailing, ConditionLoadStalled, ConditionUnloadFrozen,
+		ConditionLeaseLost, ConditionPlatformDown, ConditionPartition, ConditionConfigBehind,
+		ConditionFlood, ConditionRankLate, ConditionFingerprintRefused, ConditionOutcomeUnknown,
+		ConditionDrained,
+	}
+}
+
+// Condition is a state that operators should know of.
+type Condition struct {
+	Kind     ConditionKind  `json:"kind"`
+	Severity Severity       `json:"severity"`
+	Subject  string         `json:"subject"` // such as the name of an upstream or adapter
+	Detail   string         `json:"detail,omitempty"`
+	Daemon   state.DaemonID `json:"daemon,omitempty"` // daemon that reports it
+	Since    time.Time      `json:"since,omitzero"`
+}
+
+// StateChange is one change of state that a daemon saw.
+type StateChange struct {
+	At      time.Time      `json:"at"`
+	Daemon  state.DaemonID `json:"daemon"`
+	Subject string         `json:"subject"`
+	What    string         `json:"what"`
+}
+
+// FleetView is the status of all daemons, collected by one of them.
+type FleetView struct {
+	At      time.Time       `json:"at"`
+	From    state.DaemonID  `json:"from"`
+	Daemons []DaemonStatus  `json:"daemons"`
+	Missing []MissingDaemon `json:"missing"`
+	Unowned []OwnedUpstream `json:"unowned"` // listed upstreams that no answering daemon owns
+	Drains  []Drain         `json:"drains"`
+}
+
+// Partial reports whether some daemon did not answer.
+func (v *FleetView) Partial() bool { return len(v.Missing) > 0 }
+
+// MissingDaemon is a known daemon that did not answer.
+type MissingDaemon struct {
+	Daemon state.DaemonID `json:"daemon"`
+	Zone   state.Zone     `json:"zone"`
+	Reason string         `json:"reason"`
+}
+
+// DrainKind tells what is drained.
+type DrainKind string
+
+// Kinds of drains.
+const (
+	DrainUpstream DrainKind = "upstream"
+	DrainDaemon   DrainKind = "daemon"
+)
+
+// Drain keeps new work from an upstream or a daemon until it is removed.
+type Drain struct {
+	Kind    DrainKind `json:"kind"`
+	Subject string    `json:"subject"`
+	Author  string    `json:"author"`
+	Reason  string    `json:"reason,omitempty"`
+	At      time.Time `json:"at"`
+}
+
+// Note is a remark of an operator for the next ones.
+type Note struct {
+	ID     uint64    `json:"id"`
+	Author string    `json:"author"`
+	Text   string    `json:"text"`
+	At     time.Time `json:"at"`
+}
+
+// ExplainQuery asks why something is as it is. One of Model and Upstream is set.
+type ExplainQuery struct {
+	Model    string           `json:"model,omitempty"` // service/adapter[@version] or a plain service
+	Rank     string           `json:"rank,omitempty"`
+	Upstream state.UpstreamID `json:"upstream,omitempty"`
+}
+
+// Explanation answers an ExplainQuery.
+type Explanation struct {
+	Daemon     state.DaemonID `json:"daemon"` // daemon that would take the request
+	Subject    string         `json:"subject"`
+	Facts      []string       `json:"facts"`
+	Chosen     string         `json:"chosen,omitempty"`
+	Candidates []Candidate    `json:"candidates,omitempty"`
+	Conditions []Condition    `json:"conditions"`
+	Missing    []string       `json:"missing,omitempty"` // daemons that did not answer
+}
+
+// Candidate is an upstream that was weighed for a request.
+type Candidate struct {
+	Upstream state.UpstreamID `json:"upstream"`
+	Zone     state.Zone       `json:"zone"`
+	Owner    state.DaemonID   `json:"owner"`
+	Eligible bool             `json:"eligible"`
+	Resident bool             `json:"resident"`
+	Running  int              `json:"running"`
+	Queued   int              `json:"queued"`
+	Reason   string           `json:"reason"`
+}
--- /dev/null
+++ b/internal/report/conditions.go
@@ -0,0 +1,205 @@
+package report
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/protocol"
+)
+
+const (
+	// lateShare is the part of requests that should meet the targets.
+	lateShare = 0.95
+	// fewRequests is the number of requests below which a share says little.
+	fewRequests = 20
+	// manyRestarts is the number of restarts that make a crash urgent.
+	manyRestarts = 3
+	// maxSubjects is the number of subjects shown in a group.
+	maxSubjects = 5
+)
+
+// Group holds the conditions of one kind and severity.
+type Group struct {
+	Kind       protocol.ConditionKind `json:"kind"`
+	Severity   protocol.Severity      `json:"severity"`
+	Count      int                    `json:"count"`
+	Since      time.Time              `json:"since,omitzero"` // of the oldest
+	Conditions []protocol.Condition   `json:"conditions"`     // the first few
+	Advice     string                 `json:"advice"`
+}
+
+// Conditions returns what the daemons report and what only shows over all of them.
+func Conditions(in Input) []protocol.Condition {
+	var all []protocol.Condition
+	for _, d := range in.Fleet.Daemons {
+		all = append(all, d.Conditions...)
+		for _, u := range d.Upstreams {
+			all = append(all, upstreamConditions(u)...)
+		}
+	}
+	for _, m := range in.Fleet.Missing {
+		all = append(all, protocol.Condition{
+			Kind: protocol.ConditionDaemonSilent, Severity: protocol.SeverityUrgent,
+			Subject: string(m.Daemon), Detail: fmt.Sprintf("zone %s: %s", m.Zone, m.Reason),
+		})
+	}
+	for _, u := range in.Fleet.Unowned {
+		all = append(all, protocol.Condition{
+			Kind: protocol.ConditionUpstreamUnowned, Severity: protocol.SeverityUrgent,
+			Subject: string(u.ID), Detail: unownedDetail(u),
+		})
+	}
+	for _, d := range in.Fleet.Drains {
+		all = append(all, protocol.Condition{
+			Kind: protocol.ConditionDrained, Severity: protocol.SeverityNote, Since: d.At,
+			Subject: string(d.Kind) + " " + d.Subject, Detail: fmt.Sprintf("by %s: %s", d.Author, d.Reason),
+		})
+	}
+	if behind := len(in.Progress.Behind); behind > 0 {
+		all = append(all, protocol.Condition{
+			Kind: protocol.ConditionConfigBehind, Severity: protocol.SeverityWatch,
+			Subject: fmt.Sprintf("revision %d", in.Progress.Revision),
+			Detail:  fmt.Sprintf("in force at %d of %d daemons, not at %s", in.Progress.InForce, in.Progress.Daemons, join(in.Progress.Behind)),
+		})
+	}
+	all = append(all, lateRanks(MergeRanks(in.Fleet.Daemons))...)
+	slices.SortStableFunc(all, compareConditions)
+	return slices.Compact(all)
+}
+
+func unownedDetail(u protocol.OwnedUpstream) string {
+	if u.Owner == "" {
+		return fmt.Sprintf("zone %s: no daemon claims it", u.Zone)
+	}
+	return fmt.Sprintf("zone %s: last known owner %s", u.Zone, u.Owner)
+}
+
+func upstreamConditions(u protocol.OwnedUpstream) []protocol.Condition {
+	condition := protocol.Condition{Subject: string(u.ID), Daemon: u.Owner}
+	var all []protocol.Condition
+	add := func(kind protocol.ConditionKind, severity protocol.Severity, format string, args ...any) {
+		condition.Kind, condition.Severity = kind, severity
+		condition.Detail = fmt.Sprintf(format, args...)
+		all = append(all, condition)
+	}
+	if !u.Healthy && !u.Leaving {
+		add(protocol.ConditionUpstreamDown, protocol.SeverityUrgent, "does not answer its owner")
+	}
+	if u.Restarts > 0 {
+		severity := protocol.SeverityWatch
+		if u.Restarts >= manyRestarts {
+			severity = protocol.SeverityUrgent
+		}
+		add(protocol.ConditionUpstreamCrashed, severity, "restarted %d times", u.Restarts)
+	}
+	if u.Kind == protocol.UpstreamEngine && u.Healthy && !u.Leaving && len(u.Resident) == 0 && u.Slots > 0 {
+		add(protocol.ConditionEngineCold, protocol.SeverityNote, "no adapter is loaded")
+	}
+	return all
+}
+
+func lateRanks(ranks []protocol.RankStatus) []protocol.Condition {
+	var late []protocol.Condition
+	for i, r := range ranks {
+		if r.Firsts < fewRequests || Share(r.FirstInTime, r.Firsts) >= lateShare {
+			continue
+		}
+		severity := protocol.SeverityWatch
+		if i == 0 {
+			severity = protocol.SeverityUrgent
+		}
+		late = append(late, protocol.Condition{
+			Kind: protocol.ConditionRankLate, Severity: severity, Subject: "rank " + r.Rank,
+			Detail: fmt.Sprintf("%.1f%% of first tokens within %s", 100*Share(r.FirstInTime, r.Firsts), r.TargetFirst),
+		})
+	}
+	return late
+}
+
+// Share returns part/whole, and 1 for an empty whole.
+func Share(part, whole uint64) float64 {
+	if whole == 0 {
+		return 1
+	}
+	return float64(part) / float64(whole)
+}
+
+func severityOrder(s protocol.Severity) int {
+	switch s {
+	case protocol.SeverityUrgent:
+		return 0
+	case protocol.SeverityWatch:
+		return 1
+	}
+	return 2
+}
+
+func compareConditions(a, b protocol.Condition) int {
+	return cmp.Or(
+		cmp.Compare(severityOrder(a.Severity), severityOrder(b.Severity)),
+		cmp.Compare(a.Kind, b.Kind),
+		cmp.Compare(a.Subject, b.Subject),
+		cmp.Compare(a.Daemon, b.Daemon),
+		cmp.Compare(a.Detail, b.Detail),
+	)
+}
+
+// groups splits sorted conditions into those that need someone and the others.
+func groups(all []protocol.Condition) (needsYou, goodToKnow []Group) {
+	for len(all) > 0 {
+		first := all[0]
+		n := 1
+		for n < len(all) && all[n].Kind == first.Kind && all[n].Severity == first.Severity {
+			n++
+		}
+		group := newGroup(all[:n])
+		if first.Severity == protocol.SeverityNote {
+			goodToKnow = append(goodToKnow, group)
+		} else {
+			needsYou = append(needsYou, group)
+		}
+		all = all[n:]
+	}
+	return needsYou, goodToKnow
+}
+
+func newGroup(conditions []protocol.Condition) Group {
+	g := Group{
+		Kind:       conditions[0].Kind,
+		Severity:   conditions[0].Severity,
+		Count:      len(conditions),
+		Conditions: conditions[:min(len(conditions), maxSubjects)],
+		Advice:     Advice(conditions[0].Kind),
+	}
+	for _, c := range conditions {
+		if !c.Since.IsZero() && (g.Since.IsZero() || c.Since.Before(g.Since)) {
+			g.Since = c.Since
+		}
+	}
+	return g
+}
+
+var advice = map[protocol.ConditionKind]string{
+	protocol.ConditionDaemonSilent:       "Check the VM. If it is gone for good, wait until the list of VMs drops it; its upstreams get a new owner.",
+	protocol.ConditionUpstreamUnowned:    "Check that the zone has a live daemon; see celerydeck explain --upstream.",
+	protocol.ConditionUpstreamDown:       "Check the upstream's VM and process; requests go elsewhere meanwhile.",
+	protocol.ConditionUpstreamCrashed:    "Look for refused fingerprints; drain the upstream if it keeps restarting.",
+	protocol.ConditionEngineCold:         "Nothing to do while it refills; look at the weight store if it stays empty.",
+	protocol.ConditionLoadFailing:        "Check the source of the version in the weight store; celerydeck explain --model names the error.",
+	protocol.ConditionLoadStalled:        "The weight store is the bottleneck; find the adapters that load most with celerydeck top.",
+	protocol.ConditionUnloadFrozen:       "Adapters stay loaded until the owner can prove that it is alone; restore the platform or the zone's links.",
+	protocol.ConditionLeaseLost:          "The daemon cannot renew its lease; check its path to the platform.",
+	protocol.ConditionPlatformDown:       "Serving goes on; changes of configuration and drains wait. Restore the platform.",
+	protocol.ConditionPartition:          "Zones do not reach each other; each serves what it can. Restore the network.",
+	protocol.ConditionConfigBehind:       "Wait a few seconds; if a daemon stays behind, check its links to the platform and its zone.",
+	protocol.ConditionFlood:              "The flooding class is held to its share. Ask the customer; lower requests_per_second if needed.",
+	protocol.ConditionRankLate:           "Compare running with batch by zone; add engines or lower less urgent work.",
+	protocol.ConditionFingerprintRefused: "A request crashed several upstreams and is refused now. Tell its customer.",
+	protocol.ConditionOutcomeUnknown:     "A call that must not repeat was interrupted. Check the service's own records before anyone sends it again.",
+	protocol.ConditionDrained:            "End the drain with celerydeck drain --end when the work is done.",
+}
+
+// Advice says what to do about a kind of condition.
+func Advice(kind protocol.ConditionKind) string { return advice[kind] }
--- /dev/null
+++ b/internal/report/html.go
@@ -0,0 +1,52 @@
+package report
+
+import (
+	_ "embed"
+	"html/template"
+	"io"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/protocol"
+)
+
+//go:embed page.html
+var pageText string
+
+var page = template.Must(template.New("page").Funcs(template.FuncMap{
+	"stamp":   stamp,
+	"objects": objects,
+	"state":   UpstreamState,
+	"percent": percent,
+	"p95":     p95,
+	"late":    func(part, whole uint64) bool { return whole >= fewRequests && Share(part, whole) < lateShare },
+	"more":    func(total, shown int) int { return max(0, total-shown) },
+}).Parse(pageText))
+
+type pageData struct {
+	*Handover
+	RankPlot template.HTML
+	LoadPlot template.HTML
+	Shown    []protocol.OwnedUpstream
+	States   []protocol.StateChange
+	Interval time.Duration
+}
+
+// HTML writes the handover as one page that needs no other file.
+func (h *Handover) HTML(w io.Writer) error {
+	rankPlot, err := rankPlot(h.Ranks)
+	if err != nil {
+		return err
+	}
+	loadPlot, err := loadPlot(h.Zones)
+	if err != nil {
+		return err
+	}
+	data := pageData{
+		Handover: h,
+		RankPlot: rankPlot,
+		LoadPlot: loadPlot,
+		Shown:    h.Upstreams[:min(len(h.Upstreams), maxLines)],
+		States:   h.Changes[:min(len(h.Changes), maxLines)],
+	}
+	return page.Execute(w, data)
+}
--- /dev/null
+++ b/internal/report/merge.go
@@ -0,0 +1,97 @@
+package report
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/protocol"
+)
+
+const maxClasses = 20
+
+// MergeRanks adds up the ranks of all daemons. The 95th percentiles are those of
+// the slowest daemon.
+func MergeRanks(daemons []protocol.DaemonStatus) []protocol.RankStatus {
+	var merged []protocol.RankStatus
+	index := make(map[string]int)
+	for _, d := range daemons {
+		for _, r := range d.Ranks {
+			i, ok := index[r.Rank]
+			if !ok {
+				i = len(merged)
+				index[r.Rank] = i
+				merged = append(merged, protocol.RankStatus{
+					Rank: r.Rank, TargetFirst: r.TargetFirst, TargetGap: r.TargetGap, IntervalSize: r.IntervalSize,
+				})
+			}
+			addRank(&merged[i], r)
+		}
+	}
+	return merged
+}
+
+func addRank(sum *protocol.RankStatus, r protocol.RankStatus) {
+	sum.Requests += r.Requests
+	sum.Firsts += r.Firsts
+	sum.FirstInTime += r.FirstInTime
+	sum.Gaps += r.Gaps
+	sum.GapsInTime += r.GapsInTime
+	sum.Failed += r.Failed
+	sum.Refused += r.Refused
+	sum.FirstP95 = max(sum.FirstP95, r.FirstP95)
+	sum.GapP95 = max(sum.GapP95, r.GapP95)
+	for _, interval := range r.Intervals {
+		addInterval(sum, interval)
+	}
+}
+
+// addInterval adds an interval to the one of the same time. Daemons align their
+// intervals to multiples of the interval size.
+func addInterval(sum *protocol.RankStatus, interval protocol.Interval) {
+	at, found := slices.BinarySearchFunc(sum.Intervals, interval.Start, func(x protocol.Interval, start time.Time) int {
+		return x.Start.Compare(start)
+	})
+	if !found {
+		sum.Intervals = slices.Insert(sum.Intervals, at, interval)
+		return
+	}
+	sum.Intervals[at].Firsts += interval.Firsts
+	sum.Intervals[at].FirstInTime += interval.FirstInTime
+}
+
+type classKey struct{ customer, service, rank string }
+
+// MergeClasses adds up the classes of all daemons and returns the busiest.
+func MergeClasses(daemons []protocol.DaemonStatus) []protocol.ClassStatus {
+	sums := make(map[classKey]*protocol.ClassStatus)
+	for _, d := range daemons {
+		for _, c := range d.Classes {
+			key := classKey{string(c.Customer), string(c.Service), c.Rank}
+			sum := sums[key]
+			if sum == nil {
+				sum = &protocol.ClassStatus{Customer: c.Customer, Service: c.Service, Rank: c.Rank}
+				sums[key] = sum
+			}
+			sum.Requests += c.Requests
+			sum.Refused += c.Refused
+			sum.Failed += c.Failed
+			sum.FirstP95 = max(sum.FirstP95, c.FirstP95)
+		}
+	}
+	merged := make([]protocol.ClassStatus, 0, len(sums))
+	for _, sum := range sums {
+		merged = append(merged, *sum)
+	}
+	slices.SortFunc(merged, compareClasses)
+	return merged[:min(len(merged), maxClasses)]
+}
+
+func compareClasses(a, b protocol.ClassStatus) int {
+	return cmp.Or(
+		cmp.Compare(b.Requests, a.Requests),
+		cmp.Compare(a.Customer, b.Customer),
+		cmp.Compare(a.Service, b.Service),
+		cmp.Compare(a.Rank, b.Rank),
+	)
+}
--- /dev/null
+++ b/internal/report/text.go
@@ -0,0 +1,213 @@
+package report
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/configsync"
+	"github.com/celerydeck/celerydeck/internal/protocol"
+)
+
+const (
+	timeFormat = "2006-01-02 15:04:05Z"
+	maxLines   = 30
+)
+
+// Text writes the handover for a terminal.
+func (h *Handover) Text(w io.Writer) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "HANDOVER at %s, changes since %s, collected by %s\n", stamp(h.At), stamp(h.Since), h.From)
+	h.textPartial(&b)
+	textGroups(&b, "WHAT NEEDS YOU NOW", h.NeedsYou, "nothing")
+	h.textNotes(&b)
+	h.textChanges(&b)
+	h.textForce(&b)
+	h.textRanks(&b)
+	h.textFleet(&b)
+	textGroups(&b, "GOOD TO KNOW", h.GoodToKnow, "nothing")
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func stamp(t time.Time) string {
+	if t.IsZero() {
+		return "-"
+	}
+	return t.UTC().Format(timeFormat)
+}
+
+func join[T ~string](list []T) string {
+	text := make([]string, len(list))
+	for i, x := range list {
+		text[i] = string(x)
+	}
+	return strings.Join(text, ", ")
+}
+
+func (h *Handover) textPartial(b *strings.Builder) {
+	for _, m := range h.Missing {
+		fmt.Fprintf(b, "PARTIAL: %s in %s did not answer: %s\n", m.Daemon, m.Zone, m.Reason)
+	}
+	for _, u := range h.Unreadable {
+		fmt.Fprintf(b, "PARTIAL: could not read %s\n", u)
+	}
+}
+
+func textGroups(b *strings.Builder, title string, groups []Group, none string) {
+	fmt.Fprintf(b, "\n%s\n", title)
+	if len(groups) == 0 {
+		fmt.Fprintf(b, "  %s\n", none)
+	}
+	for _, g := range groups {
+		fmt.Fprintf(b, "  [%s] %s (%d)%s\n", g.Severity, g.Kind, g.Count, sinceText(g.Since))
+		for _, c := range g.Conditions {
+			fmt.Fprintf(b, "      %s: %s\n", c.Subject, c.Detail)
+		}
+		if more := g.Count - len(g.Conditions); more > 0 {
+			fmt.Fprintf(b, "      and %d more\n", more)
+		}
+		fmt.Fprintf(b, "      -> %s\n", g.Advice)
+	}
+}
+
+func sinceText(t time.Time) string {
+	if t.IsZero() {
+		return ""
+	}
+	return " since " + stamp(t)
+}
+
+func (h *Handover) textNotes(b *strings.Builder) {
+	fmt.Fprintf(b, "\nNOTES\n")
+	if len(h.Notes) == 0 {
+		fmt.Fprintf(b, "  none\n")
+	}
+	for _, n := range h.Notes {
+		fmt.Fprintf(b, "  #%d %s %s: %s\n", n.ID, stamp(n.At), n.Author, strings.ReplaceAll(n.Text, "\n", "\n      "))
+	}
+}
+
+func (h *Handover) textChanges(b *strings.Builder) {
+	fmt.Fprintf(b, "\nWHAT CHANGED\n")
+	if len(h.Revisions)+len(h.Changes) == 0 {
+		fmt.Fprintf(b, "  nothing\n")
+	}
+	for i, r := range h.Revisions {
+		if i == maxLines {
+			fmt.Fprintf(b, "  and %d more revisions\n", len(h.Revisions)-maxLines)
+			break
+		}
+		fmt.Fprintf(b, "  %s revision %d by %s: %s (%s)\n", stamp(r.At), r.Revision, r.Author, r.Message, objects(r))
+	}
+	for i, c := range h.Changes {
+		if i == maxLines {
+			fmt.Fprintf(b, "  and %d more changes of state\n", len(h.Changes)-maxLines)
+			break
+		}
+		fmt.Fprintf(b, "  %s %s: %s (seen by %s)\n", stamp(c.At), c.Subject, c.What, c.Daemon)
+	}
+}
+
+func objects(r configsync.RevisionInfo) string {
+	const shown = 3
+	var names []string
+	for i, key := range r.Objects {
+		if i == shown {
+			names = append(names, fmt.Sprintf("%d more", len(r.Objects)-shown))
+			break
+		}
+		names = append(names, key.String())
+	}
+	return strings.Join(names, ", ")
+}
+
+func (h *Handover) textForce(b *strings.Builder) {
+	fmt.Fprintf(b, "\nCONFIGURATION\n  revision %d in force at %d of %d daemons\n", h.Revision, h.Progress.InForce, h.Progress.Daemons)
+	for _, f := range h.InForce {
+		fmt.Fprintf(b, "  revision %d reported by %d daemons\n", f.Revision, f.Daemons)
+	}
+}
+
+func (h *Handover) textRanks(b *strings.Builder) {
+	fmt.Fprintf(b, "\nRANKS AGAINST TARGETS\n")
+	_ = RankTable(b, h.Ranks)
+}
+
+// RankTable writes a table of ranks.
+func RankTable(w io.Writer, ranks []protocol.RankStatus) error {
+	return table(w, func(t io.Writer) {
+		fmt.Fprintln(t, "  RANK\tREQUESTS\tFIRST TOKEN\tTARGET\tIN TIME\tBETWEEN\tTARGET\tIN TIME\tREFUSED\tFAILED")
+		for _, r := range ranks {
+			fmt.Fprintf(t, "  %s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\n", r.Rank, r.Requests,
+				p95(r.FirstP95, r.Firsts), r.TargetFirst, percent(r.FirstInTime, r.Firsts),
+				p95(r.GapP95, r.Gaps), r.TargetGap, percent(r.GapsInTime, r.Gaps), r.Refused, r.Failed)
+		}
+	})
+}
+
+func p95(d time.Duration, n uint64) string {
+	if n == 0 {
+		return "-"
+	}
+	return d.Round(time.Millisecond / 10).String()
+}
+
+func percent(part, whole uint64) string {
+	if whole == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f%%", 100*Share(part, whole))
+}
+
+func (h *Handover) textFleet(b *strings.Builder) {
+	fmt.Fprintf(b, "\nZONES\n")
+	_ = ZoneTable(b, h.Zones)
+	fmt.Fprintf(b, "\nUPSTREAMS\n")
+	_ = UpstreamTable(b, h.Upstreams, maxLines)
+}
+
+// ZoneTable writes a table of availability zones.
+func ZoneTable(w io.Writer, zones []ZoneSummary) error {
+	return table(w, func(t io.Writer) {
+		fmt.Fprintln(t, "  ZONE\tREGION\tDAEMONS\tSILENT\tUPSTREAMS\tHEALTHY\tUNOWNED\tRUNNING\tQUEUED\tBATCH")
+		for _, z := range zones {
+			fmt.Fprintf(t, "  %s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", z.Zone, z.Region, z.Daemons, z.Silent,
+				z.Upstreams, z.Healthy, z.Unowned, z.Running, z.Queued, z.Batch)
+		}
+	})
+}
+
+// UpstreamTable writes a table of upstreams, at most limit of them.
+func UpstreamTable(w io.Writer, upstreams []protocol.OwnedUpstream, limit int) error {
+	err := table(w, func(t io.Writer) {
+		fmt.Fprintln(t, "  UPSTREAM\tZONE\tKIND\tOWNER\tSTATE\tRUNNING\tQUEUED\tBATCH\tLOADED\tSLOTS\tRESTARTS")
+		for _, u := range upstreams[:min(len(upstreams), limit)] {
+			fmt.Fprintf(t, "  %s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\n", u.ID, u.Zone, u.Kind, u.Owner, UpstreamState(u),
+				u.Running, u.Queued, u.Batch, len(u.Resident), u.Slots, u.Restarts)
+		}
+	})
+	if more := len(upstreams) - limit; more > 0 {
+		fmt.Fprintf(w, "  and %d more; see celerydeck status --upstreams\n", more)
+	}
+	return err
+}
+
+// UpstreamState returns the state of an upstream in a word.
+func UpstreamState(u protocol.OwnedUpstream) string {
+	switch {
+	case u.Leaving:
+		return "leaving"
+	case !u.Healthy:
+		return "down"
+	}
+	return "healthy"
+}
+
+func table(w io.Writer, write func(io.Writer)) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	write(t)
+	return t.Flush()
+}
--- a/internal/state/catalog.go
+++ b/internal/state/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"crypto/subtle"
 	"encoding/hex"
 	"maps"
 	"slices"
@@ -40,6 +41,7 @@
 	customers map[CustomerID]*deckconfig.Customer
 	services  map[ServiceID]*deckconfig.Service                 // without adapters
 	adapters  [catalogShards]map[AdapterRef]*deckconfig.Adapter // keyed without version
+	operators map[string]*deckconfig.Operator
 
 	whole func() *deckconfig.Config
 }
@@ -61,6 +63,11 @@
 		Name    ServiceID
 		Service *deckconfig.Service
 	}
+	// OperatorEdit replaces an operator.
+	OperatorEdit struct {
+		Name     string
+		Operator *deckconfig.Operator
+	}
 	// AdapterEdit replaces an adapter. Ref has no version.
 	AdapterEdit struct {
 		Ref     AdapterRef
@@ -75,6 +82,7 @@
 		keys:      make(map[string]CustomerID),
 		customers: make(map[CustomerID]*deckconfig.Customer),
 		services:  make(map[ServiceID]*deckconfig.Service),
+		operators: make(map[string]*deckconfig.Operator),
 	}
 	c.whole = sync.OnceValue(c.build)
 	return c
@@ -87,6 +95,10 @@
 		customer := &config.Customers[i]
 		edits = append(edits, CustomerEdit{Name: CustomerID(customer.Name), Customer: customer})
 	}
+	for i := range config.Operators {
+		operator := &config.Operators[i]
+		edits = append(edits, OperatorEdit{Name: operator.Name, Operator: operator})
+	}
 	for _, service := range config.Services {
 		bare := service
 		bare.Adapters = nil
@@ -111,6 +123,7 @@
 		customers: c.customers,
 		services:  c.services,
 		adapters:  c.adapters,
+		operators: c.operators,
 	}
 	next.copyTouched(edits)
 	for _, e := range edits {
@@ -122,7 +135,7 @@
 
 // copyTouched copies the maps that the edits will change.
 func (c *Catalog) copyTouched(edits []Edit) {
-	var customers, services bool
+	var customers, services, operators bool
 	copied := make(map[uint64]bool)
 	for _, e := range edits {
 		switch e := e.(type) {
@@ -130,6 +143,8 @@
 			customers = true
 		case ServiceEdit:
 			services = true
+		case OperatorEdit:
+			operators = true
 		case AdapterEdit:
 			i := adapterShard(e.Ref)
 			if copied[i] {
@@ -148,6 +163,9 @@
 	if services {
 		c.services = maps.Clone(c.services)
 	}
+	if operators {
+		c.operators = maps.Clone(c.operators)
+	}
 }
 
 func (e RanksEdit) edit(c *Catalog) {
@@ -190,6 +208,13 @@
 	}
 }
 
+func (e OperatorEdit) edit(c *Catalog) {
+	delete(c.operators, e.Name)
+	if e.Operator != nil {
+		c.operators[e.Name] = e.Operator
+	}
+}
+
 func (e AdapterEdit) edit(c *Catalog) {
 	shard := c.adapters[adapterShard(e.Ref)]
 	delete(shard, e.Ref)
@@ -212,6 +237,9 @@
 	for _, name := range slices.Sorted(maps.Keys(c.customers)) {
 		config.Customers = append(config.Customers, *c.customers[name])
 	}
+	for _, name := range slices.Sorted(maps.Keys(c.operators)) {
+		config.Operators = append(config.Operators, *c.operators[name])
+	}
 	byService := make(map[ServiceID][]deckconfig.Adapter)
 	for _, shard := range c.adapters {
 		for ref, a := range shard {
@@ -225,6 +253,12 @@
 			return strings.Compare(a.Name, b.Name)
 		})
 		config.Services = append(config.Services, service)
+		delete(byService, name)
+	}
+	for _, name := range slices.Sorted(maps.Keys(byService)) {
+		// A service without a kind makes the validation refuse adapters whose
+		// service was deleted by another change.
+		config.Services = append(config.Services, deckconfig.Service{Name: string(name), Adapters: byService[name]})
 	}
 	return config
 }
@@ -242,6 +276,22 @@
 	return customer, ok
 }
 
+// OperatorByKey returns the operator of an operator key. It compares the hash of
+// the key with every hash of the configuration in constant time.
+func (c *Catalog) OperatorByKey(key string) (deckconfig.Operator, bool) {
+	hash := []byte(HashKey(key))
+	var found deckconfig.Operator
+	ok := false
+	for _, operator := range c.operators {
+		for _, known := range operator.KeyHashes {
+			if subtle.ConstantTimeCompare(hash, []byte(known)) == 1 {
+				found, ok = *operator, true
+			}
+		}
+	}
+	return found, ok
+}
+
 // Customer returns a customer, or nil.
 func (c *Catalog) Customer(id CustomerID) *deckconfig.Customer { return c.customers[id] }
 
