--- a/internal/node/config/node.go
+++ b/internal/node/config/node.go
@@ -69,6 +69,8 @@
 	log      recordLog
 	snapshot encodedSnapshot
 	diverged bool
+	closed   bool
+	cleaned  uint64 // snapshot whose garbage was deleted
 }
 
 // New returns a node that is not running.
@@ -85,14 +87,18 @@
 
 // Start runs the loops until Close.
 func (n *Node) Start() {
-	n.wg.Add(3)
+	n.wg.Add(4)
 	go n.tick()
 	go n.watch()
 	go n.gossip()
+	go n.compaction()
 }
 
 // Close stops the loops and waits for them.
 func (n *Node) Close() {
+	n.mu.Lock()
+	n.closed = true
+	n.mu.Unlock()
 	n.stop()
 	n.wg.Wait()
 }
@@ -146,7 +152,13 @@
 	}
 }
 
+// spawn runs work until Close. After Close it does nothing.
 func (n *Node) spawn(work func(context.Context)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return
+	}
 	n.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(n.ctx, readTimeout)
 		defer cancel()
