--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -76,6 +76,8 @@
 	}
 	// Ranks sets the targets, worth and shares of the ranks, most urgent first.
 	Ranks struct{ Ranks []state.RankInfo }
+	// Staying reports that an upstream that was leaving takes work again.
+	Staying struct{}
 	// Tick lets time pass.
 	Tick struct{}
 )
@@ -91,6 +93,7 @@
 func (Leaving) event()     {}
 func (StoreBudget) event() {}
 func (Ranks) event()       {}
+func (Staying) event()     {}
 func (Tick) event()        {}
 
 // Action is an output of a Core.
