Check and order the parts of an answer in one place, and decide on retries in a core

A refusal after an attempt that may have run was reported as not run; parts of an attempt that was given up, of another attempt or before the head were not told apart; and a request that met a change of owner used up its attempts in 0.6 s. The answer core now refuses such parts with an error for each, the retry core keeps whether a request may have run, waits up to 5 s for an owner, and holds a shared budget of one retry for five requests.

--- a/internal/coordination/answer/answer.go
+++ b/internal/coordination/answer/answer.go
@@ -1,95 +1,218 @@
-// Package answer puts the chunks of one answer into order. Chunks may arrive
-// late, twice, out of order and from more than one attempt.
+// Package answer checks the parts of one answer and puts them into order. Parts
+// may arrive late, twice, out of order and from several attempts at once.
 package answer
 
-import "errors"
+import (
+	"errors"
+	"fmt"
+	"math"
 
-// MaxPending is the largest number of chunks held back while one is missing.
-const MaxPending = 4096
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+// Limits of what is held back while an earlier piece is missing.
+const (
+	MaxPending      = 4096
+	MaxPendingBytes = 4 << 20
+)
 
-// Errors of an Assembler.
+// Errors of an Answer. None of them changes what was delivered.
 var (
-	ErrTooManyPending = errors.New("answer: too many chunks arrived ahead of a missing one")
-	ErrShort          = errors.New("answer: the end came before the last chunk")
-	ErrEnded          = errors.New("answer: chunk after the end")
+	ErrWrongAdapter   = errors.New("answer: given by another adapter or version")
+	ErrBootChanged    = errors.New("answer: the upstream restarted within an attempt")
+	ErrNoHead         = errors.New("answer: part before the head of its attempt")
+	ErrStaleAttempt   = errors.New("answer: part of an attempt that was given up")
+	ErrTooManyPending = errors.New("answer: too many parts arrived ahead of a missing one")
+	ErrShort          = errors.New("answer: the end came before the last part")
+	ErrEnded          = errors.New("answer: part after the end")
+	ErrBadPart        = errors.New("answer: part with an impossible size")
+	ErrBegunAnew      = errors.New("answer: a plain answer can't be continued by another attempt")
 )
 
-// Piece is a part of an answer: Count units starting at Offset.
+// Piece is a part of an answer: Count units starting at Offset. Units are tokens
+// of models and bytes of plain services.
 type Piece struct {
 	Offset uint32
 	Count  uint32
 	Data   []byte
 }
 
-// Assembler orders the pieces of one answer. It is not safe for concurrent use.
+// Answer is the state of one answer. It is not safe for concurrent use.
 //
-// Invariant: every unit below next was delivered exactly once and in order.
-type Assembler struct {
-	next    uint32
-	ended   bool
+// Invariants: every unit below Next was delivered exactly once and in order, by
+// an attempt whose head named the wanted adapter and version; after the end
+// nothing is delivered.
+type Answer struct {
+	want     state.AdapterRef // zero for plain services
+	next     uint32
+	started  bool
+	ended    bool
+	attempts []attempt // open attempts, oldest first
+	ready    []Piece   // result of the last Add
+}
+
+type attempt struct {
+	number  uint32
+	headed  bool
+	boot    state.BootID
 	pending map[uint32]Piece
+	bytes   int
 }
 
+// New returns an answer that only the given adapter version may give. The zero
+// reference stands for a plain service.
+func New(want state.AdapterRef) *Answer { return &Answer{want: want} }
+
 // Next returns the offset of the first unit that was not delivered.
-func (a *Assembler) Next() uint32 { return a.next }
+func (a *Answer) Next() uint32 { return a.next }
+
+// Started reports whether a head was delivered.
+func (a *Answer) Started() bool { return a.started }
+
+// Ended reports whether the whole answer was delivered.
+func (a *Answer) Ended() bool { return a.ended }
 
-// Add takes a piece and returns the pieces that can be delivered now. A piece
-// that was delivered before is dropped. A piece that straddles the delivered
-// range is dropped as well: attempts resume at Next, on a piece boundary.
-func (a *Assembler) Add(p Piece) ([]Piece, error) {
-	if a.ended {
+// Open lets an attempt contribute to the answer.
+func (a *Answer) Open(number uint32) {
+	if a.find(number) != nil {
+		panic(fmt.Sprintf("answer: attempt %d is open already", number))
+	}
+	a.attempts = append(a.attempts, attempt{number: number})
+}
+
+// Close gives an attempt up. What it held back is dropped, and its later parts
+// are refused.
+func (a *Answer) Close(number uint32) {
+	for i := range a.attempts {
+		if a.attempts[i].number == number {
+			a.attempts = append(a.attempts[:i], a.attempts[i+1:]...)
+			return
+		}
+	}
+}
+
+// Head takes the head of an attempt. It reports whether the head is the first of
+// the answer and should be delivered.
+func (a *Answer) Head(number uint32, adapter state.AdapterRef, boot state.BootID) (bool, error) {
+	t := a.find(number)
+	switch {
+	case a.ended:
+		return false, ErrEnded
+	case t == nil:
+		return false, ErrStaleAttempt
+	case adapter != a.want:
+		return false, ErrWrongAdapter
+	case t.headed && t.boot != boot:
+		return false, ErrBootChanged
+	case !t.headed && a.started && a.want.IsZero():
+		return false, ErrBegunAnew
+	}
+	t.headed, t.boot = true, boot
+	first := !a.started
+	a.started = true
+	return first, nil
+}
+
+// Add takes a piece and returns the pieces that can be delivered now. They are
+// valid until the next call. A piece that was delivered before is dropped, and so
+// is one that straddles the delivered range: attempts resume at Next, on the
+// boundary of a piece.
+func (a *Answer) Add(number uint32, p Piece) ([]Piece, error) {
+	t := a.find(number)
+	switch {
+	case a.ended:
 		return nil, ErrEnded
+	case t == nil:
+		return nil, ErrStaleAttempt
+	case !t.headed:
+		return nil, ErrNoHead
+	case p.Count > math.MaxUint32-p.Offset:
+		return nil, ErrBadPart
 	}
-	if p.Count == 0 || p.Offset < a.next {
+	a.ready = a.ready[:0]
+	switch {
+	case p.Count == 0 || p.Offset < a.next:
 		return nil, nil
+	case p.Offset > a.next:
+		return nil, t.hold(p)
 	}
-	if p.Offset > a.next {
-		return nil, a.hold(p)
-	}
-	ready := []Piece{p}
-	a.next += p.Count
-	for len(a.pending) > 0 {
-		q, ok := a.pending[a.next]
-		if !ok {
-			break
-		}
-		delete(a.pending, a.next)
-		ready = append(ready, q)
-		a.next += q.Count
+	a.deliver(p)
+	for a.release() {
 	}
-	a.dropStale()
-	return ready, nil
+	return a.ready, nil
 }
 
 // End closes the answer at total units. It fails with ErrShort when units are
 // missing; the answer then stays open for a further attempt.
-func (a *Assembler) End(total uint32) error {
-	if a.ended {
+func (a *Answer) End(number, total uint32) error {
+	t := a.find(number)
+	switch {
+	case a.ended:
 		return ErrEnded
-	}
-	if a.next != total {
+	case t == nil:
+		return ErrStaleAttempt
+	case !t.headed:
+		return ErrNoHead
+	case a.next != total:
 		return ErrShort
 	}
 	a.ended = true
-	a.pending = nil
+	a.attempts = nil
+	return nil
+}
+
+func (a *Answer) find(number uint32) *attempt {
+	for i := range a.attempts {
+		if a.attempts[i].number == number {
+			return &a.attempts[i]
+		}
+	}
 	return nil
 }
 
-func (a *Assembler) hold(p Piece) error {
-	if len(a.pending) >= MaxPending {
+func (a *Answer) deliver(p Piece) {
+	if p.Offset != a.next {
+		panic(fmt.Sprintf("answer: delivery of offset %d instead of %d", p.Offset, a.next))
+	}
+	a.ready = append(a.ready, p)
+	a.next += p.Count
+}
+
+// release delivers one piece that was held back, if it is due.
+func (a *Answer) release() bool {
+	for i := range a.attempts {
+		if p, ok := a.attempts[i].take(a.next); ok {
+			a.deliver(p)
+			return true
+		}
+	}
+	return false
+}
+
+func (t *attempt) hold(p Piece) error {
+	if _, twice := t.pending[p.Offset]; twice {
+		return nil
+	}
+	if len(t.pending) >= MaxPending || t.bytes+len(p.Data) > MaxPendingBytes {
 		return ErrTooManyPending
 	}
-	if a.pending == nil {
-		a.pending = make(map[uint32]Piece)
+	if t.pending == nil {
+		t.pending = make(map[uint32]Piece)
 	}
-	a.pending[p.Offset] = p
+	t.pending[p.Offset] = p
+	t.bytes += len(p.Data)
 	return nil
 }
 
-func (a *Assembler) dropStale() {
-	for offset := range a.pending {
-		if offset < a.next {
-			delete(a.pending, offset)
-		}
+// take removes the piece at an offset.
+func (t *attempt) take(offset uint32) (Piece, bool) {
+	if len(t.pending) == 0 {
+		return Piece{}, false
+	}
+	p, ok := t.pending[offset]
+	if ok {
+		delete(t.pending, offset)
+		t.bytes -= len(p.Data)
 	}
+	return p, ok
 }
--- /dev/null
+++ b/internal/coordination/answer/answer_test.go
@@ -0,0 +1,154 @@
+package answer_test
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/answer"
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+var blitz = state.AdapterRef{Service: "advice", Adapter: "blitz", Version: "v1"}
+
+func opened(t *testing.T, attempts ...uint32) *answer.Answer {
+	t.Helper()
+	a := answer.New(blitz)
+	for _, n := range attempts {
+		a.Open(n)
+		_, err := a.Head(n, blitz, "boot")
+		qt.Assert(t, err, qt.IsNil)
+	}
+	return a
+}
+
+func piece(offset uint32) answer.Piece {
+	return answer.Piece{Offset: offset, Count: 1, Data: []byte{byte(offset)}}
+}
+
+func TestHeadOfAnotherVersionIsRefused(t *testing.T) {
+	a := answer.New(blitz)
+	a.Open(1)
+	other := blitz
+	other.Version = "v2"
+	_, err := a.Head(1, other, "boot")
+	qt.Check(t, err, qt.Equals, answer.ErrWrongAdapter)
+	_, err = a.Add(1, piece(0))
+	qt.Check(t, err, qt.Equals, answer.ErrNoHead)
+	qt.Check(t, a.End(1, 0), qt.Equals, answer.ErrNoHead)
+}
+
+func TestRestartWithinAnAttemptIsRefused(t *testing.T) {
+	a := opened(t, 1)
+	_, err := a.Head(1, blitz, "another boot")
+	qt.Check(t, err, qt.Equals, answer.ErrBootChanged)
+}
+
+func TestLatePartOfAGivenUpAttemptIsRefused(t *testing.T) {
+	a := opened(t, 1, 2)
+	_, err := a.Add(1, piece(1))
+	qt.Assert(t, err, qt.IsNil)
+	a.Close(1)
+	_, err = a.Add(1, piece(0))
+	qt.Check(t, err, qt.Equals, answer.ErrStaleAttempt)
+	ready, err := a.Add(2, piece(0))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, ready, qt.HasLen, 1, qt.Commentf("the piece held for attempt 1 must be gone"))
+	qt.Check(t, a.End(1, 1), qt.Equals, answer.ErrStaleAttempt)
+}
+
+func TestTruncatedAnswerNeverEnds(t *testing.T) {
+	a := opened(t, 1)
+	_, _ = a.Add(1, piece(0))
+	_, _ = a.Add(1, piece(2))
+	qt.Check(t, a.End(1, 3), qt.Equals, answer.ErrShort)
+	qt.Check(t, a.End(1, 0), qt.Equals, answer.ErrShort)
+	_, _ = a.Add(1, piece(1))
+	qt.Check(t, a.End(1, 3), qt.IsNil)
+	_, err := a.Add(1, piece(3))
+	qt.Check(t, err, qt.Equals, answer.ErrEnded)
+}
+
+func TestPlainAnswerIsNotContinuedByAnotherAttempt(t *testing.T) {
+	a := answer.New(state.AdapterRef{})
+	a.Open(1)
+	_, err := a.Head(1, state.AdapterRef{}, "boot")
+	qt.Assert(t, err, qt.IsNil)
+	a.Close(1)
+	a.Open(2)
+	_, err = a.Head(2, state.AdapterRef{}, "boot")
+	qt.Check(t, err, qt.Equals, answer.ErrBegunAnew)
+}
+
+func TestPartsAheadOfAMissingOneAreBounded(t *testing.T) {
+	a := opened(t, 1)
+	for i := range uint32(answer.MaxPending) {
+		_, err := a.Add(1, piece(i+1))
+		qt.Assert(t, err, qt.IsNil)
+	}
+	_, err := a.Add(1, piece(answer.MaxPending+1))
+	qt.Check(t, err, qt.Equals, answer.ErrTooManyPending)
+	b := opened(t, 1)
+	_, err = b.Add(1, answer.Piece{Offset: 1, Count: 1, Data: make([]byte, answer.MaxPendingBytes+1)})
+	qt.Check(t, err, qt.Equals, answer.ErrTooManyPending)
+	_, err = b.Add(1, answer.Piece{Offset: 2, Count: ^uint32(0)})
+	qt.Check(t, err, qt.Equals, answer.ErrBadPart)
+}
+
+// TestAnyOrderOfPartsGivesTheSameAnswer draws two attempts that are alive at once
+// and whose parts come in any order, some of them twice.
+func TestAnyOrderOfPartsGivesTheSameAnswer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.Uint32Range(0, 40).Draw(t, "total")
+		a := answer.New(blitz)
+		for n := uint32(1); n <= 2; n++ {
+			a.Open(n)
+			_, err := a.Head(n, blitz, "boot")
+			must(t, err == nil, "%v", err)
+		}
+		offsets := rapid.Permutation(twice(total)).Draw(t, "order")
+		var got []byte
+		for i, offset := range offsets {
+			number := uint32(1 + i%2)
+			if rapid.IntRange(0, 20).Draw(t, "end early") == 0 {
+				if a.End(number, total) == nil {
+					must(t, len(got) == int(total), "ended after %d of %d", len(got), total)
+				}
+			}
+			ready, err := a.Add(number, piece(offset))
+			if a.Ended() {
+				must(t, errors.Is(err, answer.ErrEnded), "%v after the end", err)
+				break
+			}
+			must(t, err == nil, "%v", err)
+			for _, p := range ready {
+				got = append(got, p.Data...)
+			}
+		}
+		if !a.Ended() {
+			must(t, a.End(1, total) == nil, "no end at %d of %d", a.Next(), total)
+		}
+		var want bytes.Buffer
+		for i := range total {
+			want.WriteByte(byte(i))
+		}
+		must(t, bytes.Equal(got, want.Bytes()), "got %v", got)
+	})
+}
+
+func twice(total uint32) []uint32 {
+	var out []uint32
+	for i := range total {
+		out = append(out, i, i)
+	}
+	return out
+}
+
+func must(t *rapid.T, ok bool, format string, args ...any) {
+	if !ok {
+		t.Fatalf(format, args...)
+	}
+}
--- /dev/null
+++ b/internal/coordination/retry/retry.go
@@ -0,0 +1,132 @@
+// Package retry decides whether a request that failed at one upstream is tried
+// again, and keeps what is known about its execution.
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+// Limits of retries.
+const (
+	// MaxTries bounds the attempts of one request at upstreams that refused it or
+	// failed. Attempts that only missed the owner do not count.
+	MaxTries = 4
+	// ownerChange is how long a request waits for a change of owner to be known.
+	ownerChange  = 5 * time.Second
+	firstGap     = 20 * time.Millisecond
+	longestGap   = 200 * time.Millisecond
+	budgetEarned = 0.2 // retries per request
+	budgetMax    = 200
+)
+
+// Cause says why an attempt failed.
+type Cause uint8
+
+// Causes of failed attempts.
+const (
+	// Final failures are the same at every upstream.
+	Final Cause = iota
+	// Refused means that the upstream or its owner did not take the request.
+	Refused
+	// NotOwner means that the request went to a daemon that is not the owner.
+	NotOwner
+	// Failed means that the attempt broke.
+	Failed
+)
+
+// Failure is the end of an attempt that brought no whole answer.
+type Failure struct {
+	Cause    Cause
+	MaybeRan bool // the upstream may have run the request
+	Begun    bool // a part of the answer was delivered to the caller
+}
+
+// Decision is what follows a failure.
+type Decision struct {
+	Retry   bool
+	After   time.Duration
+	Exclude bool // leave out the upstream that failed
+}
+
+// Plan holds the attempts of one request. It is not safe for concurrent use.
+//
+// Invariant: a request that may not repeat is not tried again once it may have
+// run, and a request that may have run never counts as not run later.
+type Plan struct {
+	budget     *Budget
+	repeatable bool
+	resumable  bool
+	tries      int
+	gap        time.Duration
+	ownerSince time.Time
+	maybeRan   bool
+}
+
+// NewPlan returns the plan of a request. Answers of resumable requests can be
+// continued by another attempt.
+func NewPlan(budget *Budget, repeatable, resumable bool) *Plan {
+	budget.earn()
+	return &Plan{budget: budget, repeatable: repeatable, resumable: resumable, gap: firstGap}
+}
+
+// MaybeRan reports whether an attempt may have run the request.
+func (p *Plan) MaybeRan() bool { return p.maybeRan }
+
+// Handle takes the failure of an attempt.
+func (p *Plan) Handle(now time.Time, f Failure) Decision {
+	p.maybeRan = p.maybeRan || f.MaybeRan
+	switch {
+	case f.Cause == Final:
+		return Decision{}
+	case p.maybeRan && !p.repeatable:
+		return Decision{}
+	case f.Begun && !p.resumable:
+		return Decision{}
+	case f.Cause == NotOwner:
+		return p.waitForOwner(now)
+	}
+	p.tries++
+	if p.tries >= MaxTries || !p.budget.spend() {
+		return Decision{}
+	}
+	return Decision{Retry: true, Exclude: true}
+}
+
+func (p *Plan) waitForOwner(now time.Time) Decision {
+	if p.ownerSince.IsZero() {
+		p.ownerSince = now
+	}
+	if now.Sub(p.ownerSince) >= ownerChange {
+		return Decision{}
+	}
+	d := Decision{Retry: true, After: p.gap}
+	p.gap = min(2*p.gap, longestGap)
+	return d
+}
+
+// Budget bounds the retries of a daemon to a part of its requests, so that a
+// failing fleet is not loaded further by retries. It is safe for concurrent use.
+type Budget struct {
+	mu     sync.Mutex
+	tokens float64
+}
+
+// NewBudget returns a full budget.
+func NewBudget() *Budget { return &Budget{tokens: budgetMax} }
+
+func (b *Budget) earn() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.tokens+budgetEarned, budgetMax)
+}
+
+func (b *Budget) spend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/coordination/retry/retry_test.go
@@ -0,0 +1,80 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/retry"
+)
+
+var now = time.Unix(1_800_000_000, 0)
+
+func TestRetriesFollowWhatMayHaveHappened(t *testing.T) {
+	tests := []struct {
+		name       string
+		repeatable bool
+		resumable  bool
+		failure    retry.Failure
+		want       bool
+	}{
+		{"refused and not repeatable", false, false, retry.Failure{Cause: retry.Refused}, true},
+		{"may have run and not repeatable", false, true, retry.Failure{Cause: retry.Failed, MaybeRan: true}, false},
+		{"not sent and not repeatable", false, false, retry.Failure{Cause: retry.Failed}, true},
+		{"may have run and repeatable", true, true, retry.Failure{Cause: retry.Failed, MaybeRan: true}, true},
+		{"begun and resumable", true, true, retry.Failure{Cause: retry.Failed, MaybeRan: true, Begun: true}, true},
+		{"begun and not resumable", true, false, retry.Failure{Cause: retry.Failed, MaybeRan: true, Begun: true}, false},
+		{"final", true, true, retry.Failure{Cause: retry.Final}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := retry.NewPlan(retry.NewBudget(), test.repeatable, test.resumable)
+			qt.Check(t, p.Handle(now, test.failure).Retry, qt.Equals, test.want)
+		})
+	}
+}
+
+func TestRefusalAfterAnAttemptThatMayHaveRunIsNotNotRun(t *testing.T) {
+	p := retry.NewPlan(retry.NewBudget(), true, true)
+	p.Handle(now, retry.Failure{Cause: retry.Failed, MaybeRan: true})
+	p.Handle(now, retry.Failure{Cause: retry.Refused})
+	qt.Check(t, p.MaybeRan(), qt.IsTrue)
+}
+
+func TestAttemptsAreBounded(t *testing.T) {
+	p := retry.NewPlan(retry.NewBudget(), true, true)
+	tries := 1
+	for p.Handle(now, retry.Failure{Cause: retry.Refused}).Retry {
+		tries++
+	}
+	qt.Check(t, tries, qt.Equals, retry.MaxTries)
+}
+
+func TestWaitForAnOwnerIsBoundedByTime(t *testing.T) {
+	p := retry.NewPlan(retry.NewBudget(), false, false)
+	at := now
+	for {
+		d := p.Handle(at, retry.Failure{Cause: retry.NotOwner})
+		if !d.Retry {
+			break
+		}
+		qt.Assert(t, d.Exclude, qt.IsFalse)
+		at = at.Add(d.After)
+	}
+	qt.Check(t, at.Sub(now) < 6*time.Second, qt.IsTrue)
+	qt.Check(t, at.Sub(now) > 4*time.Second, qt.IsTrue)
+}
+
+func TestFailingFleetGetsFewRetries(t *testing.T) {
+	budget := retry.NewBudget()
+	const requests = 10000
+	retries := 0
+	for range requests {
+		p := retry.NewPlan(budget, true, true)
+		for p.Handle(now, retry.Failure{Cause: retry.Failed, MaybeRan: true}).Retry {
+			retries++
+		}
+	}
+	qt.Check(t, retries <= requests/4, qt.IsTrue, qt.Commentf("%d retries", retries))
+}
--- a/internal/node/entry/gateway.go
+++ b/internal/node/entry/gateway.go
@@ -4,19 +4,19 @@
 
 import (
 	"context"
-	"sync"
+	"errors"
 	"time"
 
-	"github.com/celerydeck/celerydeck/internal/coordination/answer"
+	"github.com/celerydeck/celerydeck/internal/coordination/retry"
 	"github.com/celerydeck/celerydeck/internal/coordination/routing"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 )
 
 const (
-	maxAttempts    = 6
-	noUpstreamGap  = 50 * time.Millisecond
-	ownerChangeGap = 100 * time.Millisecond
+	noUpstreamTries = 20
+	noUpstreamGap   = 50 * time.Millisecond
+	noUpstreamRetry = time.Second
 )
 
 // Owner runs calls on the upstreams of this daemon.
@@ -42,11 +42,24 @@
 
 // Gateway serves requests from end to end. It is safe for concurrent use.
 type Gateway struct {
-	opts Options
+	opts   Options
+	budget *retry.Budget
 }
 
 // New returns a gateway.
-func New(opts Options) *Gateway { return &Gateway{opts: opts} }
+func New(opts Options) *Gateway { return &Gateway{opts: opts, budget: retry.NewBudget()} }
+
+// session is one request with its attempts.
+type session struct {
+	g        *Gateway
+	call     *protocol.Call
+	route    *routing.Request
+	out      *delivery
+	plan     *retry.Plan
+	deadline time.Time
+	attempt  uint32
+	last     *protocol.Error
+}
 
 // Serve runs a call and delivers the whole answer to sink in order and once. An
 // error means that the answer is not whole; its outcome says what is known.
@@ -54,7 +67,18 @@
 	deadline := g.opts.Clock().Add(call.Budget)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	out := &ordered{sink: sink}
+	s := &session{
+		g:        g,
+		call:     call,
+		route:    g.route(call, base),
+		out:      newDelivery(call, sink),
+		plan:     retry.NewPlan(g.budget, call.Repeatable, call.Model != nil),
+		deadline: deadline,
+	}
+	return s.run(ctx)
+}
+
+func (g *Gateway) route(call *protocol.Call, base string) *routing.Request {
 	route := &routing.Request{
 		Base:    base,
 		Service: call.Service,
@@ -67,44 +91,37 @@
 		route.Prefix = call.Model.Prefix
 		route.PromptTokens = call.Model.PromptLen
 	}
-	var last *protocol.Error
-	for attempt := uint32(1); attempt <= maxAttempts; attempt++ {
-		choice := g.pick(ctx, route)
+	return route
+}
+
+func (s *session) run(ctx context.Context) *protocol.Error {
+	for {
+		choice := s.pick(ctx)
 		if choice.Upstream == nil {
-			return g.noUpstream(last)
-		}
-		try := *call
-		try.Attempt = attempt
-		try.Upstream = choice.Upstream.ID
-		try.Budget = deadline.Sub(g.opts.Clock())
-		if call.Model != nil {
-			model := *call.Model
-			model.Resume = out.next()
-			try.Model = &model
+			return s.noUpstream(ctx)
 		}
-		err := g.attempt(ctx, choice.Upstream.Owner, &try, out)
+		s.attempt++
+		err := s.try(ctx, choice.Upstream)
 		if err == nil {
 			return nil
 		}
-		last = err
-		if !g.retryable(ctx, call, err, out) {
-			return err
+		s.last = err
+		decision := s.plan.Handle(s.g.opts.Clock(), failure(err, s.out.started()))
+		if !decision.Retry || ctx.Err() != nil {
+			return s.final(ctx, err)
 		}
-		if err.Kind == protocol.KindNotOwner {
-			sleep(ctx, ownerChangeGap)
-			continue
+		if decision.Exclude {
+			s.route.Exclude = append(s.route.Exclude, choice.Upstream.ID)
 		}
-		route.Exclude = append(route.Exclude, choice.Upstream.ID)
+		sleep(ctx, decision.After)
 	}
-	return last
 }
 
 // pick waits a little for an upstream to appear, as after a start.
-func (g *Gateway) pick(ctx context.Context, route *routing.Request) routing.Choice {
-	const tries = 20
-	for range tries {
-		choice := g.opts.Router.Pick(g.opts.Clock(), route)
-		if choice.Upstream != nil || len(route.Exclude) > 0 {
+func (s *session) pick(ctx context.Context) routing.Choice {
+	for range noUpstreamTries {
+		choice := s.g.opts.Router.Pick(s.g.opts.Clock(), s.route)
+		if choice.Upstream != nil || len(s.route.Exclude) > 0 || ctx.Err() != nil {
 			return choice
 		}
 		sleep(ctx, noUpstreamGap)
@@ -112,130 +129,86 @@
 	return routing.Choice{}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
-func (g *Gateway) noUpstream(last *protocol.Error) *protocol.Error {
-	if last != nil {
-		return last
+// try runs one attempt at the owner of an upstream.
+func (s *session) try(ctx context.Context, u *state.Upstream) *protocol.Error {
+	call := *s.call
+	call.Attempt = s.attempt
+	call.Upstream = u.ID
+	call.Budget = s.deadline.Sub(s.g.opts.Clock())
+	if call.Model != nil {
+		model := *call.Model
+		model.Resume = s.out.next()
+		call.Model = &model
 	}
-	err := protocol.Errorf(protocol.KindUnavailable, "choose upstream", protocol.OutcomeNotRun, "no upstream can serve the request")
-	err.RetryAfter = time.Second
-	return err
-}
-
-func (g *Gateway) attempt(ctx context.Context, owner state.DaemonID, call *protocol.Call, out *ordered) *protocol.Error {
-	a := &attemptSink{out: out, call: call}
+	sink := s.out.open(&call)
+	defer sink.close()
 	var err *protocol.Error
-	if owner == g.opts.Self {
-		err = g.opts.Owner.Submit(ctx, call, a)
+	if u.Owner == s.g.opts.Self {
+		err = s.g.opts.Owner.Submit(ctx, &call, sink)
 	} else {
-		err = g.opts.Peers.Call(ctx, owner, call, a)
+		err = s.g.opts.Peers.Call(ctx, u.Owner, &call, sink)
 	}
-	if a.failure != nil {
-		return a.failure
+	if failed := sink.failed(); failed != nil {
+		return failed
 	}
-	if err == nil && !out.isDone() {
-		return protocol.Errorf(protocol.KindInterrupted, "read answer", protocol.OutcomeUnknown, "answer is not whole").WithPeer(string(owner))
+	if err == nil && !s.out.ended() {
+		return protocol.Errorf(protocol.KindInterrupted, stepRead, protocol.OutcomeUnknown, "the answer is not whole").WithPeer(string(u.Owner))
+	}
+	if err != nil && s.out.ended() {
+		// The answer was delivered whole; what broke afterwards does not matter.
+		return nil
 	}
 	return err
 }
 
-func (g *Gateway) retryable(ctx context.Context, call *protocol.Call, err *protocol.Error, out *ordered) bool {
-	if ctx.Err() != nil || err.Kind == protocol.KindBadRequest || err.Kind == protocol.KindCanceled {
-		return false
+func (s *session) noUpstream(ctx context.Context) *protocol.Error {
+	if s.last != nil {
+		return s.final(ctx, s.last)
 	}
-	if err.Outcome == protocol.OutcomeNotRun {
-		return true
-	}
-	if call.Model == nil {
-		return call.Repeatable && !out.started()
-	}
-	return call.Repeatable
-}
-
-// ordered delivers the answer of all attempts in order to one sink.
-type ordered struct {
-	mu     sync.Mutex
-	sink   protocol.Sink
-	asm    answer.Assembler
-	headed bool
-	done   bool
-}
-
-func (o *ordered) next() uint32 {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.asm.Next()
-}
-
-func (o *ordered) isDone() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.done
-}
-
-func (o *ordered) started() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.headed
-}
-
-// attemptSink checks the parts of one attempt and hands them on.
-type attemptSink struct {
-	out     *ordered
-	call    *protocol.Call
-	failure *protocol.Error
+	err := protocol.Errorf(protocol.KindUnavailable, "choose upstream", protocol.OutcomeNotRun, "no upstream can serve the request").
+		WithPeer(string(s.g.opts.Self))
+	err.RetryAfter = noUpstreamRetry
+	return s.final(ctx, err)
 }
 
-func (a *attemptSink) Head(h protocol.Head) error {
-	if a.call.Model != nil && h.Adapter != a.call.Model.Adapter {
-		a.failure = protocol.Errorf(protocol.KindWrongAdapter, "check answer", protocol.OutcomeUnknown,
-			"answered by %s instead of %s", h.Adapter, a.call.Model.Adapter).WithPeer(string(h.Upstream))
-		return a.failure
+// final returns the error that the caller sees. Its outcome covers all attempts.
+func (s *session) final(ctx context.Context, err *protocol.Error) *protocol.Error {
+	e := *err
+	if s.plan.MaybeRan() && e.Outcome == protocol.OutcomeNotRun {
+		e.Outcome = protocol.OutcomeUnknown
+		e.RetryAfter = 0
 	}
-	a.out.mu.Lock()
-	defer a.out.mu.Unlock()
-	if a.out.headed {
-		return nil
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		e.Kind = protocol.KindDeadline
+	case ctx.Err() != nil:
+		e.Kind = protocol.KindCanceled
 	}
-	a.out.headed = true
-	return a.out.sink.Head(h)
+	return &e
 }
 
-func (a *attemptSink) Chunk(c protocol.Chunk) error {
-	a.out.mu.Lock()
-	defer a.out.mu.Unlock()
-	ready, err := a.out.asm.Add(answer.Piece{Offset: c.Offset, Count: c.Count, Data: c.Data})
-	if err != nil {
-		return err
-	}
-	for _, p := range ready {
-		part := protocol.Chunk{Attempt: c.Attempt, Offset: p.Offset, Count: p.Count, Data: p.Data}
-		if err := a.out.sink.Chunk(part); err != nil {
-			return err
-		}
+// failure translates an error for the decision about a retry.
+func failure(err *protocol.Error, begun bool) retry.Failure {
+	f := retry.Failure{Cause: retry.Failed, MaybeRan: err.Outcome != protocol.OutcomeNotRun, Begun: begun}
+	switch err.Kind {
+	case protocol.KindBadRequest, protocol.KindCanceled, protocol.KindDeadline, protocol.KindTooLarge, protocol.KindRefusedPoison:
+		f.Cause = retry.Final
+	case protocol.KindNotOwner:
+		f.Cause = retry.NotOwner
+	case protocol.KindOverloaded:
+		f.Cause = retry.Refused
 	}
-	return nil
+	return f
 }
 
-func (a *attemptSink) End(e protocol.End) error {
-	if e.Err != nil {
-		a.failure = e.Err
-		return nil
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
 	}
-	a.out.mu.Lock()
-	defer a.out.mu.Unlock()
-	if err := a.out.asm.End(e.Total); err != nil {
-		a.failure = protocol.Errorf(protocol.KindInterrupted, "read answer", protocol.OutcomeUnknown, "%v", err)
-		return nil
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	a.out.done = true
-	return a.out.sink.End(e)
 }
