Choose upstreams by expected time to the first token among few candidates

Change: the fleet table keeps indexes, updated by each change of an entry: adapter to engines that hold or load it, and per base model and region the rendezvous orders of 16,384 partitions, computed when first used. Scored takes the holders (eight, or four of many) and the next three engines of the order, and compares expected wait, stall, order, zone and prefill. A report is corrected by what this daemon sent since; jitter that follows the conversation breaks herds. The entry tells trackers how attempts end, and heartbeats carry loading adapters, role and queues by rank.

--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -163,14 +163,16 @@
 }
 
 func newGateway(s Settings, fleet *state.Fleet, m *owner.Manager, pool *peer.Pool, c *cluster.Cluster) *entry.Gateway {
+	router := newRouter(fleet)
 	return entry.New(entry.Options{
-		Self:   state.DaemonID(s.ID),
-		Zone:   state.Zone(s.Zone),
-		Region: state.Region(s.Region),
-		Router: routing.NewSimple(fleet),
-		Owner:  m,
-		Peers:  peers{pool: pool, cluster: c},
-		Clock:  time.Now,
+		Self:     state.DaemonID(s.ID),
+		Zone:     state.Zone(s.Zone),
+		Region:   state.Region(s.Region),
+		Router:   router,
+		Trackers: []routing.Tracker{router},
+		Owner:    m,
+		Peers:    peers{pool: pool, cluster: c},
+		Clock:    time.Now,
 	})
 }
 
--- /dev/null
+++ b/internal/coordination/routing/bench_test.go
@@ -0,0 +1,65 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/routing"
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+const slotsPerEngine = 16
+
+// fullFleet returns engines in one region with all slots taken by adapters of
+// Zipf popularity.
+func fullFleet(engines, adapters int) *state.Fleet {
+	rng := rand.New(rand.NewPCG(1, 2))
+	zipf := rand.NewZipf(rng, 1.1, 1, uint64(adapters-1))
+	fleet := state.NewFleet()
+	for i := range engines {
+		u := engine(i)
+		held := make(map[uint64]bool)
+		for len(held) < slotsPerEngine {
+			a := zipf.Uint64()
+			if !held[a] {
+				held[a] = true
+				u.Resident = append(u.Resident, ref(int(a)))
+			}
+		}
+		u.Running = rng.IntN(12)
+		fleet.Put(u)
+	}
+	return fleet
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, engines := range []int{12, 300, 6200} {
+		for _, adapters := range []int{3000, 82000} {
+			b.Run(fmt.Sprintf("scored/engines=%d/adapters=%d", engines, adapters), func(b *testing.B) {
+				benchmark(b, newRouter(fullFleet(engines, adapters), 1), adapters)
+			})
+		}
+	}
+	b.Run("simple/engines=6200/adapters=82000", func(b *testing.B) {
+		benchmark(b, routing.NewSimple(fullFleet(6200, 82000)), 82000)
+	})
+}
+
+func benchmark(b *testing.B, r routing.Router, adapters int) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	zipf := rand.NewZipf(rng, 1.1, 1, uint64(adapters-1))
+	requests := make([]*routing.Request, 1<<14)
+	for i := range requests {
+		requests[i] = request(int(zipf.Uint64()))
+		requests[i].Prefix = rng.Uint64()
+	}
+	r.Pick(start, requests[0])
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		if r.Pick(start, requests[i%len(requests)]).Upstream == nil {
+			b.Fatal("no upstream")
+		}
+	}
+}
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -17,6 +17,7 @@
 	Region       state.Region
 	Prefix       uint64
 	PromptTokens uint32
+	Repeatable   bool
 	Exclude      []state.UpstreamID
 }
 
@@ -24,9 +25,36 @@
 type Choice struct {
 	Upstream *state.Upstream
 	Resident bool
+	// Probe marks the single request that tests an ejected upstream.
+	Probe bool
 }
 
 // Router chooses upstreams.
 type Router interface {
 	Pick(now time.Time, req *Request) Choice
 }
+
+// Tracker is a Router that wants to know what became of its choices. Every Sent
+// is followed by exactly one Ended.
+type Tracker interface {
+	Sent(now time.Time, req *Request, c Choice)
+	Ended(now time.Time, req *Request, c Choice, result Result)
+}
+
+// Result says how an attempt ended.
+type Result struct {
+	Outcome    Outcome
+	FirstToken time.Duration // from sending until the first part; 0 without one
+	Total      time.Duration
+}
+
+// Outcome classifies the end of an attempt for the choice of upstreams.
+type Outcome uint8
+
+// Outcomes of an attempt.
+const (
+	OutcomeOK      Outcome = iota
+	OutcomeRefused         // not run, by decision of the owner
+	OutcomeFailed          // error of the upstream, or no progress
+	OutcomeNeutral         // canceled, or the fault of the caller
+)
--- a/internal/node/cluster/cluster.go
+++ b/internal/node/cluster/cluster.go
@@ -329,6 +329,10 @@
 		u.Slots = s.Slots
 		u.Batch = s.Batch
 		u.Resident = s.Resident
+		u.Loading = s.Loading
+		u.QueuedByRank = s.QueuedByRank
+		u.Role = s.Role
+		u.ReportedAt = c.opts.Clock()
 	})
 }
 
--- a/internal/node/entry/gateway.go
+++ b/internal/node/entry/gateway.go
@@ -35,9 +35,11 @@
 	Zone   state.Zone
 	Region state.Region
 	Router routing.Router
-	Owner  Owner
-	Peers  Peers
-	Clock  func() time.Time
+	// Trackers learn from the attempts. A Router that is a Tracker is one of them.
+	Trackers []routing.Tracker
+	Owner    Owner
+	Peers    Peers
+	Clock    func() time.Time
 }
 
 // Gateway serves requests from end to end. It is safe for concurrent use.
@@ -61,6 +63,8 @@
 		Rank:    call.Rank,
 		Zone:    g.opts.Zone,
 		Region:  g.opts.Region,
+
+		Repeatable: call.Repeatable,
 	}
 	if call.Model != nil {
 		route.Adapter = call.Model.Adapter
@@ -82,7 +86,9 @@
 			model.Resume = out.next()
 			try.Model = &model
 		}
-		err := g.attempt(ctx, choice.Upstream.Owner, &try, out)
+		tracked := g.track(route, choice)
+		err := g.attempt(ctx, choice.Upstream.Owner, &try, out, tracked)
+		tracked.end(err)
 		if err == nil {
 			return nil
 		}
@@ -130,8 +136,8 @@
 	return err
 }
 
-func (g *Gateway) attempt(ctx context.Context, owner state.DaemonID, call *protocol.Call, out *ordered) *protocol.Error {
-	a := &attemptSink{out: out, call: call}
+func (g *Gateway) attempt(ctx context.Context, owner state.DaemonID, call *protocol.Call, out *ordered, tracked *tracking) *protocol.Error {
+	a := &attemptSink{out: out, call: call, tracked: tracked}
 	var err *protocol.Error
 	if owner == g.opts.Self {
 		err = g.opts.Owner.Submit(ctx, call, a)
@@ -191,6 +197,7 @@
 type attemptSink struct {
 	out     *ordered
 	call    *protocol.Call
+	tracked *tracking
 	failure *protocol.Error
 }
 
@@ -210,6 +217,7 @@
 }
 
 func (a *attemptSink) Chunk(c protocol.Chunk) error {
+	a.tracked.part()
 	a.out.mu.Lock()
 	defer a.out.mu.Unlock()
 	ready, err := a.out.asm.Add(answer.Piece{Offset: c.Offset, Count: c.Count, Data: c.Data})
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -117,6 +117,11 @@
 	Slots    int                `cbor:"7,keyasint"`
 	Batch    int                `cbor:"8,keyasint"`
 	Resident []state.AdapterRef `cbor:"9,keyasint"`
+	Loading  []state.AdapterRef `cbor:"10,keyasint,omitempty"`
+	Role     state.Role         `cbor:"11,keyasint,omitempty"`
+
+	// QueuedByRank splits Queued by rank, most urgent first.
+	QueuedByRank []int `cbor:"12,keyasint,omitempty"`
 }
 
 // Heartbeat tells a peer that a daemon is alive and what it owns.
--- a/internal/state/adapter.go
+++ b/internal/state/adapter.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // ErrBadModelName reports a model name that is not service/adapter[@version].
@@ -43,3 +45,10 @@
 
 // IsZero reports whether r names no adapter.
 func (r AdapterRef) IsZero() bool { return r == AdapterRef{} }
+
+// Hash returns a hash of the reference that is the same on every daemon.
+func (r AdapterRef) Hash() uint64 {
+	h := Mix(xxhash.Sum64String(string(r.Service)))
+	h = Mix(h ^ xxhash.Sum64String(r.Adapter))
+	return Mix(h + xxhash.Sum64String(r.Version))
+}
--- a/internal/state/fleet.go
+++ b/internal/state/fleet.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -31,31 +32,47 @@
 	Batch   int // requests run at once
 	Healthy bool
 
-	Running  int
-	Queued   int
-	Resident []AdapterRef
+	// ReportedAt is when this daemon received the owner's last report. It is
+	// zero before the first one.
+	ReportedAt time.Time
+	Running    int
+	Queued     int
+	// QueuedByRank splits Queued by rank. It is empty when not reported.
+	QueuedByRank []int
+	Resident     []AdapterRef
+	Loading      []AdapterRef
 }
 
 // Holds reports whether the upstream has the adapter loaded.
 func (u *Upstream) Holds(a AdapterRef) bool { return slices.Contains(u.Resident, a) }
 
-// Fleet is the sharded table of upstreams. It is safe for concurrent use.
-// Values are immutable: Put replaces a whole entry.
+// Fleet is the sharded table of upstreams with its indexes by adapter, by base
+// model and by service. It is safe for concurrent use. Values are immutable: Put
+// replaces a whole value.
+//
+// Locks are taken in the order fleet shard, index shard or group; readers of an
+// index take no lock of a fleet shard.
 type Fleet struct {
-	shards [fleetShards]fleetShard
+	shards   [fleetShards]fleetShard
+	holders  holderIndex
+	engines  groupIndex[EngineGroup]
+	services groupIndex[ServiceGroup]
 }
 
 type fleetShard struct {
-	mu        sync.RWMutex
-	upstreams map[UpstreamID]*Upstream
+	mu      sync.RWMutex
+	entries map[UpstreamID]*Entry
 }
 
 // NewFleet returns an empty table.
 func NewFleet() *Fleet {
 	f := &Fleet{}
 	for i := range f.shards {
-		f.shards[i].upstreams = make(map[UpstreamID]*Upstream)
+		f.shards[i].entries = make(map[UpstreamID]*Entry)
 	}
+	f.holders.init()
+	f.engines.init()
+	f.services.init()
 	return f
 }
 
@@ -63,35 +80,48 @@
 	return &f.shards[xxhash.Sum64String(string(id))%fleetShards]
 }
 
-// Get returns the entry of an upstream, or nil. Callers must not change it.
+// Get returns the value of an upstream, or nil. Callers must not change it.
 func (f *Fleet) Get(id UpstreamID) *Upstream {
+	if e := f.Entry(id); e != nil {
+		return e.Upstream()
+	}
+	return nil
+}
+
+// Entry returns the entry of an upstream, or nil.
+func (f *Fleet) Entry(id UpstreamID) *Entry {
 	s := f.shard(id)
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.upstreams[id]
+	return s.entries[id]
 }
 
-// Put replaces the entry of u.ID.
+// Put replaces the value of u.ID.
 func (f *Fleet) Put(u Upstream) {
 	s := f.shard(u.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.upstreams[u.ID] = &u
+	e := s.entries[u.ID]
+	if e == nil {
+		e = newEntry(u.ID)
+		s.entries[u.ID] = e
+	}
+	f.store(e, &u)
 }
 
-// Update applies change to a copy of the entry and stores the copy. It reports
-// whether the upstream is known.
+// Update applies change to a copy of the value and stores the copy. It reports
+// whether the upstream is known. The change must replace slices, not edit them.
 func (f *Fleet) Update(id UpstreamID, change func(*Upstream)) bool {
 	s := f.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	old, ok := s.upstreams[id]
+	e, ok := s.entries[id]
 	if !ok {
 		return false
 	}
-	next := *old
+	next := *e.Upstream()
 	change(&next)
-	s.upstreams[id] = &next
+	f.store(e, &next)
 	return true
 }
 
@@ -100,17 +130,22 @@
 	s := f.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.upstreams, id)
+	e, ok := s.entries[id]
+	if !ok {
+		return
+	}
+	delete(s.entries, id)
+	f.index(e, e.Upstream(), nil)
 }
 
-// All returns every entry in the order of the identifiers.
+// All returns every value in the order of the identifiers.
 func (f *Fleet) All() []*Upstream {
 	var all []*Upstream
 	for i := range f.shards {
 		s := &f.shards[i]
 		s.mu.RLock()
-		for _, u := range s.upstreams {
-			all = append(all, u)
+		for _, e := range s.entries {
+			all = append(all, e.Upstream())
 		}
 		s.mu.RUnlock()
 	}
@@ -119,3 +154,70 @@
 	})
 	return all
 }
+
+// Holders returns the engines that hold or load an adapter, in the order of
+// their hashes. Callers must not change the slice.
+func (f *Fleet) Holders(a AdapterRef) []Holder { return f.holders.get(a) }
+
+// Engines returns the engines of a base model in a region, or nil.
+func (f *Fleet) Engines(base string, region Region) *Group {
+	return f.engines.get(EngineGroup{Base: base, Region: region})
+}
+
+// Services returns the instances of a plain service in a zone, or nil. An empty
+// zone stands for the whole region.
+func (f *Fleet) Services(service ServiceID, region Region, zone Zone) *Group {
+	return f.services.get(ServiceGroup{Service: service, Region: region, Zone: zone})
+}
+
+// store sets the value of e and updates the indexes. The caller must hold the
+// lock of the shard of e.
+func (f *Fleet) store(e *Entry, next *Upstream) {
+	old := e.Upstream()
+	if old != nil && !old.ReportedAt.Equal(next.ReportedAt) {
+		e.sent.reported(next.ReportedAt)
+	}
+	e.current.Store(next)
+	f.index(e, old, next)
+}
+
+// index moves e between the indexes. Old is nil for a new entry, next for a
+// deleted one. The caller must hold the lock of the shard of e.
+func (f *Fleet) index(e *Entry, old, next *Upstream) {
+	f.holders.update(e, old, next)
+	was, is := listed(old), listed(next)
+	if was && is && sameGroups(old, next) {
+		return
+	}
+	if was {
+		f.leaveGroups(e, old)
+	}
+	if is {
+		f.joinGroups(e, next)
+	}
+}
+
+// listed reports whether new work may go to u at all.
+func listed(u *Upstream) bool { return u != nil && !u.Leaving }
+
+func sameGroups(a, b *Upstream) bool {
+	return a.Kind == b.Kind && a.Base == b.Base && a.Service == b.Service && a.Region == b.Region && a.Zone == b.Zone
+}
+
+func (f *Fleet) joinGroups(e *Entry, u *Upstream) {
+	if u.Kind == KindEngine {
+		f.engines.join(EngineGroup{Base: u.Base, Region: u.Region}, e)
+		return
+	}
+	f.services.join(ServiceGroup{Service: u.Service, Region: u.Region}, e)
+	f.services.join(ServiceGroup{Service: u.Service, Region: u.Region, Zone: u.Zone}, e)
+}
+
+func (f *Fleet) leaveGroups(e *Entry, u *Upstream) {
+	if u.Kind == KindEngine {
+		f.engines.leave(EngineGroup{Base: u.Base, Region: u.Region}, e)
+		return
+	}
+	f.services.leave(ServiceGroup{Service: u.Service, Region: u.Region}, e)
+	f.services.leave(ServiceGroup{Service: u.Service, Region: u.Region, Zone: u.Zone}, e)
+}
--- a/internal/state/rendezvous.go
+++ b/internal/state/rendezvous.go
@@ -7,12 +7,12 @@
 func RendezvousWeight(key, candidate string) uint64 {
 	h := xxhash.Sum64String(key)
 	c := xxhash.Sum64String(candidate)
-	return mix(h ^ mix(c))
+	return Mix(h ^ Mix(c))
 }
 
-// mix is the finaliser of a 64-bit hash: every input bit changes about half of
+// Mix is the finaliser of a 64-bit hash: every input bit changes about half of
 // the output bits.
-func mix(x uint64) uint64 {
+func Mix(x uint64) uint64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
