--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -19,7 +19,9 @@
 
 	ownercore "github.com/celerydeck/celerydeck/internal/coordination/owner"
 	"github.com/celerydeck/celerydeck/internal/node/cluster"
+	"github.com/celerydeck/celerydeck/internal/node/config"
 	"github.com/celerydeck/celerydeck/internal/node/entry"
+	"github.com/celerydeck/celerydeck/internal/node/once"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
@@ -47,10 +49,12 @@
 	fx.In
 	Fleet   *state.Fleet
 	Cluster *cluster.Cluster
+	Config  *config.Node
 	Owner   *owner.Manager
 	Server  *http.Server
 	Caller  net.Listener
 	Peers   *peer.Server
+	Once    *once.Gateway
 }
 
 // Start starts a daemon with an identity of its own.
@@ -61,8 +65,8 @@
 		fx.Supply(settings, id),
 		fx.Supply(fx.Annotate(d, fx.As(new(readiness)))),
 		fx.Provide(
-			state.NewFleet, newSockets, newPool, newOwner, newCluster, newGateway, newCallers, newPlatform,
-			upstream.NewClient, newCallerListener, newPeerServer,
+			state.NewFleet, newSockets, newPool, newOwner, newCluster, newConfig, newLateMembers, newGateway, newCallers, newPlatform,
+			newIncarnation, newOnce, upstream.NewClient, newCallerListener, newPeerServer,
 		),
 		fx.Populate(&d.parts),
 	)
@@ -77,7 +81,7 @@
 
 // Ready reports whether the daemon takes new requests.
 func (d *Daemon) Ready() bool {
-	return !d.drained.Load() && d.parts.Cluster != nil && d.parts.Cluster.Catalog() != nil
+	return !d.drained.Load() && d.parts.Config != nil && d.parts.Config.Ready()
 }
 
 // Shutdown stops taking requests, hands the upstreams over, waits for requests
@@ -89,7 +93,7 @@
 	defer cancel()
 	d.parts.Cluster.Drain(announce)
 	err := d.parts.Server.Shutdown(ctx)
-	err = errors.Join(err, d.parts.Owner.Wait(ctx), d.parts.Peers.Drain(ctx))
+	err = errors.Join(err, d.parts.Owner.Wait(ctx), d.parts.Peers.Drain(ctx), d.parts.Once.Wait(ctx))
 	stop, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), announceTimeout)
 	defer cancelStop()
 	return errors.Join(err, d.app.Stop(stop))
@@ -146,19 +150,22 @@
 	return m
 }
 
-func newCluster(lc fx.Lifecycle, s Settings, client *platform.Client, pool *peer.Pool, fleet *state.Fleet, m *owner.Manager) *cluster.Cluster {
+func newCluster(lc fx.Lifecycle, s Settings, run state.Incarnation, client *platform.Client, pool *peer.Pool, fleet *state.Fleet, m *owner.Manager, members *lateMembers, n *config.Node) *cluster.Cluster {
 	c := cluster.New(cluster.Options{
 		Self:        peer.Peer{ID: state.DaemonID(s.ID), Addr: s.PeerAddr},
-		Incarnation: state.Incarnation(newID()),
+		Incarnation: run,
 		Zone:        state.Zone(s.Zone),
 		Region:      state.Region(s.Region),
 		Platform:    client,
 		Pool:        pool,
 		Fleet:       fleet,
 		Owner:       m,
+		Config:      n,
 		Clock:       time.Now,
 	})
+	members.set(c)
 	lc.Append(fx.StartStopHook(c.Start, c.Close))
+	lc.Append(fx.StartStopHook(n.Start, n.Close))
 	return c
 }
 
@@ -184,10 +191,11 @@
 	return l, nil
 }
 
-func newCallers(lc fx.Lifecycle, l net.Listener, g *entry.Gateway, c *cluster.Cluster, r readiness) *http.Server {
+func newCallers(lc fx.Lifecycle, l net.Listener, g *once.Gateway, n *config.Node, r readiness) *http.Server {
 	api := callers.New(callers.Options{
 		Gateway: g,
-		Catalog: c.Catalog,
+		Tickets: g,
+		Catalog: n.Catalog,
 		Ready:   r.Ready,
 		NewID:   newID,
 	})
@@ -205,10 +213,13 @@
 	ID      peer.Identity
 	Owner   *owner.Manager
 	Cluster *cluster.Cluster
+	Once    *once.Gateway
+	Config  *config.Node
 }
 
 func newPeerServer(lc fx.Lifecycle, p serverParams) (*peer.Server, error) {
-	server, err := peer.Listen(p.Listen, p.ID, peerHandler{owner: p.Owner, cluster: p.Cluster})
+	handler := peerHandler{owner: p.Owner, cluster: p.Cluster, config: p.Config, once: p.Once}
+	server, err := peer.Listen(p.Listen, p.ID, handler)
 	if err != nil {
 		return nil, fmt.Errorf("serve daemons: %w", err)
 	}
@@ -234,32 +245,6 @@
 	return p.pool.Call(ctx, to, call, sink)
 }
 
-// peerHandler serves the messages of other daemons.
-type peerHandler struct {
-	owner   *owner.Manager
-	cluster *cluster.Cluster
-}
-
-// ServeCall implements peer.Handler.
-func (h peerHandler) ServeCall(ctx context.Context, _ state.DaemonID, call *protocol.Call, sink protocol.Sink) {
-	if err := h.owner.Submit(ctx, call, sink); err != nil {
-		_ = sink.End(protocol.End{Attempt: call.Attempt, Err: err})
-	}
-}
-
-// ServeMessage implements peer.Handler.
-func (h peerHandler) ServeMessage(_ context.Context, from state.DaemonID, frame protocol.Frame) (protocol.MessageKind, any, error) {
-	if frame.Kind != protocol.MsgHeartbeat {
-		return 0, nil, fmt.Errorf("unknown message kind %d", frame.Kind)
-	}
-	var beat protocol.Heartbeat
-	if err := frame.Decode(&beat); err != nil {
-		return 0, nil, err
-	}
-	ack, err := h.cluster.HandleHeartbeat(from, &beat)
-	return protocol.MsgHeartbeatAck, ack, err
-}
-
 func newID() string {
 	var b [idBytes]byte
 	_, _ = rand.Read(b[:])
