--- a/internal/node/owner/worker.go
+++ b/internal/node/owner/worker.go
@@ -31,6 +31,7 @@
 	core    core.Core
 	pending map[string]*pending
 	loads   map[state.AdapterRef]loadSpan
+	check   *crashCheck // of the latest run that broke
 }
 
 type pending struct {
@@ -40,7 +41,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   chan *protocol.Error // buffered; receives exactly one result
-	queued time.Time
+	// dispatched is guarded by worker.mu.
+	dispatched bool
+	queued     time.Time
 }
 
 func (w *worker) handle(event core.Event) {
@@ -105,6 +108,7 @@
 		Deadline:    now.Add(call.Budget),
 		Fingerprint: call.Fingerprint,
 		Repeatable:  call.Repeatable,
+		Alone:       call.Alone,
 	}
 	if call.Model != nil {
 		r.Adapter = call.Model.Adapter
@@ -119,7 +123,7 @@
 func (w *worker) run(action core.Action) {
 	switch a := action.(type) {
 	case core.Dispatch:
-		if p := w.lookup(a.ID); p != nil {
+		if p := w.start(a.ID); p != nil {
 			go w.dispatch(p)
 		}
 	case core.Refuse:
@@ -138,6 +142,17 @@
 	}
 }
 
+// start marks a request as dispatched.
+func (w *worker) start(id string) *pending {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p := w.pending[id]
+	if p != nil {
+		p.dispatched = true
+	}
+	return p
+}
+
 func (w *worker) lookup(id string) *pending {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -160,6 +175,7 @@
 	} else {
 		err = w.m.opts.Client.Plain(p.ctx, w.u, p.call, p.sink)
 	}
+	err = w.noteCrash(p, err)
 	w.take(p.id)
 	w.handle(core.Ended{ID: p.id, Failed: err != nil})
 	p.done <- err
