--- a/internal/node/owner/crash.go
+++ b/internal/node/owner/crash.go
@@ -100,6 +100,7 @@
 	if check.crashed {
 		id := suspects.CrashID{Upstream: w.u.ID, Boot: check.boot}
 		w.m.opts.Crashes.Crashed(w.m.ctx, id, check.running)
+		w.report() // the core learns of the new run before anything else is dispatched
 	}
 }
 
--- a/internal/node/suspects/node.go
+++ b/internal/node/suspects/node.go
@@ -230,7 +230,10 @@
 	for _, p := range n.opts.Members.AllPeers() {
 		wg.Go(func() {
 			var reply protocol.Suspects
-			_ = n.opts.Peers.Exchange(ctx, p, protocol.MsgSuspects, protocol.Suspects{Entries: entries}, &reply)
+			err := n.opts.Peers.Exchange(ctx, p, protocol.MsgSuspects, protocol.Suspects{Entries: entries}, &reply)
+			if err != nil {
+				klog.V(1).InfoS("Peer did not take suspects", "peer", p.ID, "err", err)
+			}
 		})
 	}
 	wg.Wait()
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -131,10 +131,6 @@
 	for _, m := range req.Messages {
 		prompt += m.Content
 	}
-	if e.opts.CrashMarker != "" && strings.Contains(prompt, e.opts.CrashMarker) {
-		e.Restart()
-		panic(http.ErrAbortHandler)
-	}
 	e.mu.Lock()
 	boot, stop := e.bootID(), e.stop
 	if !e.adapters[req.Model] {
@@ -143,6 +139,11 @@
 		http.Error(w, "adapter is not loaded: "+req.Model, http.StatusNotFound)
 		return
 	}
+	if e.opts.CrashMarker != "" && strings.Contains(prompt, e.opts.CrashMarker) {
+		e.mu.Unlock()
+		e.Restart()
+		panic(http.ErrAbortHandler)
+	}
 	j := &job{adapter: req.Model, cancel: make(chan struct{})}
 	e.running[req.RequestID] = j
 	e.recordPrefix(prompt)
