Keep answers whole against misbehaving engines, slow readers and lost owners

Engines of the demo can now duplicate, reorder, cut, end early, answer in another name and change their boot id; each is provoked through two daemons, with a restart in the middle, a caller that leaves and a hung engine. Plain answers carry their length so that a cut shows also without chunked encoding, an upstream can't set the fields of the system, answers without a boot id are refused, and reads and writes of callers have deadlines. A daemon that stops answering is noticed after 5 s instead of 10.

--- /dev/null
+++ b/internal/demo/faults_test.go
@@ -0,0 +1,160 @@
+package demo_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/openai/openai-go/v3"
+
+	"github.com/celerydeck/celerydeck/internal/demo"
+	"github.com/celerydeck/celerydeck/internal/standin/engine"
+)
+
+const faultTokens = 24
+
+// ask streams an answer and returns its text and whether it ended well.
+func ask(t *testing.T, addr, model, prompt string) (string, error) {
+	t.Helper()
+	c := client(addr)
+	stream := c.Completions.NewStreaming(t.Context(), openai.CompletionNewParams{
+		Model:     openai.CompletionNewParamsModel(model),
+		MaxTokens: openai.Int(faultTokens),
+		Prompt:    openai.CompletionNewParamsPromptUnion{OfString: openai.String(prompt)},
+	})
+	var text strings.Builder
+	for stream.Next() {
+		for _, choice := range stream.Current().Choices {
+			text.WriteString(choice.Text)
+		}
+	}
+	return text.String(), stream.Err()
+}
+
+func TestAnswersStayWholeWhenEnginesMisbehave(t *testing.T) {
+	d := startDemo(t)
+	tests := []struct {
+		name   string
+		faults engine.Faults
+	}{
+		{"duplicated", engine.Faults{Duplicate: true}},
+		{"reordered", engine.Faults{Reorder: true}},
+		{"duplicated and reordered", engine.Faults{Duplicate: true, Reorder: true}},
+		{"cut", engine.Faults{Cut: 1}},
+		{"wrong model", engine.Faults{WrongModel: 1}},
+		{"early end", engine.Faults{EarlyEnd: 1}},
+		{"refused", engine.Faults{Refuse: 1}},
+		{"boot changed", engine.Faults{NewBoot: 1}},
+		{"all at once", engine.Faults{Duplicate: true, Reorder: true, Cut: 1, NewBoot: 1}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for _, e := range d.Engines {
+				e.SetFaults(engine.Faults{Duplicate: test.faults.Duplicate, Reorder: test.faults.Reorder})
+			}
+			d.Engines[0].SetFaults(test.faults)
+			for i := range 6 {
+				prompt := fmt.Sprintf("%s %d", test.name, i)
+				text, err := ask(t, d.Daemons[i%2].CallerAddr(), "advice/blitz@v1", prompt)
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, text, qt.Equals, engine.Answer("advice/blitz@v1", prompt, faultTokens))
+			}
+		})
+	}
+}
+
+func TestEngineRestartInTheMiddleResumes(t *testing.T) {
+	d := startDemo(t)
+	for i := range 4 {
+		prompt := fmt.Sprintf("restart %d", i)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			waitRunning(t, d, 1)
+			for _, e := range d.Engines {
+				if e.Running() > 0 {
+					e.Restart()
+				}
+			}
+		}()
+		text, err := ask(t, d.Daemons[i%2].CallerAddr(), "advice/rapid@v1", prompt)
+		<-done
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, text, qt.Equals, engine.Answer("advice/rapid@v1", prompt, faultTokens))
+	}
+}
+
+func waitRunning(t *testing.T, d *demo.Demo, want int) {
+	t.Helper()
+	for t.Context().Err() == nil {
+		running := 0
+		for _, e := range d.Engines {
+			running += e.Running()
+		}
+		if running == want {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestCallerThatLeavesCancelsAtTheEngine(t *testing.T) {
+	d := startDemo(t)
+	for _, e := range d.Engines {
+		e.SetHung(true)
+	}
+	for i := range d.Daemons {
+		ctx, leave := context.WithCancel(t.Context())
+		req := completionRequest(ctx, t, d.Daemons[i].CallerAddr(), `{"model":"advice/blitz@v1","prompt":"x","stream":true}`)
+		failed := make(chan error, 1)
+		go func() {
+			resp, err := http.DefaultClient.Do(req)
+			if err == nil {
+				_, err = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+			}
+			failed <- err
+		}()
+		waitRunning(t, d, 1)
+		leave()
+		qt.Check(t, errors.Is(<-failed, context.Canceled), qt.IsTrue)
+		waitRunning(t, d, 0)
+	}
+}
+
+func completionRequest(ctx context.Context, t *testing.T, addr, body string) *http.Request {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/completions", strings.NewReader(body))
+	qt.Assert(t, err, qt.IsNil)
+	req.Header.Set("Authorization", "Bearer "+demo.Key)
+	return req
+}
+
+func TestDeadlineEndsAHungRequest(t *testing.T) {
+	d := startDemo(t)
+	for _, e := range d.Engines {
+		e.SetHung(true)
+	}
+	for i := range d.Daemons {
+		got := post(t, d.Daemons[i].CallerAddr(), "/v1/completions", `{"model":"advice/blitz@v1","prompt":"x"}`, "X-Celerydeck-Timeout", "300ms")
+		qt.Check(t, got.Status, qt.Equals, http.StatusGatewayTimeout, qt.Commentf("%s", got.Body))
+		qt.Check(t, got.Header.Get("X-Celerydeck-Outcome"), qt.Equals, "unknown")
+		waitRunning(t, d, 0)
+	}
+}
+
+func TestBrokenPlainAnswerIsNotTakenForWhole(t *testing.T) {
+	d := startDemo(t)
+	d.Booking.LoseAnswers(1)
+	got := post(t, d.Daemons[0].CallerAddr(), "/services/booking/bookings", `{"item":"clock-9"}`)
+	qt.Check(t, got.Status, qt.Equals, http.StatusBadGateway)
+	qt.Check(t, got.Header.Get("X-Celerydeck-Outcome"), qt.Equals, "unknown")
+	qt.Check(t, got.Header.Get("X-Should-Retry"), qt.Equals, "false")
+	qt.Check(t, d.Booking.Runs("clock-9"), qt.Equals, 1)
+}
--- a/internal/node/entry/delivery.go
+++ b/internal/node/entry/delivery.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 
@@ -86,7 +87,11 @@
 	}
 	first, err := a.d.answer.Head(a.number, h.Adapter, h.Boot)
 	if err != nil {
-		return a.fail(protocol.KindWrongAdapter, fmt.Errorf("%w: %s", err, h.Adapter))
+		kind := protocol.KindInterrupted
+		if errors.Is(err, answer.ErrWrongAdapter) {
+			kind = protocol.KindWrongAdapter
+		}
+		return a.fail(kind, fmt.Errorf("%w: %s", err, h.Adapter))
 	}
 	if !first {
 		return nil
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -53,6 +53,8 @@
 	events     []cacheEvent
 	eventSeq   uint64
 	reports    []timedReport
+	faults     Faults
+	cancels    int
 }
 
 type job struct {
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -137,6 +137,12 @@
 	}
 	e.mu.Lock()
 	boot, stop := e.bootID(), e.stop
+	faults := e.drawFaults()
+	if faults.refuse {
+		e.mu.Unlock()
+		http.Error(w, "overloaded", http.StatusServiceUnavailable)
+		return
+	}
 	if !e.adapters[req.Model] {
 		e.mu.Unlock()
 		w.Header().Set(bootHeader, boot)
@@ -150,7 +156,7 @@
 	defer e.finish(req.RequestID, j)
 	w.Header().Set(bootHeader, boot)
 	w.Header().Set("Content-Type", "text/event-stream")
-	e.stream(w, r, req, answerRun{chat: chat, prompt: prompt, boot: boot, stop: stop, job: j})
+	e.stream(w, r, req, answerRun{chat: chat, prompt: prompt, boot: boot, stop: stop, job: j, faults: faults})
 }
 
 type answerRun struct {
@@ -159,6 +165,7 @@
 	boot   string
 	stop   chan struct{}
 	job    *job
+	faults streamFaults
 }
 
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, req CompletionRequest, run answerRun) {
@@ -167,11 +174,20 @@
 		count = e.opts.DefaultCount
 	}
 	flusher, _ := w.(http.Flusher)
-	for i := req.ResumeOffset; i < count; i++ {
-		if !e.step(r.Context(), run) {
+	half := (req.ResumeOffset + count + 1) / 2
+	for n, i := range run.faults.order(req.ResumeOffset, count) {
+		if !e.step(r.Context(), run) || (run.faults.cut && i >= half) {
 			panic(http.ErrAbortHandler)
 		}
 		event := run.event(req, i, Token(req.Model, run.prompt, i))
+		if run.faults.newBoot && i >= half {
+			event.BootID += "-next"
+		}
+		if run.faults.earlyEnd && i >= half && n > 0 {
+			reason := "length"
+			event.Choices[0].FinishReason = &reason
+			event.Offset++
+		}
 		if i == count-1 {
 			reason := "length"
 			event.Choices[0].FinishReason = &reason
@@ -183,6 +199,9 @@
 		if flusher != nil {
 			flusher.Flush()
 		}
+		if run.faults.earlyEnd && i >= half && n > 0 {
+			break
+		}
 	}
 	_, _ = io.WriteString(w, "data: [DONE]\n\n")
 	e.mu.Lock()
@@ -191,7 +210,11 @@
 }
 
 func (a answerRun) event(req CompletionRequest, offset int, token string) Event {
-	event := Event{ID: req.RequestID, Model: req.Model, BootID: a.boot, Offset: offset, Object: "text_completion"}
+	model := req.Model
+	if a.faults.wrongModel {
+		model += "-other"
+	}
+	event := Event{ID: req.RequestID, Model: model, BootID: a.boot, Offset: offset, Object: "text_completion"}
 	choice := Choice{Text: token}
 	if a.chat {
 		event.Object = "chat.completion.chunk"
@@ -239,6 +262,9 @@
 	j := e.running[req.RequestID]
 	e.mu.Unlock()
 	if j != nil {
+		e.mu.Lock()
+		e.cancels++
+		e.mu.Unlock()
 		j.stop()
 	}
 }
--- a/internal/transport/callers/completion.go
+++ b/internal/transport/callers/completion.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -64,6 +65,7 @@
 		sink := &completionSink{w: w, call: &call, chat: chat, stream: req.Stream, created: time.Now().Unix()}
 		sink.includeUsage = req.Options != nil && req.Options.IncludeUsage
 		sink.setHeaders()
+		limitWrites(w, call.Budget)
 		if err := s.opts.Gateway.Serve(r.Context(), &call, service.BaseModel, sink); err != nil {
 			sink.fail(err)
 		}
@@ -98,6 +100,9 @@
 // Chunk implements protocol.Sink.
 func (c *completionSink) Chunk(chunk protocol.Chunk) error {
 	if !c.stream {
+		if c.text.Len()+len(chunk.Data) > MaxAnswer {
+			return fmt.Errorf("the answer exceeds %d bytes", MaxAnswer)
+		}
 		c.text.Write(chunk.Data)
 		return nil
 	}
--- a/internal/transport/callers/plain.go
+++ b/internal/transport/callers/plain.go
@@ -50,6 +50,7 @@
 		Body:   body,
 	}
 	sink := &plainSink{w: w}
+	limitWrites(w, call.Budget)
 	if err := s.opts.Gateway.Serve(r.Context(), &call, "", sink); err != nil {
 		sink.fail(err)
 	}
@@ -65,7 +66,9 @@
 func (p *plainSink) Head(h protocol.Head) error {
 	p.started = true
 	for _, f := range h.Header {
-		p.w.Header().Add(f.Name, f.Value)
+		if !reserved(f.Name) {
+			p.w.Header().Add(f.Name, f.Value)
+		}
 	}
 	p.w.Header().Set(HeaderOutcome, string(protocol.OutcomeRan))
 	noteReplay(p.w, h)
@@ -73,6 +76,13 @@
 	return nil
 }
 
+// reserved reports whether a header field belongs to the system, so that an
+// upstream can't set it.
+func reserved(name string) bool {
+	name = http.CanonicalHeaderKey(name)
+	return name == HeaderRequestID || strings.HasPrefix(name, headerPrefix)
+}
+
 // Chunk implements protocol.Sink.
 func (p *plainSink) Chunk(c protocol.Chunk) error {
 	if _, err := p.w.Write(c.Data); err != nil {
--- a/internal/transport/callers/request.go
+++ b/internal/transport/callers/request.go
@@ -64,6 +64,9 @@
 }
 
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *protocol.Error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -75,6 +78,12 @@
 	return body, nil
 }
 
+// limitWrites ends the connection of a caller that does not read its answer until
+// some time after the deadline of the request.
+func limitWrites(w http.ResponseWriter, budget time.Duration) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(budget + writeMargin))
+}
+
 // service returns a service that the caller may use.
 func (c caller) service(id state.ServiceID, kind deckconfig.ServiceKind) (*deckconfig.Service, *protocol.Error) {
 	service := c.catalog.Service(id)
--- a/internal/transport/callers/server.go
+++ b/internal/transport/callers/server.go
@@ -25,6 +25,8 @@
 	HeaderKey       = "Idempotency-Key"
 	HeaderTicket    = "X-Celerydeck-Ticket"
 	HeaderReplayed  = "X-Celerydeck-Replayed"
+
+	headerPrefix = "X-Celerydeck-"
 )
 
 // Limits of requests.
@@ -32,6 +34,11 @@
 	MaxBody        = 8 << 20
 	DefaultTimeout = 60 * time.Second
 	MaxTimeout     = 10 * time.Minute
+	// MaxAnswer is the largest answer of a completion that is not streamed.
+	MaxAnswer = 32 << 20
+
+	bodyTimeout = 30 * time.Second // longest time to read the body of a request
+	writeMargin = 5 * time.Second  // time to write after the deadline of a request
 )
 
 // Gateway serves a call from end to end.
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	idleTimeout     = 10 * time.Second
-	keepAlive       = 3 * time.Second
+	idleTimeout     = 5 * time.Second
+	keepAlive       = 2 * time.Second
 	maxStreams      = 8192
 	streamWindow    = 256 << 10
 	codeCanceled    = quic.StreamErrorCode(1)
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -40,6 +40,7 @@
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true, // answers are passed on as they are
 	}
 	return &Client{http: &http.Client{Transport: transport, CheckRedirect: keepRedirect}}
 }
--- a/internal/transport/upstream/completion.go
+++ b/internal/transport/upstream/completion.go
@@ -121,6 +121,9 @@
 }
 
 func (s *completionStream) run(resp *http.Response) *protocol.Error {
+	if s.boot == "" {
+		return s.fail(protocol.KindInterrupted, "the answer names no boot id")
+	}
 	head := protocol.Head{
 		Attempt:  s.call.Attempt,
 		Upstream: s.upstream.ID,
--- a/internal/transport/upstream/plain.go
+++ b/internal/transport/upstream/plain.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"slices"
+	"strconv"
 
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
@@ -66,6 +68,11 @@
 		Status:   resp.StatusCode,
 		Header:   ForwardHeader(resp.Header),
 	}
+	if resp.ContentLength >= 0 {
+		// A caller that knows the length sees when an answer is cut short.
+		length := strconv.FormatInt(resp.ContentLength, 10)
+		head.Header = append(head.Header, protocol.HeaderField{Name: "Content-Length", Value: length})
+	}
 	if err := sink.Head(head); err != nil {
 		return protocol.Errorf(protocol.KindCanceled, step, protocol.OutcomeUnknown, "caller is gone: %v", err)
 	}
@@ -78,6 +85,9 @@
 	for {
 		buf := make([]byte, plainChunk)
 		n, err := body.Read(buf)
+		if uint64(total)+uint64(n) > math.MaxUint32 {
+			return protocol.Errorf(protocol.KindTooLarge, step, protocol.OutcomeUnknown, "the answer exceeds 4 GiB").WithPeer(string(u.ID))
+		}
 		if n > 0 {
 			chunk := protocol.Chunk{Attempt: call.Attempt, Offset: total, Count: uint32(n), Data: buf[:n]}
 			if err := sink.Chunk(chunk); err != nil {
