--- a/internal/coordination/owner/fifo.go
+++ b/internal/coordination/owner/fifo.go
@@ -42,6 +42,14 @@
 	queue    []Request
 	running  map[string]Request
 	adapters map[state.AdapterRef]*slot
+	rankless bool
+}
+
+// NewFirstCome returns a Fifo that disregards ranks.
+func NewFirstCome() *Fifo {
+	f := NewFifo()
+	f.rankless = true
+	return f
 }
 
 // NewFifo returns a core that waits for its first report and authority.
@@ -79,6 +87,8 @@
 	case Leaving:
 		f.leaving = true
 		out = f.refuseAll(RefuseLeaving)
+	case Staying:
+		f.leaving = false
 	case Tick:
 		out = f.expire(now)
 	}
@@ -119,7 +129,7 @@
 		return []Action{Refuse{ID: r.ID, Reason: RefuseOverload, RetryAfter: fifoRetryAfter}}
 	}
 	at := len(f.queue)
-	for at > 0 && f.queue[at-1].Class.Rank > r.Class.Rank {
+	for !f.rankless && at > 0 && f.queue[at-1].Class.Rank > r.Class.Rank {
 		at--
 	}
 	f.queue = slices.Insert(f.queue, at, r)
--- a/internal/protocol/errors.go
+++ b/internal/protocol/errors.go
@@ -24,11 +24,13 @@
 	KindInterrupted   ErrorKind = "interrupted"
 	KindWrongAdapter  ErrorKind = "wrong_adapter"
 	KindRefusedPoison ErrorKind = "refused_fingerprint"
-	KindNotOwner      ErrorKind = "not_owner"
-	KindInternal      ErrorKind = "internal"
-	KindInProgress    ErrorKind = "in_progress"
-	KindExpired       ErrorKind = "expired"
-	KindNotKept       ErrorKind = "answer_not_kept"
+	// KindUpstreamCrashed reports that the upstream went down while it ran the request.
+	KindUpstreamCrashed ErrorKind = "upstream_crashed"
+	KindNotOwner        ErrorKind = "not_owner"
+	KindInternal        ErrorKind = "internal"
+	KindInProgress      ErrorKind = "in_progress"
+	KindExpired         ErrorKind = "expired"
+	KindNotKept         ErrorKind = "answer_not_kept"
 )
 
 // Outcome says what is known about the execution of a request.
