Shut down without losing a request

A drain closed the port for callers at once, so a caller with an open connection could be cut, and a request whose owner had left went back to the same upstream until its attempts were used up. With 16 callers on four daemons of which two shut down, no request is lost.

--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -84,14 +84,21 @@
 	return !d.drained.Load() && d.parts.Config != nil && d.parts.Config.Ready()
 }
 
-// Shutdown stops taking requests, hands the upstreams over, waits for requests
-// in progress and stops. It gives up waiting when ctx is done.
+// Shutdown refuses new requests, hands the upstreams over, keeps answering until
+// the balancer has noticed, waits for requests in progress and stops. It gives up
+// waiting when ctx is done.
 func (d *Daemon) Shutdown(ctx context.Context) error {
 	d.drained.Store(true)
+	noticed := time.NewTimer(d.settings.DrainGrace)
+	defer noticed.Stop()
 	klog.InfoS("Draining", "daemon", d.settings.ID)
 	announce, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	d.parts.Cluster.Drain(announce)
+	select {
+	case <-noticed.C:
+	case <-ctx.Done():
+	}
 	err := d.parts.Server.Shutdown(ctx)
 	err = errors.Join(err, d.parts.Owner.Wait(ctx), d.parts.Peers.Drain(ctx), d.parts.Once.Wait(ctx))
 	stop, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), announceTimeout)
--- a/internal/app/settings.go
+++ b/internal/app/settings.go
@@ -25,6 +25,7 @@
 	KeyFile       string        `arg:"--key-file,env:CELERYDECK_KEY_FILE" help:"PEM file with the private key of this daemon"`
 	CAFile        string        `arg:"--ca-file,env:CELERYDECK_CA_FILE" help:"PEM file with the authority of all daemons"`
 	DrainTimeout  time.Duration `arg:"--drain-timeout,env:CELERYDECK_DRAIN_TIMEOUT" default:"5m" help:"longest wait for requests in progress at shutdown"`
+	DrainGrace    time.Duration `arg:"--drain-grace,env:CELERYDECK_DRAIN_GRACE" default:"2s" help:"time in which new requests are refused before the port for callers closes"`
 	CheckSettings bool          `arg:"--check-settings" help:"check the settings and exit"`
 }
 
@@ -72,8 +73,11 @@
 	if u, err := url.Parse(s.PlatformURL); err != nil || (s.PlatformURL != "" && u.Host == "") {
 		errs = append(errs, errors.New("--platform-url must be a URL such as http://10.0.0.1:80"))
 	}
-	if s.DrainTimeout <= 0 {
-		errs = append(errs, errors.New("--drain-timeout must be positive"))
+	if s.DrainGrace < 0 {
+		errs = append(errs, errors.New("--drain-grace must not be negative"))
+	}
+	if s.DrainTimeout <= s.DrainGrace {
+		errs = append(errs, errors.New("--drain-timeout must be longer than --drain-grace"))
 	}
 	return errors.Join(errs...)
 }
--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -47,6 +47,7 @@
 	Retry   bool
 	After   time.Duration
 	Exclude bool // leave out the upstream that failed
+	Avoid   bool // leave it out while there is another one
 }
 
 // Plan holds the attempts of one request. It is not safe for concurrent use.
@@ -100,7 +101,7 @@
 	if now.Sub(p.ownerSince) >= ownerChange {
 		return Decision{}
 	}
-	d := Decision{Retry: true, After: p.gap}
+	d := Decision{Retry: true, After: p.gap, Avoid: true}
 	p.gap = min(2*p.gap, longestGap)
 	return d
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -44,6 +44,7 @@
 	StoreKnee      int
 	// CallerPorts are the ports of the daemons; 0 takes a free one.
 	CallerPorts []int
+	DrainGrace  time.Duration
 }
 
 // DefaultOptions returns two availability zones with a daemon and two engines each.
@@ -57,6 +58,7 @@
 		StoreLoad:      250 * time.Millisecond,
 		StoreKnee:      8,
 		CallerPorts:    []int{8080, 8081},
+		DrainGrace:     time.Second,
 	}
 }
 
@@ -186,6 +188,7 @@
 		PeerAddr:     peerAddr,
 		PlatformURL:  d.platform,
 		DrainTimeout: drainTimeout,
+		DrainGrace:   d.opts.DrainGrace,
 	}, identity)
 	if err != nil {
 		return nil, err
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -18,8 +18,10 @@
 
 func startDemo(t *testing.T) *demo.Demo {
 	t.Helper()
+	t.Parallel()
 	opts := demo.DefaultOptions()
 	opts.CallerPorts = nil
+	opts.DrainGrace = 0
 	opts.Engine.TokenTime = time.Millisecond
 	opts.StoreLoad = 10 * time.Millisecond
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
--- /dev/null
+++ b/internal/demo/shutdown_test.go
@@ -0,0 +1,213 @@
+package demo_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/celerydeck/celerydeck/internal/demo"
+	"github.com/celerydeck/celerydeck/internal/standin/engine"
+)
+
+const (
+	shutdownCallers = 16
+	shutdownTokens  = 40
+)
+
+// balancer sends each request to the first daemon and goes on to the next one when
+// that is refused as not run.
+type balancer struct {
+	addrs   []string
+	http    http.Client
+	answers atomic.Int32
+	moved   atomic.Int32
+}
+
+var errNotWhole = errors.New("the answer is not whole")
+
+func (b *balancer) ask(ctx context.Context, model, prompt string) error {
+	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"stream":true,"max_tokens":%d}`, model, prompt, shutdownTokens)
+	for {
+		for _, addr := range b.addrs {
+			again, err := b.try(ctx, addr, body, model, prompt)
+			if !again {
+				return err
+			}
+			b.moved.Add(1)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (b *balancer) try(ctx context.Context, addr, body, model, prompt string) (bool, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return false, err
+	}
+	req.GetBody = nil // never repeated by the HTTP client
+	req.Header.Set("Authorization", "Bearer "+demo.Key)
+	resp, err := b.http.Do(req)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return true, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("X-Celerydeck-Outcome") == "not-run" {
+		return true, nil
+	}
+	if err != nil {
+		return false, fmt.Errorf("%w: %w", errNotWhole, err)
+	}
+	if !strings.HasSuffix(string(text), "data: [DONE]\n\n") || strings.Count(string(text), "\"text\":\" ") != shutdownTokens {
+		return false, fmt.Errorf("%w: status %d: %s", errNotWhole, resp.StatusCode, text)
+	}
+	if !strings.Contains(string(text), engine.Token(model, prompt, shutdownTokens-1)) {
+		return false, fmt.Errorf("wrong answer: %s", text)
+	}
+	b.answers.Add(1)
+	return false, nil
+}
+
+func TestShutdownUnderLoadLosesNoRequest(t *testing.T) {
+	t.Parallel()
+	opts := demo.DefaultOptions()
+	opts.CallerPorts = nil
+	opts.DaemonsPerZone = 2
+	opts.DrainGrace = 500 * time.Millisecond
+	opts.Engine.TokenTime = 5 * time.Millisecond
+	opts.StoreLoad = 10 * time.Millisecond
+	d, err := demo.Start(t.Context(), opts)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { d.Close(context.Background()) })
+	qt.Assert(t, d.WaitReady(t.Context()), qt.IsNil)
+	b := &balancer{}
+	for _, daemon := range d.Daemons {
+		b.addrs = append(b.addrs, daemon.CallerAddr())
+	}
+	var stopped atomic.Bool
+	var wg sync.WaitGroup
+	for c := range shutdownCallers {
+		wg.Go(func() {
+			for n := 0; !stopped.Load(); n++ {
+				prompt := fmt.Sprintf("caller %d request %d", c, n)
+				qt.Check(t, b.ask(t.Context(), "advice/blitz@v1", prompt), qt.IsNil)
+			}
+		})
+	}
+	waitAnswers(t, b, 50)
+	qt.Check(t, d.Daemons[0].Shutdown(t.Context()), qt.IsNil)
+	waitAnswers(t, b, 50)
+	qt.Check(t, d.Daemons[2].Shutdown(t.Context()), qt.IsNil)
+	waitAnswers(t, b, 50)
+	stopped.Store(true)
+	wg.Wait()
+	qt.Check(t, b.moved.Load() > 0, qt.IsTrue)
+	for _, e := range d.Engines {
+		qt.Check(t, e.Violations(), qt.Equals, engine.Violations{})
+	}
+}
+
+// waitAnswers waits for more answers.
+func waitAnswers(t *testing.T, b *balancer, more int32) {
+	t.Helper()
+	want := b.answers.Load() + more
+	for b.answers.Load() < want && !t.Failed() && t.Context().Err() == nil {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func TestShutdownIsNotReadyAtOnceAndBounded(t *testing.T) {
+	t.Parallel()
+	opts := demo.DefaultOptions()
+	opts.CallerPorts = nil
+	opts.DrainGrace = time.Minute
+	opts.StoreLoad = 10 * time.Millisecond
+	d, err := demo.Start(t.Context(), opts)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, d.WaitReady(t.Context()), qt.IsNil)
+	for _, e := range d.Engines {
+		e.SetHung(true)
+	}
+	addr := d.Daemons[0].CallerAddr()
+	ended := make(chan error, 1)
+	go func() {
+		resp, err := http.DefaultClient.Do(completionRequest(t.Context(), t, addr, `{"model":"advice/blitz@v1","prompt":"x","stream":true}`))
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+		}
+		ended <- err
+	}()
+	waitRunning(t, d, 1)
+	ctx, second := context.WithCancel(t.Context())
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.Daemons[0].Shutdown(ctx) }()
+	for status(t, addr, "/readyz") == http.StatusOK {
+		time.Sleep(time.Millisecond)
+	}
+	refused := post(t, addr, "/v1/completions", `{"model":"advice/blitz@v1","prompt":"x"}`)
+	qt.Check(t, refused.Status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Check(t, refused.Header.Get("X-Celerydeck-Outcome"), qt.Equals, "not-run")
+	qt.Check(t, status(t, addr, "/healthz"), qt.Equals, http.StatusOK)
+	second() // as the second signal does
+	qt.Check(t, <-stopped, qt.IsNotNil)
+	qt.Check(t, <-ended, qt.IsNotNil)
+	d.Close(ctx)
+}
+
+func status(t *testing.T, addr, path string) int {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+addr+path, nil)
+	qt.Assert(t, err, qt.IsNil)
+	resp, err := http.DefaultClient.Do(req)
+	qt.Assert(t, err, qt.IsNil)
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+func TestLeavingUpstreamGetsNoNewWorkAndEndsWhatItHas(t *testing.T) {
+	const noticed = 3 * time.Second
+	d := startDemo(t)
+	ids := []string{"cascadia-a-engine-1", "cascadia-a-engine-2", "cascadia-b-engine-1", "cascadia-b-engine-2"}
+	for i, e := range d.Engines {
+		e.SetHung(i != 3) // only the last engine makes progress
+	}
+	hung := make(chan struct{})
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		defer close(hung)
+		resp, err := http.DefaultClient.Do(completionRequest(ctx, t, d.Daemons[0].CallerAddr(), `{"model":"advice/blitz@v1","prompt":"x","stream":true}`))
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	time.Sleep(100 * time.Millisecond)
+	for _, id := range ids[:3] {
+		d.VMs.SetState(id, "leaving")
+	}
+	time.Sleep(noticed)
+	before := d.Engines[0].Running() + d.Engines[1].Running() + d.Engines[2].Running()
+	for i := range 8 {
+		prompt := fmt.Sprintf("leaving %d", i)
+		text, err := ask(t, d.Daemons[i%2].CallerAddr(), fmt.Sprintf("advice/rapid@v%d", 1+i%2), prompt)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, strings.Count(text, " "), qt.Equals, faultTokens)
+	}
+	qt.Check(t, d.Engines[3].Served() >= 8, qt.IsTrue)
+	qt.Check(t, d.Engines[0].Running()+d.Engines[1].Running()+d.Engines[2].Running(), qt.Equals, before)
+	leave()
+	<-hung
+}
--- a/internal/node/entry/gateway.go
+++ b/internal/node/entry/gateway.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/retry"
@@ -59,6 +60,8 @@
 	deadline time.Time
 	attempt  uint32
 	last     *protocol.Error
+	excluded []state.UpstreamID // failed or refused
+	avoided  []state.UpstreamID // had another owner a moment ago
 }
 
 // Serve runs a call and delivers the whole answer to sink in order and once. An
@@ -110,20 +113,31 @@
 		if !decision.Retry || ctx.Err() != nil {
 			return s.final(ctx, err)
 		}
-		if decision.Exclude {
-			s.route.Exclude = append(s.route.Exclude, choice.Upstream.ID)
-		}
+		s.leaveOut(choice.Upstream.ID, decision)
 		sleep(ctx, decision.After)
 	}
 }
 
-// pick waits a little for an upstream to appear, as after a start.
+func (s *session) leaveOut(id state.UpstreamID, d retry.Decision) {
+	if d.Exclude {
+		s.excluded = append(s.excluded, id)
+	}
+	if d.Avoid {
+		s.avoided = append(s.avoided, id)
+	}
+	s.route.Exclude = slices.Concat(s.excluded, s.avoided)
+}
+
+// pick waits a little for an upstream to appear, as after a start. Upstreams that
+// are only avoided are tried again when there is no other.
 func (s *session) pick(ctx context.Context) routing.Choice {
 	for range noUpstreamTries {
 		choice := s.g.opts.Router.Pick(s.g.opts.Clock(), s.route)
-		if choice.Upstream != nil || len(s.route.Exclude) > 0 || ctx.Err() != nil {
+		if choice.Upstream != nil || len(s.excluded) > 0 && len(s.avoided) == 0 || ctx.Err() != nil {
 			return choice
 		}
+		s.avoided = nil
+		s.route.Exclude = s.excluded
 		sleep(ctx, noUpstreamGap)
 	}
 	return routing.Choice{}
--- a/internal/transport/callers/server.go
+++ b/internal/transport/callers/server.go
@@ -92,7 +92,18 @@
 	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		writeError(w, protocol.Errorf(protocol.KindBadRequest, "route request", protocol.OutcomeNotRun, "method %s is not allowed", r.Method))
 	})
-	return r
+	return s.closeWhenLeaving(r)
+}
+
+// closeWhenLeaving ends the connections of callers after their next answer once
+// the daemon takes no more requests, so that none of them is cut when it stops.
+func (s *Server) closeWhenLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !s.opts.Ready() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func (s *Server) health(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
--- a/internal/transport/peer/call_test.go
+++ b/internal/transport/peer/call_test.go
@@ -141,8 +141,7 @@
 }
 
 func TestOwnerThatDiesInTheMiddleIsUnknown(t *testing.T) {
-	var p pair
-	p = newPair(t, handler{call: func(ctx context.Context, _ *protocol.Call, out protocol.Sink) {
+	p := newPair(t, handler{call: func(ctx context.Context, _ *protocol.Call, out protocol.Sink) {
 		_ = out.Chunk(protocol.Chunk{Attempt: 1, Count: 1, Data: []byte("x")})
 		<-ctx.Done()
 	}})
