--- a/cmd/celerydeck-demo/main.go
+++ b/cmd/celerydeck-demo/main.go
@@ -7,9 +7,12 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
+	"github.com/alexflint/go-arg"
+
 	"github.com/celerydeck/celerydeck/internal/demo"
 )
 
@@ -37,17 +40,37 @@
 Stop with Ctrl-C.
 `
 
+const separateUsage = `The stand-ins are running. Start the daemons, each in a terminal of its own:
+
+  %s
+
+API key of the customer: %s. Stop with Ctrl-C.
+`
+
+type settings struct {
+	KeysDir string `arg:"--keys-dir" help:"write the keys of the daemons here and print their command lines instead of running them"`
+}
+
+// Description is the text at the top of the help.
+func (settings) Description() string {
+	return "celerydeck-demo runs a small deployment on loopback."
+}
+
 func main() {
-	if err := run(); err != nil {
+	var s settings
+	arg.MustParse(&s)
+	if err := run(s); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
+func run(s settings) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	d, err := demo.Start(ctx, demo.DefaultOptions())
+	opts := demo.DefaultOptions()
+	opts.KeysDir = s.KeysDir
+	d, err := demo.Start(ctx, opts)
 	if err != nil {
 		return err
 	}
@@ -57,7 +80,11 @@
 	if err := d.WaitReady(ready); err != nil {
 		return err
 	}
-	fmt.Printf(usage, d.Daemons[0].CallerAddr(), d.Daemons[1].CallerAddr(), demo.Key)
+	if s.KeysDir != "" {
+		fmt.Printf(separateUsage, strings.Join(d.Commands, "\n  "), demo.Key)
+	} else {
+		fmt.Printf(usage, d.Daemons[0].CallerAddr(), d.Daemons[1].CallerAddr(), demo.Key)
+	}
 	<-ctx.Done()
 	return nil
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -45,6 +45,9 @@
 	// CallerPorts are the ports of the daemons; 0 takes a free one.
 	CallerPorts []int
 	DrainGrace  time.Duration
+	// KeysDir, when set, gets the keys of the daemons, which are then not started
+	// but run by hand as processes of their own: see Demo.Commands.
+	KeysDir string
 }
 
 // DefaultOptions returns two availability zones with a daemon and two engines each.
@@ -70,6 +73,8 @@
 	Booking *booking.Server
 	Engines []*engine.Engine
 	Daemons []*app.Daemon
+	// Commands are the command lines of the daemons that run on their own.
+	Commands []string
 
 	opts      Options
 	authority *peer.Authority
@@ -116,7 +121,14 @@
 	}
 	for _, zone := range d.opts.Zones {
 		for i := range d.opts.DaemonsPerZone {
-			if _, err := d.StartDaemon(ctx, zone, fmt.Sprintf("%s-entry-%d", zone, i+1)); err != nil {
+			id := fmt.Sprintf("%s-entry-%d", zone, i+1)
+			if d.opts.KeysDir != "" {
+				if err := d.prepareDaemon(zone, id); err != nil {
+					return err
+				}
+				continue
+			}
+			if _, err := d.StartDaemon(ctx, zone, id); err != nil {
 				return err
 			}
 		}
@@ -167,20 +179,34 @@
 
 // StartDaemon starts one more daemon.
 func (d *Demo) StartDaemon(ctx context.Context, zone, id string) (*app.Daemon, error) {
-	peerAddr, err := freeUDP()
+	settings, identity, err := d.register(zone, id, len(d.Daemons))
+	if err != nil {
+		return nil, err
+	}
+	daemon, err := app.Start(ctx, settings, identity)
 	if err != nil {
 		return nil, err
 	}
+	d.Daemons = append(d.Daemons, daemon)
+	return daemon, nil
+}
+
+// register adds a daemon to the list of VMs and returns its settings and keys.
+func (d *Demo) register(zone, id string, number int) (app.Settings, peer.Identity, error) {
+	peerAddr, err := freeUDP()
+	if err != nil {
+		return app.Settings{}, peer.Identity{}, err
+	}
 	port := 0
-	if n := len(d.Daemons); n < len(d.opts.CallerPorts) {
-		port = d.opts.CallerPorts[n]
+	if number < len(d.opts.CallerPorts) {
+		port = d.opts.CallerPorts[number]
 	}
 	identity, err := d.authority.Issue(state.DaemonID(id))
 	if err != nil {
-		return nil, err
+		return app.Settings{}, identity, err
 	}
 	d.VMs.Put(vmlist.VM{ID: id, Zone: zone, Region: region, Address: peerAddr, Kind: "entry", State: "live"})
-	daemon, err := app.Start(ctx, app.Settings{
+	settings := app.Settings{
 		ID:           id,
 		Zone:         zone,
 		Region:       region,
@@ -189,12 +215,8 @@
 		PlatformURL:  d.platform,
 		DrainTimeout: drainTimeout,
 		DrainGrace:   d.opts.DrainGrace,
-	}, identity)
-	if err != nil {
-		return nil, err
 	}
-	d.Daemons = append(d.Daemons, daemon)
-	return daemon, nil
+	return settings, identity, nil
 }
 
 // WaitReady waits until every daemon takes requests.
--- a/internal/transport/peer/tls.go
+++ b/internal/transport/peer/tls.go
@@ -8,6 +8,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
+	"encoding/pem"
 	"errors"
 	"fmt"
 	"math/big"
@@ -95,6 +96,22 @@
 	return &Authority{cert: cert, key: key}, nil
 }
 
+// PEM returns the certificate of the authority.
+func (a *Authority) PEM() []byte { return pemBlock("CERTIFICATE", a.cert.Raw) }
+
+// PEM returns the certificate and the private key of an identity.
+func (id Identity) PEM() (cert, key []byte, err error) {
+	der, err := x509.MarshalPKCS8PrivateKey(id.Certificate.PrivateKey)
+	if err != nil {
+		return nil, nil, err
+	}
+	return pemBlock("CERTIFICATE", id.Certificate.Certificate[0]), pemBlock("PRIVATE KEY", der), nil
+}
+
+func pemBlock(kind string, der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+}
+
 // Issue returns the identity of a daemon.
 func (a *Authority) Issue(daemon state.DaemonID) (Identity, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
