Measure the scored router, with a table of upstreams for each entry daemon

Cause: all entries of the harness shared one fleet table; a router that counts what it sent itself would have seen what the others sent too.

Change: each entry has its own table, with the time of the report, and the policy of the daemon takes the scored router.

--- a/internal/measure/host.go
+++ b/internal/measure/host.go
@@ -17,11 +17,12 @@
 
 // host runs the owner core of one engine, as the shell of a daemon does.
 type host struct {
-	run     *run
-	core    owner.Core
-	engine  *engine
-	calls   map[string]*call
-	loadRNG *rand.Rand
+	run      *run
+	upstream state.Upstream
+	core     owner.Core
+	engine   *engine
+	calls    map[string]*call
+	loadRNG  *rand.Rand
 }
 
 func (h *host) handle(event owner.Event) {
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -26,6 +26,8 @@
 	Zone  state.Zone
 	Seed  uint64
 	Ranks []state.RankInfo
+	// Daemons is the number of entry daemons.
+	Daemons int
 }
 
 // Shares divides the weight store's limits among the engines. Statuses are in
@@ -50,7 +52,7 @@
 func Current() Policy {
 	return Policy{
 		Name:      "celerydeck",
-		NewRouter: func(env Env) routing.Router { return routing.NewSimple(env.Fleet) },
+		NewRouter: newScored,
 		NewCore:   func(*state.Upstream) owner.Core { return owner.NewFifo() },
 		NewShares: newByDemand,
 	}
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -24,6 +24,7 @@
 
 type entry struct {
 	zone   state.Zone
+	fleet  *state.Fleet
 	router routing.Router
 }
 
@@ -32,7 +33,6 @@
 	size     Size
 	scenario Scenario
 	policy   Policy
-	fleet    *state.Fleet
 	store    *store
 	hosts    []*host
 	byID     map[state.UpstreamID]*host
@@ -56,7 +56,6 @@
 		size:     size,
 		scenario: scenario,
 		policy:   policy,
-		fleet:    state.NewFleet(),
 		byID:     make(map[state.UpstreamID]*host),
 		broken:   make(map[state.AdapterRef]bool),
 	}
@@ -83,10 +82,10 @@
 			Owner:  "daemon",
 			Epoch:  1,
 		}
-		r.fleet.Put(u)
 		h := &host{
-			run:  r,
-			core: r.policy.NewCore(&u),
+			run:      r,
+			upstream: u,
+			core:     r.policy.NewCore(&u),
 			engine: &engine{
 				clock:    r.clock,
 				id:       u.ID,
@@ -106,8 +105,18 @@
 
 func (r *run) addEntries(seed uint64) {
 	for i := range r.size.Zones * entriesPerZone {
-		env := Env{Fleet: r.fleet, Zone: r.zone(i), Seed: seed + uint64(i), Ranks: r.size.Ranks}
-		r.entries = append(r.entries, &entry{zone: env.Zone, router: r.policy.NewRouter(env)})
+		fleet := state.NewFleet()
+		for _, h := range r.hosts {
+			fleet.Put(h.upstream)
+		}
+		env := Env{
+			Fleet:   fleet,
+			Zone:    r.zone(i),
+			Seed:    seed + uint64(i),
+			Ranks:   r.size.Ranks,
+			Daemons: r.size.Zones * entriesPerZone,
+		}
+		r.entries = append(r.entries, &entry{zone: env.Zone, fleet: fleet, router: r.policy.NewRouter(env)})
 	}
 }
 
@@ -155,12 +164,15 @@
 func (r *run) heartbeat(h *host) {
 	s := h.core.Status()
 	r.clock.after(heartbeatLag, func() {
-		r.fleet.Update(h.engine.id, func(u *state.Upstream) {
-			u.Boot, u.Healthy = s.Boot, s.Healthy
-			u.Slots, u.Batch = s.Slots, s.Batch
-			u.Running, u.Queued = s.Running, s.Queued
-			u.Resident = s.Resident
-		})
+		for _, e := range r.entries {
+			e.fleet.Update(h.engine.id, func(u *state.Upstream) {
+				u.Boot, u.Healthy = s.Boot, s.Healthy
+				u.Slots, u.Batch = s.Slots, s.Batch
+				u.Running, u.Queued = s.Running, s.Queued
+				u.Resident = s.Resident
+				u.ReportedAt = r.clock.now
+			})
+		}
 	})
 }
 
