--- a/internal/node/entry/track.go
+++ b/internal/node/entry/track.go
@@ -26,11 +26,21 @@
 	return t
 }
 
-// part notes a part of the answer.
-func (t *tracking) part() {
-	if t.first.Load() == 0 {
-		t.first.CompareAndSwap(0, max(int64(t.g.opts.Clock().Sub(t.started)), 1))
+// watch returns a sink that notes the first part on its way to sink.
+func (t *tracking) watch(sink protocol.Sink) protocol.Sink { return watchedSink{Sink: sink, t: t} }
+
+type watchedSink struct {
+	protocol.Sink
+	t *tracking
+}
+
+// Chunk implements protocol.Sink.
+func (w watchedSink) Chunk(c protocol.Chunk) error {
+	if w.t.first.Load() == 0 {
+		elapsed := w.t.g.opts.Clock().Sub(w.t.started)
+		w.t.first.CompareAndSwap(0, max(int64(elapsed), 1))
 	}
+	return w.Sink.Chunk(c)
 }
 
 // end tells the trackers how the attempt ended.
