Eject failing, hung and slow upstreams and probe them back

Cause: the entry kept choosing an upstream that fails each request, and a hung engine held a request until its deadline.

The pace is the time between tokens, so load does not count.

--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -15,12 +15,9 @@
 	"go.uber.org/fx/fxevent"
 	"k8s.io/klog/v2"
 
-	"github.com/celerydeck/celerydeck/internal/coordination/routing"
-
 	ownercore "github.com/celerydeck/celerydeck/internal/coordination/owner"
 	"github.com/celerydeck/celerydeck/internal/node/cluster"
 	"github.com/celerydeck/celerydeck/internal/node/config"
-	"github.com/celerydeck/celerydeck/internal/node/entry"
 	"github.com/celerydeck/celerydeck/internal/node/once"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
 	"github.com/celerydeck/celerydeck/internal/protocol"
@@ -169,20 +166,6 @@
 	return c
 }
 
-func newGateway(s Settings, fleet *state.Fleet, m *owner.Manager, pool *peer.Pool, c *cluster.Cluster) *entry.Gateway {
-	router := newRouter(fleet)
-	return entry.New(entry.Options{
-		Self:     state.DaemonID(s.ID),
-		Zone:     state.Zone(s.Zone),
-		Region:   state.Region(s.Region),
-		Router:   router,
-		Trackers: []routing.Tracker{router},
-		Owner:    m,
-		Peers:    peers{pool: pool, cluster: c},
-		Clock:    time.Now,
-	})
-}
-
 func newCallerListener(s Settings) (net.Listener, error) {
 	l, err := net.Listen("tcp", s.CallerAddr)
 	if err != nil {
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -46,6 +46,7 @@
 	Outcome    Outcome
 	FirstToken time.Duration // from sending until the first part; 0 without one
 	Total      time.Duration
+	Tokens     int // of this attempt, for model calls
 }
 
 // Outcome classifies the end of an attempt for the choice of upstreams.
--- /dev/null
+++ b/internal/node/entry/ejector.go
@@ -0,0 +1,188 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/ejection"
+	"github.com/celerydeck/celerydeck/internal/coordination/routing"
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+const (
+	ejectorTick   = 500 * time.Millisecond
+	minPaceTokens = 8 // shorter answers say little about the pace
+)
+
+// ejectorGroup names the upstreams that are compared with each other.
+type ejectorGroup struct {
+	base    string
+	service state.ServiceID
+}
+
+// Ejector feeds the results of attempts to the detectors and sets the gates of
+// upstreams. It implements routing.Tracker and is safe for concurrent use.
+type Ejector struct {
+	fleet  *state.Fleet
+	region state.Region
+
+	mu     sync.Mutex
+	groups map[ejectorGroup]*watched
+}
+
+// watched is a detector under its own lock.
+type watched struct {
+	mu       sync.Mutex
+	detector *ejection.Detector
+	boots    map[state.UpstreamID]state.BootID
+}
+
+// NewEjector returns an ejector for the upstreams of a region.
+func NewEjector(fleet *state.Fleet, region state.Region) *Ejector {
+	return &Ejector{fleet: fleet, region: region, groups: make(map[ejectorGroup]*watched)}
+}
+
+// Sent implements routing.Tracker.
+func (e *Ejector) Sent(now time.Time, req *routing.Request, c routing.Choice) {
+	w := e.group(req)
+	e.handle(w, now, ejection.Members{Count: e.members(req)})
+	if c.Probe {
+		e.handle(w, now, ejection.ProbeSent{Upstream: c.Upstream.ID})
+	}
+}
+
+// Ended implements routing.Tracker.
+func (e *Ejector) Ended(now time.Time, req *routing.Request, c routing.Choice, result routing.Result) {
+	w := e.group(req)
+	event := ejection.Result{Upstream: c.Upstream.ID, Probe: c.Probe}
+	switch result.Outcome {
+	case routing.OutcomeOK:
+		event.Pace = pace(req, result)
+	case routing.OutcomeFailed:
+		event.Failed = true
+	default:
+		if c.Probe {
+			e.handle(w, now, ejection.ProbeLost{Upstream: c.Upstream.ID})
+		}
+		return
+	}
+	e.handle(w, now, event)
+}
+
+// pace returns the time per unit of work of a whole answer, 0 when it is unknown.
+// The wait for the first token is left out: it tells of the load.
+func pace(req *routing.Request, result routing.Result) time.Duration {
+	if req.Adapter.IsZero() {
+		return result.Total
+	}
+	if result.Tokens < minPaceTokens {
+		return 0
+	}
+	return (result.Total - result.FirstToken) / time.Duration(result.Tokens-1)
+}
+
+// Run lets time pass for the detectors until ctx is done.
+func (e *Ejector) Run(ctx context.Context) {
+	ticker := time.NewTicker(ejectorTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			e.tick(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (e *Ejector) tick(now time.Time) {
+	e.mu.Lock()
+	groups := make([]*watched, 0, len(e.groups))
+	for _, w := range e.groups {
+		groups = append(groups, w)
+	}
+	e.mu.Unlock()
+	for _, w := range groups {
+		e.follow(w, now)
+		e.handle(w, now, ejection.Tick{})
+	}
+}
+
+// follow tells a detector which of its upstreams have restarted or are gone.
+func (e *Ejector) follow(w *watched, now time.Time) {
+	var events []ejection.Event
+	w.mu.Lock()
+	for id, boot := range w.boots {
+		u := e.fleet.Get(id)
+		switch {
+		case u == nil:
+			delete(w.boots, id)
+			events = append(events, ejection.Gone{Upstream: id})
+		case u.Boot != boot:
+			w.boots[id] = u.Boot
+			events = append(events, ejection.Restarted{Upstream: id})
+		}
+	}
+	w.mu.Unlock()
+	for _, event := range events {
+		e.handle(w, now, event)
+	}
+}
+
+func (e *Ejector) handle(w *watched, now time.Time, event ejection.Event) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r, ok := event.(ejection.Result); ok {
+		w.note(e.fleet.Get(r.Upstream))
+	}
+	for _, gate := range w.detector.Handle(now, event) {
+		entry := e.fleet.Entry(gate.Upstream)
+		if entry == nil {
+			continue
+		}
+		entry.SetGate(gate.Gate)
+		klog.InfoS("Gate of upstream changed", "upstream", gate.Upstream, "gate", gate.Gate, "reason", gate.Reason, "term", gate.Term)
+	}
+}
+
+// note remembers the boot id of an upstream that gave a result.
+func (w *watched) note(u *state.Upstream) {
+	if u == nil {
+		return
+	}
+	if _, ok := w.boots[u.ID]; !ok {
+		w.boots[u.ID] = u.Boot
+	}
+}
+
+func (e *Ejector) group(req *routing.Request) *watched {
+	key := ejectorGroup{service: req.Service}
+	if !req.Adapter.IsZero() {
+		key = ejectorGroup{base: req.Base}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w := e.groups[key]
+	if w == nil {
+		w = &watched{
+			detector: ejection.NewDetector(ejection.DefaultOptions()),
+			boots:    make(map[state.UpstreamID]state.BootID),
+		}
+		e.groups[key] = w
+	}
+	return w
+}
+
+func (e *Ejector) members(req *routing.Request) int {
+	group := e.fleet.Services(req.Service, e.region, "")
+	if !req.Adapter.IsZero() {
+		group = e.fleet.Engines(req.Base, e.region)
+	}
+	if group == nil {
+		return 0
+	}
+	return len(group.Members())
+}
--- a/internal/node/entry/track.go
+++ b/internal/node/entry/track.go
@@ -15,6 +15,7 @@
 	choice  routing.Choice
 	started time.Time
 	first   atomic.Int64 // nanoseconds from started until the first part
+	tokens  atomic.Int64
 }
 
 // track tells the trackers that an attempt starts. The caller must call end.
@@ -40,6 +41,7 @@
 		elapsed := w.t.g.opts.Clock().Sub(w.t.started)
 		w.t.first.CompareAndSwap(0, max(int64(elapsed), 1))
 	}
+	w.t.tokens.Add(int64(c.Count))
 	return w.Sink.Chunk(c)
 }
 
@@ -50,6 +52,7 @@
 		Outcome:    outcomeOf(err),
 		FirstToken: time.Duration(t.first.Load()),
 		Total:      now.Sub(t.started),
+		Tokens:     int(t.tokens.Load()),
 	}
 	for _, tracker := range t.g.opts.Trackers {
 		tracker.Ended(now, &t.route, t.choice, result)
--- a/internal/state/entry.go
+++ b/internal/state/entry.go
@@ -22,6 +22,17 @@
 	GateClosed             // no request
 )
 
+// String returns the name of the gate for logs.
+func (g Gate) String() string {
+	switch g {
+	case GateOpen:
+		return "open"
+	case GateProbe:
+		return "probe"
+	}
+	return "closed"
+}
+
 // Entry is the place of one upstream in a Fleet, with what this daemon alone
 // knows of it. It lives until the upstream is no longer listed. It is safe for
 // concurrent use.
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -31,7 +31,8 @@
 
 // Client calls upstreams. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
+	http     *http.Client
+	progress progressTable
 }
 
 // NewClient returns a client with its own pool of connections.
@@ -41,7 +42,10 @@
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     time.Minute,
 	}
-	return &Client{http: &http.Client{Transport: transport, CheckRedirect: keepRedirect}}
+	return &Client{
+		http:     &http.Client{Transport: transport, CheckRedirect: keepRedirect},
+		progress: progressTable{engines: make(map[state.UpstreamID]*engineProgress)},
+	}
 }
 
 // keepRedirect hands redirects to the caller instead of following them.
--- a/internal/transport/upstream/completion.go
+++ b/internal/transport/upstream/completion.go
@@ -60,13 +60,18 @@
 	if call.Model.Chat {
 		path = chatPath
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+u.Addr+path, nil)
+	progress := c.progress.watch(ctx, u.ID)
+	defer progress.stop()
+	req, err := http.NewRequestWithContext(progress.ctx, http.MethodPost, "http://"+u.Addr+path, nil)
 	if err != nil {
 		return protocol.Errorf(protocol.KindInternal, step, protocol.OutcomeNotRun, "%v", err)
 	}
 	req.Header.Set(contentTypeKey, jsonType)
 	resp, sent, err := c.do(req, body)
 	if err != nil {
+		if stalled := progress.stalled(step, u); stalled != nil {
+			return stalled
+		}
 		return transportError(step, u, sent, err)
 	}
 	defer resp.Body.Close()
@@ -79,6 +84,7 @@
 		sink:     sink,
 		boot:     state.BootID(resp.Header.Get(bootHeader)),
 		want:     call.Model.Adapter.String(),
+		progress: progress,
 	}
 	return s.run(resp)
 }
@@ -115,6 +121,7 @@
 	sink     protocol.Sink
 	boot     state.BootID
 	want     string
+	progress *attemptProgress
 	next     uint32
 	end      protocol.End
 	finished bool
@@ -146,6 +153,9 @@
 			return err
 		}
 	}
+	if stalled := s.progress.stalled("read completion", s.upstream); stalled != nil {
+		return stalled
+	}
 	return s.fail(protocol.KindInterrupted, "stream broke after %d tokens: %v", s.next, scanner.Err())
 }
 
@@ -177,7 +187,11 @@
 	}
 	s.next = max(s.next, event.Offset+1)
 	chunk := protocol.Chunk{Attempt: s.call.Attempt, Offset: event.Offset, Count: 1, Data: []byte(text)}
-	if err := s.sink.Chunk(chunk); err != nil {
+	s.progress.part()
+	s.progress.setHandover(true)
+	err := s.sink.Chunk(chunk)
+	s.progress.setHandover(false)
+	if err != nil {
 		return s.fail(protocol.KindCanceled, "caller is gone: %v", err)
 	}
 	return nil
