--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/celerydeck/celerydeck/internal/node/config"
 	"github.com/celerydeck/celerydeck/internal/node/once"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
+	"github.com/celerydeck/celerydeck/internal/node/suspects"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/transport/callers"
@@ -62,7 +63,7 @@
 		fx.Supply(settings, id),
 		fx.Supply(fx.Annotate(d, fx.As(new(readiness)))),
 		fx.Provide(
-			state.NewFleet, newSockets, newPool, newOwner, newCluster, newConfig, newLateMembers, newGateway, newCallers, newPlatform,
+			state.NewFleet, newSockets, newPool, newOwner, newCluster, newConfig, newLateMembers, newSuspects, newGateway, newCallers, newPlatform,
 			newIncarnation, newOnce, upstream.NewClient, newCallerListener, newPeerServer,
 		),
 		fx.Populate(&d.parts),
@@ -135,12 +136,13 @@
 	return client
 }
 
-func newOwner(lc fx.Lifecycle, s Settings, fleet *state.Fleet, client *upstream.Client) *owner.Manager {
+func newOwner(lc fx.Lifecycle, s Settings, fleet *state.Fleet, client *upstream.Client, crashes *suspects.Node) *owner.Manager {
 	m := owner.New(owner.Options{
 		Self:    state.DaemonID(s.ID),
 		Fleet:   fleet,
 		Client:  client,
 		NewCore: func(*state.Upstream) ownercore.Core { return ownercore.NewFifo() },
+		Crashes: crashes,
 		Clock:   time.Now,
 	})
 	lc.Append(fx.StopHook(func() { m.Close(); client.Close() }))
@@ -192,16 +194,17 @@
 
 type serverParams struct {
 	fx.In
-	Listen  net.PacketConn `name:"peer-listen"`
-	ID      peer.Identity
-	Owner   *owner.Manager
-	Cluster *cluster.Cluster
-	Once    *once.Gateway
-	Config  *config.Node
+	Listen   net.PacketConn `name:"peer-listen"`
+	ID       peer.Identity
+	Owner    *owner.Manager
+	Cluster  *cluster.Cluster
+	Once     *once.Gateway
+	Config   *config.Node
+	Suspects *suspects.Node
 }
 
 func newPeerServer(lc fx.Lifecycle, p serverParams) (*peer.Server, error) {
-	handler := peerHandler{owner: p.Owner, cluster: p.Cluster, config: p.Config, once: p.Once}
+	handler := peerHandler{owner: p.Owner, cluster: p.Cluster, suspects: p.Suspects, config: p.Config, once: p.Once}
 	server, err := peer.Listen(p.Listen, p.ID, handler)
 	if err != nil {
 		return nil, fmt.Errorf("serve daemons: %w", err)
--- a/internal/app/routing.go
+++ b/internal/app/routing.go
@@ -12,6 +12,7 @@
 	"github.com/celerydeck/celerydeck/internal/node/cluster"
 	"github.com/celerydeck/celerydeck/internal/node/entry"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
+	"github.com/celerydeck/celerydeck/internal/node/suspects"
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/transport/peer"
 )
@@ -33,6 +34,7 @@
 	Owner    *owner.Manager
 	Pool     *peer.Pool
 	Cluster  *cluster.Cluster
+	Suspects *suspects.Node
 }
 
 func newGateway(lc fx.Lifecycle, p gatewayParams) *entry.Gateway {
@@ -49,6 +51,7 @@
 		Trackers: []routing.Tracker{router, ejector},
 		Owner:    p.Owner,
 		Peers:    peers{pool: p.Pool, cluster: p.Cluster},
+		Suspects: p.Suspects,
 		Clock:    time.Now,
 	})
 }
--- a/internal/node/entry/gateway.go
+++ b/internal/node/entry/gateway.go
@@ -39,6 +39,7 @@
 	Trackers []routing.Tracker
 	Owner    Owner
 	Peers    Peers
+	Suspects Suspects
 	Clock    func() time.Time
 }
 
@@ -100,14 +101,20 @@
 
 func (s *session) run(ctx context.Context) *protocol.Error {
 	for {
+		alone, err := s.admit(ctx)
+		if err != nil {
+			return s.final(ctx, err)
+		}
 		choice := s.pick(ctx)
 		if choice.Upstream == nil {
+			s.finish(ctx, alone, false)
 			return s.noUpstream(ctx)
 		}
 		s.attempt++
 		tracked := s.g.track(s.route, choice)
-		err := s.try(ctx, choice.Upstream, tracked)
+		err = s.try(ctx, choice.Upstream, alone, tracked)
 		tracked.end(err)
+		s.finish(ctx, alone, err == nil)
 		if err == nil {
 			return nil
 		}
@@ -136,23 +143,24 @@
 }
 
 // try runs one attempt at the owner of an upstream.
-func (s *session) try(ctx context.Context, u *state.Upstream, tracked *tracking) *protocol.Error {
+func (s *session) try(ctx context.Context, u *state.Upstream, alone bool, tracked *tracking) *protocol.Error {
 	call := *s.call
 	call.Attempt = s.attempt
 	call.Upstream = u.ID
+	call.Alone = alone
 	call.Budget = s.deadline.Sub(s.g.opts.Clock())
 	if call.Model != nil {
 		model := *call.Model
 		model.Resume = s.out.next()
 		call.Model = &model
 	}
-	sink := s.out.open(&call)
+	sink := s.out.open(&call, tracked)
 	defer sink.close()
 	var err *protocol.Error
 	if u.Owner == s.g.opts.Self {
-		err = s.g.opts.Owner.Submit(ctx, &call, tracked.watch(sink))
+		err = s.g.opts.Owner.Submit(ctx, &call, sink)
 	} else {
-		err = s.g.opts.Peers.Call(ctx, u.Owner, &call, tracked.watch(sink))
+		err = s.g.opts.Peers.Call(ctx, u.Owner, &call, sink)
 	}
 	if failed := sink.failed(); failed != nil {
 		return failed
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -54,6 +54,8 @@
 	Fingerprint uint64           `cbor:"9,keyasint"`
 	Model       *ModelCall       `cbor:"10,keyasint,omitempty"`
 	Plain       *PlainCall       `cbor:"11,keyasint,omitempty"`
+	// Alone asks that nothing else runs on the upstream at the same time.
+	Alone bool `cbor:"20,keyasint,omitempty"`
 	// Ticket is set when the daemon that issued it is asked to run the call. The
 	// call then names no upstream.
 	Ticket string `cbor:"12,keyasint,omitempty"`
