--- a/internal/node/entry/delivery.go
+++ b/internal/node/entry/delivery.go
@@ -102,7 +102,7 @@
 
 // Chunk implements protocol.Sink.
 func (a *attemptSink) Chunk(c protocol.Chunk) error {
-	a.tracked.part()
+	a.tracked.part(c.Count)
 	a.d.mu.Lock()
 	defer a.d.mu.Unlock()
 	if err := a.check(c.Attempt); err != nil {
--- a/internal/node/entry/gateway.go
+++ b/internal/node/entry/gateway.go
@@ -91,6 +91,8 @@
 		Rank:    call.Rank,
 		Zone:    g.opts.Zone,
 		Region:  g.opts.Region,
+
+		Repeatable: call.Repeatable,
 	}
 	if call.Model != nil {
 		route.Adapter = call.Model.Adapter
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -31,7 +31,8 @@
 
 // Client calls upstreams. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
+	http     *http.Client
+	progress progressTable
 }
 
 // NewClient returns a client with its own pool of connections.
@@ -42,7 +43,10 @@
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true, // answers are passed on as they are
 	}
-	return &Client{http: &http.Client{Transport: transport, CheckRedirect: keepRedirect}}
+	return &Client{
+		http:     &http.Client{Transport: transport, CheckRedirect: keepRedirect},
+		progress: progressTable{engines: make(map[state.UpstreamID]*engineProgress)},
+	}
 }
 
 // keepRedirect hands redirects to the caller instead of following them.
