Schedule by entitlement, rank and due time, and load by demand

The daemon's core served by rank and arrival and evicted the least recently used adapter: cold requests of one rank held back others, a flood took everything, and nothing was refused before its deadline had passed. Scheduler replaces it.

Hot adapters still sit on one engine, which the router decides.

--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -136,12 +136,13 @@
 	return client
 }
 
-func newOwner(lc fx.Lifecycle, s Settings, fleet *state.Fleet, client *upstream.Client) *owner.Manager {
+func newOwner(lc fx.Lifecycle, s Settings, fleet *state.Fleet, client *upstream.Client, n *config.Node) *owner.Manager {
 	m := owner.New(owner.Options{
 		Self:    state.DaemonID(s.ID),
 		Fleet:   fleet,
 		Client:  client,
-		NewCore: func(*state.Upstream) ownercore.Core { return ownercore.NewFifo() },
+		NewCore: func(*state.Upstream) ownercore.Core { return ownercore.NewScheduler(ownercore.DefaultOptions()) },
+		Catalog: n.Catalog,
 		Clock:   time.Now,
 	})
 	lc.Append(fx.StopHook(func() { m.Close(); client.Close() }))
--- /dev/null
+++ b/internal/coordination/owner/load.go
@@ -0,0 +1,258 @@
+package owner
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/queue"
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+// claim is what speaks for loading an adapter that requests wait for.
+type claim struct {
+	ref    state.AdapterRef
+	within bool
+	rank   state.Rank
+	due    time.Time
+	value  float64 // cost of letting its requests wait on
+	late   float64 // longest wait as a part of the target
+}
+
+// before reports whether c goes before o.
+func (c *claim) before(o *claim) bool {
+	if c.within != o.within {
+		return c.within
+	}
+	if c.rank != o.rank {
+		return c.rank < o.rank
+	}
+	if !c.due.Equal(o.due) {
+		return c.due.Before(o.due)
+	}
+	return compareRefs(c.ref, o.ref) < 0
+}
+
+// load starts the loads that the budget and the slots allow.
+func (s *Scheduler) load(now time.Time) {
+	if !s.auth.MayLoad || s.slots == 0 {
+		return
+	}
+	for {
+		best, ok := s.bestClaim(now)
+		if !ok {
+			s.loadAhead(now)
+			return
+		}
+		if !s.budget.Admits(now, s.loading(), s.reserve(&best)) {
+			return
+		}
+		if !s.makeRoom(now, best.value, best.late >= s.opts.DrainAfter) {
+			return
+		}
+		s.order(now, best.ref, s.sources[best.ref])
+	}
+}
+
+// reserve returns the budget that a load must leave.
+func (s *Scheduler) reserve(c *claim) float64 {
+	switch {
+	case c.rank == 0 && c.within:
+		return -s.opts.UrgentOverdraw
+	case int(c.rank) >= len(s.ranks)-1 || !c.within:
+		return s.opts.IdleReserve
+	}
+	return 0
+}
+
+func (s *Scheduler) loading() int {
+	n := 0
+	for _, h := range s.table {
+		if h.state == slotLoading {
+			n++
+		}
+	}
+	return n
+}
+
+// bestClaim returns the most pressing adapter that is not held or backed off.
+func (s *Scheduler) bestClaim(now time.Time) (claim, bool) {
+	var best claim
+	found := false
+	for _, g := range s.queue.Blocked() {
+		if s.table[g.Adapter] != nil || s.backoff.Wait(now, g.Adapter) > 0 {
+			continue
+		}
+		c := s.claim(now, g)
+		if !found || c.before(&best) {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+func (s *Scheduler) claim(now time.Time, g *queue.Group) claim {
+	best := claim{ref: g.Adapter}
+	for i, it := range g.Items() {
+		one := claim{ref: g.Adapter, within: s.meter.Within(now, it.Class), rank: it.Class.Rank, due: it.Due}
+		late := now.Sub(it.Arrived).Seconds() / s.target(it.Class.Rank).Seconds()
+		weight := s.weight(it.Class.Rank)
+		if !one.within {
+			weight *= s.opts.FloodWeight
+		}
+		one.value = best.value + weight*(1+s.opts.WaitWeight*late)
+		one.late = max(best.late, late)
+		if i > 0 && best.before(&one) {
+			best.value, best.late = one.value, one.late
+			continue
+		}
+		best = one
+	}
+	return best
+}
+
+// makeRoom reports whether a slot is free. When none is, it evicts an idle adapter
+// whose demand is worth less than value; force drains a busy one.
+func (s *Scheduler) makeRoom(now time.Time, value float64, force bool) bool {
+	if len(s.table) < s.slots {
+		return true
+	}
+	if !s.auth.MayUnload || s.leavingSlot() {
+		return false
+	}
+	var victim, busy *held
+	var victimRate, busyRate float64
+	for _, h := range s.table {
+		if h.state != slotReady {
+			continue
+		}
+		rate := s.demand.Rate(now, h.ref)
+		idle := h.running == 0 && (s.queue.Waiting(h.ref) == 0 || h.draining)
+		if idle && lower(h, rate, victim, victimRate) {
+			victim, victimRate = h, rate
+		}
+		if lower(h, rate, busy, busyRate) {
+			busy, busyRate = h, rate
+		}
+	}
+	if victim != nil && (force || victimRate*s.opts.EvictHorizon.Seconds() < value) {
+		s.unload(victim)
+		return false
+	}
+	if victim == nil && force && busy != nil {
+		s.drain(busy)
+	}
+	return false
+}
+
+func lower(h *held, rate float64, than *held, thanRate float64) bool {
+	if than == nil || rate != thanRate {
+		return than == nil || rate < thanRate
+	}
+	return compareRefs(h.ref, than.ref) < 0
+}
+
+// leavingSlot reports whether a slot is about to become free.
+func (s *Scheduler) leavingSlot() bool {
+	for _, h := range s.table {
+		if h.state == slotUnloading || h.draining && h.running > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Scheduler) drain(h *held) {
+	h.draining = true
+	s.queue.Block(h.ref)
+	if h.running == 0 {
+		s.unload(h)
+	}
+}
+
+func (s *Scheduler) unload(h *held) {
+	if h.running != 0 || h.state != slotReady {
+		panic(fmt.Sprintf("owner: unload of adapter %s with %d requests running", h.ref, h.running))
+	}
+	h.state = slotUnloading
+	s.queue.Block(h.ref)
+	s.do(Unload{Adapter: h.ref, Epoch: s.auth.Epoch})
+}
+
+func (s *Scheduler) order(now time.Time, ref state.AdapterRef, source string) {
+	s.orders++
+	s.budget.Take(now)
+	s.table[ref] = &held{ref: ref, state: slotLoading, order: s.orders}
+	s.do(Load{Adapter: ref, Order: s.orders, Source: source, Epoch: s.auth.Epoch})
+}
+
+// loadAhead loads the adapter with the most demand when no request waits for one.
+func (s *Scheduler) loadAhead(now time.Time) {
+	if !s.budget.Admits(now, s.loading(), 0) || s.loading() > 0 {
+		return
+	}
+	ref, source, rate := s.demand.Top(now, func(ref state.AdapterRef) bool {
+		return s.table[ref] == nil && s.backoff.Wait(now, ref) == 0
+	})
+	if rate*s.opts.EvictHorizon.Seconds() < s.opts.AheadMargin {
+		return
+	}
+	if s.makeRoom(now, rate*s.opts.EvictHorizon.Seconds()/s.opts.AheadMargin, false) {
+		s.order(now, ref, source)
+	}
+}
+
+func (s *Scheduler) loadDone(now time.Time, e LoadDone) {
+	h := s.table[e.Adapter]
+	if h == nil || h.state != slotLoading || h.order != e.Order {
+		return
+	}
+	if !e.Failed && (s.boot == "" || e.Boot == s.boot) {
+		h.state = slotReady
+		s.backoff.Loaded(e.Adapter)
+		s.queue.Release(e.Adapter)
+		return
+	}
+	delete(s.table, e.Adapter)
+	if !e.Failed {
+		return
+	}
+	failures := s.backoff.Failed(now, e.Adapter)
+	wait := s.backoff.Wait(now, e.Adapter)
+	for _, it := range s.queue.All() {
+		if it.Adapter != e.Adapter {
+			continue
+		}
+		if failures >= s.opts.MaxLoadRetries || now.Add(wait).After(it.Due) {
+			s.refuse(it, RefuseLoad, wait)
+		}
+	}
+}
+
+func (s *Scheduler) unloadDone(e UnloadDone) {
+	h := s.table[e.Adapter]
+	if h == nil || h.state != slotUnloading {
+		return
+	}
+	if !e.Failed {
+		delete(s.table, e.Adapter)
+		return
+	}
+	h.state = slotReady
+	h.draining = false
+	s.queue.Release(e.Adapter)
+}
+
+// loadDemand returns the weighted number of requests that wait for loads which
+// have not started.
+func (s *Scheduler) loadDemand() float64 {
+	total := 0.0
+	for _, g := range s.queue.Blocked() {
+		if s.table[g.Adapter] != nil {
+			continue
+		}
+		for _, it := range g.Items() {
+			total += s.weight(it.Class.Rank)
+		}
+	}
+	return total
+}
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -39,6 +39,7 @@
 	// LoadDone reports the answer to a Load order.
 	LoadDone struct {
 		Adapter state.AdapterRef
+		Order   uint64 // of the Load
 		Boot    state.BootID
 		Failed  bool
 	}
@@ -125,6 +126,7 @@
 	// Load orders the upstream to load an adapter.
 	Load struct {
 		Adapter state.AdapterRef
+		Order   uint64 // tells loads of the same adapter apart
 		Source  string
 		Epoch   state.Epoch
 	}
--- /dev/null
+++ b/internal/coordination/owner/policy_test.go
@@ -0,0 +1,124 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+// serve keeps the engine busy for a while: requests end after runTime, and loads
+// at once. More is called at each step.
+func (r *rig) serve(d, runTime time.Duration, more func(step int)) map[string]time.Time {
+	const stepTime = 50 * time.Millisecond
+	started := make(map[string]time.Time)
+	for step := range int(d / stepTime) {
+		more(step)
+		r.finishLoads()
+		for id := range r.running {
+			if _, ok := started[id]; !ok {
+				started[id] = r.now
+			}
+		}
+		for id, at := range started {
+			if _, ok := r.running[id]; ok && r.now.Sub(at) >= runTime {
+				r.end(id)
+			}
+		}
+		r.tick(stepTime)
+	}
+	return started
+}
+
+func TestRequestsWaitingForLoadsDoNotBlockLoadedAdapters(t *testing.T) {
+	r := newRig(t)
+	r.enqueue("warm", 0, testClass(0, 2), time.Minute)
+	r.finishLoads()
+	r.handle(StoreBudget{Rate: 0, Burst: 0, InFlight: 0})
+	r.enqueue("cold", 1, testClass(0, 0), time.Minute)
+	r.enqueue("next", 0, testClass(0, 2), time.Minute)
+	qt.Assert(t, r.running["next"], qt.Equals, testAdapter(0))
+	qt.Assert(t, r.queued["cold"], qt.Equals, testAdapter(1))
+}
+
+func TestFailingLoadDoesNotBlockOthers(t *testing.T) {
+	r := newRig(t)
+	r.enqueue("broken", 1, testClass(0, 0), 30*time.Second)
+	for range DefaultOptions().MaxLoadRetries {
+		for order := range r.loads {
+			r.loaded(order, true)
+		}
+		r.tick(time.Second)
+	}
+	qt.Assert(t, r.refused["broken"], qt.Equals, RefuseLoad)
+	r.enqueue("again", 1, testClass(0, 0), 30*time.Second)
+	r.enqueue("good", 2, testClass(0, 1), 30*time.Second)
+	r.finishLoads()
+	qt.Assert(t, r.running["good"], qt.Equals, testAdapter(2))
+}
+
+func TestRequestThatCannotMeetItsDeadlineIsRefusedAtOnce(t *testing.T) {
+	r := newRig(t)
+	const runTime = 2 * time.Second
+	r.serve(10*time.Second, runTime, func(step int) {
+		if step%20 == 0 {
+			for i := range testBatch {
+				r.enqueue(fmt.Sprintf("%d-%d", step, i), 0, testClass(0, 1), time.Minute)
+			}
+		}
+	})
+	for i := range 20 {
+		r.enqueue(fmt.Sprintf("behind-%d", i), 0, testClass(0, 1), time.Minute)
+	}
+	r.enqueue("hopeless", 0, testClass(0, 1), runTime/2)
+	qt.Assert(t, r.refused["hopeless"], qt.Equals, RefuseDeadline)
+}
+
+func TestUrgentWorkPassesWaitingWork(t *testing.T) {
+	r := newRig(t)
+	r.enqueue("first", 0, testClass(0, 2), time.Minute)
+	r.finishLoads()
+	for i := range 2 * testBatch {
+		r.enqueue(fmt.Sprintf("low-%d", i), 0, testClass(1, 2), time.Minute)
+	}
+	r.enqueue("urgent", 0, testClass(0, 0), time.Minute)
+	qt.Assert(t, r.running["urgent"], qt.Equals, testAdapter(0))
+}
+
+// flood measures how many requests of a quiet class run while another floods.
+func flood(t *testing.T, quiet, flooding state.Class) (served, offered int) {
+	r := newRig(t)
+	const runTime = 500 * time.Millisecond
+	quietIDs := make(map[string]bool)
+	started := r.serve(60*time.Second, runTime, func(step int) {
+		if step%10 == 0 {
+			id := fmt.Sprintf("quiet-%d", step)
+			quietIDs[id] = true
+			r.enqueue(id, 0, quiet, 20*time.Second)
+		}
+		if step > 400 {
+			for i := range 4 {
+				r.enqueue(fmt.Sprintf("flood-%d-%d", step, i), 1, flooding, 20*time.Second)
+			}
+		}
+	})
+	for id := range quietIDs {
+		if _, ok := started[id]; ok {
+			served++
+		}
+	}
+	return served, len(quietIDs)
+}
+
+func TestFloodOfUrgentWorkLeavesTheRestItsPart(t *testing.T) {
+	served, offered := flood(t, testClass(0, 2), testClass(1, 0))
+	qt.Assert(t, float64(served) >= 0.95*float64(offered), qt.IsTrue, qt.Commentf("%d of %d", served, offered))
+}
+
+func TestFloodOfIdleWorkLeavesTheRestItsPart(t *testing.T) {
+	served, offered := flood(t, testClass(0, 0), testClass(1, 2))
+	qt.Assert(t, float64(served) >= 0.95*float64(offered), qt.IsTrue, qt.Commentf("%d of %d", served, offered))
+}
--- a/internal/measure/host.go
+++ b/internal/measure/host.go
@@ -88,7 +88,7 @@
 		if !failed {
 			h.loaded(a.Adapter)
 		}
-		h.handle(owner.LoadDone{Adapter: a.Adapter, Boot: h.engine.bootID(), Failed: failed})
+		h.handle(owner.LoadDone{Adapter: a.Adapter, Order: a.Order, Boot: h.engine.bootID(), Failed: failed})
 	})
 }
 
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -51,7 +51,7 @@
 	return Policy{
 		Name:      "celerydeck",
 		NewRouter: func(env Env) routing.Router { return routing.NewSimple(env.Fleet) },
-		NewCore:   func(*state.Upstream) owner.Core { return owner.NewFifo() },
+		NewCore:   func(*state.Upstream) owner.Core { return owner.NewScheduler(owner.DefaultOptions()) },
 		NewShares: newByDemand,
 	}
 }
--- a/internal/measure/size.go
+++ b/internal/measure/size.go
@@ -42,7 +42,7 @@
 	return []state.RankInfo{
 		{Rank: 0, Name: "urgent", FirstToken: time.Second, BetweenTokens: 65 * time.Millisecond, Worth: 100, Share: 0.3},
 		{Rank: 1, Name: "desk", FirstToken: 3 * time.Second, BetweenTokens: 100 * time.Millisecond, Worth: 10, Share: 0.4},
-		{Rank: 2, Name: "summary", FirstToken: time.Minute, BetweenTokens: time.Second, Worth: 1, Share: 0.1},
+		{Rank: 2, Name: "summary", FirstToken: time.Minute, BetweenTokens: time.Second, Worth: 1, Share: 0.3},
 	}
 }
 
--- a/internal/node/owner/manager.go
+++ b/internal/node/owner/manager.go
@@ -23,6 +23,7 @@
 	Fleet   *state.Fleet
 	Client  *upstream.Client
 	NewCore func(u *state.Upstream) core.Core
+	Catalog func() *state.Catalog // nil before the first configuration
 	Clock   func() time.Time
 }
 
--- a/internal/node/owner/worker.go
+++ b/internal/node/owner/worker.go
@@ -30,6 +30,7 @@
 	mu      sync.Mutex // guards core and pending; never held across I/O
 	core    core.Core
 	pending map[string]*pending
+	catalog *state.Catalog // last one told to the core; used by poll only
 }
 
 type pending struct {
@@ -178,7 +179,7 @@
 	if err != nil {
 		klog.InfoS("Load failed", "adapter", a.Adapter, "upstream", w.u.ID, "err", err)
 	}
-	w.handle(core.LoadDone{Adapter: a.Adapter, Boot: boot, Failed: err != nil})
+	w.handle(core.LoadDone{Adapter: a.Adapter, Order: a.Order, Boot: boot, Failed: err != nil})
 }
 
 func (w *worker) unload(a core.Unload) {
@@ -197,6 +198,7 @@
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
+		w.configure()
 		w.report()
 		select {
 		case <-ticker.C:
@@ -206,6 +208,16 @@
 	}
 }
 
+// configure tells the core the ranks of a new configuration.
+func (w *worker) configure() {
+	catalog := w.m.opts.Catalog()
+	if catalog == nil || catalog == w.catalog {
+		return
+	}
+	w.catalog = catalog
+	w.handle(core.Ranks{Ranks: catalog.Ranks()})
+}
+
 func (w *worker) report() {
 	if w.u.Kind == state.KindPlain {
 		w.handle(core.Report{Boot: "plain", Batch: plainBatch})
