--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/celerydeck/celerydeck/internal/node/cluster"
 	"github.com/celerydeck/celerydeck/internal/node/config"
 	"github.com/celerydeck/celerydeck/internal/node/entry"
+	"github.com/celerydeck/celerydeck/internal/node/once"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
@@ -53,6 +54,7 @@
 	Server  *http.Server
 	Caller  net.Listener
 	Peers   *peer.Server
+	Once    *once.Gateway
 }
 
 // Start starts a daemon with an identity of its own.
@@ -64,7 +66,7 @@
 		fx.Supply(fx.Annotate(d, fx.As(new(readiness)))),
 		fx.Provide(
 			state.NewFleet, newSockets, newPool, newOwner, newCluster, newConfig, newLateMembers, newGateway, newCallers, newPlatform,
-			upstream.NewClient, newCallerListener, newPeerServer,
+			newIncarnation, newOnce, upstream.NewClient, newCallerListener, newPeerServer,
 		),
 		fx.Populate(&d.parts),
 	)
@@ -91,7 +93,7 @@
 	defer cancel()
 	d.parts.Cluster.Drain(announce)
 	err := d.parts.Server.Shutdown(ctx)
-	err = errors.Join(err, d.parts.Owner.Wait(ctx), d.parts.Peers.Drain(ctx))
+	err = errors.Join(err, d.parts.Owner.Wait(ctx), d.parts.Peers.Drain(ctx), d.parts.Once.Wait(ctx))
 	stop, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), announceTimeout)
 	defer cancelStop()
 	return errors.Join(err, d.app.Stop(stop))
@@ -149,10 +151,10 @@
 	return m
 }
 
-func newCluster(lc fx.Lifecycle, s Settings, client *platform.Client, pool *peer.Pool, fleet *state.Fleet, m *owner.Manager, members *lateMembers, n *config.Node) *cluster.Cluster {
+func newCluster(lc fx.Lifecycle, s Settings, run state.Incarnation, client *platform.Client, pool *peer.Pool, fleet *state.Fleet, m *owner.Manager, members *lateMembers, n *config.Node) *cluster.Cluster {
 	c := cluster.New(cluster.Options{
 		Self:        peer.Peer{ID: state.DaemonID(s.ID), Addr: s.PeerAddr},
-		Incarnation: state.Incarnation(newID()),
+		Incarnation: run,
 		Zone:        state.Zone(s.Zone),
 		Region:      state.Region(s.Region),
 		Platform:    client,
@@ -188,9 +190,10 @@
 	return l, nil
 }
 
-func newCallers(lc fx.Lifecycle, l net.Listener, g *entry.Gateway, n *config.Node, r readiness) *http.Server {
+func newCallers(lc fx.Lifecycle, l net.Listener, g *once.Gateway, n *config.Node, r readiness) *http.Server {
 	api := callers.New(callers.Options{
 		Gateway: g,
+		Tickets: g,
 		Catalog: n.Catalog,
 		Ready:   r.Ready,
 		NewID:   newID,
@@ -209,11 +212,13 @@
 	ID      peer.Identity
 	Owner   *owner.Manager
 	Cluster *cluster.Cluster
+	Once    *once.Gateway
 	Config  *config.Node
 }
 
 func newPeerServer(lc fx.Lifecycle, p serverParams) (*peer.Server, error) {
-	server, err := peer.Listen(p.Listen, p.ID, peerHandler{owner: p.Owner, cluster: p.Cluster, config: p.Config})
+	handler := peerHandler{owner: p.Owner, cluster: p.Cluster, config: p.Config, once: p.Once}
+	server, err := peer.Listen(p.Listen, p.ID, handler)
 	if err != nil {
 		return nil, fmt.Errorf("serve daemons: %w", err)
 	}
--- a/internal/app/handler.go
+++ b/internal/app/handler.go
@@ -6,6 +6,7 @@
 
 	"github.com/celerydeck/celerydeck/internal/node/cluster"
 	"github.com/celerydeck/celerydeck/internal/node/config"
+	"github.com/celerydeck/celerydeck/internal/node/once"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
@@ -16,15 +17,24 @@
 	owner   *owner.Manager
 	cluster *cluster.Cluster
 	config  *config.Node
+	once    *once.Gateway
 }
 
 // ServeCall implements peer.Handler.
 func (h peerHandler) ServeCall(ctx context.Context, _ state.DaemonID, call *protocol.Call, sink protocol.Sink) {
-	if err := h.owner.Submit(ctx, call, sink); err != nil {
+	serve := h.owner.Submit
+	if call.Ticket != "" {
+		serve = h.serveTicket
+	}
+	if err := serve(ctx, call, sink); err != nil {
 		_ = sink.End(protocol.End{Attempt: call.Attempt, Err: err})
 	}
 }
 
+func (h peerHandler) serveTicket(ctx context.Context, call *protocol.Call, sink protocol.Sink) *protocol.Error {
+	return h.once.Serve(ctx, call, call.Base, sink)
+}
+
 // ServeMessage implements peer.Handler.
 func (h peerHandler) ServeMessage(_ context.Context, from state.DaemonID, frame protocol.Frame) (protocol.MessageKind, any, error) {
 	switch frame.Kind {
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/suspects"
 	"github.com/celerydeck/celerydeck/internal/state"
 )
 
@@ -25,6 +26,10 @@
 	MsgConfigState
 	MsgConfigFetch
 	MsgConfigRecords
+	MsgSuspects
+	MsgSuspectsReply
+	MsgSuspectAsk
+	MsgSuspectAnswer
 )
 
 // Hello opens every stream and negotiates the version.
@@ -49,6 +54,12 @@
 	Fingerprint uint64           `cbor:"9,keyasint"`
 	Model       *ModelCall       `cbor:"10,keyasint,omitempty"`
 	Plain       *PlainCall       `cbor:"11,keyasint,omitempty"`
+	// Ticket is set when the daemon that issued it is asked to run the call. The
+	// call then names no upstream.
+	Ticket string `cbor:"12,keyasint,omitempty"`
+	Base   string `cbor:"13,keyasint,omitempty"` // base model, with Ticket only
+	// IdempotencyKey stays with the entry daemon.
+	IdempotencyKey string `cbor:"-"`
 }
 
 // Class returns the class of the call.
@@ -90,6 +101,7 @@
 	Boot     state.BootID     `cbor:"4,keyasint"`
 	Status   int              `cbor:"5,keyasint"`
 	Header   []HeaderField    `cbor:"6,keyasint,omitempty"`
+	Replayed bool             `cbor:"7,keyasint,omitempty"` // the answer was kept from an earlier request
 }
 
 // Chunk is a part of an answer. Offset counts tokens for model calls and bytes
@@ -165,3 +177,22 @@
 	Digest   uint64   `cbor:"3,keyasint,omitempty"`
 	Snapshot []byte   `cbor:"4,keyasint,omitempty"` // compressed objects
 }
+
+// Suspects carries entries of the table of requests that crash upstreams. With no
+// entries it compares digests.
+type Suspects struct {
+	Digest  uint64           `cbor:"1,keyasint"`
+	Entries []suspects.Entry `cbor:"2,keyasint,omitempty"`
+}
+
+// SuspectAsk asks the tracker of a fingerprint whether a request may run, or ends
+// the permit of an earlier answer.
+type SuspectAsk struct {
+	Fingerprint suspects.Fingerprint `cbor:"1,keyasint"`
+	Release     bool                 `cbor:"2,keyasint,omitempty"`
+}
+
+// SuspectAnswer answers a SuspectAsk.
+type SuspectAnswer struct {
+	Answer suspects.Answer `cbor:"1,keyasint"`
+}
