--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -163,6 +163,7 @@
 	Queued   int
 	Resident []state.AdapterRef
 
-	Loading    int     // loads in progress
-	LoadDemand float64 // worth a second of the loads that wait for budget
+	Loading      []state.AdapterRef // loads in progress
+	QueuedByRank []int              // requests that wait for the batch, most urgent first
+	LoadDemand   float64            // weight of the requests that wait for loads not yet started
 }
--- a/internal/coordination/owner/scheduler.go
+++ b/internal/coordination/owner/scheduler.go
@@ -253,6 +253,9 @@
 		Queued:     s.queue.Len(),
 		LoadDemand: s.loadDemand(),
 	}
+	for rank := range s.ranks {
+		st.QueuedByRank = append(st.QueuedByRank, s.queue.RunnableRank(state.Rank(rank)))
+	}
 	for _, h := range s.sorted() {
 		switch h.state {
 		case slotReady:
@@ -260,7 +263,7 @@
 				st.Resident = append(st.Resident, h.ref)
 			}
 		case slotLoading:
-			st.Loading++
+			st.Loading = append(st.Loading, h.ref)
 		}
 	}
 	return st
--- a/internal/coordination/queue/queue.go
+++ b/internal/coordination/queue/queue.go
@@ -111,6 +111,17 @@
 	return 0
 }
 
+// RunnableRank returns the number of runnable requests of a rank.
+func (q *Queue) RunnableRank(rank state.Rank) int {
+	n := 0
+	for _, l := range q.order {
+		if l.class.Rank == rank {
+			n += len(l.items)
+		}
+	}
+	return n
+}
+
 // Add adds a request. Usable says whether its adapter can be used at once.
 func (q *Queue) Add(it *Item, usable bool) {
 	q.seq++
--- a/internal/measure/baseline.go
+++ b/internal/measure/baseline.go
@@ -76,12 +76,14 @@
 	return routing.Choice{Upstream: best}
 }
 
-// Sent implements Dispatches.
-func (l *leastLoaded) Sent(_ time.Time, _ *routing.Request, to state.UpstreamID) { l.sent[to]++ }
+// Sent implements routing.Tracker.
+func (l *leastLoaded) Sent(_ time.Time, _ *routing.Request, c routing.Choice) {
+	l.sent[c.Upstream.ID]++
+}
 
-// Done implements Dispatches.
-func (l *leastLoaded) Done(_ time.Time, _ *routing.Request, to state.UpstreamID, _, _ bool) {
-	l.sent[to]--
+// Ended implements routing.Tracker.
+func (l *leastLoaded) Ended(_ time.Time, _ *routing.Request, c routing.Choice, _ routing.Result) {
+	l.sent[c.Upstream.ID]--
 }
 
 // rendezvous takes the first engine in the rendezvous order of the adapter.
--- a/internal/measure/call.go
+++ b/internal/measure/call.go
@@ -31,6 +31,10 @@
 	exclude  []state.UpstreamID
 	at       state.UpstreamID
 
+	choice  routing.Choice // of the present attempt
+	sent    time.Time
+	tracked *routing.Request
+
 	dispatched bool
 	waitsLoad  bool
 	waitsSince time.Time
@@ -79,6 +83,17 @@
 	}
 }
 
+// routed returns how an attempt that ran ended.
+func (c *call) routed(failed bool) routing.Outcome {
+	switch {
+	case !failed:
+		return routing.OutcomeOK
+	case c.outcome != waiting:
+		return routing.OutcomeNeutral
+	}
+	return routing.OutcomeFailed
+}
+
 // inTime reports whether both targets of the rank were met.
 func (c *call) inTime(rank state.RankInfo) bool {
 	if c.outcome != completed || c.first.Sub(c.arrived) > rank.FirstToken {
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/owner"
@@ -34,13 +35,6 @@
 	Divide(now time.Time, statuses []owner.Status) []owner.StoreBudget
 }
 
-// Dispatches is implemented by routers that correct reported load by what they
-// sent since.
-type Dispatches interface {
-	Sent(now time.Time, req *routing.Request, to state.UpstreamID)
-	Done(now time.Time, req *routing.Request, to state.UpstreamID, refused, failed bool)
-}
-
 // Policies returns the baselines and then the policies of the daemon.
 func Policies() []Policy {
 	return append(Baselines(), Current())
@@ -50,8 +44,16 @@
 func Current() Policy {
 	return Policy{
 		Name:      "celerydeck",
-		NewRouter: func(env Env) routing.Router { return routing.NewSimple(env.Fleet) },
+		NewRouter: func(env Env) routing.Router { return newScored(env) },
 		NewCore:   func(*state.Upstream) owner.Core { return owner.NewScheduler(owner.DefaultOptions()) },
 		NewShares: newByDemand,
 	}
 }
+
+func newScored(env Env) routing.Router {
+	return routing.NewScored(routing.Options{
+		Fleet:   env.Fleet,
+		Weights: routing.DefaultWeights(),
+		Rand:    rand.New(rand.NewPCG(env.Seed, 5)),
+	})
+}
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -160,6 +160,9 @@
 			u.Slots, u.Batch = s.Slots, s.Batch
 			u.Running, u.Queued = s.Running, s.Queued
 			u.Resident = s.Resident
+			u.Loading = s.Loading
+			u.QueuedByRank = s.QueuedByRank
+			u.ReportedAt = r.clock.now
 		})
 	})
 }
@@ -221,27 +224,36 @@
 	}
 	c.attempt++
 	c.at = choice.Upstream.ID
-	if d, ok := e.router.(Dispatches); ok {
-		d.Sent(r.clock.now, req, c.at)
+	c.choice, c.sent, c.tracked = choice, r.clock.now, req
+	if t, ok := e.router.(routing.Tracker); ok {
+		t.Sent(r.clock.now, req, choice)
 	}
 	h := r.byID[c.at]
 	r.clock.after(hopTime, func() {
-		if c.outcome == waiting {
-			h.enqueue(c)
+		if c.outcome != waiting {
+			r.answered(c, routing.OutcomeNeutral)
+			return
 		}
+		h.enqueue(c)
 	})
 }
 
-func (r *run) answered(c *call, from state.UpstreamID, wasRefused, failed bool) {
-	e := r.entry(c)
-	if d, ok := e.router.(Dispatches); ok {
-		d.Done(r.clock.now, c.route(e.zone), from, wasRefused, failed)
+// answered tells the router how an attempt ended.
+func (r *run) answered(c *call, o routing.Outcome) {
+	t, ok := r.entry(c).router.(routing.Tracker)
+	if !ok {
+		return
+	}
+	result := routing.Result{Outcome: o, Total: r.clock.now.Sub(c.sent)}
+	if c.first.After(c.sent) {
+		result.FirstToken = c.first.Sub(c.sent)
 	}
+	t.Ended(r.clock.now, c.tracked, c.choice, result)
 }
 
 // refused is the entry's reaction to a request that was not run.
 func (r *run) refused(c *call, from state.UpstreamID, a owner.Refuse) {
-	r.answered(c, from, true, false)
+	r.answered(c, routing.OutcomeRefused)
 	c.retryAfter = a.RetryAfter
 	if c.outcome != waiting {
 		return
@@ -258,7 +270,7 @@
 
 // ended is the entry's reaction to the end of a request that ran.
 func (r *run) ended(c *call, from state.UpstreamID, failed bool) {
-	r.answered(c, from, false, failed)
+	r.answered(c, c.routed(failed))
 	if c.outcome != waiting {
 		return
 	}
