--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/celerydeck/celerydeck/internal/node/entry"
 	"github.com/celerydeck/celerydeck/internal/node/once"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
+	"github.com/celerydeck/celerydeck/internal/node/suspects"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/transport/callers"
@@ -65,7 +66,7 @@
 		fx.Supply(settings, id),
 		fx.Supply(fx.Annotate(d, fx.As(new(readiness)))),
 		fx.Provide(
-			state.NewFleet, newSockets, newPool, newOwner, newCluster, newConfig, newLateMembers, newGateway, newCallers, newPlatform,
+			state.NewFleet, newSockets, newPool, newOwner, newCluster, newConfig, newLateMembers, newSuspects, newGateway, newCallers, newPlatform,
 			newIncarnation, newOnce, upstream.NewClient, newCallerListener, newPeerServer,
 		),
 		fx.Populate(&d.parts),
@@ -138,13 +139,14 @@
 	return client
 }
 
-func newOwner(lc fx.Lifecycle, s Settings, fleet *state.Fleet, client *upstream.Client, n *config.Node) *owner.Manager {
+func newOwner(lc fx.Lifecycle, s Settings, fleet *state.Fleet, client *upstream.Client, n *config.Node, crashes *suspects.Node) *owner.Manager {
 	m := owner.New(owner.Options{
 		Self:    state.DaemonID(s.ID),
 		Fleet:   fleet,
 		Client:  client,
 		NewCore: func(*state.Upstream) ownercore.Core { return ownercore.NewScheduler(ownercore.DefaultOptions()) },
 		Catalog: n.Catalog,
+		Crashes: crashes,
 		Clock:   time.Now,
 	})
 	lc.Append(fx.StopHook(func() { m.Close(); client.Close() }))
@@ -170,15 +172,18 @@
 	return c
 }
 
-func newGateway(s Settings, fleet *state.Fleet, m *owner.Manager, pool *peer.Pool, c *cluster.Cluster) *entry.Gateway {
+func newGateway(s Settings, fleet *state.Fleet, m *owner.Manager, pool *peer.Pool, c *cluster.Cluster, admit *suspects.Node) *entry.Gateway {
+	router := newRouter(fleet)
 	return entry.New(entry.Options{
-		Self:   state.DaemonID(s.ID),
-		Zone:   state.Zone(s.Zone),
-		Region: state.Region(s.Region),
-		Router: routing.NewSimple(fleet),
-		Owner:  m,
-		Peers:  peers{pool: pool, cluster: c},
-		Clock:  time.Now,
+		Self:     state.DaemonID(s.ID),
+		Zone:     state.Zone(s.Zone),
+		Region:   state.Region(s.Region),
+		Router:   router,
+		Trackers: []routing.Tracker{router},
+		Owner:    m,
+		Peers:    peers{pool: pool, cluster: c},
+		Suspects: admit,
+		Clock:    time.Now,
 	})
 }
 
@@ -208,16 +213,17 @@
 
 type serverParams struct {
 	fx.In
-	Listen  net.PacketConn `name:"peer-listen"`
-	ID      peer.Identity
-	Owner   *owner.Manager
-	Cluster *cluster.Cluster
-	Once    *once.Gateway
-	Config  *config.Node
+	Listen   net.PacketConn `name:"peer-listen"`
+	ID       peer.Identity
+	Owner    *owner.Manager
+	Cluster  *cluster.Cluster
+	Once     *once.Gateway
+	Config   *config.Node
+	Suspects *suspects.Node
 }
 
 func newPeerServer(lc fx.Lifecycle, p serverParams) (*peer.Server, error) {
-	handler := peerHandler{owner: p.Owner, cluster: p.Cluster, config: p.Config, once: p.Once}
+	handler := peerHandler{owner: p.Owner, cluster: p.Cluster, suspects: p.Suspects, config: p.Config, once: p.Once}
 	server, err := peer.Listen(p.Listen, p.ID, handler)
 	if err != nil {
 		return nil, fmt.Errorf("serve daemons: %w", err)
--- a/internal/coordination/owner/dispatch.go
+++ b/internal/coordination/owner/dispatch.go
@@ -21,6 +21,7 @@
 		Arrived:  now,
 		Due:      now.Add(s.target(r.Class.Rank)),
 		Deadline: r.Deadline,
+		Alone:    r.Alone,
 	}
 	if it.Deadline.Before(it.Due) {
 		it.Due = it.Deadline
@@ -126,10 +127,10 @@
 func (s *Scheduler) dispatch(now time.Time) {
 	within := func(c state.Class) bool { return s.meter.Within(now, c) }
 	may := func(it *queue.Item) bool { return s.mayRun(it, s.level(now, it.Class)) }
-	for len(s.running) < s.batch {
+	for len(s.running) < s.batch && !s.alone {
 		it := s.queue.Next(within, may)
-		if it == nil {
-			break
+		if it == nil || it.Alone && len(s.running) > 0 {
+			break // what must run alone holds back the rest until the batch is empty
 		}
 		s.start(now, it)
 	}
@@ -208,6 +209,7 @@
 func (s *Scheduler) start(now time.Time, it *queue.Item) {
 	s.queue.Remove(it)
 	r := &run{class: it.Class, level: s.level(now, it.Class), started: now}
+	s.alone = it.Alone
 	if !it.Adapter.IsZero() {
 		r.held = s.table[it.Adapter]
 		if r.held == nil || r.held.state != slotReady {
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -20,6 +20,7 @@
 	Prefix       uint64
 	Fingerprint  uint64
 	Repeatable   bool
+	Alone        bool // nothing else may run on the upstream at the same time
 }
 
 // Event is an input of a Core.
--- a/internal/coordination/owner/scheduler.go
+++ b/internal/coordination/owner/scheduler.go
@@ -32,6 +32,7 @@
 	running map[string]*run
 	table   map[state.AdapterRef]*held
 	active  []int // running requests, by level; set up by grow
+	alone   bool  // a request that must run alone is running
 	orders  uint64
 
 	meter   *admission.Meter
@@ -199,6 +200,7 @@
 		return
 	}
 	delete(s.running, e.ID)
+	s.alone = false
 	s.meter.End(now, r.class)
 	s.active[r.level]--
 	if !e.Failed {
--- a/internal/coordination/owner/scheduler_test.go
+++ b/internal/coordination/owner/scheduler_test.go
@@ -34,6 +34,7 @@
 	unloads  map[state.AdapterRef]bool
 	resident map[state.AdapterRef]bool
 	refused  map[string]RefuseReason
+	alone    map[string]bool
 }
 
 func newRig(t rapid.TB) *rig {
@@ -48,6 +49,7 @@
 		unloads:  make(map[state.AdapterRef]bool),
 		resident: make(map[state.AdapterRef]bool),
 		refused:  make(map[string]RefuseReason),
+		alone:    make(map[string]bool),
 	}
 	r.handle(Ranks{Ranks: testRanks})
 	r.handle(Authority{Epoch: 1, MayDispatch: true, MayLoad: true, MayUnload: true})
@@ -88,6 +90,10 @@
 		r.must(r.resident[ref], "dispatch to %s, which is not loaded", ref)
 		r.must(!r.unloads[ref], "dispatch to %s, which is being unloaded", ref)
 		delete(r.queued, a.ID)
+		r.must(!r.alone[a.ID] || len(r.running) == 0, "dispatch of %s, which must run alone", a.ID)
+		for id := range r.running {
+			r.must(!r.alone[id], "dispatch beside %s, which must run alone", id)
+		}
 		r.running[a.ID] = ref
 	case Refuse:
 		_, ok := r.queued[a.ID]
@@ -112,6 +118,7 @@
 	r.queued[id] = ref
 	r.handle(Enqueue{Request: Request{
 		ID: id, Class: class, Adapter: ref, Source: ref.Adapter, Deadline: r.now.Add(timeout), MaxTokens: 10,
+		Alone: r.alone[id],
 	}})
 }
 
@@ -200,7 +207,9 @@
 				rank := state.Rank(rapid.IntRange(0, 2).Draw(t, "rank"))
 				adapter := rapid.IntRange(0, 9).Draw(t, "adapter")
 				timeout := time.Duration(rapid.IntRange(0, 20000).Draw(t, "timeout")) * time.Millisecond
-				r.enqueue(fmt.Sprintf("%04d", next), adapter, testClass(rapid.IntRange(0, 2).Draw(t, "customer"), rank), timeout)
+				id := fmt.Sprintf("%04d", next)
+				r.alone[id] = rapid.IntRange(0, 9).Draw(t, "alone") == 0
+				r.enqueue(id, adapter, testClass(rapid.IntRange(0, 2).Draw(t, "customer"), rank), timeout)
 			},
 			"end": func(t *rapid.T) {
 				if id, ok := anyKey(t, r.running, byID); ok {
--- a/internal/coordination/queue/queue.go
+++ b/internal/coordination/queue/queue.go
@@ -15,6 +15,7 @@
 	Arrived  time.Time
 	Due      time.Time // when the first token should be out
 	Deadline time.Time
+	Alone    bool // nothing else may run at the same time
 
 	seq   uint64
 	index int // place in its heap
--- a/internal/node/entry/gateway.go
+++ b/internal/node/entry/gateway.go
@@ -35,9 +35,12 @@
 	Zone   state.Zone
 	Region state.Region
 	Router routing.Router
-	Owner  Owner
-	Peers  Peers
-	Clock  func() time.Time
+	// Trackers learn from the attempts. A Router that is a Tracker is one of them.
+	Trackers []routing.Tracker
+	Owner    Owner
+	Peers    Peers
+	Suspects Suspects
+	Clock    func() time.Time
 }
 
 // Gateway serves requests from end to end. It is safe for concurrent use.
@@ -96,12 +99,20 @@
 
 func (s *session) run(ctx context.Context) *protocol.Error {
 	for {
+		alone, err := s.admit(ctx)
+		if err != nil {
+			return s.final(ctx, err)
+		}
 		choice := s.pick(ctx)
 		if choice.Upstream == nil {
+			s.finish(ctx, alone, false)
 			return s.noUpstream(ctx)
 		}
 		s.attempt++
-		err := s.try(ctx, choice.Upstream)
+		tracked := s.g.track(s.route, choice)
+		err = s.try(ctx, choice.Upstream, alone, tracked)
+		tracked.end(err)
+		s.finish(ctx, alone, err == nil)
 		if err == nil {
 			return nil
 		}
@@ -130,17 +141,18 @@
 }
 
 // try runs one attempt at the owner of an upstream.
-func (s *session) try(ctx context.Context, u *state.Upstream) *protocol.Error {
+func (s *session) try(ctx context.Context, u *state.Upstream, alone bool, tracked *tracking) *protocol.Error {
 	call := *s.call
 	call.Attempt = s.attempt
 	call.Upstream = u.ID
+	call.Alone = alone
 	call.Budget = s.deadline.Sub(s.g.opts.Clock())
 	if call.Model != nil {
 		model := *call.Model
 		model.Resume = s.out.next()
 		call.Model = &model
 	}
-	sink := s.out.open(&call)
+	sink := s.out.open(&call, tracked)
 	defer sink.close()
 	var err *protocol.Error
 	if u.Owner == s.g.opts.Self {
--- a/internal/node/owner/manager.go
+++ b/internal/node/owner/manager.go
@@ -24,6 +24,8 @@
 	Client  *upstream.Client
 	NewCore func(u *state.Upstream) core.Core
 	Catalog func() *state.Catalog // nil before the first configuration
+	// Crashes learns of crashed upstreams. It may be nil.
+	Crashes CrashReporter
 	Clock   func() time.Time
 	// Observer is told about dispatches and loads; nil for none.
 	Observer Observer
--- a/internal/node/owner/worker.go
+++ b/internal/node/owner/worker.go
@@ -32,6 +32,7 @@
 	pending map[string]*pending
 	catalog *state.Catalog // last one told to the core; used by poll only
 	loads   map[state.AdapterRef]loadSpan
+	check   *crashCheck // of the latest run that broke
 }
 
 type pending struct {
@@ -41,7 +42,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   chan *protocol.Error // buffered; receives exactly one result
-	queued time.Time
+	// dispatched is guarded by worker.mu.
+	dispatched bool
+	queued     time.Time
 }
 
 func (w *worker) handle(event core.Event) {
@@ -66,6 +69,9 @@
 		Slots:    s.Slots,
 		Batch:    s.Batch,
 		Resident: s.Resident,
+		Loading:  s.Loading,
+
+		QueuedByRank: s.QueuedByRank,
 	}
 }
 
@@ -106,6 +112,7 @@
 		Deadline:    now.Add(call.Budget),
 		Fingerprint: call.Fingerprint,
 		Repeatable:  call.Repeatable,
+		Alone:       call.Alone,
 	}
 	if call.Model != nil {
 		r.Adapter = call.Model.Adapter
@@ -120,7 +127,7 @@
 func (w *worker) run(action core.Action) {
 	switch a := action.(type) {
 	case core.Dispatch:
-		if p := w.lookup(a.ID); p != nil {
+		if p := w.start(a.ID); p != nil {
 			go w.dispatch(p)
 		}
 	case core.Refuse:
@@ -139,6 +146,17 @@
 	}
 }
 
+// start marks a request as dispatched.
+func (w *worker) start(id string) *pending {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p := w.pending[id]
+	if p != nil {
+		p.dispatched = true
+	}
+	return p
+}
+
 func (w *worker) lookup(id string) *pending {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -161,6 +179,7 @@
 	} else {
 		err = w.m.opts.Client.Plain(p.ctx, w.u, p.call, p.sink)
 	}
+	err = w.noteCrash(p, err)
 	w.take(p.id)
 	w.handle(core.Ended{ID: p.id, Failed: err != nil})
 	p.done <- err
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -54,6 +54,8 @@
 	Fingerprint uint64           `cbor:"9,keyasint"`
 	Model       *ModelCall       `cbor:"10,keyasint,omitempty"`
 	Plain       *PlainCall       `cbor:"11,keyasint,omitempty"`
+	// Alone asks that nothing else runs on the upstream at the same time.
+	Alone bool `cbor:"20,keyasint,omitempty"`
 	// Ticket is set when the daemon that issued it is asked to run the call. The
 	// call then names no upstream.
 	Ticket string `cbor:"12,keyasint,omitempty"`
@@ -133,6 +135,11 @@
 	Slots    int                `cbor:"7,keyasint"`
 	Batch    int                `cbor:"8,keyasint"`
 	Resident []state.AdapterRef `cbor:"9,keyasint"`
+	Loading  []state.AdapterRef `cbor:"10,keyasint,omitempty"`
+	Role     state.Role         `cbor:"11,keyasint,omitempty"`
+
+	// QueuedByRank splits Queued by rank, most urgent first.
+	QueuedByRank []int `cbor:"12,keyasint,omitempty"`
 }
 
 // Heartbeat tells a peer that a daemon is alive and what it owns.
