--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -36,13 +36,6 @@
 	Divide(now time.Time, statuses []owner.Status) []owner.StoreBudget
 }
 
-// Dispatches is implemented by routers that correct reported load by what they
-// sent since.
-type Dispatches interface {
-	Sent(now time.Time, req *routing.Request, to state.UpstreamID)
-	Done(now time.Time, req *routing.Request, to state.UpstreamID, refused, failed bool)
-}
-
 // Policies returns the baselines and then the policies of the daemon.
 func Policies() []Policy {
 	return append(Baselines(), Current())
@@ -53,7 +46,7 @@
 	return Policy{
 		Name:      "celerydeck",
 		NewRouter: newScored,
-		NewCore:   func(*state.Upstream) owner.Core { return owner.NewFifo() },
+		NewCore:   func(*state.Upstream) owner.Core { return owner.NewScheduler(owner.DefaultOptions()) },
 		NewShares: newByDemand,
 	}
 }
