Make the handover page legible at desktop and phone width

Cause: looked at as pictures, plots were cut at the right, shares near 100% lay on one line, legends covered their colors, kinds were shown with underscores, and on a phone the telling columns were out of sight.

--- a/internal/report/conditions.go
+++ b/internal/report/conditions.go
@@ -187,7 +187,7 @@
 	protocol.ConditionUpstreamDown:       "Check the upstream's VM and process; requests go elsewhere meanwhile.",
 	protocol.ConditionUpstreamCrashed:    "Look for refused fingerprints; drain the upstream if it keeps restarting.",
 	protocol.ConditionEngineCold:         "Nothing to do while it refills; look at the weight store if it stays empty.",
-	protocol.ConditionLoadFailing:        "Check the source of the version in the weight store; celerydeck explain --model names the error.",
+	protocol.ConditionLoadFailing:        "Check the source of the version in the weight store; celerydeck explain names the error.",
 	protocol.ConditionLoadStalled:        "The weight store is the bottleneck; find the adapters that load most with celerydeck top.",
 	protocol.ConditionUnloadFrozen:       "Adapters stay loaded until the owner can prove that it is alone; restore the platform or the zone's links.",
 	protocol.ConditionLeaseLost:          "The daemon cannot renew its lease; check its path to the platform.",
--- a/internal/report/html.go
+++ b/internal/report/html.go
@@ -4,6 +4,7 @@
 	_ "embed"
 	"html/template"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/protocol"
@@ -16,12 +17,31 @@
 	"stamp":   stamp,
 	"objects": objects,
 	"state":   UpstreamState,
+	"title":   title,
+	"count":   countSeverity,
 	"percent": percent,
 	"p95":     p95,
 	"late":    func(part, whole uint64) bool { return whole >= fewRequests && Share(part, whole) < lateShare },
 	"more":    func(total, shown int) int { return max(0, total-shown) },
 }).Parse(pageText))
 
+// title returns a kind of condition in words.
+func title(kind protocol.ConditionKind) string {
+	words := strings.ReplaceAll(string(kind), "_", " ")
+	return strings.ToUpper(words[:1]) + words[1:]
+}
+
+// countSeverity counts the conditions of a severity.
+func countSeverity(groups []Group, severity protocol.Severity) int {
+	n := 0
+	for _, g := range groups {
+		if g.Severity == severity {
+			n += g.Count
+		}
+	}
+	return n
+}
+
 type pageData struct {
 	*Handover
 	RankPlot template.HTML
--- a/internal/report/plots.go
+++ b/internal/report/plots.go
@@ -5,22 +5,30 @@
 	"fmt"
 	"html/template"
 	"image/color"
+	"math"
 	"strings"
 	"time"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/text"
 	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
 
 	"github.com/celerydeck/celerydeck/internal/protocol"
 )
 
 const (
-	plotWidth  = 16 * vg.Centimeter
-	plotHeight = 7 * vg.Centimeter
-	barWidth   = 0.35 * vg.Centimeter
-	lineWidth  = 1.5 * vg.Millimeter / 3
+	plotWidth     = 16 * vg.Centimeter
+	plotHeight    = 7 * vg.Centimeter
+	plotMargin    = 0.7 * vg.Centimeter // right of the plot, for the last label
+	barsWidth     = 12 * vg.Centimeter  // of all bars together with their gaps
+	maxBar        = 0.4 * vg.Centimeter
+	legendPadding = 1.2 * vg.Millimeter
+	legendWidth   = 0.6 * vg.Centimeter
+	fewZones      = 6 // zones whose names fit side by side
+	lineWidth     = 1.5 * vg.Millimeter / 3
 )
 
 // palette holds colors that are told apart without red and green.
@@ -31,11 +39,22 @@
 	color.RGBA{R: 0x00, G: 0x9e, B: 0x73, A: 0xff},
 }
 
+// newPlot returns an empty plot. The fonts only measure the text: the page sets
+// its own, which may be wider.
+func newPlot() *plot.Plot {
+	p := plot.New()
+	for _, style := range []*text.Style{&p.Title.TextStyle, &p.X.Tick.Label, &p.Y.Tick.Label, &p.Legend.TextStyle} {
+		style.Font.Variant = "Sans"
+	}
+	p.Legend.Padding = legendPadding
+	p.Legend.ThumbnailWidth = legendWidth
+	return p
+}
+
 // rankPlot draws the share of first tokens in time over the intervals.
 func rankPlot(ranks []protocol.RankStatus) (template.HTML, error) {
-	p := plot.New()
+	p := newPlot()
 	p.Title.Text = "First tokens within target, by rank (%)"
-	p.Y.Min, p.Y.Max = 0, 102
 	p.X.Tick.Marker = plot.TimeTicks{Format: "15:04", Time: plot.UTCUnixTime}
 	p.Legend.Top = false
 	p.Legend.Left = true
@@ -60,6 +79,8 @@
 		return "", nil
 	}
 	widen(p)
+	p.Y.Max = 100.5
+	p.Y.Min = max(0, min(p.Y.Min-2, 90))
 	return svg(p)
 }
 
@@ -91,7 +112,7 @@
 	if len(zones) == 0 {
 		return "", nil
 	}
-	p := plot.New()
+	p := newPlot()
 	p.Title.Text = "Requests by availability zone"
 	var running, queued, batch plotter.Values
 	names := make([]string, len(zones))
@@ -101,10 +122,11 @@
 		batch = append(batch, float64(z.Batch))
 		names[i] = string(z.Zone)
 	}
+	barWidth := min(maxBar, barsWidth/vg.Length(4*len(zones)))
 	for i, series := range []struct {
 		name   string
 		values plotter.Values
-	}{{"running", running}, {"queued", queued}, {"room in batches", batch}} {
+	}{{"running ", running}, {"queued ", queued}, {"batch ", batch}} {
 		bars, err := plotter.NewBarChart(series.values, barWidth)
 		if err != nil {
 			return "", err
@@ -117,6 +139,11 @@
 	}
 	p.Legend.Top = true
 	p.NominalX(names...)
+	p.X.Min, p.X.Max = -0.5, float64(len(zones))-0.5
+	if len(zones) > fewZones {
+		p.X.Tick.Label.Rotation = -math.Pi / 4
+		p.X.Tick.Label.XAlign, p.X.Tick.Label.YAlign = text.XLeft, text.YTop
+	}
 	p.Y.Min = 0
 	p.Y.Max = max(1, p.Y.Max*1.4)
 	return svg(p)
@@ -125,16 +152,15 @@
 // svg returns a plot as an SVG element that scales with the page.
 func svg(p *plot.Plot) (template.HTML, error) {
 	canvas := vgsvg.New(plotWidth, plotHeight)
-	p.Draw(plotArea(canvas))
+	p.Draw(draw.Crop(draw.New(canvas), 0, -plotMargin, 0, 0))
 	var buf bytes.Buffer
 	if _, err := canvas.WriteTo(&buf); err != nil {
 		return "", err
 	}
-	text := buf.String()
-	start := strings.Index(text, "<svg")
+	out := buf.String()
+	start := strings.Index(out, "<svg")
 	if start < 0 {
 		return "", fmt.Errorf("plot %q has no SVG element", p.Title.Text)
 	}
-	text = strings.Replace(text[start:], "<svg", `<svg role="img"`, 1)
-	return template.HTML(text), nil
+	return template.HTML(strings.Replace(out[start:], "<svg", `<svg role="img"`, 1)), nil
 }
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -70,6 +70,8 @@
 	Silent    int          `json:"silent"`
 	Upstreams int          `json:"upstreams"`
 	Healthy   int          `json:"healthy"`
+	Leaving   int          `json:"leaving"`
+	Down      int          `json:"down"`
 	Unowned   int          `json:"unowned"`
 	Running   int          `json:"running"`
 	Queued    int          `json:"queued"`
@@ -181,8 +183,13 @@
 	z.Running += u.Running
 	z.Queued += u.Queued
 	z.Batch += u.Batch
-	if u.Healthy {
+	switch {
+	case u.Leaving:
+		z.Leaving++
+	case u.Healthy:
 		z.Healthy++
+	default:
+		z.Down++
 	}
 }
 
--- a/internal/report/text.go
+++ b/internal/report/text.go
@@ -172,10 +172,10 @@
 // ZoneTable writes a table of availability zones.
 func ZoneTable(w io.Writer, zones []ZoneSummary) error {
 	return table(w, func(t io.Writer) {
-		fmt.Fprintln(t, "  ZONE\tREGION\tDAEMONS\tSILENT\tUPSTREAMS\tHEALTHY\tUNOWNED\tRUNNING\tQUEUED\tBATCH")
+		fmt.Fprintln(t, "  ZONE\tREGION\tDAEMONS\tSILENT\tUPSTREAMS\tHEALTHY\tLEAVING\tDOWN\tUNOWNED\tRUNNING\tQUEUED\tBATCH")
 		for _, z := range zones {
-			fmt.Fprintf(t, "  %s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", z.Zone, z.Region, z.Daemons, z.Silent,
-				z.Upstreams, z.Healthy, z.Unowned, z.Running, z.Queued, z.Batch)
+			fmt.Fprintf(t, "  %s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", z.Zone, z.Region, z.Daemons, z.Silent,
+				z.Upstreams, z.Healthy, z.Leaving, z.Down, z.Unowned, z.Running, z.Queued, z.Batch)
 		}
 	})
 }
