--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -22,8 +22,10 @@
 	"github.com/celerydeck/celerydeck/internal/node/cluster"
 	"github.com/celerydeck/celerydeck/internal/node/config"
 	"github.com/celerydeck/celerydeck/internal/node/entry"
+	"github.com/celerydeck/celerydeck/internal/node/once"
 	"github.com/celerydeck/celerydeck/internal/node/operator"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
+	"github.com/celerydeck/celerydeck/internal/node/suspects"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/transport/callers"
@@ -57,6 +59,7 @@
 	Caller  net.Listener
 	Peers   *peer.Server
 	Admin   adminServer
+	Once    *once.Gateway
 }
 
 // Start starts a daemon with an identity of its own.
@@ -66,11 +69,10 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(settings, id),
 		fx.Supply(fx.Annotate(d, fx.As(new(readiness)), fx.As(new(drainer)))),
-		fx.Supply(state.Incarnation(newID())),
 		fx.Provide(
-			state.NewFleet, newSockets, newPool, newOwner, newCluster, newConfig, newLateMembers, newGateway, newCallers, newPlatform,
-			upstream.NewClient, newCallerListener, newPeerServer,
-			newRouter, newRecorder, newLateDrains, newOperator, newAdmin,
+			state.NewFleet, newSockets, newPool, newOwner, newCluster, newConfig, newLateMembers, newSuspects, newGateway, newCallers, newPlatform,
+			newRecorder, newLateDrains, newOperator, newAdmin, newRouter,
+			newIncarnation, newOnce, upstream.NewClient, newCallerListener, newPeerServer,
 		),
 		fx.Populate(&d.parts),
 	)
@@ -97,7 +99,7 @@
 	defer cancel()
 	d.parts.Cluster.Drain(announce)
 	err := d.parts.Server.Shutdown(ctx)
-	err = errors.Join(err, d.parts.Owner.Wait(ctx), d.parts.Peers.Drain(ctx))
+	err = errors.Join(err, d.parts.Owner.Wait(ctx), d.parts.Peers.Drain(ctx), d.parts.Once.Wait(ctx))
 	stop, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), announceTimeout)
 	defer cancelStop()
 	return errors.Join(err, d.app.Stop(stop))
@@ -142,12 +144,13 @@
 	return client
 }
 
-func newOwner(lc fx.Lifecycle, s Settings, fleet *state.Fleet, client *upstream.Client, r *metrics.Recorder) *owner.Manager {
+func newOwner(lc fx.Lifecycle, s Settings, fleet *state.Fleet, client *upstream.Client, crashes *suspects.Node, r *metrics.Recorder) *owner.Manager {
 	m := owner.New(owner.Options{
 		Self:    state.DaemonID(s.ID),
 		Fleet:   fleet,
 		Client:  client,
 		NewCore: func(*state.Upstream) ownercore.Core { return ownercore.NewFifo() },
+		Crashes: crashes,
 		Clock:   time.Now,
 
 		Observer: r,
@@ -156,10 +159,10 @@
 	return m
 }
 
-func newCluster(lc fx.Lifecycle, s Settings, client *platform.Client, pool *peer.Pool, fleet *state.Fleet, m *owner.Manager, members *lateMembers, n *config.Node, incarnation state.Incarnation, drains *lateDrains) *cluster.Cluster {
+func newCluster(lc fx.Lifecycle, s Settings, run state.Incarnation, client *platform.Client, pool *peer.Pool, fleet *state.Fleet, m *owner.Manager, members *lateMembers, n *config.Node, drains *lateDrains) *cluster.Cluster {
 	c := cluster.New(cluster.Options{
 		Self:        peer.Peer{ID: state.DaemonID(s.ID), Addr: s.PeerAddr},
-		Incarnation: incarnation,
+		Incarnation: run,
 		Zone:        state.Zone(s.Zone),
 		Region:      state.Region(s.Region),
 		Platform:    client,
@@ -176,17 +179,17 @@
 	return c
 }
 
-func newRouter(fleet *state.Fleet) routing.Router { return routing.NewSimple(fleet) }
-
-func newGateway(s Settings, router routing.Router, m *owner.Manager, pool *peer.Pool, c *cluster.Cluster) *entry.Gateway {
+func newGateway(s Settings, router *routing.Scored, m *owner.Manager, pool *peer.Pool, c *cluster.Cluster, admit *suspects.Node) *entry.Gateway {
 	return entry.New(entry.Options{
-		Self:   state.DaemonID(s.ID),
-		Zone:   state.Zone(s.Zone),
-		Region: state.Region(s.Region),
-		Router: router,
-		Owner:  m,
-		Peers:  peers{pool: pool, cluster: c},
-		Clock:  time.Now,
+		Self:     state.DaemonID(s.ID),
+		Zone:     state.Zone(s.Zone),
+		Region:   state.Region(s.Region),
+		Router:   router,
+		Trackers: []routing.Tracker{router},
+		Owner:    m,
+		Peers:    peers{pool: pool, cluster: c},
+		Suspects: admit,
+		Clock:    time.Now,
 	})
 }
 
@@ -198,9 +201,10 @@
 	return l, nil
 }
 
-func newCallers(lc fx.Lifecycle, l net.Listener, g *entry.Gateway, n *config.Node, r readiness, rec *metrics.Recorder) *http.Server {
+func newCallers(lc fx.Lifecycle, l net.Listener, g *once.Gateway, n *config.Node, r readiness, rec *metrics.Recorder) *http.Server {
 	api := callers.New(callers.Options{
 		Gateway: metrics.Time(g, rec),
+		Tickets: g,
 		Catalog: n.Catalog,
 		Ready:   r.Ready,
 		NewID:   newID,
@@ -219,12 +223,15 @@
 	ID       peer.Identity
 	Owner    *owner.Manager
 	Cluster  *cluster.Cluster
-	Config   *config.Node
 	Operator *operator.Node
+	Once     *once.Gateway
+	Config   *config.Node
+	Suspects *suspects.Node
 }
 
 func newPeerServer(lc fx.Lifecycle, p serverParams) (*peer.Server, error) {
-	server, err := peer.Listen(p.Listen, p.ID, peerHandler{owner: p.Owner, cluster: p.Cluster, config: p.Config, operator: p.Operator})
+	handler := peerHandler{owner: p.Owner, cluster: p.Cluster, suspects: p.Suspects, config: p.Config, once: p.Once, operator: p.Operator}
+	server, err := peer.Listen(p.Listen, p.ID, handler)
 	if err != nil {
 		return nil, fmt.Errorf("serve daemons: %w", err)
 	}
--- a/internal/app/handler.go
+++ b/internal/app/handler.go
@@ -6,8 +6,10 @@
 
 	"github.com/celerydeck/celerydeck/internal/node/cluster"
 	"github.com/celerydeck/celerydeck/internal/node/config"
+	"github.com/celerydeck/celerydeck/internal/node/once"
 	"github.com/celerydeck/celerydeck/internal/node/operator"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
+	"github.com/celerydeck/celerydeck/internal/node/suspects"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 )
@@ -18,15 +20,25 @@
 	cluster  *cluster.Cluster
 	config   *config.Node
 	operator *operator.Node
+	once     *once.Gateway
+	suspects *suspects.Node
 }
 
 // ServeCall implements peer.Handler.
 func (h peerHandler) ServeCall(ctx context.Context, _ state.DaemonID, call *protocol.Call, sink protocol.Sink) {
-	if err := h.owner.Submit(ctx, call, sink); err != nil {
+	serve := h.owner.Submit
+	if call.Ticket != "" {
+		serve = h.serveTicket
+	}
+	if err := serve(ctx, call, sink); err != nil {
 		_ = sink.End(protocol.End{Attempt: call.Attempt, Err: err})
 	}
 }
 
+func (h peerHandler) serveTicket(ctx context.Context, call *protocol.Call, sink protocol.Sink) *protocol.Error {
+	return h.once.Serve(ctx, call, call.Base, sink)
+}
+
 // ServeMessage implements peer.Handler.
 func (h peerHandler) ServeMessage(_ context.Context, from state.DaemonID, frame protocol.Frame) (protocol.MessageKind, any, error) {
 	switch frame.Kind {
@@ -45,6 +57,18 @@
 			return 0, nil, err
 		}
 		return protocol.MsgConfigState, h.config.HandleState(from, req), nil
+	case protocol.MsgSuspects:
+		var msg protocol.Suspects
+		if err := frame.Decode(&msg); err != nil {
+			return 0, nil, err
+		}
+		return protocol.MsgSuspectsReply, h.suspects.HandleSuspects(msg), nil
+	case protocol.MsgSuspectAsk:
+		var msg protocol.SuspectAsk
+		if err := frame.Decode(&msg); err != nil {
+			return 0, nil, err
+		}
+		return protocol.MsgSuspectAnswer, h.suspects.HandleAsk(from, msg), nil
 	case protocol.MsgConfigFetch:
 		var req protocol.ConfigFetch
 		if err := frame.Decode(&req); err != nil {
--- a/internal/app/operators.go
+++ b/internal/app/operators.go
@@ -84,7 +84,7 @@
 	Pool        *peer.Pool
 	Platform    *platform.Client
 	Recorder    *metrics.Recorder
-	Router      routing.Router
+	Router      *routing.Scored
 	Drains      *lateDrains
 	Drainer     drainer
 }
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -20,6 +20,7 @@
 	Prefix       uint64
 	Fingerprint  uint64
 	Repeatable   bool
+	Alone        bool // nothing else may run on the upstream at the same time
 }
 
 // Event is an input of a Core.
@@ -67,6 +68,15 @@
 	}
 	// Leaving reports that the upstream is listed as leaving.
 	Leaving struct{}
+	// StoreBudget is the upstream's share of the weight store's limits. It holds
+	// until the next one. A core that was given none is not limited.
+	StoreBudget struct {
+		Rate     float64 // loads a second
+		Burst    float64 // loads that may start at once after a pause
+		InFlight int     // loads that may be in progress
+	}
+	// Ranks sets the targets, worth and shares of the ranks, most urgent first.
+	Ranks struct{ Ranks []state.RankInfo }
 	// Staying reports that an upstream that was leaving takes work again.
 	Staying struct{}
 	// Tick lets time pass.
@@ -82,6 +92,8 @@
 func (Unreachable) event() {}
 func (Authority) event()   {}
 func (Leaving) event()     {}
+func (StoreBudget) event() {}
+func (Ranks) event()       {}
 func (Staying) event()     {}
 func (Tick) event()        {}
 
@@ -149,4 +161,7 @@
 	Running  int
 	Queued   int
 	Resident []state.AdapterRef
+
+	Loading    int     // loads in progress
+	LoadDemand float64 // worth a second of the loads that wait for budget
 }
--- a/internal/node/cluster/cluster.go
+++ b/internal/node/cluster/cluster.go
@@ -147,6 +147,13 @@
 	return m.peer, true
 }
 
+// Daemons returns the number of known daemons, this one included.
+func (c *Cluster) Daemons() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.members) + 1
+}
+
 func (c *Cluster) loop(ctx context.Context, every time.Duration, step func(context.Context)) {
 	c.wg.Add(1)
 	go func() {
@@ -346,5 +353,9 @@
 		u.Slots = s.Slots
 		u.Batch = s.Batch
 		u.Resident = s.Resident
+		u.Loading = s.Loading
+		u.QueuedByRank = s.QueuedByRank
+		u.Role = s.Role
+		u.ReportedAt = c.opts.Clock()
 	})
 }
--- a/internal/node/owner/manager.go
+++ b/internal/node/owner/manager.go
@@ -23,6 +23,8 @@
 	Fleet   *state.Fleet
 	Client  *upstream.Client
 	NewCore func(u *state.Upstream) core.Core
+	// Crashes learns of crashed upstreams. It may be nil.
+	Crashes CrashReporter
 	Clock   func() time.Time
 	// Observer is told about dispatches and loads; nil for none.
 	Observer Observer
