--- a/internal/app/operators.go
+++ b/internal/app/operators.go
@@ -15,6 +15,7 @@
 	"github.com/celerydeck/celerydeck/internal/node/config"
 	"github.com/celerydeck/celerydeck/internal/node/operator"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
+	"github.com/celerydeck/celerydeck/internal/node/suspects"
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/transport/admin"
 	"github.com/celerydeck/celerydeck/internal/transport/peer"
@@ -86,6 +87,7 @@
 	Recorder    *metrics.Recorder
 	Router      *routing.Scored
 	Drains      *lateDrains
+	Suspects    *suspects.Node
 	Drainer     drainer
 }
 
@@ -104,6 +106,7 @@
 		Router:      p.Router,
 		Stats:       p.Recorder,
 		Gauges:      p.Recorder,
+		Reporters:   []operator.Reporter{suspectReporter{p.Suspects}, configReporter{p.Config}},
 		SetDraining: p.Drainer.SetDraining,
 		Clock:       time.Now,
 	})
--- a/internal/app/parse.go
+++ b/internal/app/parse.go
@@ -7,6 +7,7 @@
 	"reflect"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/alexflint/go-arg"
 	"github.com/alexflint/go-scalar"
@@ -84,7 +85,7 @@
 			errs = append(errs, fmt.Errorf("%s %w", name, err))
 			continue
 		}
-		args = append(args, known[i].flag+"="+value)
+		args = append(args, known[i].arguments(value)...)
 	}
 	return args, errs
 }
@@ -108,16 +109,35 @@
 			errs = append(errs, fmt.Errorf("%s %w", name, err))
 			continue
 		}
-		kept = append(kept, name+"="+value)
+		kept = append(kept, known[at].arguments(value)...)
 	}
 	return kept, errs
 }
 
+// arguments returns the arguments that set a value. The parser takes an empty one
+// only as an argument of its own, and one that starts with a dash only joined.
+func (s setting) arguments(value string) []string {
+	if value == "" {
+		return []string{s.flag, value}
+	}
+	return []string{s.flag + "=" + value}
+}
+
+func typeName(t reflect.Type) string {
+	switch {
+	case t == reflect.TypeFor[time.Duration]():
+		return "duration such as 30s"
+	case t.Kind() == reflect.Int:
+		return "whole number"
+	}
+	return t.String()
+}
+
 // check reports whether a value has the type of the setting.
 func (s setting) check(value string) error {
 	v := reflect.New(s.field).Elem()
 	if err := scalar.ParseValue(v, value); err != nil {
-		return fmt.Errorf("must be a %s, is %q", s.field, value)
+		return fmt.Errorf("must be a %s, is %q", typeName(s.field), value)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/app/reporters.go
@@ -0,0 +1,52 @@
+package app
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/suspects"
+	"github.com/celerydeck/celerydeck/internal/node/config"
+	suspectsnode "github.com/celerydeck/celerydeck/internal/node/suspects"
+	"github.com/celerydeck/celerydeck/internal/protocol"
+)
+
+// suspectReporter reports the fingerprints that this daemon refuses or suspects.
+type suspectReporter struct{ node *suspectsnode.Node }
+
+// Conditions implements operator.Reporter.
+func (r suspectReporter) Conditions(now time.Time) []protocol.Condition {
+	var list []protocol.Condition
+	for _, e := range r.node.Entries() {
+		c := protocol.Condition{
+			Kind:    protocol.ConditionFingerprintRefused,
+			Subject: fmt.Sprintf("fingerprint %016x", uint64(e.Fingerprint)),
+			Since:   e.Last.UTC(),
+		}
+		switch e.Verdict(now) {
+		case suspects.Refused:
+			c.Severity, c.Detail = protocol.SeverityWatch, fmt.Sprintf("refused after %d crashes", len(e.Crashes))
+		case suspects.Suspect:
+			c.Severity, c.Detail = protocol.SeverityNote, fmt.Sprintf("suspect after %d crashes, runs only alone", len(e.Crashes))
+		default:
+			continue
+		}
+		list = append(list, c)
+	}
+	return list
+}
+
+// configReporter reports that the configuration does not advance here.
+type configReporter struct{ node *config.Node }
+
+// Conditions implements operator.Reporter.
+func (r configReporter) Conditions(time.Time) []protocol.Condition {
+	if !r.node.Diverged() {
+		return nil
+	}
+	return []protocol.Condition{{
+		Kind:     protocol.ConditionConfigBehind,
+		Severity: protocol.SeverityUrgent,
+		Subject:  fmt.Sprintf("revision %d", r.node.Revision()),
+		Detail:   "the next record does not lead to the state that its author computed; this daemon stays here",
+	}}
+}
--- a/internal/app/settings.go
+++ b/internal/app/settings.go
@@ -87,12 +87,14 @@
 // Identity reads the keys.
 func (s Settings) Identity() (peer.Identity, error) {
 	var pem [3][]byte
+	var errs []error
 	for i, name := range []string{s.CertFile, s.KeyFile, s.CAFile} {
-		data, err := os.ReadFile(name)
-		if err != nil {
-			return peer.Identity{}, err
-		}
-		pem[i] = data
+		var err error
+		pem[i], err = os.ReadFile(name)
+		errs = append(errs, err)
+	}
+	if err := errors.Join(errs...); err != nil {
+		return peer.Identity{}, err
 	}
 	return peer.LoadIdentity(pem[0], pem[1], pem[2])
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -113,7 +113,7 @@
 		Prefix:                 prefix,
 		CachedReporter:         reporter,
 		Separator:              prometheus.DefaultSeparator,
-		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		SanitizeOptions:        sanitizer(),
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	r := &Recorder{
@@ -134,6 +134,17 @@
 	return r
 }
 
+// sanitizer keeps the names of customers, services and ranks as they are in the
+// values of labels.
+func sanitizer() *tally.SanitizeOptions {
+	opts := prometheus.DefaultSanitizerOpts
+	opts.ValueCharacters = tally.ValidCharacters{
+		Ranges:     tally.AlphanumericRange,
+		Characters: []rune{'-', '_', '.'},
+	}
+	return &opts
+}
+
 // Close stops the reports.
 func (r *Recorder) Close() { _ = r.closer.Close() }
 
