Merge operators; refuse a fingerprint only after two crashes, one of them alone

Cause: an engine that restarts by itself while it runs a single request looked like proof against that request; a test of engine restarts had four requests refused. A crash alone now counts as proof only together with another crash. Entries hold each crash with its own flags, so that clearing and merging stay independent of order.

--- a/internal/app/handler.go
+++ b/internal/app/handler.go
@@ -7,6 +7,7 @@
 	"github.com/celerydeck/celerydeck/internal/node/cluster"
 	"github.com/celerydeck/celerydeck/internal/node/config"
 	"github.com/celerydeck/celerydeck/internal/node/once"
+	"github.com/celerydeck/celerydeck/internal/node/operator"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
 	"github.com/celerydeck/celerydeck/internal/node/suspects"
 	"github.com/celerydeck/celerydeck/internal/protocol"
@@ -18,6 +19,7 @@
 	owner    *owner.Manager
 	cluster  *cluster.Cluster
 	config   *config.Node
+	operator *operator.Node
 	once     *once.Gateway
 	suspects *suspects.Node
 }
@@ -47,6 +49,8 @@
 		}
 		ack, err := h.cluster.HandleHeartbeat(from, &beat)
 		return protocol.MsgHeartbeatAck, ack, err
+	case protocol.MsgStatusQuery:
+		return protocol.MsgStatusReply, h.operator.Status(), nil
 	case protocol.MsgConfigStateRequest:
 		var req protocol.ConfigStateRequest
 		if err := frame.Decode(&req); err != nil {
--- a/internal/coordination/suspects/table.go
+++ b/internal/coordination/suspects/table.go
@@ -2,7 +2,8 @@
 //
 // When an upstream crashes, everything that ran on it is suspect, by a
 // fingerprint of its content. A suspect runs only alone, so that a further crash
-// proves its guilt and a whole answer its innocence. A guilty fingerprint is
+// proves its guilt and a whole answer its innocence. One crash alone proves
+// nothing: upstreams also restart for other reasons. A guilty fingerprint is
 // refused everywhere.
 package suspects
 
@@ -15,6 +16,9 @@
 )
 
 const (
+	// GuiltyCrashes is the number of crashes, one of them alone, after which a
+	// fingerprint is refused.
+	GuiltyCrashes = 2
 	// MaxCrashes is the number of crashes after which a fingerprint is refused
 	// even if none of them happened alone.
 	MaxCrashes = 3
@@ -37,17 +41,21 @@
 	Boot     state.BootID     `cbor:"2,keyasint" json:"boot"`
 }
 
+// Crash is a crash of an upstream while a request ran on it.
+type Crash struct {
+	ID CrashID `cbor:"1,keyasint" json:"id"`
+	// Alone reports that nothing else ran on the upstream.
+	Alone bool `cbor:"2,keyasint" json:"alone"`
+	// Cleared reports that the request later ran alone to its end.
+	Cleared bool `cbor:"3,keyasint" json:"cleared"`
+}
+
 // Entry is what is known of a fingerprint. Entries of two daemons merge into one
 // without regard to order or repetition.
 type Entry struct {
 	Fingerprint Fingerprint `cbor:"1,keyasint" json:"fingerprint"`
-	Crashes     []CrashID   `cbor:"2,keyasint" json:"crashes"`
-	// Alone reports that a crash happened while nothing else ran on the upstream.
-	Alone bool `cbor:"3,keyasint" json:"alone"`
-	// Cleared reports that a request ran alone to its end after the crashes that
-	// are listed. A crash that is not among them makes the entry suspect again.
-	Cleared int       `cbor:"4,keyasint" json:"cleared"`
-	Last    time.Time `cbor:"5,keyasint" json:"last"` // last crash
+	Crashes     []Crash     `cbor:"2,keyasint" json:"crashes"`
+	Last        time.Time   `cbor:"3,keyasint" json:"last"` // last crash
 }
 
 // Verdict says how a request may run.
@@ -62,13 +70,12 @@
 
 // Verdict returns the verdict over an entry.
 func (e *Entry) Verdict(now time.Time) Verdict {
+	count, _ := e.open()
 	age := now.Sub(e.Last)
 	switch {
-	case e.Alone && age < RefuseFor:
-		return Refused
-	case e.Cleared >= len(e.Crashes):
+	case count == 0:
 		return Clean
-	case len(e.Crashes) >= MaxCrashes && age < RefuseFor:
+	case e.guilty() && age < RefuseFor:
 		return Refused
 	case age < SuspectFor:
 		return Suspect
@@ -76,6 +83,25 @@
 	return Clean
 }
 
+// guilty reports whether the crashes prove that the request causes them.
+func (e *Entry) guilty() bool {
+	count, alone := e.open()
+	return alone && count >= GuiltyCrashes || count >= MaxCrashes
+}
+
+// open counts the crashes that the request was not cleared of, and reports whether
+// one of them happened while it ran alone.
+func (e *Entry) open() (count int, alone bool) {
+	for _, c := range e.Crashes {
+		if c.Cleared {
+			continue
+		}
+		count++
+		alone = alone || c.Alone
+	}
+	return count, alone
+}
+
 // Table holds the entries of a daemon. It is not safe for concurrent use.
 type Table struct {
 	entries  map[Fingerprint]*Entry
@@ -109,11 +135,7 @@
 		}
 		delete(t.innocent, f)
 		e := t.entry(f)
-		if !slices.Contains(e.Crashes, id) {
-			e.Crashes = append(e.Crashes, id)
-			slices.SortFunc(e.Crashes, compareCrashes)
-		}
-		e.Alone = e.Alone || alone
+		e.add(Crash{ID: id, Alone: alone})
 		e.Last = now
 		changed = append(changed, e.clone())
 	}
@@ -132,7 +154,9 @@
 	if !alone || e.Verdict(now) != Suspect {
 		return Entry{}, false
 	}
-	e.Cleared = len(e.Crashes)
+	for i := range e.Crashes {
+		e.Crashes[i].Cleared = true
+	}
 	t.noteInnocent(f)
 	return e.clone(), true
 }
@@ -201,8 +225,8 @@
 	}
 	all := t.Entries()
 	slices.SortStableFunc(all, func(a, b Entry) int {
-		if a.Alone != b.Alone {
-			return boolOrder(a.Alone) - boolOrder(b.Alone)
+		if a.guilty() != b.guilty() {
+			return boolOrder(a.guilty()) - boolOrder(b.guilty())
 		}
 		return a.Last.Compare(b.Last)
 	})
@@ -214,18 +238,8 @@
 // merge takes over what other knows and reports whether anything was new.
 func (e *Entry) merge(other *Entry) bool {
 	changed := false
-	for _, id := range other.Crashes {
-		if !slices.Contains(e.Crashes, id) {
-			e.Crashes = append(e.Crashes, id)
-			changed = true
-		}
-	}
-	slices.SortFunc(e.Crashes, compareCrashes)
-	if other.Alone && !e.Alone {
-		e.Alone, changed = true, true
-	}
-	if other.Cleared > e.Cleared {
-		e.Cleared, changed = other.Cleared, true
+	for _, c := range other.Crashes {
+		changed = e.add(c) || changed
 	}
 	if other.Last.After(e.Last) {
 		e.Last, changed = other.Last, true
@@ -233,14 +247,27 @@
 	return changed
 }
 
+// add takes over a crash and reports whether it told something new.
+func (e *Entry) add(c Crash) bool {
+	i, found := slices.BinarySearchFunc(e.Crashes, c, compareCrashes)
+	if !found {
+		e.Crashes = slices.Insert(e.Crashes, i, c)
+		return true
+	}
+	old := e.Crashes[i]
+	e.Crashes[i].Alone = old.Alone || c.Alone
+	e.Crashes[i].Cleared = old.Cleared || c.Cleared
+	return e.Crashes[i] != old
+}
+
 func (e *Entry) clone() Entry {
 	c := *e
 	c.Crashes = slices.Clone(e.Crashes)
 	return c
 }
 
-func compareCrashes(a, b CrashID) int {
-	return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Boot, b.Boot))
+func compareCrashes(a, b Crash) int {
+	return cmp.Or(cmp.Compare(a.ID.Upstream, b.ID.Upstream), cmp.Compare(a.ID.Boot, b.ID.Boot))
 }
 
 func boolOrder(b bool) int {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -48,6 +48,8 @@
 	// KeysDir, when set, gets the keys of the daemons, which are then not started
 	// but run by hand as processes of their own: see Demo.Commands.
 	KeysDir string
+	// AdminPorts are the ports for operators; 0 takes a free one.
+	AdminPorts []int
 }
 
 // DefaultOptions returns two availability zones with a daemon and two engines each.
@@ -62,6 +64,7 @@
 		StoreKnee:      8,
 		CallerPorts:    []int{8080, 8081},
 		DrainGrace:     time.Second,
+		AdminPorts:     []int{9090, 9091},
 	}
 }
 
@@ -197,28 +200,36 @@
 	if err != nil {
 		return app.Settings{}, peer.Identity{}, err
 	}
-	port := 0
-	if number < len(d.opts.CallerPorts) {
-		port = d.opts.CallerPorts[number]
-	}
+	port := portOf(d.opts.CallerPorts, number)
+	adminPort := portOf(d.opts.AdminPorts, number)
 	identity, err := d.authority.Issue(state.DaemonID(id))
 	if err != nil {
 		return app.Settings{}, identity, err
 	}
 	d.VMs.Put(vmlist.VM{ID: id, Zone: zone, Region: region, Address: peerAddr, Kind: "entry", State: "live"})
 	settings := app.Settings{
-		ID:           id,
-		Zone:         zone,
-		Region:       region,
-		CallerAddr:   fmt.Sprintf("%s:%d", loopback, port),
-		PeerAddr:     peerAddr,
-		PlatformURL:  d.platform,
-		DrainTimeout: drainTimeout,
-		DrainGrace:   d.opts.DrainGrace,
+		ID:               id,
+		Zone:             zone,
+		Region:           region,
+		CallerAddr:       fmt.Sprintf("%s:%d", loopback, port),
+		PeerAddr:         peerAddr,
+		PlatformURL:      d.platform,
+		AdminAddr:        fmt.Sprintf("%s:%d", loopback, adminPort),
+		BootstrapKeyHash: state.HashKey(OperatorKey),
+		DrainTimeout:     drainTimeout,
+		DrainGrace:       d.opts.DrainGrace,
 	}
 	return settings, identity, nil
 }
 
+// portOf returns the port of the nth daemon; 0 takes a free one.
+func portOf(ports []int, n int) int {
+	if n < len(ports) {
+		return ports[n]
+	}
+	return 0
+}
+
 // WaitReady waits until every daemon takes requests.
 func (d *Demo) WaitReady(ctx context.Context) error {
 	const gap = 10 * time.Millisecond
--- a/internal/demo/shutdown_test.go
+++ b/internal/demo/shutdown_test.go
@@ -84,7 +84,7 @@
 func TestShutdownUnderLoadLosesNoRequest(t *testing.T) {
 	t.Parallel()
 	opts := demo.DefaultOptions()
-	opts.CallerPorts = nil
+	opts.CallerPorts, opts.AdminPorts = nil, nil
 	opts.DaemonsPerZone = 2
 	opts.DrainGrace = 500 * time.Millisecond
 	opts.Engine.TokenTime = 5 * time.Millisecond
@@ -132,7 +132,7 @@
 func TestShutdownIsNotReadyAtOnceAndBounded(t *testing.T) {
 	t.Parallel()
 	opts := demo.DefaultOptions()
-	opts.CallerPorts = nil
+	opts.CallerPorts, opts.AdminPorts = nil, nil
 	opts.DrainGrace = time.Minute
 	opts.StoreLoad = 10 * time.Millisecond
 	d, err := demo.Start(t.Context(), opts)
