--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -91,7 +91,10 @@
 	if p.tries >= MaxTries || !p.budget.spend() {
 		return Decision{}
 	}
-	return Decision{Retry: true, Exclude: true}
+	if f.Cause == Refused {
+		return Decision{Retry: true, Exclude: true}
+	}
+	return Decision{Retry: true, Avoid: true}
 }
 
 func (p *Plan) waitForOwner(now time.Time) Decision {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -55,6 +55,7 @@
 	reports    []timedReport
 	faults     Faults
 	cancels    int
+	log        []string
 }
 
 type job struct {
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -1,5 +1,12 @@
 package engine
 
+import (
+	"fmt"
+	"slices"
+)
+
+const maxLog = 256
+
 // Faults says how an engine misbehaves. Counts are of streams to come.
 type Faults struct {
 	Duplicate  bool // send every event twice
@@ -37,6 +44,21 @@
 	return len(e.running)
 }
 
+// Log returns the orders and requests that the engine got, the latest maxLog.
+func (e *Engine) Log() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.log)
+}
+
+// note adds a line to the log. The caller must hold mu.
+func (e *Engine) note(format string, args ...any) {
+	if len(e.log) >= maxLog {
+		e.log = e.log[1:]
+	}
+	e.log = append(e.log, fmt.Sprintf(format, args...))
+}
+
 // drawFaults takes the faults of the next stream. The caller must hold mu.
 func (e *Engine) drawFaults() streamFaults {
 	f := &e.faults
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -137,6 +137,7 @@
 	}
 	e.mu.Lock()
 	boot, stop := e.bootID(), e.stop
+	e.note("complete %s resume %d max %d priority %d", req.Model, req.ResumeOffset, req.MaxTokens, req.Priority)
 	faults := e.drawFaults()
 	if faults.refuse {
 		e.mu.Unlock()
@@ -292,6 +293,7 @@
 		return
 	}
 	e.adapters[order.Name] = false
+	e.note("load %s from %s", order.Name, order.Path)
 	e.mu.Unlock()
 	err := e.opts.Store.Fetch(r.Context(), order.Path)
 	e.mu.Lock()
@@ -324,6 +326,7 @@
 		e.violations.UnloadWhileServing++
 	}
 	delete(e.adapters, order.Name)
+	e.note("unload %s", order.Name)
 }
 
 func (e *Engine) setRole(w http.ResponseWriter, r *http.Request) {
--- a/internal/transport/callers/once.go
+++ b/internal/transport/callers/once.go
@@ -49,7 +49,7 @@
 		Ticket:  ticket.String(),
 		Service: service.Name,
 		Daemon:  ticket.Daemon,
-		Expires: ticket.Expires.UTC(),
+		Expires: ticket.Expires.UTC().Truncate(time.Second),
 	})
 }
 
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -95,6 +96,10 @@
 	if sent {
 		outcome = protocol.OutcomeUnknown
 	}
+	var detail *url.Error
+	if errors.As(err, &detail) {
+		err = detail.Err // without the address
+	}
 	kind := protocol.KindUnavailable
 	switch {
 	case errors.Is(err, context.Canceled):
