--- a/internal/app/handler.go
+++ b/internal/app/handler.go
@@ -8,16 +8,18 @@
 	"github.com/celerydeck/celerydeck/internal/node/config"
 	"github.com/celerydeck/celerydeck/internal/node/once"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
+	"github.com/celerydeck/celerydeck/internal/node/suspects"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 )
 
 // peerHandler serves the messages of other daemons.
 type peerHandler struct {
-	owner   *owner.Manager
-	cluster *cluster.Cluster
-	config  *config.Node
-	once    *once.Gateway
+	owner    *owner.Manager
+	cluster  *cluster.Cluster
+	config   *config.Node
+	once     *once.Gateway
+	suspects *suspects.Node
 }
 
 // ServeCall implements peer.Handler.
@@ -51,6 +53,18 @@
 			return 0, nil, err
 		}
 		return protocol.MsgConfigState, h.config.HandleState(from, req), nil
+	case protocol.MsgSuspects:
+		var msg protocol.Suspects
+		if err := frame.Decode(&msg); err != nil {
+			return 0, nil, err
+		}
+		return protocol.MsgSuspectsReply, h.suspects.HandleSuspects(msg), nil
+	case protocol.MsgSuspectAsk:
+		var msg protocol.SuspectAsk
+		if err := frame.Decode(&msg); err != nil {
+			return 0, nil, err
+		}
+		return protocol.MsgSuspectAnswer, h.suspects.HandleAsk(from, msg), nil
 	case protocol.MsgConfigFetch:
 		var req protocol.ConfigFetch
 		if err := frame.Decode(&req); err != nil {
--- a/internal/coordination/owner/fifo.go
+++ b/internal/coordination/owner/fifo.go
@@ -241,9 +241,14 @@
 		return nil
 	}
 	kept := f.queue[:0]
+	hold := f.aloneRuns()
 	for _, r := range f.queue {
-		if len(f.running) < f.batch && f.ready(r.Adapter) {
+		if r.Alone && f.ready(r.Adapter) && len(f.running) > 0 {
+			hold = true // nothing that comes later may overtake it
+		}
+		if !hold && len(f.running) < f.batch && f.ready(r.Adapter) {
 			f.start(now, r)
+			hold = hold || r.Alone
 			out = append(out, Dispatch{ID: r.ID})
 			continue
 		}
@@ -254,6 +259,16 @@
 	return out
 }
 
+// aloneRuns reports whether a request that must run alone is running.
+func (f *Fifo) aloneRuns() bool {
+	for _, r := range f.running {
+		if r.Alone {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *Fifo) ready(ref state.AdapterRef) bool {
 	if ref.IsZero() {
 		return true
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -24,6 +24,7 @@
 
 type entry struct {
 	zone   state.Zone
+	fleet  *state.Fleet
 	router routing.Router
 }
 
@@ -32,7 +33,6 @@
 	size     Size
 	scenario Scenario
 	policy   Policy
-	fleet    *state.Fleet
 	store    *store
 	hosts    []*host
 	byID     map[state.UpstreamID]*host
@@ -56,7 +56,6 @@
 		size:     size,
 		scenario: scenario,
 		policy:   policy,
-		fleet:    state.NewFleet(),
 		byID:     make(map[state.UpstreamID]*host),
 		broken:   make(map[state.AdapterRef]bool),
 	}
@@ -83,10 +82,10 @@
 			Owner:  "daemon",
 			Epoch:  1,
 		}
-		r.fleet.Put(u)
 		h := &host{
-			run:  r,
-			core: r.policy.NewCore(&u),
+			run:      r,
+			upstream: u,
+			core:     r.policy.NewCore(&u),
 			engine: &engine{
 				clock:    r.clock,
 				id:       u.ID,
@@ -106,8 +105,18 @@
 
 func (r *run) addEntries(seed uint64) {
 	for i := range r.size.Zones * entriesPerZone {
-		env := Env{Fleet: r.fleet, Zone: r.zone(i), Seed: seed + uint64(i), Ranks: r.size.Ranks}
-		r.entries = append(r.entries, &entry{zone: env.Zone, router: r.policy.NewRouter(env)})
+		fleet := state.NewFleet()
+		for _, h := range r.hosts {
+			fleet.Put(h.upstream)
+		}
+		env := Env{
+			Fleet:   fleet,
+			Zone:    r.zone(i),
+			Seed:    seed + uint64(i),
+			Ranks:   r.size.Ranks,
+			Daemons: r.size.Zones * entriesPerZone,
+		}
+		r.entries = append(r.entries, &entry{zone: env.Zone, fleet: fleet, router: r.policy.NewRouter(env)})
 	}
 }
 
@@ -155,12 +164,17 @@
 func (r *run) heartbeat(h *host) {
 	s := h.core.Status()
 	r.clock.after(heartbeatLag, func() {
-		r.fleet.Update(h.engine.id, func(u *state.Upstream) {
-			u.Boot, u.Healthy = s.Boot, s.Healthy
-			u.Slots, u.Batch = s.Slots, s.Batch
-			u.Running, u.Queued = s.Running, s.Queued
-			u.Resident = s.Resident
-		})
+		for _, e := range r.entries {
+			e.fleet.Update(h.engine.id, func(u *state.Upstream) {
+				u.Boot, u.Healthy = s.Boot, s.Healthy
+				u.Slots, u.Batch = s.Slots, s.Batch
+				u.Running, u.Queued = s.Running, s.Queued
+				u.Resident = s.Resident
+				u.Loading = s.Loading
+				u.QueuedByRank = s.QueuedByRank
+				u.ReportedAt = r.clock.now
+			})
+		}
 	})
 }
 
@@ -221,27 +235,36 @@
 	}
 	c.attempt++
 	c.at = choice.Upstream.ID
-	if d, ok := e.router.(Dispatches); ok {
-		d.Sent(r.clock.now, req, c.at)
+	c.choice, c.sent, c.tracked = choice, r.clock.now, req
+	if t, ok := e.router.(routing.Tracker); ok {
+		t.Sent(r.clock.now, req, choice)
 	}
 	h := r.byID[c.at]
 	r.clock.after(hopTime, func() {
-		if c.outcome == waiting {
-			h.enqueue(c)
+		if c.outcome != waiting {
+			r.answered(c, routing.OutcomeNeutral)
+			return
 		}
+		h.enqueue(c)
 	})
 }
 
-func (r *run) answered(c *call, from state.UpstreamID, wasRefused, failed bool) {
-	e := r.entry(c)
-	if d, ok := e.router.(Dispatches); ok {
-		d.Done(r.clock.now, c.route(e.zone), from, wasRefused, failed)
+// answered tells the router how an attempt ended.
+func (r *run) answered(c *call, o routing.Outcome) {
+	t, ok := r.entry(c).router.(routing.Tracker)
+	if !ok {
+		return
+	}
+	result := routing.Result{Outcome: o, Total: r.clock.now.Sub(c.sent)}
+	if c.first.After(c.sent) {
+		result.FirstToken = c.first.Sub(c.sent)
 	}
+	t.Ended(r.clock.now, c.tracked, c.choice, result)
 }
 
 // refused is the entry's reaction to a request that was not run.
 func (r *run) refused(c *call, from state.UpstreamID, a owner.Refuse) {
-	r.answered(c, from, true, false)
+	r.answered(c, routing.OutcomeRefused)
 	c.retryAfter = a.RetryAfter
 	if c.outcome != waiting {
 		return
@@ -258,7 +281,7 @@
 
 // ended is the entry's reaction to the end of a request that ran.
 func (r *run) ended(c *call, from state.UpstreamID, failed bool) {
-	r.answered(c, from, false, failed)
+	r.answered(c, c.routed(failed))
 	if c.outcome != waiting {
 		return
 	}
--- a/internal/measure/size.go
+++ b/internal/measure/size.go
@@ -42,7 +42,7 @@
 	return []state.RankInfo{
 		{Rank: 0, Name: "urgent", FirstToken: time.Second, BetweenTokens: 65 * time.Millisecond, Worth: 100, Share: 0.3},
 		{Rank: 1, Name: "desk", FirstToken: 3 * time.Second, BetweenTokens: 100 * time.Millisecond, Worth: 10, Share: 0.4},
-		{Rank: 2, Name: "summary", FirstToken: time.Minute, BetweenTokens: time.Second, Worth: 1, Share: 0.1},
+		{Rank: 2, Name: "summary", FirstToken: time.Minute, BetweenTokens: time.Second, Worth: 1, Share: 0.3},
 	}
 }
 
@@ -57,7 +57,7 @@
 // Ridgeline has a small fleet and a slow weight store.
 func Ridgeline() Size {
 	return Size{
-		Name: "ridgeline", Zones: 4, Engines: 12, Adapters: 3000, Customers: 6, ZipfS: 1.3,
+		Name: "ridgeline", Zones: 4, Engines: 12, Adapters: 3000, Customers: 6, ZipfS: 1.4,
 		Slots: 8, Batch: 8, Rate: 13,
 		Store: StoreSpec{LoadTime: 250 * time.Millisecond, Knee: 8, Rate: 3, FullRate: 1},
 		Ranks: ranks(), Work: work(),
--- a/internal/node/entry/delivery.go
+++ b/internal/node/entry/delivery.go
@@ -51,11 +51,11 @@
 }
 
 // open returns the sink of a new attempt.
-func (d *delivery) open(call *protocol.Call) *attemptSink {
+func (d *delivery) open(call *protocol.Call, tracked *tracking) *attemptSink {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.answer.Open(call.Attempt)
-	return &attemptSink{d: d, number: call.Attempt, upstream: call.Upstream}
+	return &attemptSink{d: d, number: call.Attempt, upstream: call.Upstream, tracked: tracked}
 }
 
 // attemptSink takes the parts of one attempt. After close it refuses them.
@@ -63,6 +63,7 @@
 	d        *delivery
 	number   uint32
 	upstream state.UpstreamID
+	tracked  *tracking
 	failure  *protocol.Error // guarded by d.mu; set by the first bad part
 }
 
@@ -101,6 +102,7 @@
 
 // Chunk implements protocol.Sink.
 func (a *attemptSink) Chunk(c protocol.Chunk) error {
+	a.tracked.part(c.Count)
 	a.d.mu.Lock()
 	defer a.d.mu.Unlock()
 	if err := a.check(c.Attempt); err != nil {
--- a/internal/node/owner/manager.go
+++ b/internal/node/owner/manager.go
@@ -23,6 +23,9 @@
 	Fleet   *state.Fleet
 	Client  *upstream.Client
 	NewCore func(u *state.Upstream) core.Core
+	Catalog func() *state.Catalog // nil before the first configuration
+	// Crashes learns of crashed upstreams. It may be nil.
+	Crashes CrashReporter
 	Clock   func() time.Time
 	// Observer is told about dispatches and loads; nil for none.
 	Observer Observer
--- a/internal/transport/callers/request.go
+++ b/internal/transport/callers/request.go
@@ -1,6 +1,8 @@
 package callers
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"io"
@@ -160,7 +162,7 @@
 		Prefix:    req.prefix(),
 		Source:    version.Source,
 	}
-	call.Fingerprint = xxhash.Sum64(body)
+	call.Fingerprint = req.fingerprint(ref)
 	return call, req, service, nil
 }
 
@@ -184,6 +186,18 @@
 	return n
 }
 
+// fingerprint identifies the content of the request: the adapter and the prompt,
+// without sampling parameters. Callers can't craft two prompts with the same one.
+func (req completionRequest) fingerprint(ref state.AdapterRef) uint64 {
+	h := sha256.New()
+	_, _ = io.WriteString(h, string(ref.Service)+"/"+ref.Adapter)
+	_, _ = h.Write(req.Prompt)
+	for _, m := range req.Messages {
+		_, _ = h.Write(m)
+	}
+	return binary.BigEndian.Uint64(h.Sum(nil))
+}
+
 // prefix identifies a conversation by its first message.
 func (req completionRequest) prefix() uint64 {
 	if len(req.Messages) > 0 {
