--- a/internal/coordination/suspects/table.go
+++ b/internal/coordination/suspects/table.go
@@ -42,7 +42,7 @@
 type Entry struct {
 	Fingerprint Fingerprint `cbor:"1,keyasint" json:"fingerprint"`
 	Crashes     []CrashID   `cbor:"2,keyasint" json:"crashes"`
-	// Alone reports that a crash happened while nothing else ran on the upstream.
+	// Alone reports that a suspect crashed an upstream while nothing else ran there.
 	Alone bool `cbor:"3,keyasint" json:"alone"`
 	// Cleared reports that a request ran alone to its end after the crashes that
 	// are listed. A crash that is not among them makes the entry suspect again.
@@ -113,7 +113,9 @@
 			e.Crashes = append(e.Crashes, id)
 			slices.SortFunc(e.Crashes, compareCrashes)
 		}
-		e.Alone = e.Alone || alone
+		// Upstreams restart on their own as well: one crash alone makes a suspect,
+		// and only a further one alone proves its guilt.
+		e.Alone = e.Alone || alone && len(e.Crashes) > 1
 		e.Last = now
 		changed = append(changed, e.clone())
 	}
