--- a/internal/demo/golden_test.go
+++ b/internal/demo/golden_test.go
@@ -34,7 +34,7 @@
 	t.Parallel()
 	opts := demo.DefaultOptions()
 	opts.Zones = []string{"cascadia-a"}
-	opts.CallerPorts = nil
+	opts.CallerPorts, opts.AdminPorts = nil, nil
 	opts.EnginesPerZone = 1
 	opts.DrainGrace = 200 * time.Millisecond
 	opts.Engine.TokenTime = time.Millisecond
