Wait for requests in progress before the grace of a shutdown

The daemon now waits for requests first, asks to close in every answer that begins during the drain, and closes after the grace.

--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/celerydeck/celerydeck/internal/node/suspects"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/state/inflight"
 	"github.com/celerydeck/celerydeck/internal/transport/callers"
 	"github.com/celerydeck/celerydeck/internal/transport/peer"
 	"github.com/celerydeck/celerydeck/internal/transport/platform"
@@ -57,6 +58,8 @@
 	Peers   *peer.Server
 	Admin   adminServer
 	Once    *once.Gateway
+
+	Requests *inflight.Counter
 }
 
 // Start starts a daemon with an identity of its own.
@@ -69,7 +72,7 @@
 		fx.Provide(
 			state.NewFleet, newSockets, newPool, newOwner, newCluster, newConfig, newLateMembers, newSuspects, newGateway, newCallers, newPlatform,
 			newRecorder, newLateDrains, newOperator, newAdmin, newRouter,
-			newIncarnation, newOnce, upstream.NewClient, newCallerListener, newPeerServer,
+			newIncarnation, newOnce, inflight.New, upstream.NewClient, newCallerListener, newPeerServer,
 		),
 		fx.Populate(&d.parts),
 	)
@@ -87,28 +90,33 @@
 	return !d.drained.Load() && !d.paused.Load() && d.parts.Config != nil && d.parts.Config.Ready()
 }
 
-// Shutdown refuses new requests, hands the upstreams over, keeps answering until
-// the balancer has noticed, waits for requests in progress and stops. It gives up
-// waiting when ctx is done.
+// Shutdown refuses new requests, hands the upstreams over, waits for requests in
+// progress, keeps refusing for the grace so that no caller meets a closing
+// connection, and stops. It gives up waiting when ctx is done.
 func (d *Daemon) Shutdown(ctx context.Context) error {
 	d.drained.Store(true)
-	noticed := time.NewTimer(d.settings.DrainGrace)
-	defer noticed.Stop()
 	klog.InfoS("Draining", "daemon", d.settings.ID)
 	announce, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	d.parts.Cluster.Drain(announce)
-	select {
-	case <-noticed.C:
-	case <-ctx.Done():
-	}
-	err := d.parts.Server.Shutdown(ctx)
-	err = errors.Join(err, d.parts.Owner.Wait(ctx), d.parts.Peers.Drain(ctx), d.parts.Once.Wait(ctx))
+	err := d.parts.Requests.Wait(ctx)
+	pause(ctx, d.settings.DrainGrace)
+	err = errors.Join(err, d.parts.Server.Shutdown(ctx), d.parts.Owner.Wait(ctx), d.parts.Peers.Drain(ctx), d.parts.Once.Wait(ctx))
 	stop, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), announceTimeout)
 	defer cancelStop()
 	return errors.Join(err, d.app.Stop(stop))
 }
 
+// pause waits for d or until ctx is done.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 type readiness interface{ Ready() bool }
 
 type sockets struct {
@@ -192,7 +200,7 @@
 	return l, nil
 }
 
-func newCallers(lc fx.Lifecycle, l net.Listener, g *once.Gateway, n *config.Node, r readiness, rec *metrics.Recorder) *http.Server {
+func newCallers(lc fx.Lifecycle, l net.Listener, g *once.Gateway, n *config.Node, r readiness, rec *metrics.Recorder, requests *inflight.Counter) *http.Server {
 	api := callers.New(callers.Options{
 		Gateway: metrics.Time(g, rec),
 		Tickets: g,
@@ -200,7 +208,7 @@
 		Ready:   r.Ready,
 		NewID:   newID,
 	})
-	server := &http.Server{Handler: api.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: countRequests(requests, r, api.Handler()), ReadHeaderTimeout: readHeaderTimeout}
 	lc.Append(fx.StartStopHook(
 		func() { go func() { _ = server.Serve(l) }() },
 		func() { _ = server.Close() },
