Keep the newcomer's whole session as a golden file

Cause: no test drove the command as a new user would. Change: a session against the demo in process, from the configuration program to the handover, with two shells; apply on an old base without own changes now ends with a conflict when what is in force differs; errors of submissions are typed.

--- a/internal/app/operators.go
+++ b/internal/app/operators.go
@@ -1,6 +1,8 @@
 package app
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -9,6 +11,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/celerydeck/celerydeck/deckconfig"
 	"github.com/celerydeck/celerydeck/internal/coordination/routing"
 	"github.com/celerydeck/celerydeck/internal/metrics"
 	"github.com/celerydeck/celerydeck/internal/node/cluster"
@@ -16,6 +19,7 @@
 	"github.com/celerydeck/celerydeck/internal/node/operator"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
 	"github.com/celerydeck/celerydeck/internal/node/suspects"
+	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/transport/admin"
 	"github.com/celerydeck/celerydeck/internal/transport/peer"
@@ -115,6 +119,18 @@
 	return n
 }
 
+// configs names the error of an unknown revision as the operators' API does.
+type configs struct{ *config.Node }
+
+// At implements admin.Configs.
+func (c configs) At(ctx context.Context, revision uint64) (*deckconfig.Config, error) {
+	found, err := c.Node.At(ctx, revision)
+	if errors.Is(err, config.ErrUnknownRevision) {
+		return nil, protocol.Errorf(protocol.KindNotFound, "read configuration", protocol.OutcomeNotRun, "revision %d: %v", revision, err)
+	}
+	return found, err
+}
+
 // adminServer is the listener of the operators' API, nil if it is not served.
 type adminServer struct{ listener net.Listener }
 
@@ -127,7 +143,7 @@
 		return adminServer{}, fmt.Errorf("listen for operators: %w", err)
 	}
 	api := admin.New(admin.Options{
-		Configs:          c,
+		Configs:          configs{c},
 		Fleet:            n,
 		Catalog:          c.Catalog,
 		BootstrapKeyHash: s.BootstrapKeyHash,
--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"time"
 
+	"github.com/celerydeck/celerydeck/deckconfig"
 	"github.com/celerydeck/celerydeck/internal/coordination/configsync"
 	"github.com/celerydeck/celerydeck/internal/transport/admin"
 )
@@ -46,14 +47,14 @@
 	if err != nil {
 		return err
 	}
+	if len(changes) == 0 {
+		return e.nothingToDo(ctx, base.Revision, next)
+	}
 	return e.submit(ctx, base, configsync.Submission{ID: c.ID, Message: c.Message, Changes: changes}, !c.NoWait)
 }
 
 // submit submits changes and waits until they are in force.
 func (e *env) submit(ctx context.Context, base admin.ConfigBody, s configsync.Submission, wait bool) error {
-	if len(s.Changes) == 0 {
-		return e.nothingToDo(base.Revision)
-	}
 	if s.ID == "" {
 		s.ID = newID()
 	}
@@ -75,7 +76,22 @@
 	return waitErr
 }
 
-func (e *env) nothingToDo(revision uint64) error {
+// nothingToDo ends a submission without changes. It fails if what is in force is
+// not what the operator wants.
+func (e *env) nothingToDo(ctx context.Context, revision uint64, next *deckconfig.Config) error {
+	current, err := e.client.Config(ctx, 0)
+	if err != nil {
+		return err
+	}
+	changes, err := configsync.Diff(current.Config, next)
+	if err != nil {
+		return err
+	}
+	if len(changes) > 0 {
+		return &codeError{code: ExitConflict, err: fmt.Errorf(
+			"nothing to change against revision %d, but revision %d is in force and differs in %d objects; diff and apply with the new base",
+			revision, current.Revision, len(changes))}
+	}
 	if e.json() {
 		return e.printJSON(applyOutput{Revision: revision})
 	}
--- a/internal/cli/revisions.go
+++ b/internal/cli/revisions.go
@@ -74,6 +74,9 @@
 	if err != nil {
 		return err
 	}
+	if len(changes) == 0 {
+		return e.nothingToDo(ctx, current.Revision, old.Config)
+	}
 	message := c.Message
 	if message == "" {
 		message = fmt.Sprintf("roll back to revision %d", c.Revision)
--- /dev/null
+++ b/internal/cli/session_test.go
@@ -0,0 +1,179 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/celerydeck/celerydeck/internal/cli"
+	"github.com/celerydeck/celerydeck/internal/demo"
+	"github.com/celerydeck/celerydeck/internal/transport/admin"
+)
+
+func startDemo(t *testing.T) *demo.Demo {
+	t.Helper()
+	opts := demo.DefaultOptions()
+	opts.CallerPorts, opts.AdminPorts = nil, nil
+	opts.Engine.TokenTime = time.Millisecond
+	opts.StoreLoad = 10 * time.Millisecond
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	d, err := demo.Start(ctx, opts)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { d.Close(context.Background()) })
+	qt.Assert(t, d.WaitReady(ctx), qt.IsNil)
+	for _, daemon := range d.Daemons {
+		client := admin.NewClient([]string{daemon.AdminAddr()}, demo.OperatorKey)
+		defer client.Close()
+		for !complete(ctx, client) {
+			qt.Assert(t, ctx.Err(), qt.IsNil, qt.Commentf("the daemons do not know each other"))
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return d
+}
+
+// complete reports whether a daemon knows the whole demo.
+func complete(ctx context.Context, client *admin.Client) bool {
+	view, err := client.Fleet(ctx)
+	if err != nil || len(view.Daemons) != 2 || len(view.Unowned) > 0 {
+		return false
+	}
+	healthy := 0
+	for _, d := range view.Daemons {
+		for _, u := range d.Upstreams {
+			if u.Healthy {
+				healthy++
+			}
+		}
+	}
+	return healthy == 6
+}
+
+// session records what a newcomer types and sees.
+type session struct {
+	t    *testing.T
+	demo *demo.Demo
+	dir  string
+	log  strings.Builder
+}
+
+func newSession(t *testing.T) *session {
+	s := &session{t: t, demo: startDemo(t), dir: t.TempDir()}
+	s.write("operator.key", demo.OperatorKey+"\n")
+	return s
+}
+
+func (s *session) file(name string) string { return filepath.Join(s.dir, name) }
+
+func (s *session) write(name, text string) {
+	qt.Assert(s.t, os.WriteFile(s.file(name), []byte(text), 0o600), qt.IsNil)
+}
+
+// deck runs the command at the daemon with the given number and records it.
+func (s *session) deck(shell int, line string) (string, int) {
+	args := strings.Fields(line)
+	for i, a := range args {
+		args[i] = strings.ReplaceAll(a, "_", " ")
+		if strings.HasSuffix(a, ".json") || strings.HasSuffix(a, ".html") {
+			args[i] = s.file(a)
+		}
+	}
+	all := append([]string{"--addr", s.demo.Daemons[shell].AdminAddr(), "--key-file", s.file("operator.key")}, args...)
+	var out, errs bytes.Buffer
+	code := cli.Run(s.t.Context(), cli.Shell{Stdin: strings.NewReader(""), Stdout: &out, Stderr: &errs, Clock: time.Now}, all)
+	fmt.Fprintf(&s.log, "shell %d $ celerydeck %s\n%s%s[exit %d]\n\n", shell+1, line, out.String(), errs.String(), code)
+	return out.String(), code
+}
+
+// program runs the newcomer's configuration program.
+func (s *session) program(version, name string) {
+	cmd := exec.CommandContext(s.t.Context(), "go", "run", "./examples/newcomer", "-endgame", version)
+	cmd.Dir = filepath.Join("..", "..")
+	cmd.Stderr = os.Stderr
+	out, err := cmd.Output()
+	qt.Assert(s.t, err, qt.IsNil)
+	s.write(name, string(out))
+	fmt.Fprintf(&s.log, "shell 1 $ go run ./examples/newcomer -endgame %s > %s\n\n", version, name)
+}
+
+// call sends a request to the new adapter as a customer.
+func (s *session) call(model string) {
+	body := fmt.Sprintf(`{"model":%q,"prompt":"Set the clock","max_tokens":4}`, model)
+	req, err := http.NewRequestWithContext(s.t.Context(), http.MethodPost,
+		"http://"+s.demo.Daemons[1].CallerAddr()+"/v1/completions", strings.NewReader(body))
+	qt.Assert(s.t, err, qt.IsNil)
+	req.Header.Set("Authorization", "Bearer "+demo.Key)
+	resp, err := http.DefaultClient.Do(req)
+	qt.Assert(s.t, err, qt.IsNil)
+	defer resp.Body.Close()
+	var answer struct {
+		Model string `json:"model"`
+	}
+	qt.Assert(s.t, json.NewDecoder(resp.Body).Decode(&answer), qt.IsNil)
+	fmt.Fprintf(&s.log, "shell 1 $ curl .../v1/completions -d '%s'\n%d, answered by %s\n\n", body, resp.StatusCode, answer.Model)
+}
+
+var masks = []struct {
+	pattern *regexp.Regexp
+	with    string
+}{
+	{regexp.MustCompile(`\d{4}-\d\d-\d\d \d\d:\d\d:\d\dZ`), "TIME"},
+	{regexp.MustCompile(`(?m)^in force at 1 of 2 daemons\n`), ""},
+	{regexp.MustCompile(`(?m)^.*\(seen by .*\n`), ""},                    // order of events in the fleet
+	{regexp.MustCompile(`(?m)^(  (arbiter|desk|summary) ).*$`), "${1}N"}, // times
+	{regexp.MustCompile(`(?m)^(cascadia-\S+ ).*(chosen|loaded).*$`), "${1}..."},
+	{regexp.MustCompile(`(?m)^(  cascadia-.* (healthy|leaving)  ).*$`), "${1}N"},
+	{regexp.MustCompile(`(?m)^      cascadia-.-engine-.: no adapter is loaded\n`), ""},
+	{regexp.MustCompile(`engine_cold \(\d\)`), "engine_cold (N)"},
+	{regexp.MustCompile(`  +`), "  "},
+	{regexp.MustCompile(`(?m) +$`), ""},
+}
+
+func mask(text string) string {
+	for _, m := range masks {
+		text = m.pattern.ReplaceAllString(text, m.with)
+	}
+	return text
+}
+
+func TestNewcomerMeetsAnotherSession(t *testing.T) {
+	s := newSession(t)
+	s.program("v1", "deployment.json")
+	s.deck(0, "validate deployment.json")
+	s.deck(0, "diff deployment.json")
+	s.deck(0, "apply --base 1 -m add_the_endgame_adapter deployment.json")
+	s.call("advice/endgame")
+	s.program("v2", "deployment.json")
+	s.deck(0, "diff deployment.json")
+	s.deck(0, "apply --base 2 -m endgame_v2_is_better deployment.json")
+	s.call("advice/endgame")
+	s.deck(0, "rollback 2")
+	s.call("advice/endgame")
+	_, code := s.deck(1, "apply --base 3 -m from_another_shell deployment.json")
+	qt.Assert(t, code, qt.Equals, cli.ExitConflict) // as its base, but not as what is in force
+	s.program("v1", "other.json")
+	_, code = s.deck(1, "apply --base 3 -m from_another_shell other.json")
+	qt.Assert(t, code, qt.Equals, cli.ExitConflict)
+	s.deck(1, "history")
+	s.deck(0, "drain upstream cascadia-a-engine-1 --reason new_disk --wait")
+	s.deck(1, "drain")
+	s.deck(1, "explain --upstream cascadia-a-engine-1")
+	s.deck(0, "note endgame_is_back_at_v1")
+	s.deck(1, "handover")
+	s.deck(0, "drain upstream cascadia-a-engine-1 --end")
+	s.deck(0, "drain upstream no-such-engine")
+	goldie.New(t).Assert(t, "newcomer", []byte(mask(s.log.String())))
+}
--- a/internal/coordination/configsync/submitter.go
+++ b/internal/coordination/configsync/submitter.go
@@ -10,6 +10,10 @@
 // Sending it again with the same id is safe.
 var ErrUnknownOutcome = errors.New("configsync: the platform did not say whether the submission was accepted; send it again with the same id")
 
+// ErrUnreachable reports a submission that was not accepted since the platform did
+// not answer.
+var ErrUnreachable = errors.New("configsync: the platform can't be reached; nothing was changed")
+
 // ErrInvalid wraps an error of the configuration that a submission would lead to.
 var ErrInvalid = errors.New("configsync: the submission leads to an invalid configuration")
 
@@ -189,7 +193,7 @@
 	if _, confirming := s.pending.(ReadHead); confirming {
 		return Finish{Err: ErrUnknownOutcome}
 	}
-	return Finish{Err: errors.New("configsync: the platform can't be reached; nothing was changed")}
+	return Finish{Err: ErrUnreachable}
 }
 
 // DebugKey returns the internal state in a form that tells states apart.
--- a/internal/transport/admin/errors.go
+++ b/internal/transport/admin/errors.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"slices"
 
 	"github.com/celerydeck/celerydeck/deckconfig"
 	"github.com/celerydeck/celerydeck/internal/coordination/configsync"
@@ -81,7 +82,25 @@
 		writeError(w, typed)
 		return
 	}
-	writeError(w, protocol.Errorf(protocol.KindUnavailable, step, protocol.OutcomeUnknown, "%v", err))
+	writeError(w, untyped(err, step))
+}
+
+// refusals are the errors of submissions that are wrong in themselves.
+var refusals = []error{
+	configsync.ErrInvalid, configsync.ErrEmpty, configsync.ErrNoID, configsync.ErrDuplicate,
+	configsync.ErrUnknownKind, configsync.ErrBadAdapterName,
+}
+
+// untyped classifies the errors of submissions. Any other error leaves the outcome
+// unknown.
+func untyped(err error, step string) *protocol.Error {
+	if slices.ContainsFunc(refusals, func(refusal error) bool { return errors.Is(err, refusal) }) {
+		return protocol.Errorf(protocol.KindBadRequest, step, protocol.OutcomeNotRun, "%v", err)
+	}
+	if errors.Is(err, configsync.ErrUnreachable) {
+		return protocol.Errorf(protocol.KindUnavailable, step, protocol.OutcomeNotRun, "%v", err).WithPeer("platform")
+	}
+	return protocol.Errorf(protocol.KindUnavailable, step, protocol.OutcomeUnknown, "%v", err)
 }
 
 func writeJSON(w http.ResponseWriter, code int, v any) {
