--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -15,13 +15,10 @@
 	"go.uber.org/fx/fxevent"
 	"k8s.io/klog/v2"
 
-	"github.com/celerydeck/celerydeck/internal/coordination/routing"
-
 	ownercore "github.com/celerydeck/celerydeck/internal/coordination/owner"
 	"github.com/celerydeck/celerydeck/internal/metrics"
 	"github.com/celerydeck/celerydeck/internal/node/cluster"
 	"github.com/celerydeck/celerydeck/internal/node/config"
-	"github.com/celerydeck/celerydeck/internal/node/entry"
 	"github.com/celerydeck/celerydeck/internal/node/once"
 	"github.com/celerydeck/celerydeck/internal/node/operator"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
@@ -90,14 +87,21 @@
 	return !d.drained.Load() && !d.paused.Load() && d.parts.Config != nil && d.parts.Config.Ready()
 }
 
-// Shutdown stops taking requests, hands the upstreams over, waits for requests
-// in progress and stops. It gives up waiting when ctx is done.
+// Shutdown refuses new requests, hands the upstreams over, keeps answering until
+// the balancer has noticed, waits for requests in progress and stops. It gives up
+// waiting when ctx is done.
 func (d *Daemon) Shutdown(ctx context.Context) error {
 	d.drained.Store(true)
+	noticed := time.NewTimer(d.settings.DrainGrace)
+	defer noticed.Stop()
 	klog.InfoS("Draining", "daemon", d.settings.ID)
 	announce, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	d.parts.Cluster.Drain(announce)
+	select {
+	case <-noticed.C:
+	case <-ctx.Done():
+	}
 	err := d.parts.Server.Shutdown(ctx)
 	err = errors.Join(err, d.parts.Owner.Wait(ctx), d.parts.Peers.Drain(ctx), d.parts.Once.Wait(ctx))
 	stop, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), announceTimeout)
@@ -144,12 +148,13 @@
 	return client
 }
 
-func newOwner(lc fx.Lifecycle, s Settings, fleet *state.Fleet, client *upstream.Client, crashes *suspects.Node, r *metrics.Recorder) *owner.Manager {
+func newOwner(lc fx.Lifecycle, s Settings, fleet *state.Fleet, client *upstream.Client, n *config.Node, crashes *suspects.Node, r *metrics.Recorder) *owner.Manager {
 	m := owner.New(owner.Options{
 		Self:    state.DaemonID(s.ID),
 		Fleet:   fleet,
 		Client:  client,
-		NewCore: func(*state.Upstream) ownercore.Core { return ownercore.NewFifo() },
+		NewCore: func(*state.Upstream) ownercore.Core { return ownercore.NewScheduler(ownercore.DefaultOptions()) },
+		Catalog: n.Catalog,
 		Crashes: crashes,
 		Clock:   time.Now,
 
@@ -179,20 +184,6 @@
 	return c
 }
 
-func newGateway(s Settings, router *routing.Scored, m *owner.Manager, pool *peer.Pool, c *cluster.Cluster, admit *suspects.Node) *entry.Gateway {
-	return entry.New(entry.Options{
-		Self:     state.DaemonID(s.ID),
-		Zone:     state.Zone(s.Zone),
-		Region:   state.Region(s.Region),
-		Router:   router,
-		Trackers: []routing.Tracker{router},
-		Owner:    m,
-		Peers:    peers{pool: pool, cluster: c},
-		Suspects: admit,
-		Clock:    time.Now,
-	})
-}
-
 func newCallerListener(s Settings) (net.Listener, error) {
 	l, err := net.Listen("tcp", s.CallerAddr)
 	if err != nil {
--- a/internal/app/settings.go
+++ b/internal/app/settings.go
@@ -32,6 +32,7 @@
 	KeyFile          string        `arg:"--key-file,env:CELERYDECK_KEY_FILE" help:"PEM file with the private key of this daemon"`
 	CAFile           string        `arg:"--ca-file,env:CELERYDECK_CA_FILE" help:"PEM file with the authority of all daemons"`
 	DrainTimeout     time.Duration `arg:"--drain-timeout,env:CELERYDECK_DRAIN_TIMEOUT" default:"5m" help:"longest wait for requests in progress at shutdown"`
+	DrainGrace       time.Duration `arg:"--drain-grace,env:CELERYDECK_DRAIN_GRACE" default:"2s" help:"time in which new requests are refused before the port for callers closes"`
 	AdminAddr        string        `arg:"--admin-addr,env:CELERYDECK_ADMIN_ADDR" default:"127.0.0.1:9090" help:"TCP address for operators; empty serves none"`
 	BootstrapKeyHash string        `arg:"--bootstrap-key-hash,env:CELERYDECK_BOOTSTRAP_KEY_HASH" help:"SHA-256 hash of an operator key that holds before the configuration names operators"`
 	MetricsClasses   int           `arg:"--metrics-classes,env:CELERYDECK_METRICS_CLASSES" default:"200" help:"customers' classes with metrics of their own; the others share one"`
@@ -72,8 +73,11 @@
 	if u, err := url.Parse(s.PlatformURL); err != nil || (s.PlatformURL != "" && u.Host == "") {
 		add("--platform-url must be a URL such as http://10.0.0.1:80")
 	}
-	if s.DrainTimeout <= 0 {
-		add("--drain-timeout must be positive")
+	if s.DrainGrace < 0 {
+		add("--drain-grace must not be negative")
+	}
+	if s.DrainTimeout <= s.DrainGrace {
+		add("--drain-timeout must be longer than --drain-grace")
 	}
 	if s.BootstrapKeyHash != "" && !hashPattern.MatchString(s.BootstrapKeyHash) {
 		add("--bootstrap-key-hash must be SHA-256 in 64 lower-case hex digits")
--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -41,11 +41,11 @@
 	if err != nil {
 		return err
 	}
-	cert, key, err := authority.PEM()
+	key, err := authority.KeyPEM()
 	if err != nil {
 		return err
 	}
-	return e.writePair(c.Dir, "authority", cert, key)
+	return e.writePair(c.Dir, "authority", authority.PEM(), key)
 }
 
 type keysDaemonCmd struct {
--- /dev/null
+++ b/internal/cli/large_test.go
@@ -0,0 +1,89 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/celerydeck/celerydeck/deckconfig"
+	"github.com/celerydeck/celerydeck/internal/cli"
+	"github.com/celerydeck/celerydeck/internal/demo"
+)
+
+const largeAdapters = 82_000
+
+// large returns the configuration of the demo with many more adapters.
+func large(adapters int) *deckconfig.Config {
+	config := demo.DefaultConfig()
+	list := make([]deckconfig.Adapter, adapters)
+	for i := range list {
+		name := fmt.Sprintf("club-%05d", i)
+		list[i] = deckconfig.Adapter{Name: name, Default: "v1", Versions: []deckconfig.Version{{Name: "v1", Source: "weights/" + name + "/v1"}}}
+	}
+	config.Services[0].Adapters = append(config.Services[0].Adapters, list...)
+	return config
+}
+
+func runDeck(tb testing.TB, d *demo.Demo, args ...string) string {
+	tb.Helper()
+	key := filepath.Join(tb.TempDir(), "key")
+	qt.Assert(tb, os.WriteFile(key, []byte(demo.OperatorKey), 0o600), qt.IsNil)
+	var out, errs bytes.Buffer
+	all := append([]string{"--addr", d.Daemons[0].AdminAddr(), "--key-file", key, "--timeout", "2m"}, args...)
+	code := cli.Run(context.Background(), cli.Shell{Stdout: &out, Stderr: &errs, Stdin: strings.NewReader(""), Clock: time.Now}, all)
+	qt.Assert(tb, code, qt.Equals, cli.ExitOK, qt.Commentf("%.2000s", errs.String()))
+	return out.String()
+}
+
+// BenchmarkLarge measures what an operator waits for at the target size. Run it
+// with -benchtime=1x.
+func BenchmarkLarge(b *testing.B) {
+	config := large(largeAdapters)
+	file := filepath.Join(b.TempDir(), "large.json")
+	b.Run("print", func(b *testing.B) {
+		for b.Loop() {
+			f, err := os.Create(file)
+			qt.Assert(b, err, qt.IsNil)
+			qt.Assert(b, config.Write(f), qt.IsNil)
+			qt.Assert(b, f.Close(), qt.IsNil)
+		}
+	})
+	d := startDemo(b)
+	for _, step := range []struct {
+		name string
+		args []string
+	}{
+		{"validate", []string{"validate", file}},
+		{"diff", []string{"diff", file}},
+		{"apply", []string{"apply", "--base", "1", file}},
+		{"get", []string{"get"}},
+	} {
+		b.Run(step.name, func(b *testing.B) {
+			for b.Loop() {
+				runDeck(b, d, step.args...)
+			}
+		})
+	}
+	one := config.Services[0].Adapters
+	one[len(one)-1].Versions = append(one[len(one)-1].Versions, deckconfig.Version{Name: "v2", Source: "w"})
+	f, err := os.Create(file)
+	qt.Assert(b, err, qt.IsNil)
+	qt.Assert(b, config.Write(f), qt.IsNil)
+	b.Run("diff-one", func(b *testing.B) {
+		for b.Loop() {
+			runDeck(b, d, "diff", file)
+		}
+	})
+	b.Run("apply-one", func(b *testing.B) {
+		for b.Loop() {
+			runDeck(b, d, "apply", "--base", "2", file)
+		}
+	})
+}
--- a/internal/cli/session_test.go
+++ b/internal/cli/session_test.go
@@ -22,13 +22,13 @@
 	"github.com/celerydeck/celerydeck/internal/transport/admin"
 )
 
-func startDemo(t *testing.T) *demo.Demo {
+func startDemo(t testing.TB) *demo.Demo {
 	t.Helper()
 	opts := demo.DefaultOptions()
-	opts.CallerPorts, opts.AdminPorts = nil, nil
+	opts.CallerPorts, opts.AdminPorts, opts.DrainGrace = nil, nil, 0
 	opts.Engine.TokenTime = time.Millisecond
 	opts.StoreLoad = 10 * time.Millisecond
-	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	d, err := demo.Start(ctx, opts)
 	qt.Assert(t, err, qt.IsNil)
@@ -126,6 +126,23 @@
 	fmt.Fprintf(&s.log, "shell 1 $ curl .../v1/completions -d '%s'\n%d, answered by %s\n\n", body, resp.StatusCode, answer.Model)
 }
 
+func TestEndedDrainKeepsAnUpstreamOut(t *testing.T) {
+	d := startDemo(t)
+	runDeck(t, d, "drain", "upstream", "cascadia-b-engine-2", "--wait")
+	runDeck(t, d, "drain", "daemon", "cascadia-a-entry-1", "--wait")
+	qt.Assert(t, d.Daemons[0].Ready(), qt.IsFalse)
+	runDeck(t, d, "drain", "daemon", "cascadia-a-entry-1", "--end")
+	runDeck(t, d, "drain", "upstream", "cascadia-b-engine-2", "--end")
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	client := admin.NewClient([]string{d.Daemons[1].AdminAddr()}, demo.OperatorKey)
+	defer client.Close()
+	for !complete(ctx, client) || !d.Daemons[0].Ready() {
+		qt.Assert(t, ctx.Err(), qt.IsNil, qt.Commentf("the drained daemon or upstream does not come back"))
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 var masks = []struct {
 	pattern *regexp.Regexp
 	with    string
--- a/internal/measure/host.go
+++ b/internal/measure/host.go
@@ -17,11 +17,12 @@
 
 // host runs the owner core of one engine, as the shell of a daemon does.
 type host struct {
-	run     *run
-	core    owner.Core
-	engine  *engine
-	calls   map[string]*call
-	loadRNG *rand.Rand
+	run      *run
+	upstream state.Upstream
+	core     owner.Core
+	engine   *engine
+	calls    map[string]*call
+	loadRNG  *rand.Rand
 }
 
 func (h *host) handle(event owner.Event) {
@@ -88,7 +89,7 @@
 		if !failed {
 			h.loaded(a.Adapter)
 		}
-		h.handle(owner.LoadDone{Adapter: a.Adapter, Boot: h.engine.bootID(), Failed: failed})
+		h.handle(owner.LoadDone{Adapter: a.Adapter, Order: a.Order, Boot: h.engine.bootID(), Failed: failed})
 	})
 }
 
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -26,6 +26,8 @@
 	Zone  state.Zone
 	Seed  uint64
 	Ranks []state.RankInfo
+	// Daemons is the number of entry daemons.
+	Daemons int
 }
 
 // Shares divides the weight store's limits among the engines. Statuses are in
@@ -34,13 +36,6 @@
 	Divide(now time.Time, statuses []owner.Status) []owner.StoreBudget
 }
 
-// Dispatches is implemented by routers that correct reported load by what they
-// sent since.
-type Dispatches interface {
-	Sent(now time.Time, req *routing.Request, to state.UpstreamID)
-	Done(now time.Time, req *routing.Request, to state.UpstreamID, refused, failed bool)
-}
-
 // Policies returns the baselines and then the policies of the daemon.
 func Policies() []Policy {
 	return append(Baselines(), Current())
@@ -50,8 +45,8 @@
 func Current() Policy {
 	return Policy{
 		Name:      "celerydeck",
-		NewRouter: func(env Env) routing.Router { return routing.NewSimple(env.Fleet) },
-		NewCore:   func(*state.Upstream) owner.Core { return owner.NewFifo() },
+		NewRouter: newScored,
+		NewCore:   func(*state.Upstream) owner.Core { return owner.NewScheduler(owner.DefaultOptions()) },
 		NewShares: newByDemand,
 	}
 }
--- a/internal/node/entry/track.go
+++ b/internal/node/entry/track.go
@@ -15,6 +15,7 @@
 	choice  routing.Choice
 	started time.Time
 	first   atomic.Int64 // nanoseconds from started until the first part
+	tokens  atomic.Int64
 }
 
 // track tells the trackers that an attempt starts. The caller must call end.
@@ -26,10 +27,12 @@
 	return t
 }
 
-// part notes a part of the answer.
-func (t *tracking) part() {
+// part notes a part of the answer with its number of tokens.
+func (t *tracking) part(tokens uint32) {
+	t.tokens.Add(int64(tokens))
 	if t.first.Load() == 0 {
-		t.first.CompareAndSwap(0, max(int64(t.g.opts.Clock().Sub(t.started)), 1))
+		elapsed := t.g.opts.Clock().Sub(t.started)
+		t.first.CompareAndSwap(0, max(int64(elapsed), 1))
 	}
 }
 
@@ -40,6 +43,7 @@
 		Outcome:    outcomeOf(err),
 		FirstToken: time.Duration(t.first.Load()),
 		Total:      now.Sub(t.started),
+		Tokens:     int(t.tokens.Load()),
 	}
 	for _, tracker := range t.g.opts.Trackers {
 		tracker.Ended(now, &t.route, t.choice, result)
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -31,7 +31,8 @@
 
 // Client calls upstreams. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
+	http     *http.Client
+	progress progressTable
 }
 
 // NewClient returns a client with its own pool of connections.
@@ -40,8 +41,12 @@
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true, // answers are passed on as they are
+	}
+	return &Client{
+		http:     &http.Client{Transport: transport, CheckRedirect: keepRedirect},
+		progress: progressTable{engines: make(map[state.UpstreamID]*engineProgress)},
 	}
-	return &Client{http: &http.Client{Transport: transport, CheckRedirect: keepRedirect}}
 }
 
 // keepRedirect hands redirects to the caller instead of following them.
