Let only the demo command take fixed ports for operators

Cause: tests that start the demo with its defaults met on port 9090. Change: the ports are set by the command.

--- a/cmd/celerydeck-demo/main.go
+++ b/cmd/celerydeck-demo/main.go
@@ -74,6 +74,7 @@
 	defer stop()
 	opts := demo.DefaultOptions()
 	opts.KeysDir = s.KeysDir
+	opts.AdminPorts = []int{9090, 9091}
 	d, err := demo.Start(ctx, opts)
 	if err != nil {
 		return err
--- a/internal/cli/session_test.go
+++ b/internal/cli/session_test.go
@@ -25,7 +25,7 @@
 func startDemo(t testing.TB) *demo.Demo {
 	t.Helper()
 	opts := demo.DefaultOptions()
-	opts.CallerPorts, opts.AdminPorts, opts.DrainGrace = nil, nil, 0
+	opts.CallerPorts, opts.DrainGrace = nil, 0
 	opts.Engine.TokenTime = time.Millisecond
 	opts.StoreLoad = 10 * time.Millisecond
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -63,7 +63,6 @@
 		StoreLoad:      250 * time.Millisecond,
 		StoreKnee:      8,
 		CallerPorts:    []int{8080, 8081},
-		AdminPorts:     []int{9090, 9091},
 		DrainGrace:     time.Second,
 	}
 }
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -20,7 +20,7 @@
 	t.Helper()
 	t.Parallel()
 	opts := demo.DefaultOptions()
-	opts.CallerPorts, opts.AdminPorts = nil, nil
+	opts.CallerPorts = nil
 	opts.DrainGrace = 0
 	opts.Engine.TokenTime = time.Millisecond
 	opts.StoreLoad = 10 * time.Millisecond
