--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -41,11 +41,11 @@
 	if err != nil {
 		return err
 	}
-	key, err := authority.KeyPEM()
+	cert, key, err := authority.PEM()
 	if err != nil {
 		return err
 	}
-	return e.writePair(c.Dir, "authority", authority.PEM(), key)
+	return e.writePair(c.Dir, "authority", cert, key)
 }
 
 type keysDaemonCmd struct {
--- a/internal/transport/peer/pem.go
+++ b/internal/transport/peer/pem.go
@@ -7,16 +7,17 @@
 	"errors"
 )
 
+const (
+	pemCertificate = "CERTIFICATE"
+	pemPrivateKey  = "PRIVATE KEY"
+)
+
 // ErrNotAuthority reports files that hold no authority.
 var ErrNotAuthority = errors.New("peer: the files hold no authority of daemons")
 
-// KeyPEM returns the private key of the authority.
-func (a *Authority) KeyPEM() ([]byte, error) {
-	der, err := x509.MarshalPKCS8PrivateKey(a.key)
-	if err != nil {
-		return nil, err
-	}
-	return pemBlock("PRIVATE KEY", der), nil
+// PEM returns the certificate and the private key of the authority.
+func (a *Authority) PEM() (cert, key []byte, err error) {
+	return encodePEM(a.cert.Raw, a.key)
 }
 
 // LoadAuthority reads an authority from PEM files.
@@ -40,3 +41,17 @@
 	}
 	return &Authority{cert: cert, key: key}, nil
 }
+
+// PEM returns the certificate and the private key of a daemon.
+func (id Identity) PEM() (cert, key []byte, err error) {
+	return encodePEM(id.Certificate.Certificate[0], id.Certificate.PrivateKey)
+}
+
+func encodePEM(der []byte, key any) ([]byte, []byte, error) {
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return nil, nil, err
+	}
+	cert := pem.EncodeToMemory(&pem.Block{Type: pemCertificate, Bytes: der})
+	return cert, pem.EncodeToMemory(&pem.Block{Type: pemPrivateKey, Bytes: keyDER}), nil
+}
