--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -35,6 +35,7 @@
 	}
 	err := g.next.Serve(ctx, call, base, timed)
 	g.recorder.ended(class, err)
+	g.recorder.noteUnknown(call, err)
 	return err
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -84,6 +84,7 @@
 	mu      sync.RWMutex
 	classes map[state.Class]*classMetrics
 	other   *classMetrics
+	unknown []unknownCall // oldest first
 }
 
 type classMetrics struct {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -107,6 +107,10 @@
 	qt.Assert(t, s.FirstInTime, qt.Equals, uint64(6))
 	qt.Assert(t, s.Gaps, qt.Equals, uint64(20))
 	qt.Assert(t, s.GapsInTime, qt.Equals, uint64(12))
+	unknown := r.Conditions(c.now)
+	qt.Assert(t, unknown, qt.HasLen, 1) // only the interrupted one
+	qt.Assert(t, unknown[0].Kind, qt.Equals, protocol.ConditionOutcomeUnknown)
 	c.tick(2 * time.Hour)
+	qt.Assert(t, r.Conditions(c.now), qt.HasLen, 0)
 	qt.Assert(t, r.Ranks(c.now, ranks)[0].Requests, qt.Equals, uint64(0))
 }
--- a/internal/node/operator/drains.go
+++ b/internal/node/operator/drains.go
@@ -7,10 +7,9 @@
 	"errors"
 	"slices"
 
-	"k8s.io/klog/v2"
-
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/statelog"
 	"github.com/celerydeck/celerydeck/internal/transport/platform"
 )
 
@@ -118,7 +117,7 @@
 	n.draining = draining
 	n.mu.Unlock()
 	if had != (d != nil) {
-		klog.InfoS("Drain changed", "drain", key, "drained", d != nil)
+		statelog.Info("Drain changed", "drain", key, "drained", d != nil)
 	}
 	if changed {
 		n.opts.SetDraining(draining)
@@ -163,7 +162,7 @@
 	var d protocol.Drain
 	err := json.Unmarshal(o.Value, &d)
 	if err != nil || drainKey(d.Kind, d.Subject) != o.Key {
-		klog.InfoS("Drain is unreadable", "drain", o.Key, "err", err)
+		statelog.Info("Drain is unreadable", "drain", o.Key, "err", err)
 		return
 	}
 	n.setDrain(o.Key, &d)
--- a/internal/node/owner/manager.go
+++ b/internal/node/owner/manager.go
@@ -8,12 +8,11 @@
 	"sync"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	core "github.com/celerydeck/celerydeck/internal/coordination/owner"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/state/inflight"
+	"github.com/celerydeck/celerydeck/internal/statelog"
 	"github.com/celerydeck/celerydeck/internal/transport/upstream"
 )
 
@@ -146,11 +145,13 @@
 		stop:    stop,
 		pending: make(map[string]*pending),
 		loads:   make(map[state.AdapterRef]loadSpan),
+		loading: make(map[state.AdapterRef]time.Time),
+		failing: make(map[state.AdapterRef]failingLoad),
 	}
 	m.workers[u.ID] = w
 	m.wg.Add(1)
 	go w.poll()
-	klog.InfoS("Owning upstream", "upstream", u.ID, "daemon", m.opts.Self)
+	statelog.Info("Owning upstream", "upstream", u.ID, "daemon", m.opts.Self)
 	return w
 }
 
--- a/internal/node/owner/observe.go
+++ b/internal/node/owner/observe.go
@@ -7,6 +7,9 @@
 	"github.com/celerydeck/celerydeck/internal/state"
 )
 
+// maxSpans bounds the loads that are remembered for an upstream.
+const maxSpans = 1024
+
 // Observer is told what the owner does.
 type Observer interface {
 	// Dispatched tells of a request that starts to run: how long it waited, how long
@@ -49,14 +52,27 @@
 	w.m.opts.Observer.Dispatched(p.call.Class(), now.Sub(p.queued), stall, batch)
 }
 
+// observeLoadStart notes that a load begins and returns when.
+func (w *worker) observeLoadStart(adapter state.AdapterRef) time.Time {
+	now := w.m.opts.Clock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.loading[adapter] = now
+	return now
+}
+
 // observeLoad reports a load that began at start. It keeps the spans of the
-// adapters that are loaded.
-func (w *worker) observeLoad(adapter state.AdapterRef, start time.Time, failed bool) {
+// newest loads.
+func (w *worker) observeLoad(adapter state.AdapterRef, start time.Time, err error) {
 	now := w.m.opts.Clock()
 	w.mu.Lock()
+	if len(w.loads) >= maxSpans {
+		clear(w.loads)
+	}
 	w.loads[adapter] = loadSpan{start: start, end: now}
+	w.noteLoad(adapter, now, err)
 	w.mu.Unlock()
-	w.m.opts.Observer.Loaded(now.Sub(start), failed)
+	w.m.opts.Observer.Loaded(now.Sub(start), err != nil)
 }
 
 // forgetLoad drops the span of an adapter that was unloaded.
--- a/internal/node/owner/worker.go
+++ b/internal/node/owner/worker.go
@@ -5,11 +5,10 @@
 	"sync"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	core "github.com/celerydeck/celerydeck/internal/coordination/owner"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/statelog"
 )
 
 const (
@@ -32,6 +31,8 @@
 	pending map[string]*pending
 	catalog *state.Catalog // last one told to the core; used by poll only
 	loads   map[state.AdapterRef]loadSpan
+	loading map[state.AdapterRef]time.Time // start of each load in progress
+	failing map[state.AdapterRef]failingLoad
 	check   *crashCheck // of the latest run that broke
 }
 
@@ -198,12 +199,12 @@
 func (w *worker) load(a core.Load) {
 	ctx, cancel := context.WithTimeout(w.m.ctx, orderTimeout)
 	defer cancel()
-	start := w.m.opts.Clock()
+	start := w.observeLoadStart(a.Adapter)
 	boot, err := w.m.opts.Client.Load(ctx, w.u, a.Adapter, a.Source, a.Epoch)
 	if err != nil {
-		klog.InfoS("Load failed", "adapter", a.Adapter, "upstream", w.u.ID, "err", err)
+		statelog.Info("Load failed", "adapter", a.Adapter, "upstream", w.u.ID, "err", err)
 	}
-	w.observeLoad(a.Adapter, start, err != nil)
+	w.observeLoad(a.Adapter, start, err)
 	w.handle(core.LoadDone{Adapter: a.Adapter, Order: a.Order, Boot: boot, Failed: err != nil})
 }
 
@@ -212,7 +213,7 @@
 	defer cancel()
 	err := w.m.opts.Client.Unload(ctx, w.u, a.Adapter, a.Epoch)
 	if err != nil {
-		klog.InfoS("Unload failed", "adapter", a.Adapter, "upstream", w.u.ID, "err", err)
+		statelog.Info("Unload failed", "adapter", a.Adapter, "upstream", w.u.ID, "err", err)
 	}
 	w.forgetLoad(a)
 	w.handle(core.UnloadDone{Adapter: a.Adapter, Failed: err != nil})
--- a/internal/report/conditions.go
+++ b/internal/report/conditions.go
@@ -14,6 +14,9 @@
 	lateShare = 0.95
 	// fewRequests is the number of requests below which a share says little.
 	fewRequests = 20
+	// floodRefusals and floodShare are the refusals that make a class a flood.
+	floodRefusals = 100
+	floodShare    = 0.5
 	// manyRestarts is the number of restarts that make a crash urgent.
 	manyRestarts = 3
 	// maxSubjects is the number of subjects shown in a group.
@@ -64,6 +67,7 @@
 			Detail:  fmt.Sprintf("in force at %d of %d daemons, not at %s", in.Progress.InForce, in.Progress.Daemons, join(in.Progress.Behind)),
 		})
 	}
+	all = append(all, floods(MergeClasses(in.Fleet.Daemons))...)
 	all = append(all, lateRanks(MergeRanks(in.Fleet.Daemons))...)
 	slices.SortStableFunc(all, compareConditions)
 	return slices.Compact(all)
@@ -118,6 +122,22 @@
 	return late
 }
 
+// floods returns the classes most of whose requests are refused.
+func floods(classes []protocol.ClassStatus) []protocol.Condition {
+	var list []protocol.Condition
+	for _, c := range classes {
+		if c.Refused < floodRefusals || Share(c.Refused, c.Requests) < floodShare {
+			continue
+		}
+		list = append(list, protocol.Condition{
+			Kind: protocol.ConditionFlood, Severity: protocol.SeverityWatch,
+			Subject: fmt.Sprintf("%s/%s/%s", c.Customer, c.Service, c.Rank),
+			Detail:  fmt.Sprintf("%d of %d requests of the last minutes were refused", c.Refused, c.Requests),
+		})
+	}
+	return list
+}
+
 // Share returns part/whole, and 1 for an empty whole.
 func Share(part, whole uint64) float64 {
 	if whole == 0 {
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -136,6 +136,19 @@
 	}
 }
 
+func TestFloodIsQuiet(t *testing.T) {
+	in := input()
+	in.Fleet.Daemons[0].Classes[0].Refused = 700
+	in.Fleet.Daemons[1].Classes[0].Refused = 700
+	found := 0
+	for _, c := range report.Conditions(in) {
+		if c.Kind == protocol.ConditionFlood && strings.Contains(c.Detail, "1400 of 1800 requests") {
+			found++
+		}
+	}
+	qt.Assert(t, found, qt.Equals, 1)
+}
+
 func TestEmptyFleetBreaksThePage(t *testing.T) {
 	var b bytes.Buffer
 	qt.Assert(t, report.Build(report.Input{}).HTML(&b), qt.IsNil)
