Keep the type of a load's error

Change: the notes on loads take the typed error. Conclusion: the tests of demo, command and owner pass with the race detector.

--- a/internal/node/owner/conditions.go
+++ b/internal/node/owner/conditions.go
@@ -30,7 +30,7 @@
 }
 
 // noteLoad records the end of a load. The caller must hold mu.
-func (w *worker) noteLoad(adapter state.AdapterRef, now time.Time, err error) {
+func (w *worker) noteLoad(adapter state.AdapterRef, now time.Time, err *protocol.Error) {
 	delete(w.loading, adapter)
 	if err == nil {
 		delete(w.failing, adapter)
@@ -45,7 +45,7 @@
 	}
 	f.count++
 	f.last = now
-	f.err = err.Error()
+	f.err = err.Message
 	w.failing[adapter] = f
 }
 
--- a/internal/node/owner/conditions_test.go
+++ b/internal/node/owner/conditions_test.go
@@ -1,13 +1,13 @@
 package owner
 
 import (
-	"errors"
 	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 )
 
@@ -19,10 +19,11 @@
 		failing: make(map[state.AdapterRef]failingLoad),
 	}
 	m := &Manager{workers: map[state.UpstreamID]*worker{"e1": w}}
+	failure := protocol.Errorf(protocol.KindUnavailable, "load", protocol.OutcomeUnknown, "no such file")
 	ref := state.AdapterRef{Service: "advice", Adapter: "blitz", Version: "v1"}
-	w.noteLoad(ref, now, errors.New("no such file"))
+	w.noteLoad(ref, now, failure)
 	qt.Assert(t, m.Conditions(now), qt.HasLen, 0)
-	w.noteLoad(ref, now.Add(time.Minute), errors.New("no such file"))
+	w.noteLoad(ref, now.Add(time.Minute), failure)
 	got := m.Conditions(now.Add(time.Minute))
 	qt.Assert(t, got, qt.HasLen, 1)
 	qt.Assert(t, got[0].Detail, qt.Equals, "2 failures on e1, last: no such file")
@@ -31,8 +32,8 @@
 	qt.Assert(t, m.Conditions(now), qt.HasLen, 0)
 	for i := range 2 * maxFailing {
 		other := state.AdapterRef{Service: "advice", Adapter: fmt.Sprint(i), Version: "v1"}
-		w.noteLoad(other, now, errors.New("x"))
-		w.noteLoad(other, now, errors.New("x"))
+		w.noteLoad(other, now, failure)
+		w.noteLoad(other, now, failure)
 	}
 	qt.Assert(t, m.Conditions(now), qt.HasLen, maxFailing)
 	qt.Assert(t, m.Conditions(now.Add(2*failingFor)), qt.HasLen, 0)
--- a/internal/node/owner/observe.go
+++ b/internal/node/owner/observe.go
@@ -4,6 +4,7 @@
 	"time"
 
 	core "github.com/celerydeck/celerydeck/internal/coordination/owner"
+	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 )
 
@@ -63,7 +64,7 @@
 
 // observeLoad reports a load that began at start. It keeps the spans of the
 // newest loads.
-func (w *worker) observeLoad(adapter state.AdapterRef, start time.Time, err error) {
+func (w *worker) observeLoad(adapter state.AdapterRef, start time.Time, err *protocol.Error) {
 	now := w.m.opts.Clock()
 	w.mu.Lock()
 	if len(w.loads) >= maxSpans {
