--- a/internal/app/routing.go
+++ b/internal/app/routing.go
@@ -35,11 +35,12 @@
 	Pool     *peer.Pool
 	Cluster  *cluster.Cluster
 	Suspects *suspects.Node
+	Router   *routing.Scored
 }
 
 func newGateway(lc fx.Lifecycle, p gatewayParams) *entry.Gateway {
 	region := state.Region(p.Settings.Region)
-	router := newRouter(p.Fleet)
+	router := p.Router
 	ejector := entry.NewEjector(p.Fleet, region)
 	runInBackground(lc, ejector.Run)
 	runInBackground(lc, func(ctx context.Context) { countDaemons(ctx, router, p.Cluster) })
--- a/internal/coordination/owner/scheduler.go
+++ b/internal/coordination/owner/scheduler.go
@@ -101,6 +101,8 @@
 	case Leaving:
 		s.leaving = true
 		s.refuseAll(RefuseLeaving)
+	case Staying:
+		s.leaving = false
 	case StoreBudget:
 		s.budget.Set(now, e.Rate, e.Burst, e.InFlight)
 	case Ranks:
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -44,12 +44,12 @@
 	StoreKnee      int
 	// CallerPorts are the ports of the daemons; 0 takes a free one.
 	CallerPorts []int
-	DrainGrace  time.Duration
+	// AdminPorts are the ports for operators; 0 takes a free one.
+	AdminPorts []int
+	DrainGrace time.Duration
 	// KeysDir, when set, gets the keys of the daemons, which are then not started
 	// but run by hand as processes of their own: see Demo.Commands.
 	KeysDir string
-	// AdminPorts are the ports for operators; 0 takes a free one.
-	AdminPorts []int
 }
 
 // DefaultOptions returns two availability zones with a daemon and two engines each.
@@ -64,7 +64,6 @@
 		StoreKnee:      8,
 		CallerPorts:    []int{8080, 8081},
 		DrainGrace:     time.Second,
-		AdminPorts:     []int{9090, 9091},
 	}
 }
 
@@ -214,10 +213,10 @@
 		CallerAddr:       fmt.Sprintf("%s:%d", loopback, port),
 		PeerAddr:         peerAddr,
 		PlatformURL:      d.platform,
-		AdminAddr:        fmt.Sprintf("%s:%d", loopback, adminPort),
-		BootstrapKeyHash: state.HashKey(OperatorKey),
 		DrainTimeout:     drainTimeout,
 		DrainGrace:       d.opts.DrainGrace,
+		AdminAddr:        fmt.Sprintf("%s:%d", loopback, adminPort),
+		BootstrapKeyHash: state.HashKey(OperatorKey),
 	}
 	return settings, identity, nil
 }
--- a/internal/demo/keys.go
+++ b/internal/demo/keys.go
@@ -56,6 +56,8 @@
 		{"caller-addr", s.CallerAddr},
 		{"peer-addr", s.PeerAddr},
 		{"platform-url", s.PlatformURL},
+		{"admin-addr", s.AdminAddr},
+		{"bootstrap-key-hash", s.BootstrapKeyHash},
 		{"cert-file", s.CertFile},
 		{"key-file", s.KeyFile},
 		{"ca-file", s.CAFile},
