Divide the weight store's limits by base shares and short loans

Cause: the store's rate and in-flight knee hold for the fleet, but daemons come and go and can be cut off from each other.

Change: a ledger per daemon. Each owned engine brings an equal base share; a daemon lends what it does not need in answer to asks, in proportion to worth. A grant ends a term after the borrower asked; the lender holds it back longer by the drift of clocks, and a new owner of an engine waits as long before it uses the base share.

Conclusion: safe as long as an engine has one owner and the configured number of engines is not exceeded.

--- /dev/null
+++ b/internal/coordination/storebudget/ledger_test.go
@@ -0,0 +1,255 @@
+package storebudget_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/storebudget"
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+var start = time.Unix(1000, 0)
+
+func limits() storebudget.Limits {
+	return storebudget.Limits{
+		Total:   storebudget.Amount{Rate: 3 * storebudget.Unit, InFlight: 8 * storebudget.Unit},
+		Engines: 12,
+		Term:    storebudget.DefaultTerm,
+		Drift:   storebudget.DefaultDrift,
+	}
+}
+
+func daemonID(i int) state.DaemonID { return state.DaemonID(fmt.Sprintf("daemon-%d", i)) }
+
+func engineID(i int) state.UpstreamID { return state.UpstreamID(fmt.Sprintf("engine-%02d", i)) }
+
+// packet is a message on its way.
+type packet struct {
+	at       time.Time
+	from, to int
+	sent     time.Time // by the clock of the daemon that asked
+	ask      *storebudget.Ask
+	grant    storebudget.Grant
+}
+
+// world runs ledgers with clocks that drift, on a network that loses and delays.
+type world struct {
+	rt      *rapid.T
+	now     time.Time
+	ledgers []*storebudget.Ledger // nil while crashed
+	drift   []float64
+	owners  []int // of each engine, -1 for none
+	cut     map[[2]int]bool
+	packets []packet
+	starts  uint64
+}
+
+func (w *world) clock(d int) time.Time {
+	elapsed := w.now.Sub(start)
+	return start.Add(elapsed + time.Duration(float64(elapsed)*w.drift[d]))
+}
+
+func (w *world) boot(d int) {
+	w.starts++
+	w.ledgers[d] = storebudget.NewLedger(limits(), w.starts<<32)
+}
+
+func (w *world) crash(d int) {
+	w.ledgers[d] = nil
+	for e, owner := range w.owners {
+		if owner == d {
+			w.owners[e] = -1
+		}
+	}
+}
+
+func (w *world) own(e, d int) {
+	if old := w.owners[e]; old >= 0 && old != d {
+		w.ledgers[old].Lose(engineID(e))
+	}
+	w.owners[e] = d
+	w.ledgers[d].Own(w.clock(d), engineID(e))
+}
+
+func (w *world) send(p packet) {
+	if w.cut[[2]int{p.from, p.to}] || rapid.IntRange(0, 9).Draw(w.rt, "lost") == 0 {
+		return
+	}
+	delay := rapid.OneOf(rapid.IntRange(1, 20), rapid.IntRange(1, 3000)).Draw(w.rt, "delay")
+	p.at = w.now.Add(time.Duration(delay) * time.Millisecond)
+	w.packets = append(w.packets, p)
+}
+
+func (w *world) ask(d int) {
+	for to := range w.ledgers {
+		if to != d {
+			ask := w.ledgers[d].AskFor(w.clock(d), daemonID(to))
+			w.send(packet{from: d, to: to, sent: w.clock(d), ask: &ask})
+		}
+	}
+}
+
+func (w *world) deliver() {
+	slices.SortStableFunc(w.packets, func(a, b packet) int { return a.at.Compare(b.at) })
+	for len(w.packets) > 0 && !w.packets[0].at.After(w.now) {
+		p := w.packets[0]
+		w.packets = w.packets[1:]
+		l := w.ledgers[p.to]
+		switch {
+		case l == nil:
+		case p.ask != nil:
+			g := l.Answer(w.clock(p.to), daemonID(p.from), *p.ask)
+			w.send(packet{from: p.to, to: p.from, sent: p.sent, grant: g})
+		default:
+			l.Granted(w.clock(p.to), p.sent, daemonID(p.from), p.grant)
+		}
+	}
+}
+
+// check asserts that all daemons together use no more than the limits.
+func (w *world) check() {
+	var rate float64
+	var sum storebudget.Amount
+	flights := 0
+	for d, l := range w.ledgers {
+		if l == nil {
+			continue
+		}
+		usable, _ := l.Usable(w.clock(d))
+		sum.Rate += usable.Rate
+		sum.InFlight += usable.InFlight
+		for _, b := range l.Divide(w.clock(d)) {
+			rate += b.Rate
+			flights += b.InFlight
+		}
+	}
+	total := limits().Total
+	const rounding = 1e-6
+	if sum.Rate > total.Rate || sum.InFlight > total.InFlight ||
+		rate*storebudget.Unit > float64(total.Rate)+rounding || int64(flights)*storebudget.Unit > total.InFlight {
+		w.rt.Fatalf("%+v, %.3f loads a second and %d in flight used of %+v", sum, rate, flights, total)
+	}
+}
+
+func TestSharesNeverExceedTheBudget(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		daemons := rapid.IntRange(2, 4).Draw(rt, "daemons")
+		w := &world{rt: rt, now: start, ledgers: make([]*storebudget.Ledger, daemons), cut: make(map[[2]int]bool)}
+		for d := range daemons {
+			w.drift = append(w.drift, rapid.Float64Range(-0.02, 0.02).Draw(rt, "drift"))
+			w.boot(d)
+		}
+		for e := range limits().Engines {
+			w.owners = append(w.owners, -1)
+			w.own(e, rapid.IntRange(0, daemons-1).Draw(rt, "owner"))
+		}
+		w.now = w.now.Add(time.Minute)
+		for range rapid.IntRange(1, 150).Draw(rt, "steps") {
+			w.now = w.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(rt, "ms")) * time.Millisecond)
+			w.deliver()
+			w.check()
+			w.step()
+			w.check()
+		}
+	})
+}
+
+func (w *world) step() {
+	d := rapid.IntRange(0, len(w.ledgers)-1).Draw(w.rt, "daemon")
+	e := rapid.IntRange(0, len(w.owners)-1).Draw(w.rt, "engine")
+	action := rapid.IntRange(0, 23).Draw(w.rt, "action")
+	if w.ledgers[d] == nil {
+		w.boot(d)
+		return
+	}
+	switch action {
+	case 0:
+		w.crash(d)
+	case 1:
+		a, b := rapid.IntRange(0, len(w.ledgers)-1).Draw(w.rt, "a"), rapid.IntRange(0, len(w.ledgers)-1).Draw(w.rt, "b")
+		w.cut[[2]int{a, b}] = !w.cut[[2]int{a, b}]
+	case 2:
+		w.own(e, d)
+	case 3, 4, 5, 6, 7, 8:
+		w.ledgers[d].SetDemand(engineID(e), storebudget.Demand{
+			Worth:   float64(rapid.IntRange(0, 100).Draw(w.rt, "worth")),
+			Waiting: rapid.IntRange(0, 6).Draw(w.rt, "waiting"),
+			Loading: rapid.IntRange(0, 3).Draw(w.rt, "loading"),
+		})
+	default:
+		w.ask(d)
+	}
+}
+
+// pair returns two ledgers that own six engines each and have used their base
+// for long.
+func pair() (a, b *storebudget.Ledger, now time.Time) {
+	a, b = storebudget.NewLedger(limits(), 0), storebudget.NewLedger(limits(), 0)
+	for i := range 6 {
+		a.Own(start, engineID(i))
+		b.Own(start, engineID(6+i))
+	}
+	return a, b, start.Add(time.Minute)
+}
+
+func TestSharesFollowDemandAndReturn(t *testing.T) {
+	a, b, now := pair()
+	b.SetDemand(engineID(6), storebudget.Demand{Worth: 10, Waiting: 4})
+	ask := b.AskFor(now, daemonID(0))
+	qt.Assert(t, b.Granted(now, now, daemonID(0), a.Answer(now, daemonID(1), ask)), qt.IsTrue)
+	usable, until := b.Usable(now)
+	qt.Assert(t, usable.Rate, qt.Equals, limits().Total.Rate)
+	qt.Assert(t, until, qt.Equals, now.Add(storebudget.DefaultTerm))
+	used, _ := a.Usable(now)
+	qt.Assert(t, used.Rate, qt.Equals, int64(0))
+	later := now.Add(storebudget.DefaultTerm)
+	usable, _ = b.Usable(later)
+	qt.Assert(t, usable.Rate, qt.Equals, limits().Total.Rate/2)
+	used, _ = a.Usable(later.Add(time.Second))
+	qt.Assert(t, used.Rate, qt.Equals, limits().Total.Rate/2)
+}
+
+func TestDaemonThatHearsNobodyKeepsItsBase(t *testing.T) {
+	a, _, now := pair()
+	usable, until := a.Usable(now.Add(24 * time.Hour))
+	qt.Assert(t, usable.Rate, qt.Equals, limits().Total.Rate/2)
+	qt.Assert(t, until.IsZero(), qt.IsTrue)
+}
+
+func TestLostGrantIsHeldBackUntilItHasEnded(t *testing.T) {
+	a, b, now := pair()
+	b.SetDemand(engineID(6), storebudget.Demand{Worth: 10, Waiting: 4})
+	a.Answer(now, daemonID(1), b.AskFor(now, daemonID(0))) // the answer is lost
+	const slowClock = 1.04                                 // within the drift that is allowed
+	used, _ := a.Usable(now.Add(time.Duration(slowClock * float64(storebudget.DefaultTerm))))
+	qt.Assert(t, used.Rate, qt.Equals, int64(0))
+	used, _ = a.Usable(now.Add(storebudget.DefaultTerm * 2))
+	qt.Assert(t, used.Rate, qt.Equals, limits().Total.Rate/2)
+}
+
+func TestLateGrantIsNotUsed(t *testing.T) {
+	a, b, now := pair()
+	b.SetDemand(engineID(6), storebudget.Demand{Worth: 10, Waiting: 4})
+	grant := a.Answer(now, daemonID(1), b.AskFor(now, daemonID(0)))
+	qt.Assert(t, b.Granted(now.Add(storebudget.DefaultTerm), now, daemonID(0), grant), qt.IsFalse)
+}
+
+func TestNewOwnerWaitsForTheGrantsOfTheOldOne(t *testing.T) {
+	a, b, now := pair()
+	b.SetDemand(engineID(6), storebudget.Demand{Worth: 10, Waiting: 4})
+	b.Granted(now, now, daemonID(0), a.Answer(now, daemonID(1), b.AskFor(now, daemonID(0))))
+	c := storebudget.NewLedger(limits(), 0)
+	for i := range 6 {
+		a.Lose(engineID(i))
+		c.Own(now, engineID(i))
+	}
+	usable, _ := c.Usable(now.Add(storebudget.DefaultTerm))
+	qt.Assert(t, usable.IsZero(), qt.IsTrue)
+	usable, _ = c.Usable(now.Add(2 * storebudget.DefaultTerm))
+	qt.Assert(t, usable.Rate, qt.Equals, limits().Total.Rate/2)
+}
