--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -40,6 +40,7 @@
 	// LoadDone reports the answer to a Load order.
 	LoadDone struct {
 		Adapter state.AdapterRef
+		Order   uint64 // of the Load
 		Boot    state.BootID
 		Failed  bool
 	}
@@ -129,6 +130,7 @@
 	// Load orders the upstream to load an adapter.
 	Load struct {
 		Adapter state.AdapterRef
+		Order   uint64 // tells loads of the same adapter apart
 		Source  string
 		Epoch   state.Epoch
 	}
@@ -162,6 +164,7 @@
 	Queued   int
 	Resident []state.AdapterRef
 
-	Loading    int     // loads in progress
-	LoadDemand float64 // worth a second of the loads that wait for budget
+	Loading      []state.AdapterRef // loads in progress
+	QueuedByRank []int              // requests that wait for the batch, most urgent first
+	LoadDemand   float64            // weight of the requests that wait for loads not yet started
 }
--- a/internal/node/owner/worker.go
+++ b/internal/node/owner/worker.go
@@ -30,6 +30,7 @@
 	mu      sync.Mutex // guards core and pending; never held across I/O
 	core    core.Core
 	pending map[string]*pending
+	catalog *state.Catalog // last one told to the core; used by poll only
 	loads   map[state.AdapterRef]loadSpan
 	check   *crashCheck // of the latest run that broke
 }
@@ -68,6 +69,9 @@
 		Slots:    s.Slots,
 		Batch:    s.Batch,
 		Resident: s.Resident,
+		Loading:  s.Loading,
+
+		QueuedByRank: s.QueuedByRank,
 	}
 }
 
@@ -200,7 +204,7 @@
 		klog.InfoS("Load failed", "adapter", a.Adapter, "upstream", w.u.ID, "err", err)
 	}
 	w.observeLoad(a.Adapter, start, err != nil)
-	w.handle(core.LoadDone{Adapter: a.Adapter, Boot: boot, Failed: err != nil})
+	w.handle(core.LoadDone{Adapter: a.Adapter, Order: a.Order, Boot: boot, Failed: err != nil})
 }
 
 func (w *worker) unload(a core.Unload) {
@@ -220,6 +224,7 @@
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
+		w.configure()
 		w.report()
 		select {
 		case <-ticker.C:
@@ -229,6 +234,16 @@
 	}
 }
 
+// configure tells the core the ranks of a new configuration.
+func (w *worker) configure() {
+	catalog := w.m.opts.Catalog()
+	if catalog == nil || catalog == w.catalog {
+		return
+	}
+	w.catalog = catalog
+	w.handle(core.Ranks{Ranks: catalog.Ranks()})
+}
+
 func (w *worker) report() {
 	if w.u.Kind == state.KindPlain {
 		w.handle(core.Report{Boot: "plain", Batch: plainBatch})
