Honor the weight store's limits in the daemon

Cause: every owner loaded as fast as its engines asked.

Change: a node per daemon tells the ledger which engines it alone may load on and what they want, asks peers only while something is wanted, and hands each engine its share every 100 ms. A share that rests on a loan carries its end, and a core that got no newer one stops loading then.

At the start a share counts after 2.35 s.

--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/celerydeck/celerydeck/internal/node/once"
 	"github.com/celerydeck/celerydeck/internal/node/operator"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
+	"github.com/celerydeck/celerydeck/internal/node/storebudget"
 	"github.com/celerydeck/celerydeck/internal/node/suspects"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
@@ -67,7 +68,7 @@
 		fx.Supply(settings, id),
 		fx.Supply(fx.Annotate(d, fx.As(new(readiness)), fx.As(new(drainer)))),
 		fx.Provide(
-			state.NewFleet, newSockets, newPool, newOwner, newCluster, newConfig, newLateMembers, newSuspects, newGateway, newCallers, newPlatform,
+			state.NewFleet, newSockets, newPool, newOwner, newCluster, newConfig, newLateMembers, newSuspects, newGateway, newStoreBudget, newCallers, newPlatform,
 			newRecorder, newLateDrains, newOperator, newAdmin, newRouter,
 			newIncarnation, newOnce, upstream.NewClient, newCallerListener, newPeerServer,
 		),
@@ -218,10 +219,11 @@
 	Once     *once.Gateway
 	Config   *config.Node
 	Suspects *suspects.Node
+	Store    *storebudget.Node
 }
 
 func newPeerServer(lc fx.Lifecycle, p serverParams) (*peer.Server, error) {
-	handler := peerHandler{owner: p.Owner, cluster: p.Cluster, suspects: p.Suspects, config: p.Config, once: p.Once, operator: p.Operator}
+	handler := peerHandler{owner: p.Owner, cluster: p.Cluster, suspects: p.Suspects, config: p.Config, once: p.Once, operator: p.Operator, store: p.Store}
 	server, err := peer.Listen(p.Listen, p.ID, handler)
 	if err != nil {
 		return nil, fmt.Errorf("serve daemons: %w", err)
--- a/internal/app/handler.go
+++ b/internal/app/handler.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 
+	budget "github.com/celerydeck/celerydeck/internal/coordination/storebudget"
 	"github.com/celerydeck/celerydeck/internal/node/cluster"
 	"github.com/celerydeck/celerydeck/internal/node/config"
 	"github.com/celerydeck/celerydeck/internal/node/once"
 	"github.com/celerydeck/celerydeck/internal/node/operator"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
+	"github.com/celerydeck/celerydeck/internal/node/storebudget"
 	"github.com/celerydeck/celerydeck/internal/node/suspects"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
@@ -22,6 +24,7 @@
 	operator *operator.Node
 	once     *once.Gateway
 	suspects *suspects.Node
+	store    *storebudget.Node // nil without limits of the weight store
 }
 
 // ServeCall implements peer.Handler.
@@ -69,6 +72,15 @@
 			return 0, nil, err
 		}
 		return protocol.MsgSuspectAnswer, h.suspects.HandleAsk(from, msg), nil
+	case protocol.MsgStoreAsk:
+		var ask budget.Ask
+		if err := frame.Decode(&ask); err != nil {
+			return 0, nil, err
+		}
+		if h.store == nil {
+			return protocol.MsgStoreGrant, budget.Grant{Sequence: ask.Sequence}, nil
+		}
+		return protocol.MsgStoreGrant, h.store.HandleAsk(from, ask), nil
 	case protocol.MsgConfigFetch:
 		var req protocol.ConfigFetch
 		if err := frame.Decode(&req); err != nil {
--- a/internal/app/settings.go
+++ b/internal/app/settings.go
@@ -36,6 +36,9 @@
 	AdminAddr        string        `arg:"--admin-addr,env:CELERYDECK_ADMIN_ADDR" default:"127.0.0.1:9090" help:"TCP address for operators; empty serves none"`
 	BootstrapKeyHash string        `arg:"--bootstrap-key-hash,env:CELERYDECK_BOOTSTRAP_KEY_HASH" help:"SHA-256 hash of an operator key that holds before the configuration names operators"`
 	MetricsClasses   int           `arg:"--metrics-classes,env:CELERYDECK_METRICS_CLASSES" default:"200" help:"customers' classes with metrics of their own; the others share one"`
+	StoreRate        float64       `arg:"--store-rate,env:CELERYDECK_STORE_RATE" help:"loads a second that the weight store allows the whole fleet; 0 for no limit"`
+	StoreInFlight    int           `arg:"--store-in-flight,env:CELERYDECK_STORE_IN_FLIGHT" help:"loads in flight that the weight store allows the whole fleet"`
+	StoreEngines     int           `arg:"--store-engines,env:CELERYDECK_STORE_ENGINES" help:"largest number of engines among which the limits of the weight store are divided"`
 	CheckSettings    bool          `arg:"--check-settings" help:"check the settings and exit"`
 }
 
@@ -85,6 +88,9 @@
 	if s.MetricsClasses < 1 || s.MetricsClasses > maxMetricsClasses {
 		add("--metrics-classes must be 1 to %d", maxMetricsClasses)
 	}
+	if s.StoreRate < 0 || s.StoreRate > 0 && (s.StoreInFlight <= 0 || s.StoreEngines <= 0) {
+		errs = append(errs, errors.New("--store-rate needs --store-in-flight and --store-engines, all positive"))
+	}
 	return errors.Join(errs...)
 }
 
--- /dev/null
+++ b/internal/app/storebudget.go
@@ -0,0 +1,57 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/fx"
+
+	budget "github.com/celerydeck/celerydeck/internal/coordination/storebudget"
+	"github.com/celerydeck/celerydeck/internal/node/cluster"
+	"github.com/celerydeck/celerydeck/internal/node/owner"
+	"github.com/celerydeck/celerydeck/internal/node/storebudget"
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/transport/peer"
+)
+
+// newStoreBudget returns nil without limits of the weight store.
+func newStoreBudget(lc fx.Lifecycle, s Settings, m *owner.Manager, pool *peer.Pool, c *cluster.Cluster) *storebudget.Node {
+	if s.StoreRate == 0 {
+		return nil
+	}
+	n := storebudget.New(storebudget.Options{
+		Limits: budget.Limits{
+			Total: budget.Amount{
+				Rate:     int64(s.StoreRate * budget.Unit),
+				InFlight: int64(s.StoreInFlight * budget.Unit),
+			},
+			Engines: s.StoreEngines,
+			Term:    budget.DefaultTerm,
+			Drift:   budget.DefaultDrift,
+			Notice:  budget.DefaultNotice,
+		},
+		Engines: m,
+		Peers:   lenders{pool: pool, cluster: c},
+		Clock:   time.Now,
+	})
+	runInBackground(lc, n.Run)
+	return n
+}
+
+// lenders asks peers for a part of the weight store's limits.
+type lenders struct {
+	pool    *peer.Pool
+	cluster *cluster.Cluster
+}
+
+// Lenders implements storebudget.Peers.
+func (l lenders) Lenders() []peer.Peer { return l.cluster.AllPeers() }
+
+// Ask implements storebudget.Peers.
+func (l lenders) Ask(ctx context.Context, to peer.Peer, ask budget.Ask) (budget.Grant, error) {
+	var grant budget.Grant
+	if err := l.pool.Exchange(ctx, to, protocol.MsgStoreAsk, ask, &grant); err != nil {
+		return grant, err
+	}
+	return grant, nil
+}
--- a/internal/coordination/loading/budget.go
+++ b/internal/coordination/loading/budget.go
@@ -11,6 +11,7 @@
 	inFlight int
 	tokens   float64
 	at       time.Time
+	until    time.Time // zero for no end
 }
 
 // Set replaces the limits.
@@ -23,6 +24,10 @@
 	b.rate, b.burst, b.inFlight = rate, burst, inFlight
 }
 
+// EndAt ends the limits at the given time: no load may start from then on until
+// they are set anew. A zero time means no end.
+func (b *Budget) EndAt(until time.Time) { b.until = until }
+
 // Admits reports whether a load may start while others are in progress. Reserve
 // is what must be left of the budget afterwards; a negative reserve lets an
 // urgent load use budget in advance.
@@ -31,6 +36,9 @@
 		return true
 	}
 	b.refill(now)
+	if !b.until.IsZero() && !now.Before(b.until) {
+		return false
+	}
 	return loading < b.inFlight && b.tokens-1 >= reserve
 }
 
--- a/internal/coordination/owner/load.go
+++ b/internal/coordination/owner/load.go
@@ -244,15 +244,15 @@
 
 // loadDemand returns the weighted number of requests that wait for loads which
 // have not started.
-func (s *Scheduler) loadDemand() float64 {
-	total := 0.0
+func (s *Scheduler) loadDemand() (waiting int, total float64) {
 	for _, g := range s.queue.Blocked() {
 		if s.table[g.Adapter] != nil {
 			continue
 		}
+		waiting++
 		for _, it := range g.Items() {
 			total += s.weight(it.Class.Rank)
 		}
 	}
-	return total
+	return waiting, total
 }
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -75,6 +75,8 @@
 		Rate     float64 // loads a second
 		Burst    float64 // loads that may start at once after a pause
 		InFlight int     // loads that may be in progress
+		// Until ends the share when no other event replaced it; zero for no end.
+		Until time.Time
 	}
 	// Ranks sets the targets, worth and shares of the ranks, most urgent first.
 	Ranks struct{ Ranks []state.RankInfo }
@@ -166,5 +168,6 @@
 
 	Loading      []state.AdapterRef // loads in progress
 	QueuedByRank []int              // requests that wait for the batch, most urgent first
+	LoadsWaiting int                // loads not yet started that requests wait for
 	LoadDemand   float64            // weight of the requests that wait for loads not yet started
 }
--- a/internal/coordination/owner/scheduler.go
+++ b/internal/coordination/owner/scheduler.go
@@ -103,6 +103,7 @@
 		s.refuseAll(RefuseLeaving)
 	case StoreBudget:
 		s.budget.Set(now, e.Rate, e.Burst, e.InFlight)
+		s.budget.EndAt(e.Until)
 	case Ranks:
 		s.setRanks(e.Ranks)
 	case Tick:
@@ -247,14 +248,14 @@
 // Status implements Core.
 func (s *Scheduler) Status() Status {
 	st := Status{
-		Boot:       s.boot,
-		Healthy:    s.healthy && !s.leaving,
-		Slots:      s.slots,
-		Batch:      s.batch,
-		Running:    len(s.running),
-		Queued:     s.queue.Len(),
-		LoadDemand: s.loadDemand(),
+		Boot:    s.boot,
+		Healthy: s.healthy && !s.leaving,
+		Slots:   s.slots,
+		Batch:   s.batch,
+		Running: len(s.running),
+		Queued:  s.queue.Len(),
 	}
+	st.LoadsWaiting, st.LoadDemand = s.loadDemand()
 	for rank := range s.ranks {
 		st.QueuedByRank = append(st.QueuedByRank, s.queue.RunnableRank(state.Rank(rank)))
 	}
--- a/internal/coordination/storebudget/divide.go
+++ b/internal/coordination/storebudget/divide.go
@@ -81,7 +81,7 @@
 		if total > 0 {
 			part = evenShare*even + (1-evenShare)*l.engines[budgets[i].Upstream].demand.Worth/total
 		}
-		budgets[i].Rate = part * float64(rate) / Unit
+		budgets[i].Rate = float64(int64(part*float64(rate))) / Unit
 	}
 }
 
--- a/internal/coordination/storebudget/storebudget.go
+++ b/internal/coordination/storebudget/storebudget.go
@@ -50,12 +50,14 @@
 	Engines int           // engines among which the total is divided
 	Term    time.Duration // a grant ends this long after the borrower asked
 	Drift   float64       // largest relative difference between clocks of daemons
+	Notice  time.Duration // longest time until a daemon notices that it lost an engine
 }
 
 // Default terms of loans.
 const (
-	DefaultTerm  = 2 * time.Second
-	DefaultDrift = 0.05
+	DefaultTerm   = 2 * time.Second
+	DefaultDrift  = 0.05
+	DefaultNotice = 250 * time.Millisecond
 )
 
 // share returns the base share of one engine.
@@ -67,7 +69,7 @@
 // hold is how long a lender keeps a grant back, and how long a new owner of an
 // engine waits before it uses the base share.
 func (l *Limits) hold() time.Duration {
-	return time.Duration(float64(l.Term) * (1 + l.Drift))
+	return time.Duration(float64(l.Term)*(1+l.Drift)) + l.Notice
 }
 
 // Ask tells a peer what a daemon could use.
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -42,6 +42,7 @@
 	ListLag        time.Duration
 	StoreLoad      time.Duration
 	StoreKnee      int
+	StoreRate      float64 // loads a second of the whole fleet; 0 for no limit
 	// CallerPorts are the ports of the daemons; 0 takes a free one.
 	CallerPorts []int
 	DrainGrace  time.Duration
@@ -62,6 +63,7 @@
 		Engine:         engine.Options{Slots: 4, Batch: 8, TokenTime: 20 * time.Millisecond},
 		StoreLoad:      250 * time.Millisecond,
 		StoreKnee:      8,
+		StoreRate:      4,
 		CallerPorts:    []int{8080, 8081},
 		DrainGrace:     time.Second,
 		AdminPorts:     []int{9090, 9091},
@@ -219,6 +221,11 @@
 		DrainTimeout:     drainTimeout,
 		DrainGrace:       d.opts.DrainGrace,
 	}
+	if d.opts.StoreRate > 0 {
+		settings.StoreRate = d.opts.StoreRate
+		settings.StoreInFlight = d.opts.StoreKnee
+		settings.StoreEngines = len(d.opts.Zones) * d.opts.EnginesPerZone
+	}
 	return settings, identity, nil
 }
 
--- a/internal/node/owner/worker.go
+++ b/internal/node/owner/worker.go
@@ -27,8 +27,9 @@
 	ctx  context.Context
 	stop context.CancelFunc
 
-	mu      sync.Mutex // guards core and pending; never held across I/O
+	mu      sync.Mutex // guards core, auth and pending; never held across I/O
 	core    core.Core
+	auth    core.Authority
 	pending map[string]*pending
 	catalog *state.Catalog // last one told to the core; used by poll only
 	loads   map[state.AdapterRef]loadSpan
@@ -49,6 +50,9 @@
 
 func (w *worker) handle(event core.Event) {
 	w.mu.Lock()
+	if auth, ok := event.(core.Authority); ok {
+		w.auth = auth
+	}
 	actions := w.core.Handle(w.m.opts.Clock(), event)
 	w.mu.Unlock()
 	for _, a := range actions {
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -30,6 +30,8 @@
 	MsgSuspectsReply
 	MsgSuspectAsk
 	MsgSuspectAnswer
+	MsgStoreAsk
+	MsgStoreGrant
 )
 
 // Hello opens every stream and negotiates the version.
