Keep slots for other ranks by their usual use and pace loads in flight

Entitlements now hold for ranks and for classes, a flood no longer becomes usual, slots are kept free by the usual use of other ranks and the time until the next request ends, waits for loads count for early refusals, and few loads are in flight at once.

--- a/internal/coordination/loading/budget.go
+++ b/internal/coordination/loading/budget.go
@@ -44,3 +44,12 @@
 	b.tokens = min(b.burst, b.tokens+now.Sub(b.at).Seconds()*b.rate)
 	b.at = now
 }
+
+// Wait returns how long a load waits behind others.
+func (b *Budget) Wait(ahead int) time.Duration {
+	if !b.limited || ahead == 0 {
+		return 0
+	}
+	const slowest = 0.01 // loads a second
+	return time.Duration(float64(ahead) / max(b.rate, slowest) * float64(time.Second))
+}
--- a/internal/coordination/owner/dispatch.go
+++ b/internal/coordination/owner/dispatch.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"math"
 	"strings"
 	"time"
 
@@ -60,33 +61,40 @@
 		if wait := s.backoff.Wait(now, it.Adapter); now.Add(wait).After(it.Due) {
 			return RefuseLoad, wait
 		}
+		if wait := s.expectedLoad(now, it.Class); s.queue.Waiting(it.Adapter) == 0 && wait > s.backlogLimit(now, it.Class) {
+			return RefuseOverload, wait
+		}
 	}
 	wait := s.expectedWait(now, it.Class)
 	if now.Add(wait + leastRun).After(it.Deadline) {
 		return RefuseDeadline, wait
 	}
-	if !s.meter.Within(now, it.Class) && s.contended() && wait > s.backlogLimit(it.Class.Rank) {
+	if wait > s.backlogLimit(now, it.Class) {
 		return RefuseOverload, wait
 	}
 	return "", 0
 }
 
-// backlogLimit returns the wait that a class beyond its entitlement may build up.
-func (s *Scheduler) backlogLimit(r state.Rank) time.Duration {
-	return min(s.opts.FloodBacklog, s.target(r))
+// backlogLimit returns the wait for batch slots that a class may build up.
+func (s *Scheduler) backlogLimit(now time.Time, class state.Class) time.Duration {
+	target := s.target(class.Rank)
+	if !s.meter.Within(now, class) {
+		return min(s.opts.FloodBacklog, target)
+	}
+	return min(target, max(s.opts.FloodBacklog, time.Duration(s.opts.BacklogPart*float64(target))))
 }
 
 // contended reports whether requests wait for batch slots.
-func (s *Scheduler) contended() bool { return len(s.running) >= s.batch-1 }
+func (s *Scheduler) contended() bool { return s.queue.RunnableLen() > s.opts.OverloadQueue }
 
-// expectedWait returns the wait behind the runnable requests of the same class, at
-// the rate at which the class is served at present.
+// expectedWait returns the wait behind the runnable requests of the same rank, at
+// the rate at which the rank is served at present.
 func (s *Scheduler) expectedWait(now time.Time, class state.Class) time.Duration {
-	ahead := s.queue.Runnable(class)
+	ahead := s.queue.RunnableRank(class.Rank)
 	if ahead == 0 {
 		return 0
 	}
-	slots := s.meter.Running(class)
+	_, slots := s.meter.RankUse(now, class.Rank)
 	if s.meter.Within(now, class) {
 		slots = max(slots, s.batch/2)
 	}
@@ -100,7 +108,7 @@
 		switch {
 		case !now.Add(leastRun).Before(it.Deadline):
 			s.refuse(it, RefuseDeadline, refusedRetryAfter)
-		case now.Sub(it.Arrived) > s.backlogLimit(it.Class.Rank) && !s.meter.Within(now, it.Class) && s.contended():
+		case !s.meter.Within(now, it.Class) && s.contended() && now.Sub(it.Arrived) > s.backlogLimit(now, it.Class):
 			s.refuse(it, RefuseOverload, refusedRetryAfter)
 		}
 	}
@@ -125,16 +133,26 @@
 
 // dispatch fills the batch.
 func (s *Scheduler) dispatch(now time.Time) {
-	within := func(c state.Class) bool { return s.meter.Within(now, c) }
-	may := func(it *queue.Item) bool { return s.mayRun(it, s.level(now, it.Class)) }
+	standing := func(c state.Class) queue.Standing { return s.standing(now, c) }
+	may := func(it *queue.Item) bool { return s.mayRun(now, it, s.level(now, it.Class)) }
 	for len(s.running) < s.batch && !s.alone {
-		it := s.queue.Next(within, may)
+		it := s.queue.Next(standing, may)
 		if it == nil || it.Alone && len(s.running) > 0 {
 			break // what must run alone holds back the rest until the batch is empty
 		}
 		s.start(now, it)
 	}
-	s.meter.SetOverloaded(now, len(s.running) >= s.batch-s.opts.ReservedBatch && s.queue.Len() > s.batch)
+	s.meter.SetOverloaded(now, s.queue.RunnableLen() > s.opts.OverloadQueue)
+}
+
+func (s *Scheduler) standing(now time.Time, class state.Class) queue.Standing {
+	switch {
+	case s.meter.ClassWithin(now, class):
+		return queue.StandingFair
+	case s.meter.RankWithin(now, class.Rank):
+		return queue.StandingRank
+	}
+	return queue.StandingFlood
 }
 
 // level returns the rank of work within its class's entitlement, and the number
@@ -149,15 +167,10 @@
 
 func (s *Scheduler) floodLevel() int { return len(s.active) - 1 }
 
-// mayRun reports whether a request leaves the slots that are reserved for more
-// urgent work. Work within its entitlement is not held back by work beyond it.
-func (s *Scheduler) mayRun(it *queue.Item, level int) bool {
-	reserved := level * s.opts.ReservedBatch
-	if level == s.floodLevel() {
-		if len(s.running) >= max(1, s.batch-s.opts.ReservedBatch) {
-			return false
-		}
-	} else if s.activeFrom(level) >= max(1, s.batch-reserved) {
+// mayRun reports whether a request leaves the slots that other work is likely to
+// need before this request ends.
+func (s *Scheduler) mayRun(now time.Time, it *queue.Item, level int) bool {
+	if len(s.running) > 0 && len(s.running)+1+s.keep(now, it.Class.Rank) > s.batch {
 		return false
 	}
 	if it.Adapter.IsZero() || s.table[it.Adapter].running > 0 {
@@ -166,14 +179,29 @@
 	return s.pinned(level) < max((s.slots+1)/2, s.slots-level*s.opts.ReservedSlots)
 }
 
-// activeFrom returns the running requests of a level or below, without those
-// beyond their class's entitlement.
-func (s *Scheduler) activeFrom(level int) int {
-	active := 0
-	for _, n := range s.active[level:s.floodLevel()] {
-		active += n
+// keep returns the batch slots that a request of a rank leaves free: those that
+// more urgent ranks usually use, and with some certainty at their peaks, and do not
+// use now. A rank beyond its entitlement leaves them free for all others. When the
+// running requests end often against the target of the other rank, less is left
+// free, because the other can wait for the next end.
+func (s *Scheduler) keep(now time.Time, rank state.Rank) int {
+	flood := !s.meter.RankWithin(now, rank)
+	runs := s.pace(rank).Duration().Seconds()
+	free := 0.0
+	for r := range s.ranks {
+		other := state.Rank(r)
+		if other == rank || other > rank && !flood || !s.meter.RankWithin(now, other) {
+			continue
+		}
+		usual, running := s.meter.RankUse(now, other)
+		peak := usual + s.opts.PeakSigma*math.Sqrt(usual)
+		if other < rank {
+			peak = max(peak, s.opts.ReservedBatch)
+		}
+		part := min(1, s.opts.ReleaseMargin*runs/float64(s.batch)/s.target(other).Seconds())
+		free += max(0, peak*part-float64(running))
 	}
-	return active
+	return int(math.Round(free))
 }
 
 // pinned returns the number of adapters that serve work of a level or below, but
--- a/internal/coordination/owner/load.go
+++ b/internal/coordination/owner/load.go
@@ -43,7 +43,7 @@
 			s.loadAhead(now)
 			return
 		}
-		if !s.budget.Admits(now, s.loading(), s.reserve(&best)) {
+		if !s.admits(now, &best) {
 			return
 		}
 		if !s.makeRoom(now, best.value, best.late >= s.opts.DrainAfter) {
@@ -53,15 +53,23 @@
 	}
 }
 
-// reserve returns the budget that a load must leave.
-func (s *Scheduler) reserve(c *claim) float64 {
-	switch {
-	case c.rank == 0 && c.within:
-		return -s.opts.UrgentOverdraw
-	case int(c.rank) >= len(s.ranks)-1 || !c.within:
-		return s.opts.IdleReserve
+// urgent reports whether a load is for work within its entitlement that is not of
+// the least urgent rank.
+func (s *Scheduler) urgent(c *claim) bool {
+	return c.within && (len(s.ranks) < 2 || int(c.rank) < len(s.ranks)-1)
+}
+
+// admits reports whether the budget allows a load. Urgent loads may use some of it
+// in advance, and the first of the most urgent rank does not wait for others.
+func (s *Scheduler) admits(now time.Time, c *claim) bool {
+	loading, reserve := s.loading(), 0.0
+	if s.urgent(c) {
+		reserve = -s.opts.UrgentOverdraw / float64(1+c.rank)
+	}
+	if c.rank == 0 && c.within {
+		loading--
 	}
-	return 0
+	return s.budget.Admits(now, loading, reserve)
 }
 
 func (s *Scheduler) loading() int {
@@ -116,7 +124,7 @@
 	if len(s.table) < s.slots {
 		return true
 	}
-	if !s.auth.MayUnload || s.leavingSlot() {
+	if !s.auth.MayUnload || s.unloading() {
 		return false
 	}
 	var victim, busy *held
@@ -138,7 +146,7 @@
 		s.unload(victim)
 		return false
 	}
-	if victim == nil && force && busy != nil {
+	if victim == nil && force && busy != nil && !s.draining() {
 		s.drain(busy)
 	}
 	return false
@@ -151,10 +159,20 @@
 	return compareRefs(h.ref, than.ref) < 0
 }
 
-// leavingSlot reports whether a slot is about to become free.
-func (s *Scheduler) leavingSlot() bool {
+// unloading reports whether an adapter is being unloaded.
+func (s *Scheduler) unloading() bool {
+	for _, h := range s.table {
+		if h.state == slotUnloading {
+			return true
+		}
+	}
+	return false
+}
+
+// draining reports whether a busy adapter is being drained.
+func (s *Scheduler) draining() bool {
 	for _, h := range s.table {
-		if h.state == slotUnloading || h.draining && h.running > 0 {
+		if h.draining && h.running > 0 {
 			return true
 		}
 	}
@@ -242,17 +260,39 @@
 	s.queue.Release(e.Adapter)
 }
 
-// loadDemand returns the weighted number of requests that wait for loads which
-// have not started.
-func (s *Scheduler) loadDemand() float64 {
-	total := 0.0
+// loadDemand returns the number of loads that have not started, and their urgency.
+// The budget follows it, so it grows faster with the rank than the cost of a stall.
+func (s *Scheduler) loadDemand(now time.Time) (loads int, worth float64) {
 	for _, g := range s.queue.Blocked() {
-		if s.table[g.Adapter] != nil {
+		if s.table[g.Adapter] != nil || s.backoff.Wait(now, g.Adapter) > 0 {
 			continue
 		}
+		loads++
+		most := 0.0
 		for _, it := range g.Items() {
-			total += s.weight(it.Class.Rank)
+			weight := s.weight(it.Class.Rank)
+			if !s.meter.Within(now, it.Class) {
+				weight *= s.opts.FloodWeight
+			}
+			most = max(most, weight)
+		}
+		worth += most * most
+	}
+	return loads, worth
+}
+
+// expectedLoad returns the wait for a further load behind those that are at least
+// as urgent as a class.
+func (s *Scheduler) expectedLoad(now time.Time, class state.Class) time.Duration {
+	mine := claim{within: s.meter.Within(now, class), rank: class.Rank}
+	ahead := 0
+	for _, g := range s.queue.Blocked() {
+		if s.table[g.Adapter] != nil {
+			continue
+		}
+		if c := s.claim(now, g); !mine.before(&c) || c.rank == mine.rank && c.within == mine.within {
+			ahead++
 		}
 	}
-	return total
+	return s.budget.Wait(ahead)
 }
--- a/internal/coordination/owner/options.go
+++ b/internal/coordination/owner/options.go
@@ -9,8 +9,12 @@
 // Options are the constants of a Scheduler.
 type Options struct {
 	MaxQueue       int           // waiting requests
-	ReservedBatch  int           // batch slots that each rank leaves to those above it
 	ReservedSlots  int           // adapter slots that each rank leaves to those above it
+	ReservedBatch  float64       // least batch slots kept free for each more urgent rank
+	ReleaseMargin  float64       // mean times to the next end of a request that another rank may have to wait
+	PeakSigma      float64       // standard deviations of usual use for which slots are kept free
+	OverloadQueue  int           // more requests than this wait for batch slots in overload
+	BacklogPart    float64       // part of the target that a class within its entitlement may wait
 	FloodBacklog   time.Duration // backlog of a class beyond its entitlement
 	DemandMemory   time.Duration // time constant of the demand for adapters
 	EvictHorizon   time.Duration // demand of this long is weighed against a waiting load
@@ -19,7 +23,6 @@
 	AheadMargin    float64       // demand of an adapter loaded ahead as a multiple of the evicted one's
 	FloodWeight    float64       // weight of demand beyond a class's entitlement
 	UrgentOverdraw float64       // loads that the most urgent rank may take in advance
-	IdleReserve    float64       // budget that loads of the least urgent rank leave
 	MaxLoadRetries int           // failed loads before the waiting requests are refused
 	Admission      admission.Options
 }
@@ -28,8 +31,12 @@
 func DefaultOptions() Options {
 	return Options{
 		MaxQueue:       4096,
-		ReservedBatch:  1,
 		ReservedSlots:  1,
+		ReservedBatch:  1,
+		ReleaseMargin:  2,
+		PeakSigma:      1,
+		OverloadQueue:  2,
+		BacklogPart:    0.1,
 		FloodBacklog:   2 * time.Second,
 		DemandMemory:   60 * time.Second,
 		EvictHorizon:   5 * time.Second,
@@ -37,8 +44,7 @@
 		DrainAfter:     0.3,
 		AheadMargin:    2,
 		FloodWeight:    0.1,
-		UrgentOverdraw: 1,
-		IdleReserve:    0,
+		UrgentOverdraw: 3,
 		MaxLoadRetries: 2,
 		Admission:      admission.DefaultOptions(),
 	}
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -166,5 +166,6 @@
 
 	Loading      []state.AdapterRef // loads in progress
 	QueuedByRank []int              // requests that wait for the batch, most urgent first
-	LoadDemand   float64            // weight of the requests that wait for loads not yet started
+	LoadsWaiting int                // loads that requests wait for and that have not started
+	LoadDemand   float64            // urgency of those loads
 }
--- a/internal/coordination/owner/policy_test.go
+++ b/internal/coordination/owner/policy_test.go
@@ -108,6 +108,8 @@
 	for id := range quietIDs {
 		if _, ok := started[id]; ok {
 			served++
+		} else {
+			t.Log(id, r.refused[id])
 		}
 	}
 	return served, len(quietIDs)
--- a/internal/coordination/owner/scheduler.go
+++ b/internal/coordination/owner/scheduler.go
@@ -42,6 +42,7 @@
 	backoff *loading.Backoff
 	sources map[state.AdapterRef]string // of waiting requests
 	actions []Action
+	now     time.Time // of the last event
 }
 
 // run is a dispatched request.
@@ -80,6 +81,7 @@
 // Handle implements Core. The result is valid until the next call.
 func (s *Scheduler) Handle(now time.Time, event Event) []Action {
 	s.actions = nil
+	s.now = now
 	switch e := event.(type) {
 	case Enqueue:
 		s.enqueue(now, e.Request)
@@ -247,14 +249,14 @@
 // Status implements Core.
 func (s *Scheduler) Status() Status {
 	st := Status{
-		Boot:       s.boot,
-		Healthy:    s.healthy && !s.leaving,
-		Slots:      s.slots,
-		Batch:      s.batch,
-		Running:    len(s.running),
-		Queued:     s.queue.Len(),
-		LoadDemand: s.loadDemand(),
+		Boot:    s.boot,
+		Healthy: s.healthy && !s.leaving,
+		Slots:   s.slots,
+		Batch:   s.batch,
+		Running: len(s.running),
+		Queued:  s.queue.Len(),
 	}
+	st.LoadsWaiting, st.LoadDemand = s.loadDemand(s.now)
 	for rank := range s.ranks {
 		st.QueuedByRank = append(st.QueuedByRank, s.queue.RunnableRank(state.Rank(rank)))
 	}
--- a/internal/coordination/queue/queue.go
+++ b/internal/coordination/queue/queue.go
@@ -112,6 +112,15 @@
 	return 0
 }
 
+// RunnableLen returns the number of runnable requests.
+func (q *Queue) RunnableLen() int {
+	n := 0
+	for _, l := range q.order {
+		n += len(l.items)
+	}
+	return n
+}
+
 // RunnableRank returns the number of runnable requests of a rank.
 func (q *Queue) RunnableRank(rank state.Rank) int {
 	n := 0
@@ -233,12 +242,21 @@
 	return all
 }
 
-// Next returns the runnable request that goes first, or nil. Within reports
-// whether a class is within its entitlement, and may whether a request may run
-// now.
-func (q *Queue) Next(within func(state.Class) bool, may func(*Item) bool) *Item {
+// Standing says how a class relates to its entitlement.
+type Standing uint8
+
+// Standings of a class, best first.
+const (
+	StandingFair  Standing = iota // the class is within its entitlement
+	StandingRank                  // only its rank as a whole is
+	StandingFlood                 // neither is
+)
+
+// Next returns the runnable request that goes first, or nil. Standing returns that
+// of a class, and may says whether a request may run now.
+func (q *Queue) Next(standing func(state.Class) Standing, may func(*Item) bool) *Item {
 	var best *Item
-	bestWithin := false
+	var bestStanding Standing
 	for _, l := range q.order {
 		if len(l.items) == 0 {
 			continue
@@ -247,9 +265,9 @@
 		if it == nil {
 			continue
 		}
-		ok := within(it.Class)
-		if best == nil || precedes(it, ok, best, bestWithin) {
-			best, bestWithin = it, ok
+		st := standing(it.Class)
+		if best == nil || precedes(it, st, best, bestStanding) {
+			best, bestStanding = it, st
 		}
 	}
 	return best
@@ -271,12 +289,15 @@
 	return best
 }
 
-func precedes(a *Item, aWithin bool, b *Item, bWithin bool) bool {
-	if aWithin != bWithin {
-		return aWithin
+func precedes(a *Item, aStanding Standing, b *Item, bStanding Standing) bool {
+	if aFlood, bFlood := aStanding == StandingFlood, bStanding == StandingFlood; aFlood != bFlood {
+		return bFlood
 	}
 	if a.Class.Rank != b.Class.Rank {
 		return a.Class.Rank < b.Class.Rank
 	}
+	if aStanding != bStanding {
+		return aStanding < bStanding
+	}
 	return earlier(a, b)
 }
--- a/internal/measure/shares.go
+++ b/internal/measure/shares.go
@@ -7,11 +7,12 @@
 )
 
 const (
-	pacedPart = 1.0  // part of the store's rate that is given out; urgent loads run beside it
-	evenPart  = 0.3 // part of what is given out that does not follow demand
+	evenPart   = 0.1 // part of the rate that does not follow demand
+	loadsAtOne = 4.0 // loads in flight per load that is in flight at the full rate
 )
 
-// byDemand divides the store's limits in proportion to the demand for loads.
+// byDemand divides the store's limits by the demand for loads. It holds the loads
+// in flight far below the store's own limit: few at once finish sooner.
 type byDemand struct{ spec StoreSpec }
 
 func newByDemand(spec StoreSpec) Shares { return &byDemand{spec: spec} }
@@ -29,11 +30,43 @@
 		if total > 0 {
 			part = evenPart*even + (1-evenPart)*s.LoadDemand/total
 		}
-		budgets[i] = owner.StoreBudget{
-			Rate:     part * b.spec.Rate * pacedPart,
-			Burst:    1,
-			InFlight: max(1, int(part*float64(b.spec.Knee))),
-		}
+		budgets[i] = owner.StoreBudget{Rate: part * b.spec.Rate, Burst: 1}
 	}
+	b.divideFlights(statuses, budgets)
 	return budgets
 }
+
+// divideFlights gives whole loads in flight: to those in progress, then to those
+// that wait, the most urgent first, then one to every engine.
+func (b *byDemand) divideFlights(statuses []owner.Status, budgets []owner.StoreBudget) {
+	left := max(1, int(b.spec.Rate*b.spec.LoadTime.Seconds()*loadsAtOne+0.5))
+	for i, s := range statuses {
+		budgets[i].InFlight = len(s.Loading)
+		left -= len(s.Loading)
+	}
+	waiting := false
+	for left > 0 {
+		best, most := -1, 0.0
+		for i, s := range statuses {
+			given := budgets[i].InFlight - len(s.Loading)
+			if given >= s.LoadsWaiting {
+				continue
+			}
+			if urgency := s.LoadDemand / float64(given+1); best < 0 || urgency > most {
+				best, most = i, urgency
+			}
+		}
+		if best < 0 {
+			break
+		}
+		waiting = true
+		budgets[best].InFlight++
+		left--
+	}
+	for i := range budgets {
+		if left > 0 && !waiting {
+			budgets[i].InFlight++
+			left--
+		}
+	}
+}
