Replace the keys between daemons without a restart and count refused peers

Cause: keys were read once at the start, so that a rotation needed a restart of every daemon, and refused peers left no trace. Connections now follow the keyring of the moment; streams in progress end as usual; a connection whose authority is gone takes no more streams.

--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -71,7 +71,7 @@
 		fx.Supply(settings, id),
 		fx.Supply(fx.Annotate(d, fx.As(new(readiness)), fx.As(new(drainer)))),
 		fx.Provide(
-			state.NewFleet, newSockets, newPool, newOwner, newCluster, newConfig, newLateMembers, newSuspects, newGateway, newStoreBudget, newCallers, newPlatform,
+			state.NewFleet, newSockets, newKeyring, newPool, newOwner, newCluster, newConfig, newLateMembers, newSuspects, newGateway, newStoreBudget, newCallers, newPlatform,
 			newRecorder, newLateDrains, newOperator, newAdmin, newRouter,
 			newIncarnation, newOnce, inflight.New, upstream.NewClient, newCallerListener, newPeerServer,
 		),
@@ -142,11 +142,11 @@
 type poolParams struct {
 	fx.In
 	Dial net.PacketConn `name:"peer-dial"`
-	ID   peer.Identity
+	Keys *peer.Keyring
 }
 
 func newPool(lc fx.Lifecycle, p poolParams) *peer.Pool {
-	pool := peer.NewPool(p.Dial, p.ID)
+	pool := peer.NewPool(p.Dial, p.Keys)
 	lc.Append(fx.StopHook(pool.Close))
 	return pool
 }
@@ -220,7 +220,7 @@
 type serverParams struct {
 	fx.In
 	Listen   net.PacketConn `name:"peer-listen"`
-	ID       peer.Identity
+	Keys     *peer.Keyring
 	Owner    *owner.Manager
 	Cluster  *cluster.Cluster
 	Operator *operator.Node
@@ -232,7 +232,7 @@
 
 func newPeerServer(lc fx.Lifecycle, p serverParams) (*peer.Server, error) {
 	handler := peerHandler{owner: p.Owner, cluster: p.Cluster, suspects: p.Suspects, config: p.Config, once: p.Once, operator: p.Operator, store: p.Store}
-	server, err := peer.Listen(p.Listen, p.ID, handler)
+	server, err := peer.Listen(p.Listen, p.Keys, handler)
 	if err != nil {
 		return nil, fmt.Errorf("serve daemons: %w", err)
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -32,13 +32,14 @@
 	nameRevision       = "configuration_revision"
 	nameOwned          = "owned_upstreams"
 	nameClassesDropped = "classes_dropped_total"
+	namePeerRefusals   = "peer_refusals_total"
 )
 
 // Names returns the full names of all metrics.
 func Names() []string {
 	short := []string{
 		nameRequests, nameTokens, nameFirstToken, nameBetweenTokens, nameWait, nameStall, nameBatch,
-		nameLoads, nameLoad, nameRevision, nameOwned, nameClassesDropped,
+		nameLoads, nameLoad, nameRevision, nameOwned, nameClassesDropped, namePeerRefusals,
 	}
 	names := make([]string, len(short))
 	for i, name := range short {
@@ -132,6 +133,7 @@
 		classes: make(map[state.Class]*classMetrics),
 	}
 	r.other = r.newClass(Other, Other, Other)
+	r.peerRefusals("stranger").Inc(0) // the series exists before the first refusal
 	return r
 }
 
@@ -255,3 +257,12 @@
 
 // SetOwned sets the number of upstreams that this daemon owns.
 func (r *Recorder) SetOwned(n int) { r.scope.Gauge(nameOwned).Update(float64(n)) }
+
+// PeerRefused counts a connection or message of a peer that was refused.
+func (r *Recorder) PeerRefused(reason string) {
+	r.peerRefusals(reason).Inc(1)
+}
+
+func (r *Recorder) peerRefusals(reason string) tally.Counter {
+	return r.scope.Tagged(map[string]string{"reason": reason}).Counter(namePeerRefusals)
+}
--- a/internal/transport/peer/call_test.go
+++ b/internal/transport/peer/call_test.go
@@ -50,9 +50,9 @@
 		return i
 	}
 	listen, dial := socket(t), socket(t)
-	server, err := peer.Listen(listen, identity("owner"), h)
+	server, err := peer.Listen(listen, peer.NewKeyring(identity("owner"), nil), h)
 	qt.Assert(t, err, qt.IsNil)
-	pool := peer.NewPool(dial, identity("entry"))
+	pool := peer.NewPool(dial, peer.NewKeyring(identity("entry"), nil))
 	t.Cleanup(func() {
 		pool.Close()
 		server.Close()
--- a/internal/transport/peer/pool.go
+++ b/internal/transport/peer/pool.go
@@ -3,16 +3,23 @@
 import (
 	"bufio"
 	"context"
+	"crypto/x509"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/quic-go/quic-go"
 
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/state/inflight"
 )
 
+// retireLimit bounds how long a connection with replaced keys outlives them.
+const retireLimit = 15 * time.Minute
+
 // Peer is the name and address of a daemon.
 type Peer struct {
 	ID   state.DaemonID
@@ -21,24 +28,39 @@
 
 // Pool keeps one connection to each peer. It is safe for concurrent use.
 type Pool struct {
-	id        Identity
+	keys      *Keyring
 	transport *quic.Transport
 
 	mu    sync.Mutex
-	conns map[Peer]*quic.Conn
+	conns map[Peer]*pooled
+}
+
+// pooled is a connection with the identity that it was opened with.
+type pooled struct {
+	conn    *quic.Conn
+	id      *Identity
+	streams *inflight.Counter
+}
+
+// retire closes the connection when its streams have ended.
+func (c *pooled) retire() {
+	ctx, cancel := context.WithTimeout(c.conn.Context(), retireLimit)
+	defer cancel()
+	_ = c.streams.Wait(ctx)
+	_ = c.conn.CloseWithError(codeShutdown, "keys were replaced")
 }
 
 // NewPool returns a pool that sends from a packet connection of its own.
-func NewPool(conn net.PacketConn, id Identity) *Pool {
-	return &Pool{id: id, transport: &quic.Transport{Conn: conn}, conns: make(map[Peer]*quic.Conn)}
+func NewPool(conn net.PacketConn, keys *Keyring) *Pool {
+	return &Pool{keys: keys, transport: &quic.Transport{Conn: conn}, conns: make(map[Peer]*pooled)}
 }
 
 // Close closes all connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, conn := range p.conns {
-		_ = conn.CloseWithError(codeShutdown, "closing")
+	for _, c := range p.conns {
+		_ = c.conn.CloseWithError(codeShutdown, "closing")
 	}
 	p.conns = nil
 	_ = p.transport.Close()
@@ -48,10 +70,11 @@
 // Exchange sends a message and decodes the answer into reply.
 func (p *Pool) Exchange(ctx context.Context, peer Peer, kind protocol.MessageKind, msg, reply any) *protocol.Error {
 	step := fmt.Sprintf("exchange message %d", kind)
-	stream, err := p.open(ctx, peer)
+	stream, done, err := p.open(ctx, peer)
 	if err != nil {
 		return peerError(step, peer, protocol.OutcomeNotRun, err)
 	}
+	defer done()
 	stop := context.AfterFunc(ctx, func() { reset(stream, codeCanceled) })
 	defer stop()
 	if err := protocol.WriteMessage(stream, kind, msg); err != nil {
@@ -75,10 +98,11 @@
 // ctx cancels the call at the owner.
 func (p *Pool) Call(ctx context.Context, peer Peer, call *protocol.Call, sink protocol.Sink) *protocol.Error {
 	const step = "call owner"
-	stream, err := p.open(ctx, peer)
+	stream, done, err := p.open(ctx, peer)
 	if err != nil {
 		return peerError(step, peer, protocol.OutcomeNotRun, err)
 	}
+	defer done()
 	stop := context.AfterFunc(ctx, func() { reset(stream, codeCanceled) })
 	defer stop()
 	if err := protocol.WriteMessage(stream, protocol.MsgCall, call); err != nil {
@@ -128,51 +152,80 @@
 	return false, fmt.Errorf("unexpected message kind %d", frame.Kind)
 }
 
-func (p *Pool) open(ctx context.Context, peer Peer) (*quic.Stream, error) {
-	conn, err := p.conn(ctx, peer)
+// open returns a new stream and a function to call when its work has ended.
+func (p *Pool) open(ctx context.Context, peer Peer) (*quic.Stream, func(), error) {
+	c, err := p.conn(ctx, peer)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
+	}
+	stream, err := c.conn.OpenStreamSync(ctx)
+	if err != nil {
+		c.streams.Done()
+		return nil, nil, err
 	}
-	return conn.OpenStreamSync(ctx)
+	return stream, c.streams.Done, nil
 }
 
-// conn returns the live connection to a peer and dials a new one if needed. Two
-// concurrent dials are possible; the later one is closed.
-func (p *Pool) conn(ctx context.Context, peer Peer) (*quic.Conn, error) {
-	if conn := p.live(peer); conn != nil {
-		return conn, nil
+// conn returns the live connection to a peer and dials a new one if needed, with
+// one stream counted. Two concurrent dials are possible; the later one is closed.
+func (p *Pool) conn(ctx context.Context, peer Peer) (*pooled, error) {
+	if c := p.live(peer); c != nil {
+		return c, nil
 	}
 	addr, err := net.ResolveUDPAddr("udp", peer.Addr)
 	if err != nil {
 		return nil, err
 	}
-	conn, err := p.transport.Dial(ctx, addr, p.id.clientConfig(peer.ID), quicConfig())
+	id := p.keys.identity()
+	conn, err := p.transport.Dial(ctx, addr, p.keys.clientConfig(peer.ID), quicConfig())
 	if err != nil {
+		var name x509.HostnameError
+		if errors.As(err, &name) {
+			p.keys.refused(RefusedWrongName)
+		}
 		return nil, err
 	}
+	return p.keep(peer, &pooled{conn: conn, id: id, streams: inflight.New()})
+}
+
+// keep stores a new connection unless another one came first.
+func (p *Pool) keep(peer Peer, c *pooled) (*pooled, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conns == nil {
-		_ = conn.CloseWithError(codeShutdown, "closing")
+		_ = c.conn.CloseWithError(codeShutdown, "closing")
 		return nil, net.ErrClosed
 	}
-	if first := p.conns[peer]; first != nil && first.Context().Err() == nil {
-		_ = conn.CloseWithError(codeShutdown, "duplicate")
+	if first := p.conns[peer]; first != nil && first.conn.Context().Err() == nil && first.id == c.id {
+		_ = c.conn.CloseWithError(codeShutdown, "duplicate")
+		first.streams.Add()
 		return first, nil
 	}
-	p.conns[peer] = conn
-	return conn, nil
+	p.conns[peer] = c
+	c.streams.Add()
+	return c, nil
 }
 
-func (p *Pool) live(peer Peer) *quic.Conn {
+// live returns the connection to a peer with one more stream counted, or nil. A
+// connection that was opened with replaced keys is retired.
+func (p *Pool) live(peer Peer) *pooled {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conn := p.conns[peer]
-	if conn != nil && conn.Context().Err() != nil {
+	c := p.conns[peer]
+	if c == nil {
+		return nil
+	}
+	if c.conn.Context().Err() != nil {
+		delete(p.conns, peer)
+		return nil
+	}
+	if c.id != p.keys.identity() {
 		delete(p.conns, peer)
+		go c.retire()
 		return nil
 	}
-	return conn
+	c.streams.Add()
+	return c
 }
 
 func peerError(step string, peer Peer, outcome protocol.Outcome, err error) *protocol.Error {
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -24,7 +24,7 @@
 	codeCanceled    = quic.StreamErrorCode(1)
 	codeBadMessage  = quic.StreamErrorCode(2)
 	codeShutdown    = quic.ApplicationErrorCode(1)
-	codeStranger    = quic.ApplicationErrorCode(2)
+	codeRevoked     = quic.StreamErrorCode(3)
 	firstFrameLimit = 5 * time.Second
 	ackTimeout      = 5 * time.Second
 )
@@ -54,16 +54,17 @@
 	wg       sync.WaitGroup
 	cancel   context.CancelFunc
 	calls    *inflight.Counter
+	keys     *Keyring
 }
 
 // Listen starts a server on a packet connection.
-func Listen(conn net.PacketConn, id Identity, handler Handler) (*Server, error) {
-	listener, err := quic.Listen(conn, id.serverConfig(), quicConfig())
+func Listen(conn net.PacketConn, keys *Keyring, handler Handler) (*Server, error) {
+	listener, err := quic.Listen(conn, keys.serverConfig(), quicConfig())
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{listener: listener, handler: handler, cancel: cancel, calls: inflight.New()}
+	s := &Server{listener: listener, handler: handler, cancel: cancel, calls: inflight.New(), keys: keys}
 	s.wg.Add(1)
 	go s.accept(ctx)
 	return s, nil
@@ -95,17 +96,22 @@
 func (s *Server) serveConn(ctx context.Context, conn *quic.Conn) {
 	defer s.wg.Done()
 	certs := conn.ConnectionState().TLS.PeerCertificates
-	if len(certs) == 0 {
-		_ = conn.CloseWithError(codeStranger, "no certificate")
-		return
-	}
 	from := state.DaemonID(certs[0].Subject.CommonName)
+	id := s.keys.identity()
 	for {
 		stream, err := conn.AcceptStream(ctx)
 		if err != nil {
 			_ = conn.CloseWithError(codeShutdown, "closing")
 			return
 		}
+		if current := s.keys.identity(); current != id {
+			if err := current.verify(certs); err != nil {
+				s.keys.refused(RefusedRevoked)
+				reset(stream, codeRevoked)
+				continue
+			}
+			id = current
+		}
 		s.wg.Add(1)
 		go s.serveStream(ctx, from, stream)
 	}
@@ -116,7 +122,7 @@
 	_ = stream.SetReadDeadline(time.Now().Add(firstFrameLimit))
 	frame, err := protocol.ReadFrame(stream)
 	if err != nil {
-		reset(stream, codeBadMessage)
+		s.refuse(stream, frameRefusal(err))
 		return
 	}
 	_ = stream.SetReadDeadline(time.Time{})
@@ -127,7 +133,7 @@
 	kind, reply, err := s.handler.ServeMessage(ctx, from, frame)
 	if err != nil {
 		klog.V(2).InfoS("Refused peer message", "peer", from, "kind", frame.Kind, "err", err)
-		reset(stream, codeBadMessage)
+		s.refuse(stream, RefusedMessage)
 		return
 	}
 	if err := protocol.WriteMessage(stream, kind, reply); err != nil {
@@ -140,7 +146,7 @@
 func (s *Server) serveCall(ctx context.Context, from state.DaemonID, stream *quic.Stream, frame protocol.Frame) {
 	var call protocol.Call
 	if err := frame.Decode(&call); err != nil || (call.Model == nil) == (call.Plain == nil) {
-		reset(stream, codeBadMessage)
+		s.refuse(stream, RefusedMalformed)
 		return
 	}
 	s.calls.Add()
@@ -170,6 +176,19 @@
 	}
 }
 
+// refuse counts a refusal and resets the stream.
+func (s *Server) refuse(stream *quic.Stream, reason Refusal) {
+	s.keys.refused(reason)
+	reset(stream, codeBadMessage)
+}
+
+func frameRefusal(err error) Refusal {
+	if errors.Is(err, protocol.ErrFrameTooLarge) {
+		return RefusedOversized
+	}
+	return RefusedMalformed
+}
+
 func reset(stream *quic.Stream, code quic.StreamErrorCode) {
 	stream.CancelRead(code)
 	stream.CancelWrite(code)
--- a/internal/transport/peer/tls.go
+++ b/internal/transport/peer/tls.go
@@ -17,9 +17,6 @@
 	"github.com/celerydeck/celerydeck/internal/state"
 )
 
-// ErrUnknownPeer reports a peer whose certificate names another daemon.
-var ErrUnknownPeer = errors.New("peer: certificate names another daemon")
-
 var alpn = []string{fmt.Sprintf("celerydeck/%d", protocol.Version)}
 
 // Identity is the certificate of a daemon and the authority of its peers.
@@ -41,28 +38,6 @@
 	return Identity{Certificate: cert, Authority: pool}, nil
 }
 
-func (id Identity) serverConfig() *tls.Config {
-	return &tls.Config{
-		Certificates: []tls.Certificate{id.Certificate},
-		ClientAuth:   tls.RequireAndVerifyClientCert,
-		ClientCAs:    id.Authority,
-		NextProtos:   alpn,
-		MinVersion:   tls.VersionTLS13,
-	}
-}
-
-// clientConfig checks the chain and that the certificate names the daemon. The
-// address is an IP number, so the name check replaces the one by host name.
-func (id Identity) clientConfig(daemon state.DaemonID) *tls.Config {
-	return &tls.Config{
-		Certificates: []tls.Certificate{id.Certificate},
-		RootCAs:      id.Authority,
-		ServerName:   string(daemon),
-		NextProtos:   alpn,
-		MinVersion:   tls.VersionTLS13,
-	}
-}
-
 // Authority signs the certificates of daemons.
 type Authority struct {
 	cert *x509.Certificate
