Add the ownership and lease state machines and explore them exhaustively

Cause: owners followed from heartbeats alone, so two daemons could order one engine, and a paused holder's late unload could hit an adapter in use.

Change: one lease object per daemon, counted from the moment a renewal is sent and broken by a conditional write; an ownership record per upstream with epoch, unresolved earlier owners and pending unloads. make model runs the real machines of two daemons against two engines and explores every state within the bounds. Holes found on the way: a released record that takes effect late, an unload that arrives before the successor's first order (so the fence is raised before first use), and fencing numbers that an engine forgets on a restart (such an engine counts as one that ignores them).

Conclusion: no state violates the invariants within the bounds.

--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,9 @@
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
-.PHONY: check lint fmt test build demo bench
+.PHONY: check lint fmt test model build demo bench
 
-check: lint build test
+check: lint build test model
 	@if [ -n "$(KNOWN_RED)" ]; then echo "known red, not run:"; cat KNOWN-RED.txt; fi
 
 $(LINT):
@@ -28,6 +28,10 @@
 test:
 	go test -race -timeout 20m $(SKIP) ./...
 
+# Explores the ownership protocol; the race detector would make it too slow.
+model:
+	GOGC=400 go test -count=1 -v -run '^TestModel' ./internal/coordination/ownership 
+
 demo:
 	go run ./cmd/celerydeck-demo
 
--- /dev/null
+++ b/internal/coordination/lease/lease.go
@@ -0,0 +1,137 @@
+// Package lease decides when a daemon renews its lease, until when it may rely on
+// it, and when another daemon may break the lease of a daemon that is silent.
+//
+// Each daemon has one lease object. The holder counts the lease from the moment
+// it sent a renewal, on its monotonic clock; an observer counts from the moment
+// it has read the object. A lease ends for good only when an observer marks the
+// object as broken by a conditional write, which makes every delayed renewal fail.
+//
+// The types hold no pointers and never change a slice in place, so a copy by
+// assignment is an independent copy.
+package lease
+
+import (
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+// Version is the version of an object. Zero stands for an absent object.
+type Version uint64
+
+// Outcome is the result of a conditional write.
+type Outcome uint8
+
+// Outcomes of a conditional write.
+const (
+	WriteOK       Outcome = iota + 1
+	WriteConflict         // the object has another version
+	WriteUnknown          // the write may have taken effect, or may still do so
+	WriteFailed           // the write has not taken effect and never will
+)
+
+// Session is one term of one run of a daemon. A new term starts when the lease
+// was broken.
+type Session struct {
+	Daemon      state.DaemonID    `json:"daemon"`
+	Incarnation state.Incarnation `json:"incarnation"`
+	Term        uint64            `json:"term"`
+}
+
+// SameRun reports whether both sessions belong to the same run of a daemon.
+func (s Session) SameRun(o Session) bool {
+	return s.Daemon == o.Daemon && s.Incarnation == o.Incarnation
+}
+
+// IsZero reports whether s names no session.
+func (s Session) IsZero() bool { return s == Session{} }
+
+// Record is the content of the lease object of a daemon.
+type Record struct {
+	Session
+	Sequence uint64        `json:"sequence"`
+	Duration time.Duration `json:"duration"`
+	// Peers are the runs of daemons that may break the lease at once. The holder
+	// asks them before it unloads without a valid lease.
+	Peers []Session `json:"peers,omitempty"`
+	// Broken reports that the holder has lost the lease.
+	Broken bool `json:"broken,omitempty"`
+	// Exited reports that the daemon has ended with nothing in progress.
+	Exited bool   `json:"exited,omitempty"`
+	Status string `json:"status,omitempty"`
+}
+
+// Admits reports whether the run of a daemon is one of the peers.
+func (r Record) Admits(s Session) bool {
+	for _, p := range r.Peers {
+		if p.SameRun(s) {
+			return true
+		}
+	}
+	return false
+}
+
+// Read is an action: read the lease object.
+type Read struct{}
+
+// Write is an action: replace the lease object if it still has version Base.
+type Write struct {
+	Base   Version
+	Record Record
+}
+
+// Lapsed is an action of a Watcher: the session can never hold a valid lease
+// again. Settled reports in addition that the observer knows of every unload order
+// of the session that may still take effect: it is one of the session's peers, or
+// no such order can be under way.
+type Lapsed struct {
+	Session Session
+	Settled bool
+}
+
+// Ended is an action of a Watcher: the run of the session has ended, and what it
+// had sent has arrived or is lost.
+type Ended struct{ Session Session }
+
+// Action is an output of a Holder or a Watcher.
+type Action interface{ action() }
+
+func (Read) action()   {}
+func (Write) action()  {}
+func (Lapsed) action() {}
+func (Ended) action()  {}
+
+// Event is an input of a Holder or a Watcher.
+type Event interface{ event() }
+
+// Events.
+type (
+	// Tick lets time pass.
+	Tick struct{}
+	// WriteDone reports the outcome of a Write.
+	WriteDone struct {
+		Outcome Outcome
+		Version Version
+	}
+	// ReadDone reports the result of a Read. OK is false if the read failed.
+	ReadDone struct {
+		OK      bool
+		Found   bool
+		Version Version
+		Record  Record
+	}
+	// Peers replaces the peers that the next renewal names.
+	Peers struct{ Peers []Session }
+	// Hold stops a lost lease from starting a new term, and the peers from
+	// changing, while an unload is known to the present peers alone.
+	Hold struct{ On bool }
+	// Exit ends the lease: everything of the daemon has ended.
+	Exit struct{}
+)
+
+func (Tick) event()      {}
+func (WriteDone) event() {}
+func (ReadDone) event()  {}
+func (Peers) event()     {}
+func (Hold) event()      {}
+func (Exit) event()      {}
--- /dev/null
+++ b/internal/coordination/ownership/moves_test.go
@@ -0,0 +1,383 @@
+package ownership_test
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/lease"
+	"github.com/celerydeck/celerydeck/internal/coordination/ownership"
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+// moveKind tells the transitions apart.
+type moveKind uint8
+
+const (
+	moveTick moveKind = iota
+	moveStep
+	moveSlow
+	moveLate
+	moveDeliver
+	moveRestart
+	moveReboot
+	moveLoad
+	moveDispatch
+	moveFinish
+	moveUnload
+	moveReport
+	moveResolve
+	movePromise
+	moveFlip
+)
+
+var moveNames = [...]string{
+	"tick", "step", "slow call", "late write", "deliver", "restart", "reboot", "load",
+	"dispatch", "finish", "unload", "report", "resolve", "promise", "flip",
+}
+
+// move is one transition of node a, or of entry a of a list, and machine or engine b.
+type move struct {
+	kind  moveKind
+	a, b  int
+	fault fault
+}
+
+// String names the transition in traces.
+func (m move) String() string {
+	return fmt.Sprintf("%s %d %d fault %d", moveNames[m.kind], m.a, m.b, m.fault)
+}
+
+// apply makes the transition. It returns false if it was not possible after all.
+func (m move) apply(w *world) bool {
+	switch m.kind {
+	case moveTick:
+		return w.advance()
+	case moveStep:
+		if m.fault != noFault {
+			w.bounds.faults--
+		}
+		return w.step(m.a, m.b, m.fault) || m.fault == noFault
+	case moveSlow:
+		return w.continueSlow(m.a, m.b)
+	case moveLate:
+		return w.executeLate(m.a)
+	case moveDeliver:
+		return w.deliver(m.a)
+	case moveRestart:
+		return w.restart(m.a)
+	case moveReboot:
+		return w.reboot(m.b)
+	case moveLoad:
+		return w.load(m.a, m.b)
+	case moveDispatch:
+		return w.dispatch(m.a, m.b)
+	case moveFinish:
+		return w.finish(m.a, m.b)
+	case moveUnload:
+		return w.unload(m.a, m.b)
+	case moveReport:
+		w.report(m.a, m.b)
+	case moveResolve:
+		return w.resolve(m.a, m.b)
+	case movePromise:
+		return w.promise(m.a, m.b)
+	case moveFlip:
+		w.bounds.flips--
+		w.flip(m.a, m.b)
+	}
+	return true
+}
+
+// moves appends every transition of the world.
+func (w *world) moves(all []move) []move {
+	if w.tick < w.bounds.lastTick {
+		all = append(all, move{kind: moveTick})
+	}
+	for i := range nodes {
+		all = w.machineMoves(all, i)
+		for e := w.bounds.first; e <= w.bounds.last; e++ {
+			for kind := moveLoad; kind <= movePromise; kind++ {
+				all = append(all, move{kind: kind, a: i, b: e})
+			}
+			if w.bounds.flips > 0 {
+				all = append(all, move{kind: moveFlip, a: i, b: e})
+			}
+		}
+		if w.bounds.faults > 0 && w.nodes[i].run == 0 {
+			all = append(all, move{kind: moveRestart, a: i})
+		}
+	}
+	for k := range w.orders {
+		all = append(all, move{kind: moveDeliver, a: k})
+	}
+	for k := range w.late {
+		all = append(all, move{kind: moveLate, a: k})
+	}
+	for e := w.bounds.first; e <= w.bounds.last && w.bounds.faults > 0; e++ {
+		all = append(all, move{kind: moveReboot, b: e})
+	}
+	return all
+}
+
+func (w *world) machineMoves(all []move, i int) []move {
+	for m := range machines {
+		if m >= mCore && (m-mCore < w.bounds.first || m-mCore > w.bounds.last) {
+			continue
+		}
+		if slices.ContainsFunc(w.nodes[i].slow, func(wr write) bool { return wr.machine == m }) {
+			all = append(all, move{kind: moveSlow, a: i, b: m})
+			continue
+		}
+		all = append(all, move{kind: moveStep, a: i, b: m})
+		for f := lostReply; f <= slowWrite && w.bounds.faults > 0; f++ {
+			all = append(all, move{kind: moveStep, a: i, b: m, fault: f})
+		}
+	}
+	return all
+}
+
+func (w *world) advance() bool {
+	w.tick++
+	for i := range w.nodes {
+		n := &w.nodes[i]
+		if n.run == 0 || w.now().Before(n.deadAt.Add(settleUnits*unit)) {
+			continue
+		}
+		kept := w.orders[:0:0]
+		for _, o := range w.orders {
+			if o.node != i || o.run == n.run {
+				kept = append(kept, o)
+			}
+		}
+		w.orders = kept
+	}
+	return true
+}
+
+func (w *world) flip(i, e int) {
+	f := noFault
+	w.nodes[i].want[e] = !w.nodes[i].want[e]
+	w.core(i, e, ownership.Want{Mine: w.nodes[i].want[e]}, &f)
+}
+
+func (w *world) usable(i, e int) bool {
+	n := &w.nodes[i]
+	return !n.unloading[e] && !n.cores[e].Quarantined(adapter)
+}
+
+func (w *world) load(i, e int) bool {
+	auth := w.nodes[i].cores[e].Authority(w.now())
+	en := &w.engines[e]
+	if !auth.MayLoad || !w.usable(i, e) || en.loaded {
+		return false
+	}
+	if e == 0 {
+		if auth.Epoch < en.fence {
+			return false
+		}
+		en.fence = auth.Epoch
+	}
+	en.loaded = true
+	return true
+}
+
+func (w *world) dispatch(i, e int) bool {
+	if !w.nodes[i].cores[e].Authority(w.now()).MayDispatch || !w.usable(i, e) {
+		return false
+	}
+	if !w.engines[e].loaded || w.engines[e].serving[i] {
+		return false
+	}
+	w.engines[e].serving[i] = true
+	return true
+}
+
+func (w *world) finish(i, e int) bool {
+	was := w.engines[e].serving[i]
+	w.engines[e].serving[i] = false
+	return was
+}
+
+func (w *world) unload(i, e int) bool {
+	n := &w.nodes[i]
+	may := n.cores[e].Authority(w.now()).MayUnload
+	if w.bounds.unloads == 0 || !may || !w.usable(i, e) || !w.engines[e].loaded || w.engines[e].serving[i] {
+		return false
+	}
+	w.bounds.unloads--
+	n.unloading[e] = true
+	f := noFault
+	w.core(i, e, ownership.AskUnload{Adapter: adapter}, &f)
+	return true
+}
+
+// answer takes the permission to unload. The authority is checked right before the
+// order is sent; the order then stays in the network.
+func (w *world) answer(i, e int, a ownership.Answer) {
+	n := &w.nodes[i]
+	if !a.Granted {
+		n.unloading[e] = false
+		return
+	}
+	auth := n.cores[e].Authority(w.now())
+	w.orders = append(slices.Clone(w.orders), order{node: i, run: n.run, engine: e, epoch: auth.Epoch})
+}
+
+func (w *world) deliver(k int) bool {
+	o := w.orders[k]
+	w.orders = slices.Delete(slices.Clone(w.orders), k, k+1)
+	en := &w.engines[o.engine]
+	if o.engine != 0 || o.epoch >= en.fence {
+		w.takeEffect(o)
+	}
+	n := &w.nodes[o.node]
+	if o.run != n.run {
+		return true
+	}
+	f := noFault
+	n.unloading[o.engine] = false
+	w.core(o.node, o.engine, ownership.UnloadEnded{Adapter: adapter}, &f)
+	return true
+}
+
+func (w *world) takeEffect(o order) {
+	en := &w.engines[o.engine]
+	if en.loaded && slices.Contains(en.serving[:], true) {
+		w.violate("an adapter that serves was unloaded")
+	}
+	en.loaded = false
+	if o.engine == 0 {
+		en.fence = o.epoch
+		return
+	}
+	record := w.owners[o.engine].record
+	ordered := func(p ownership.PendingUnload) bool { return p.By.Session.Daemon == daemonName(o.node) }
+	if record.Owner.Daemon != daemonName(o.node) && !slices.ContainsFunc(record.Pending, ordered) {
+		w.violate("an order of a daemon that is not the owner took effect")
+	}
+}
+
+func (w *world) report(i, e int) {
+	en := w.engines[e]
+	event := ownership.Report{Boot: bootName(en.boot), AskedAt: w.now()}
+	if en.loaded {
+		event.Resident = []state.AdapterRef{adapter}
+	}
+	f := noFault
+	w.core(i, e, event, &f)
+}
+
+// resolve asks an earlier owner whether it has stopped.
+func (w *world) resolve(i, e int) bool {
+	n := &w.nodes[i]
+	for _, claim := range n.cores[e].Unresolved() {
+		j := daemonIndex(claim.Session.Daemon)
+		other := &w.nodes[j].cores[e]
+		idle := !other.Mine() && !w.engines[e].serving[j] && !other.Busy()
+		if i == j {
+			idle = !w.engines[e].serving[j] && !other.Busy()
+		}
+		if w.variant != noResolution && (!claim.Session.SameRun(w.session(j)) || !idle) {
+			continue
+		}
+		f := noFault
+		w.core(i, e, ownership.Resolved{Claim: claim}, &f)
+		return true
+	}
+	return false
+}
+
+// promise asks the peer that may break this daemon's lease to honor an unload.
+func (w *world) promise(i, e int) bool {
+	n, peer := &w.nodes[i], &w.nodes[1-i]
+	if !n.asking[e] {
+		return false
+	}
+	n.asking[e] = false
+	ok, f := true, noFault
+	for _, s := range n.holder.Breakers() {
+		if w.variant == noPromise {
+			continue
+		}
+		if !s.SameRun(w.session(1 - i)) {
+			ok = false
+			continue
+		}
+		w.core(1-i, e, ownership.Notice{Pending: n.ask[e]}, &f)
+		breaking := peer.watching && peer.watcher.Target() == n.ask[e].By.Session && peer.watcher.Breaking()
+		ok = ok && peer.cores[e].Honors(n.ask[e]) && !breaking
+	}
+	w.core(i, e, ownership.Promised{Adapter: adapter, OK: ok}, &f)
+	return true
+}
+
+func (w *world) restart(i int) bool {
+	w.bounds.faults--
+	n := &w.nodes[i]
+	for _, wr := range n.slow {
+		if !wr.executed {
+			w.late = append(slices.Clone(w.late), wr)
+		}
+	}
+	n.slow = nil
+	n.run++
+	n.deadAt = w.now()
+	w.startNode(i)
+	f := noFault
+	for e := range engines {
+		w.engines[e].serving[i] = false
+		w.core(i, e, ownership.Want{Mine: n.want[e]}, &f)
+	}
+	return true
+}
+
+func (w *world) reboot(e int) bool {
+	w.bounds.faults--
+	en := &w.engines[e]
+	*en = engine{boot: en.boot + 1, fence: en.fence}
+	return true
+}
+
+func (w *world) executeLate(k int) bool {
+	wr := w.late[k]
+	w.late = slices.Delete(slices.Clone(w.late), k, k+1)
+	return w.execute(wr).outcome == lease.WriteOK
+}
+
+func (w *world) continueSlow(i, m int) bool {
+	n := &w.nodes[i]
+	k := slices.IndexFunc(n.slow, func(wr write) bool { return wr.machine == m })
+	wr := n.slow[k]
+	n.slow = slices.Delete(slices.Clone(n.slow), k, k+1)
+	if !wr.executed {
+		n.slow = append(n.slow, w.execute(wr))
+		return true
+	}
+	w.reply(wr)
+	return true
+}
+
+// check tests the invariants that concern two daemons at once.
+func (w *world) check() {
+	const unfenced = 1
+	for e := range w.engines {
+		holders := 0
+		for i := range w.nodes {
+			if w.nodes[i].cores[e].Mine() && w.now().Before(w.nodes[i].until) {
+				holders++
+			}
+		}
+		if holders > 1 {
+			w.violate("two daemons own an engine with a valid lease")
+		}
+	}
+	may := 0
+	for i := range w.nodes {
+		if w.nodes[i].cores[unfenced].Authority(w.now()).MayUnload {
+			may++
+		}
+	}
+	if may > 1 {
+		w.violate("two daemons may unload on an engine that ignores fencing numbers")
+	}
+}
