--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -20,6 +20,7 @@
 	Prefix       uint64
 	Fingerprint  uint64
 	Repeatable   bool
+	Alone        bool // nothing else may run on the upstream at the same time
 }
 
 // Event is an input of a Core.
@@ -39,6 +40,7 @@
 	// LoadDone reports the answer to a Load order.
 	LoadDone struct {
 		Adapter state.AdapterRef
+		Order   uint64 // of the Load
 		Boot    state.BootID
 		Failed  bool
 	}
@@ -67,6 +69,19 @@
 	}
 	// Leaving reports that the upstream is listed as leaving.
 	Leaving struct{}
+	// StoreBudget is the upstream's share of the weight store's limits. It holds
+	// until the next one. A core that was given none is not limited.
+	StoreBudget struct {
+		Rate     float64 // loads a second
+		Burst    float64 // loads that may start at once after a pause
+		InFlight int     // loads that may be in progress
+		// Until ends the share when no other event replaced it; zero for no end.
+		Until time.Time
+	}
+	// Ranks sets the targets, worth and shares of the ranks, most urgent first.
+	Ranks struct{ Ranks []state.RankInfo }
+	// Staying reports that an upstream that was leaving takes work again.
+	Staying struct{}
 	// Tick lets time pass.
 	Tick struct{}
 )
@@ -80,6 +95,9 @@
 func (Unreachable) event() {}
 func (Authority) event()   {}
 func (Leaving) event()     {}
+func (StoreBudget) event() {}
+func (Ranks) event()       {}
+func (Staying) event()     {}
 func (Tick) event()        {}
 
 // Action is an output of a Core.
@@ -114,6 +132,7 @@
 	// Load orders the upstream to load an adapter.
 	Load struct {
 		Adapter state.AdapterRef
+		Order   uint64 // tells loads of the same adapter apart
 		Source  string
 		Epoch   state.Epoch
 	}
@@ -146,4 +165,9 @@
 	Running  int
 	Queued   int
 	Resident []state.AdapterRef
+
+	Loading      []state.AdapterRef // loads in progress
+	QueuedByRank []int              // requests that wait for the batch, most urgent first
+	LoadsWaiting int                // loads that requests wait for and that have not started
+	LoadDemand   float64            // urgency of those loads
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -13,7 +13,8 @@
 
 	"github.com/celerydeck/celerydeck/deckconfig"
 	"github.com/celerydeck/celerydeck/internal/app"
-	"github.com/celerydeck/celerydeck/internal/node/cluster"
+	"github.com/celerydeck/celerydeck/internal/coordination/configsync"
+	"github.com/celerydeck/celerydeck/internal/node/config"
 	"github.com/celerydeck/celerydeck/internal/standin/booking"
 	"github.com/celerydeck/celerydeck/internal/standin/engine"
 	"github.com/celerydeck/celerydeck/internal/standin/objectapi"
@@ -41,8 +42,15 @@
 	ListLag        time.Duration
 	StoreLoad      time.Duration
 	StoreKnee      int
+	StoreRate      float64 // loads a second of the whole fleet; 0 for no limit
 	// CallerPorts are the ports of the daemons; 0 takes a free one.
 	CallerPorts []int
+	// AdminPorts are the ports for operators; 0 takes a free one.
+	AdminPorts []int
+	DrainGrace time.Duration
+	// KeysDir, when set, gets the keys of the daemons, which are then not started
+	// but run by hand as processes of their own: see Demo.Commands.
+	KeysDir string
 }
 
 // DefaultOptions returns two availability zones with a daemon and two engines each.
@@ -55,7 +63,9 @@
 		Engine:         engine.Options{Slots: 4, Batch: 8, TokenTime: 20 * time.Millisecond},
 		StoreLoad:      250 * time.Millisecond,
 		StoreKnee:      8,
+		StoreRate:      4,
 		CallerPorts:    []int{8080, 8081},
+		DrainGrace:     time.Second,
 	}
 }
 
@@ -67,6 +77,8 @@
 	Booking *booking.Server
 	Engines []*engine.Engine
 	Daemons []*app.Daemon
+	// Commands are the command lines of the daemons that run on their own.
+	Commands []string
 
 	opts      Options
 	authority *peer.Authority
@@ -95,11 +107,9 @@
 	if d.authority, err = peer.NewAuthority(time.Now(), keyValidity); err != nil {
 		return err
 	}
-	config, err := json.Marshal(d.opts.Config)
-	if err != nil {
+	if err := d.putConfig(); err != nil {
 		return err
 	}
-	d.Objects.Put(cluster.ConfigKey, config)
 	mux := http.NewServeMux()
 	mux.Handle("GET /v1/vms", d.VMs)
 	mux.Handle("/", d.Objects.Handler())
@@ -115,7 +125,14 @@
 	}
 	for _, zone := range d.opts.Zones {
 		for i := range d.opts.DaemonsPerZone {
-			if _, err := d.StartDaemon(ctx, zone, fmt.Sprintf("%s-entry-%d", zone, i+1)); err != nil {
+			id := fmt.Sprintf("%s-entry-%d", zone, i+1)
+			if d.opts.KeysDir != "" {
+				if err := d.prepareDaemon(zone, id); err != nil {
+					return err
+				}
+				continue
+			}
+			if _, err := d.StartDaemon(ctx, zone, id); err != nil {
 				return err
 			}
 		}
@@ -123,6 +140,20 @@
 	return nil
 }
 
+// putConfig stores the first configuration as an operator's submission would.
+func (d *Demo) putConfig() error {
+	rec, err := configsync.FirstRecord(d.opts.Config, "demo", time.Now())
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return err
+	}
+	d.Objects.Put(config.RecordKey(rec.Revision), value)
+	return nil
+}
+
 func (d *Demo) startUpstreams(zone string) error {
 	for i := range d.opts.EnginesPerZone {
 		opts := d.opts.Engine
@@ -152,33 +183,57 @@
 
 // StartDaemon starts one more daemon.
 func (d *Demo) StartDaemon(ctx context.Context, zone, id string) (*app.Daemon, error) {
-	peerAddr, err := freeUDP()
+	settings, identity, err := d.register(zone, id, len(d.Daemons))
+	if err != nil {
+		return nil, err
+	}
+	daemon, err := app.Start(ctx, settings, identity)
 	if err != nil {
 		return nil, err
 	}
-	port := 0
-	if n := len(d.Daemons); n < len(d.opts.CallerPorts) {
-		port = d.opts.CallerPorts[n]
+	d.Daemons = append(d.Daemons, daemon)
+	return daemon, nil
+}
+
+// register adds a daemon to the list of VMs and returns its settings and keys.
+func (d *Demo) register(zone, id string, number int) (app.Settings, peer.Identity, error) {
+	peerAddr, err := freeUDP()
+	if err != nil {
+		return app.Settings{}, peer.Identity{}, err
 	}
+	port := portOf(d.opts.CallerPorts, number)
+	adminPort := portOf(d.opts.AdminPorts, number)
 	identity, err := d.authority.Issue(state.DaemonID(id))
 	if err != nil {
-		return nil, err
+		return app.Settings{}, identity, err
 	}
 	d.VMs.Put(vmlist.VM{ID: id, Zone: zone, Region: region, Address: peerAddr, Kind: "entry", State: "live"})
-	daemon, err := app.Start(ctx, app.Settings{
-		ID:           id,
-		Zone:         zone,
-		Region:       region,
-		CallerAddr:   fmt.Sprintf("%s:%d", loopback, port),
-		PeerAddr:     peerAddr,
-		PlatformURL:  d.platform,
-		DrainTimeout: drainTimeout,
-	}, identity)
-	if err != nil {
-		return nil, err
+	settings := app.Settings{
+		ID:               id,
+		Zone:             zone,
+		Region:           region,
+		CallerAddr:       fmt.Sprintf("%s:%d", loopback, port),
+		PeerAddr:         peerAddr,
+		PlatformURL:      d.platform,
+		DrainTimeout:     drainTimeout,
+		DrainGrace:       d.opts.DrainGrace,
+		AdminAddr:        fmt.Sprintf("%s:%d", loopback, adminPort),
+		BootstrapKeyHash: state.HashKey(OperatorKey),
 	}
-	d.Daemons = append(d.Daemons, daemon)
-	return daemon, nil
+	if d.opts.StoreRate > 0 {
+		settings.StoreRate = d.opts.StoreRate
+		settings.StoreInFlight = d.opts.StoreKnee
+		settings.StoreEngines = len(d.opts.Zones) * d.opts.EnginesPerZone
+	}
+	return settings, identity, nil
+}
+
+// portOf returns the port of the nth daemon; 0 takes a free one.
+func portOf(ports []int, n int) int {
+	if n < len(ports) {
+		return ports[n]
+	}
+	return 0
 }
 
 // WaitReady waits until every daemon takes requests.
--- a/internal/node/owner/manager.go
+++ b/internal/node/owner/manager.go
@@ -8,12 +8,11 @@
 	"sync"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	core "github.com/celerydeck/celerydeck/internal/coordination/owner"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/state/inflight"
+	"github.com/celerydeck/celerydeck/internal/statelog"
 	"github.com/celerydeck/celerydeck/internal/transport/upstream"
 )
 
@@ -23,7 +22,12 @@
 	Fleet   *state.Fleet
 	Client  *upstream.Client
 	NewCore func(u *state.Upstream) core.Core
+	Catalog func() *state.Catalog // nil before the first configuration
+	// Crashes learns of crashed upstreams. It may be nil.
+	Crashes CrashReporter
 	Clock   func() time.Time
+	// Observer is told about dispatches and loads; nil for none.
+	Observer Observer
 }
 
 // Manager owns upstreams. It is safe for concurrent use.
@@ -42,6 +46,9 @@
 // New returns a manager that owns nothing.
 func New(opts Options) *Manager {
 	ctx, stop := context.WithCancel(context.Background())
+	if opts.Observer == nil {
+		opts.Observer = noObserver{}
+	}
 	return &Manager{
 		opts:     opts,
 		ctx:      ctx,
@@ -82,6 +89,13 @@
 	}
 }
 
+// Staying tells the core of an upstream that it takes work again.
+func (m *Manager) Staying(id state.UpstreamID) {
+	if w := m.find(id); w != nil {
+		w.handle(core.Staying{})
+	}
+}
+
 // Owned returns the status of every upstream that this daemon owns.
 func (m *Manager) Owned() []protocol.UpstreamStatus {
 	m.mu.Lock()
@@ -130,11 +144,14 @@
 		ctx:     ctx,
 		stop:    stop,
 		pending: make(map[string]*pending),
+		loads:   make(map[state.AdapterRef]loadSpan),
+		loading: make(map[state.AdapterRef]time.Time),
+		failing: make(map[state.AdapterRef]failingLoad),
 	}
 	m.workers[u.ID] = w
 	m.wg.Add(1)
 	go w.poll()
-	klog.InfoS("Owning upstream", "upstream", u.ID, "daemon", m.opts.Self)
+	statelog.Info("Owning upstream", "upstream", u.ID, "daemon", m.opts.Self)
 	return w
 }
 
--- a/internal/node/owner/worker.go
+++ b/internal/node/owner/worker.go
@@ -5,11 +5,10 @@
 	"sync"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	core "github.com/celerydeck/celerydeck/internal/coordination/owner"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/statelog"
 )
 
 const (
@@ -27,9 +26,15 @@
 	ctx  context.Context
 	stop context.CancelFunc
 
-	mu      sync.Mutex // guards core and pending; never held across I/O
+	mu      sync.Mutex // guards core, auth and pending; never held across I/O
 	core    core.Core
+	auth    core.Authority
 	pending map[string]*pending
+	catalog *state.Catalog // last one told to the core; used by poll only
+	loads   map[state.AdapterRef]loadSpan
+	loading map[state.AdapterRef]time.Time // start of each load in progress
+	failing map[state.AdapterRef]failingLoad
+	check   *crashCheck // of the latest run that broke
 }
 
 type pending struct {
@@ -39,10 +44,16 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   chan *protocol.Error // buffered; receives exactly one result
+	// dispatched is guarded by worker.mu.
+	dispatched bool
+	queued     time.Time
 }
 
 func (w *worker) handle(event core.Event) {
 	w.mu.Lock()
+	if auth, ok := event.(core.Authority); ok {
+		w.auth = auth
+	}
 	actions := w.core.Handle(w.m.opts.Clock(), event)
 	w.mu.Unlock()
 	for _, a := range actions {
@@ -63,6 +74,9 @@
 		Slots:    s.Slots,
 		Batch:    s.Batch,
 		Resident: s.Resident,
+		Loading:  s.Loading,
+
+		QueuedByRank: s.QueuedByRank,
 	}
 }
 
@@ -76,6 +90,7 @@
 		ctx:    runCtx,
 		cancel: cancel,
 		done:   make(chan *protocol.Error, 1),
+		queued: w.m.opts.Clock(),
 	}
 	w.mu.Lock()
 	if w.pending[p.id] != nil {
@@ -102,6 +117,7 @@
 		Deadline:    now.Add(call.Budget),
 		Fingerprint: call.Fingerprint,
 		Repeatable:  call.Repeatable,
+		Alone:       call.Alone,
 	}
 	if call.Model != nil {
 		r.Adapter = call.Model.Adapter
@@ -116,7 +132,7 @@
 func (w *worker) run(action core.Action) {
 	switch a := action.(type) {
 	case core.Dispatch:
-		if p := w.lookup(a.ID); p != nil {
+		if p := w.start(a.ID); p != nil {
 			go w.dispatch(p)
 		}
 	case core.Refuse:
@@ -135,6 +151,17 @@
 	}
 }
 
+// start marks a request as dispatched.
+func (w *worker) start(id string) *pending {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p := w.pending[id]
+	if p != nil {
+		p.dispatched = true
+	}
+	return p
+}
+
 func (w *worker) lookup(id string) *pending {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -150,12 +177,14 @@
 }
 
 func (w *worker) dispatch(p *pending) {
+	w.observeDispatch(p)
 	var err *protocol.Error
 	if p.call.Model != nil {
 		err = w.m.opts.Client.Complete(p.ctx, w.u, p.call, p.sink)
 	} else {
 		err = w.m.opts.Client.Plain(p.ctx, w.u, p.call, p.sink)
 	}
+	err = w.noteCrash(p, err)
 	w.take(p.id)
 	w.handle(core.Ended{ID: p.id, Failed: err != nil})
 	p.done <- err
@@ -174,11 +203,13 @@
 func (w *worker) load(a core.Load) {
 	ctx, cancel := context.WithTimeout(w.m.ctx, orderTimeout)
 	defer cancel()
+	start := w.observeLoadStart(a.Adapter)
 	boot, err := w.m.opts.Client.Load(ctx, w.u, a.Adapter, a.Source, a.Epoch)
 	if err != nil {
-		klog.InfoS("Load failed", "adapter", a.Adapter, "upstream", w.u.ID, "err", err)
+		statelog.Info("Load failed", "adapter", a.Adapter, "upstream", w.u.ID, "err", err)
 	}
-	w.handle(core.LoadDone{Adapter: a.Adapter, Boot: boot, Failed: err != nil})
+	w.observeLoad(a.Adapter, start, err)
+	w.handle(core.LoadDone{Adapter: a.Adapter, Order: a.Order, Boot: boot, Failed: err != nil})
 }
 
 func (w *worker) unload(a core.Unload) {
@@ -186,8 +217,9 @@
 	defer cancel()
 	err := w.m.opts.Client.Unload(ctx, w.u, a.Adapter, a.Epoch)
 	if err != nil {
-		klog.InfoS("Unload failed", "adapter", a.Adapter, "upstream", w.u.ID, "err", err)
+		statelog.Info("Unload failed", "adapter", a.Adapter, "upstream", w.u.ID, "err", err)
 	}
+	w.forgetLoad(a)
 	w.handle(core.UnloadDone{Adapter: a.Adapter, Failed: err != nil})
 }
 
@@ -197,6 +229,7 @@
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
+		w.configure()
 		w.report()
 		select {
 		case <-ticker.C:
@@ -206,6 +239,16 @@
 	}
 }
 
+// configure tells the core the ranks of a new configuration.
+func (w *worker) configure() {
+	catalog := w.m.opts.Catalog()
+	if catalog == nil || catalog == w.catalog {
+		return
+	}
+	w.catalog = catalog
+	w.handle(core.Ranks{Ranks: catalog.Ranks()})
+}
+
 func (w *worker) report() {
 	if w.u.Kind == state.KindPlain {
 		w.handle(core.Report{Boot: "plain", Batch: plainBatch})
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/suspects"
 	"github.com/celerydeck/celerydeck/internal/state"
 )
 
@@ -21,6 +22,16 @@
 	MsgEnd
 	MsgHeartbeat
 	MsgHeartbeatAck
+	MsgConfigStateRequest
+	MsgConfigState
+	MsgConfigFetch
+	MsgConfigRecords
+	MsgSuspects
+	MsgSuspectsReply
+	MsgSuspectAsk
+	MsgSuspectAnswer
+	MsgStoreAsk
+	MsgStoreGrant
 )
 
 // Hello opens every stream and negotiates the version.
@@ -45,6 +56,14 @@
 	Fingerprint uint64           `cbor:"9,keyasint"`
 	Model       *ModelCall       `cbor:"10,keyasint,omitempty"`
 	Plain       *PlainCall       `cbor:"11,keyasint,omitempty"`
+	// Alone asks that nothing else runs on the upstream at the same time.
+	Alone bool `cbor:"20,keyasint,omitempty"`
+	// Ticket is set when the daemon that issued it is asked to run the call. The
+	// call then names no upstream.
+	Ticket string `cbor:"12,keyasint,omitempty"`
+	Base   string `cbor:"13,keyasint,omitempty"` // base model, with Ticket only
+	// IdempotencyKey stays with the entry daemon.
+	IdempotencyKey string `cbor:"-"`
 }
 
 // Class returns the class of the call.
@@ -86,6 +105,7 @@
 	Boot     state.BootID     `cbor:"4,keyasint"`
 	Status   int              `cbor:"5,keyasint"`
 	Header   []HeaderField    `cbor:"6,keyasint,omitempty"`
+	Replayed bool             `cbor:"7,keyasint,omitempty"` // the answer was kept from an earlier request
 }
 
 // Chunk is a part of an answer. Offset counts tokens for model calls and bytes
@@ -117,6 +137,11 @@
 	Slots    int                `cbor:"7,keyasint"`
 	Batch    int                `cbor:"8,keyasint"`
 	Resident []state.AdapterRef `cbor:"9,keyasint"`
+	Loading  []state.AdapterRef `cbor:"10,keyasint,omitempty"`
+	Role     state.Role         `cbor:"11,keyasint,omitempty"`
+
+	// QueuedByRank splits Queued by rank, most urgent first.
+	QueuedByRank []int `cbor:"12,keyasint,omitempty"`
 }
 
 // Heartbeat tells a peer that a daemon is alive and what it owns.
@@ -135,3 +160,48 @@
 	Sequence uint64 `cbor:"1,keyasint"`
 	Revision uint64 `cbor:"2,keyasint"`
 }
+
+// ConfigStateRequest asks for the configuration in force at a daemon.
+type ConfigStateRequest struct {
+	// Announced is the sender's own revision; the receiver may fetch it.
+	Announced uint64 `cbor:"1,keyasint"`
+}
+
+// ConfigState tells which configuration is in force at a daemon.
+type ConfigState struct {
+	Revision uint64 `cbor:"1,keyasint"`
+	Digest   uint64 `cbor:"2,keyasint"`
+}
+
+// ConfigFetch asks for the records after a revision.
+type ConfigFetch struct {
+	After uint64 `cbor:"1,keyasint"`
+}
+
+// ConfigRecords answers a ConfigFetch with records in order, or with a snapshot
+// when the records are no longer held.
+type ConfigRecords struct {
+	Records  [][]byte `cbor:"1,keyasint,omitempty"` // JSON of configsync.Record
+	Revision uint64   `cbor:"2,keyasint,omitempty"` // of the snapshot
+	Digest   uint64   `cbor:"3,keyasint,omitempty"`
+	Snapshot []byte   `cbor:"4,keyasint,omitempty"` // compressed objects
+}
+
+// Suspects carries entries of the table of requests that crash upstreams. With no
+// entries it compares digests.
+type Suspects struct {
+	Digest  uint64           `cbor:"1,keyasint"`
+	Entries []suspects.Entry `cbor:"2,keyasint,omitempty"`
+}
+
+// SuspectAsk asks the tracker of a fingerprint whether a request may run, or ends
+// the permit of an earlier answer.
+type SuspectAsk struct {
+	Fingerprint suspects.Fingerprint `cbor:"1,keyasint"`
+	Release     bool                 `cbor:"2,keyasint,omitempty"`
+}
+
+// SuspectAnswer answers a SuspectAsk.
+type SuspectAnswer struct {
+	Answer suspects.Answer `cbor:"1,keyasint"`
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -53,6 +53,9 @@
 	events     []cacheEvent
 	eventSeq   uint64
 	reports    []timedReport
+	faults     Faults
+	cancels    int
+	log        []string
 }
 
 type job struct {
--- a/internal/transport/callers/completion.go
+++ b/internal/transport/callers/completion.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -57,9 +58,14 @@
 			return
 		}
 		call.RequestID = id
+		if err := onceHeaders(r, &call); err != nil {
+			writeError(w, err)
+			return
+		}
 		sink := &completionSink{w: w, call: &call, chat: chat, stream: req.Stream, created: time.Now().Unix()}
 		sink.includeUsage = req.Options != nil && req.Options.IncludeUsage
 		sink.setHeaders()
+		limitWrites(w, call.Budget)
 		if err := s.opts.Gateway.Serve(r.Context(), &call, service.BaseModel, sink); err != nil {
 			sink.fail(err)
 		}
@@ -86,11 +92,17 @@
 }
 
 // Head implements protocol.Sink.
-func (c *completionSink) Head(protocol.Head) error { return nil }
+func (c *completionSink) Head(h protocol.Head) error {
+	noteReplay(c.w, h)
+	return nil
+}
 
 // Chunk implements protocol.Sink.
 func (c *completionSink) Chunk(chunk protocol.Chunk) error {
 	if !c.stream {
+		if c.text.Len()+len(chunk.Data) > MaxAnswer {
+			return fmt.Errorf("the answer exceeds %d bytes", MaxAnswer)
+		}
 		c.text.Write(chunk.Data)
 		return nil
 	}
--- a/internal/transport/callers/plain.go
+++ b/internal/transport/callers/plain.go
@@ -39,6 +39,10 @@
 	}
 	call.RequestID = id
 	call.Repeatable = !service.NonRepeatable || r.Method == http.MethodGet || r.Method == http.MethodHead
+	if err := onceHeaders(r, &call); err != nil {
+		writeError(w, err)
+		return
+	}
 	call.Plain = &protocol.PlainCall{
 		Method: r.Method,
 		Path:   strings.TrimPrefix(r.URL.RequestURI(), "/services/"+service.Name),
@@ -46,6 +50,7 @@
 		Body:   body,
 	}
 	sink := &plainSink{w: w}
+	limitWrites(w, call.Budget)
 	if err := s.opts.Gateway.Serve(r.Context(), &call, "", sink); err != nil {
 		sink.fail(err)
 	}
@@ -61,13 +66,23 @@
 func (p *plainSink) Head(h protocol.Head) error {
 	p.started = true
 	for _, f := range h.Header {
-		p.w.Header().Add(f.Name, f.Value)
+		if !reserved(f.Name) {
+			p.w.Header().Add(f.Name, f.Value)
+		}
 	}
 	p.w.Header().Set(HeaderOutcome, string(protocol.OutcomeRan))
+	noteReplay(p.w, h)
 	p.w.WriteHeader(h.Status)
 	return nil
 }
 
+// reserved reports whether a header field belongs to the system, so that an
+// upstream can't set it.
+func reserved(name string) bool {
+	name = http.CanonicalHeaderKey(name)
+	return name == HeaderRequestID || strings.HasPrefix(name, headerPrefix)
+}
+
 // Chunk implements protocol.Sink.
 func (p *plainSink) Chunk(c protocol.Chunk) error {
 	if _, err := p.w.Write(c.Data); err != nil {
--- a/internal/transport/callers/request.go
+++ b/internal/transport/callers/request.go
@@ -1,6 +1,8 @@
 package callers
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"io"
@@ -64,6 +66,9 @@
 }
 
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *protocol.Error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -75,6 +80,12 @@
 	return body, nil
 }
 
+// limitWrites ends the connection of a caller that does not read its answer until
+// some time after the deadline of the request.
+func limitWrites(w http.ResponseWriter, budget time.Duration) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(budget + writeMargin))
+}
+
 // service returns a service that the caller may use.
 func (c caller) service(id state.ServiceID, kind deckconfig.ServiceKind) (*deckconfig.Service, *protocol.Error) {
 	service := c.catalog.Service(id)
@@ -103,6 +114,9 @@
 		return call, notRun(protocol.KindBadRequest, stepParse, "unknown rank %q in %s", name, HeaderRank)
 	}
 	call.Rank = rank
+	if service.TimeoutMS > 0 {
+		call.Budget = time.Duration(service.TimeoutMS) * time.Millisecond
+	}
 	if text := r.Header.Get(HeaderTimeout); text != "" {
 		budget, err := time.ParseDuration(text)
 		if err != nil || budget <= 0 || budget > MaxTimeout {
@@ -148,7 +162,7 @@
 		Prefix:    req.prefix(),
 		Source:    version.Source,
 	}
-	call.Fingerprint = xxhash.Sum64(body)
+	call.Fingerprint = req.fingerprint(ref)
 	return call, req, service, nil
 }
 
@@ -172,6 +186,18 @@
 	return n
 }
 
+// fingerprint identifies the content of the request: the adapter and the prompt,
+// without sampling parameters. Callers can't craft two prompts with the same one.
+func (req completionRequest) fingerprint(ref state.AdapterRef) uint64 {
+	h := sha256.New()
+	_, _ = io.WriteString(h, string(ref.Service)+"/"+ref.Adapter)
+	_, _ = h.Write(req.Prompt)
+	for _, m := range req.Messages {
+		_, _ = h.Write(m)
+	}
+	return binary.BigEndian.Uint64(h.Sum(nil))
+}
+
 // prefix identifies a conversation by its first message.
 func (req completionRequest) prefix() uint64 {
 	if len(req.Messages) > 0 {
--- a/internal/transport/callers/server.go
+++ b/internal/transport/callers/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/once"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 )
@@ -21,6 +22,11 @@
 	HeaderAdapter   = "X-Celerydeck-Adapter"
 	HeaderVersion   = "X-Celerydeck-Version"
 	HeaderRequestID = "X-Request-Id"
+	HeaderKey       = "Idempotency-Key"
+	HeaderTicket    = "X-Celerydeck-Ticket"
+	HeaderReplayed  = "X-Celerydeck-Replayed"
+
+	headerPrefix = "X-Celerydeck-"
 )
 
 // Limits of requests.
@@ -28,6 +34,11 @@
 	MaxBody        = 8 << 20
 	DefaultTimeout = 60 * time.Second
 	MaxTimeout     = 10 * time.Minute
+	// MaxAnswer is the largest answer of a completion that is not streamed.
+	MaxAnswer = 32 << 20
+
+	bodyTimeout = 30 * time.Second // longest time to read the body of a request
+	writeMargin = 5 * time.Second  // time to write after the deadline of a request
 )
 
 // Gateway serves a call from end to end.
@@ -35,9 +46,15 @@
 	Serve(ctx context.Context, call *protocol.Call, base string, sink protocol.Sink) *protocol.Error
 }
 
+// Tickets issues tickets for calls that must not repeat.
+type Tickets interface {
+	IssueTicket(customer state.CustomerID, service state.ServiceID) once.Ticket
+}
+
 // Options sets up a Server.
 type Options struct {
 	Gateway Gateway
+	Tickets Tickets
 	// Catalog returns the configuration in force, or nil before the first one.
 	Catalog func() *state.Catalog
 	// Ready reports whether the daemon takes new requests.
@@ -67,6 +84,7 @@
 	r.HandleFunc("/v1/completions", s.completion(false)).Methods(http.MethodPost)
 	r.HandleFunc("/v1/chat/completions", s.completion(true)).Methods(http.MethodPost)
 	r.HandleFunc("/v1/models", s.models).Methods(http.MethodGet)
+	r.HandleFunc("/v1/tickets", s.ticket).Methods(http.MethodPost)
 	r.PathPrefix("/services/{service}/").HandlerFunc(s.plain)
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		writeError(w, protocol.Errorf(protocol.KindNotFound, "route request", protocol.OutcomeNotRun, "no route for %s %s", r.Method, r.URL.Path))
@@ -74,7 +92,18 @@
 	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		writeError(w, protocol.Errorf(protocol.KindBadRequest, "route request", protocol.OutcomeNotRun, "method %s is not allowed", r.Method))
 	})
-	return r
+	return s.closeWhenLeaving(r)
+}
+
+// closeWhenLeaving ends the connections of callers after their next answer once
+// the daemon takes no more requests, so that none of them is cut when it stops.
+func (s *Server) closeWhenLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !s.opts.Ready() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func (s *Server) health(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
