--- a/internal/node/entry/gateway.go
+++ b/internal/node/entry/gateway.go
@@ -206,6 +206,9 @@
 		e.Outcome = protocol.OutcomeUnknown
 		e.RetryAfter = 0
 	}
+	if e.Outcome == protocol.OutcomeNotRun && s.out.started() {
+		panic("entry: a request whose answer has begun counts as not run: " + s.call.RequestID)
+	}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		e.Kind = protocol.KindDeadline
@@ -217,7 +220,7 @@
 
 // failure translates an error for the decision about a retry.
 func failure(err *protocol.Error, begun bool) retry.Failure {
-	f := retry.Failure{Cause: retry.Failed, MaybeRan: err.Outcome != protocol.OutcomeNotRun, Begun: begun}
+	f := retry.Failure{Cause: retry.Failed, MaybeRan: err.Outcome != protocol.OutcomeNotRun || begun, Begun: begun}
 	switch err.Kind {
 	case protocol.KindBadRequest, protocol.KindCanceled, protocol.KindDeadline, protocol.KindTooLarge, protocol.KindRefusedPoison:
 		f.Cause = retry.Final
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -56,6 +56,7 @@
 	faults     Faults
 	cancels    int
 	log        []string
+	runs       map[string]int // by request id
 }
 
 type job struct {
@@ -82,6 +83,7 @@
 		stop:     make(chan struct{}),
 		adapters: make(map[string]bool),
 		running:  make(map[string]*job),
+		runs:     make(map[string]int),
 		role:     "both",
 	}
 }
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -37,6 +37,13 @@
 	return e.cancels
 }
 
+// Ran returns how many attempts of a request the engine began to run.
+func (e *Engine) Ran(requestID string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[requestID]
+}
+
 // Running returns the number of requests in progress.
 func (e *Engine) Running() int {
 	e.mu.Lock()
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -153,6 +153,7 @@
 	}
 	j := &job{adapter: req.Model, cancel: make(chan struct{})}
 	e.running[req.RequestID] = j
+	e.runs[req.RequestID]++
 	e.recordPrefix(prompt)
 	e.mu.Unlock()
 	defer e.finish(req.RequestID, j)
--- a/internal/transport/platform/platform.go
+++ b/internal/transport/platform/platform.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -34,6 +35,7 @@
 
 const (
 	callTimeout = 5 * time.Second
+	idlePerHost = 32
 	maxPage     = 64 << 20
 )
 
@@ -74,7 +76,16 @@
 
 // NewClient returns a client of the platform at base, such as http://10.0.0.1:80.
 func NewClient(base string) *Client {
-	return &Client{base: base, http: &http.Client{}, budget: NewBudget(1)}
+	return NewClientWithDial(base, (&net.Dialer{Timeout: callTimeout}).DialContext)
+}
+
+// DialFunc opens a connection to the platform.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// NewClientWithDial returns a client that opens its connections with dial.
+func NewClientWithDial(base string, dial DialFunc) *Client {
+	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: time.Minute}
+	return &Client{base: base, http: &http.Client{Transport: transport}, budget: NewBudget(1)}
 }
 
 // Budget returns the budget that all calls of the client share.
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -38,8 +38,16 @@
 
 // NewClient returns a client with its own pool of connections.
 func NewClient() *Client {
+	return NewClientWithDial((&net.Dialer{Timeout: dialTimeout}).DialContext)
+}
+
+// DialFunc opens a connection to an upstream.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// NewClientWithDial returns a client that opens its connections with dial.
+func NewClientWithDial(dial DialFunc) *Client {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true, // answers are passed on as they are
