--- a/internal/demo/crash_test.go
+++ b/internal/demo/crash_test.go
@@ -39,7 +39,7 @@
 
 func testCrashingRequest(t *testing.T, platformDown bool) {
 	opts := demo.DefaultOptions()
-	opts.CallerPorts = nil
+	opts.CallerPorts, opts.AdminPorts = nil, nil
 	opts.Engine.TokenTime = time.Millisecond
 	opts.Engine.CrashMarker = "CRASH"
 	opts.StoreLoad = 5 * time.Millisecond
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -42,9 +42,12 @@
 	ListLag        time.Duration
 	StoreLoad      time.Duration
 	StoreKnee      int
+	StoreRate      float64 // loads a second of the whole fleet; 0 for no limit
 	// CallerPorts are the ports of the daemons; 0 takes a free one.
 	CallerPorts []int
-	DrainGrace  time.Duration
+	// AdminPorts are the ports for operators; 0 takes a free one.
+	AdminPorts []int
+	DrainGrace time.Duration
 	// KeysDir, when set, gets the keys of the daemons, which are then not started
 	// but run by hand as processes of their own: see Demo.Commands.
 	KeysDir string
@@ -60,6 +63,7 @@
 		Engine:         engine.Options{Slots: 4, Batch: 8, TokenTime: 20 * time.Millisecond},
 		StoreLoad:      250 * time.Millisecond,
 		StoreKnee:      8,
+		StoreRate:      4,
 		CallerPorts:    []int{8080, 8081},
 		DrainGrace:     time.Second,
 	}
@@ -197,28 +201,41 @@
 	if err != nil {
 		return app.Settings{}, peer.Identity{}, err
 	}
-	port := 0
-	if number < len(d.opts.CallerPorts) {
-		port = d.opts.CallerPorts[number]
-	}
+	port := portOf(d.opts.CallerPorts, number)
+	adminPort := portOf(d.opts.AdminPorts, number)
 	identity, err := d.authority.Issue(state.DaemonID(id))
 	if err != nil {
 		return app.Settings{}, identity, err
 	}
 	d.VMs.Put(vmlist.VM{ID: id, Zone: zone, Region: region, Address: peerAddr, Kind: "entry", State: "live"})
 	settings := app.Settings{
-		ID:           id,
-		Zone:         zone,
-		Region:       region,
-		CallerAddr:   fmt.Sprintf("%s:%d", loopback, port),
-		PeerAddr:     peerAddr,
-		PlatformURL:  d.platform,
-		DrainTimeout: drainTimeout,
-		DrainGrace:   d.opts.DrainGrace,
+		ID:               id,
+		Zone:             zone,
+		Region:           region,
+		CallerAddr:       fmt.Sprintf("%s:%d", loopback, port),
+		PeerAddr:         peerAddr,
+		PlatformURL:      d.platform,
+		DrainTimeout:     drainTimeout,
+		DrainGrace:       d.opts.DrainGrace,
+		AdminAddr:        fmt.Sprintf("%s:%d", loopback, adminPort),
+		BootstrapKeyHash: state.HashKey(OperatorKey),
+	}
+	if d.opts.StoreRate > 0 {
+		settings.StoreRate = d.opts.StoreRate
+		settings.StoreInFlight = d.opts.StoreKnee
+		settings.StoreEngines = len(d.opts.Zones) * d.opts.EnginesPerZone
 	}
 	return settings, identity, nil
 }
 
+// portOf returns the port of the nth daemon; 0 takes a free one.
+func portOf(ports []int, n int) int {
+	if n < len(ports) {
+		return ports[n]
+	}
+	return 0
+}
+
 // WaitReady waits until every daemon takes requests.
 func (d *Demo) WaitReady(ctx context.Context) error {
 	const gap = 10 * time.Millisecond
--- a/internal/demo/keys.go
+++ b/internal/demo/keys.go
@@ -25,6 +25,10 @@
 	if err != nil {
 		return err
 	}
+	ca, _, err := d.authority.PEM()
+	if err != nil {
+		return err
+	}
 	if err := os.MkdirAll(d.opts.KeysDir, keysDirMode); err != nil {
 		return err
 	}
@@ -34,7 +38,7 @@
 	files := []struct {
 		name string
 		data []byte
-	}{{settings.CertFile, cert}, {settings.KeyFile, key}, {settings.CAFile, d.authority.PEM()}}
+	}{{settings.CertFile, cert}, {settings.KeyFile, key}, {settings.CAFile, ca}}
 	for _, f := range files {
 		if err := os.WriteFile(f.name, f.data, keyMode); err != nil {
 			return err
@@ -52,6 +56,8 @@
 		{"caller-addr", s.CallerAddr},
 		{"peer-addr", s.PeerAddr},
 		{"platform-url", s.PlatformURL},
+		{"admin-addr", s.AdminAddr},
+		{"bootstrap-key-hash", s.BootstrapKeyHash},
 		{"cert-file", s.CertFile},
 		{"key-file", s.KeyFile},
 		{"ca-file", s.CAFile},
