--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -47,7 +47,7 @@
 	Keys       *keysCmd       `arg:"subcommand:keys" help:"make keys of daemons, customers and operators"`
 	Completion *completionCmd `arg:"subcommand:completion" help:"print the completion script of a shell"`
 
-	Addr    []string      `arg:"--addr,env:CELERYDECK_CLI_ADDR" help:"addresses of daemons' operators' API, tried in order [default: 127.0.0.1:9090]"`
+	Addr    string        `arg:"--addr,env:CELERYDECK_CLI_ADDR" default:"127.0.0.1:9090" help:"addresses of daemons' operators' API, separated by commas and tried in order"`
 	Key     string        `arg:"--,env:CELERYDECK_CLI_KEY" help:"operator key"`
 	KeyFile string        `arg:"--key-file,env:CELERYDECK_CLI_KEY_FILE" help:"file with the operator key"`
 	Timeout time.Duration `arg:"--timeout,env:CELERYDECK_CLI_TIMEOUT" default:"30s" help:"longest time for the whole command"`
@@ -179,11 +179,7 @@
 		}
 		key = strings.TrimSpace(string(data))
 	}
-	addrs := e.args.Addr
-	if len(addrs) == 0 {
-		addrs = []string{"127.0.0.1:9090"}
-	}
-	e.client = admin.NewClient(addrs, key)
+	e.client = admin.NewClient(strings.Split(e.args.Addr, ","), key)
 	return nil
 }
 
--- a/internal/cli/large_test.go
+++ b/internal/cli/large_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -14,7 +16,9 @@
 
 	"github.com/celerydeck/celerydeck/deckconfig"
 	"github.com/celerydeck/celerydeck/internal/cli"
+	"github.com/celerydeck/celerydeck/internal/coordination/configsync"
 	"github.com/celerydeck/celerydeck/internal/demo"
+	"github.com/celerydeck/celerydeck/internal/state"
 )
 
 const largeAdapters = 82_000
@@ -87,3 +91,39 @@
 		}
 	})
 }
+
+// BenchmarkLargeMemory measures what a daemon keeps for the configuration: its
+// objects and the catalog that is compiled from them.
+func BenchmarkLargeMemory(b *testing.B) {
+	config := large(largeAdapters)
+	rec, err := configsync.FirstRecord(config, "bench", time.Now())
+	qt.Assert(b, err, qt.IsNil)
+	data, err := json.Marshal(rec)
+	qt.Assert(b, err, qt.IsNil)
+	rec, config = configsync.Record{}, nil
+	before := heap()
+	var own configsync.Record
+	qt.Assert(b, json.Unmarshal(data, &own), qt.IsNil)
+	replica := configsync.NewReplica()
+	qt.Assert(b, replica.Apply(&own), qt.IsNil)
+	edits, err := configsync.Edits(own.Submission.Changes)
+	qt.Assert(b, err, qt.IsNil)
+	own = configsync.Record{}
+	catalog := state.EmptyCatalog().With(1, "", edits)
+	edits = nil
+	after := heap()
+	b.ReportMetric(float64(after-before)/largeAdapters, "B/adapter")
+	b.ReportMetric(float64(after-before)/(1<<20), "MiB")
+	_, _ = rec, edits
+	runtime.KeepAlive(replica)
+	runtime.KeepAlive(catalog)
+	runtime.KeepAlive(data)
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
