--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -71,7 +71,7 @@
 		fx.Supply(settings, id),
 		fx.Supply(fx.Annotate(d, fx.As(new(readiness)), fx.As(new(drainer)))),
 		fx.Provide(
-			state.NewFleet, newSockets, newKeyring, newPool, newOwner, newCluster, newConfig, newLateMembers, newSuspects, newGateway, newStoreBudget, newCallers, newPlatform,
+			state.NewFleet, newSockets, newKeyring, newLateRecorder, newPool, newOwner, newCluster, newConfig, newLateMembers, newSuspects, newGateway, newStoreBudget, newCallers, newPlatform,
 			newRecorder, newLateDrains, newOperator, newAdmin, newRouter,
 			newIncarnation, newOnce, inflight.New, upstream.NewClient, newCallerListener, newPeerServer,
 		),
--- a/internal/app/keys.go
+++ b/internal/app/keys.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/fx"
@@ -15,8 +16,23 @@
 // keyPollInterval is the period in which the key files are looked at.
 const keyPollInterval = 5 * time.Second
 
-func newKeyring(lc fx.Lifecycle, s Settings, id peer.Identity, r *metrics.Recorder) *peer.Keyring {
-	keys := peer.NewKeyring(id, func(reason peer.Refusal) { r.PeerRefused(string(reason)) })
+// lateRecorder breaks the cycle between the keyring, which counts refused peers,
+// and the recorder, whose labels come from the configuration that peers bring.
+type lateRecorder struct {
+	recorder atomic.Pointer[metrics.Recorder]
+}
+
+func newLateRecorder() *lateRecorder { return &lateRecorder{} }
+
+// peerRefused counts a refusal once there is a recorder.
+func (l *lateRecorder) peerRefused(reason peer.Refusal) {
+	if r := l.recorder.Load(); r != nil {
+		r.PeerRefused(string(reason))
+	}
+}
+
+func newKeyring(lc fx.Lifecycle, s Settings, id peer.Identity, late *lateRecorder) *peer.Keyring {
+	keys := peer.NewKeyring(id, late.peerRefused)
 	if s.CertFile == "" {
 		return keys
 	}
--- a/internal/app/operators.go
+++ b/internal/app/operators.go
@@ -58,7 +58,7 @@
 	return d.parts.Admin.listener.Addr().String()
 }
 
-func newRecorder(lc fx.Lifecycle, s Settings, n *config.Node) *metrics.Recorder {
+func newRecorder(lc fx.Lifecycle, s Settings, n *config.Node, late *lateRecorder) *metrics.Recorder {
 	classes := s.MetricsClasses
 	if classes == 0 {
 		classes = defaultMetricsClasses
@@ -75,6 +75,7 @@
 		Clock: time.Now,
 	})
 	lc.Append(fx.StopHook(r.Close))
+	late.recorder.Store(r)
 	return r
 }
 
--- a/internal/cli/large_test.go
+++ b/internal/cli/large_test.go
@@ -100,7 +100,7 @@
 	qt.Assert(b, err, qt.IsNil)
 	data, err := json.Marshal(rec)
 	qt.Assert(b, err, qt.IsNil)
-	rec, config = configsync.Record{}, nil
+	rec = configsync.Record{}
 	before := heap()
 	var own configsync.Record
 	qt.Assert(b, json.Unmarshal(data, &own), qt.IsNil)
