Mark a flood where it enters and grant loads in whole numbers

A flood could not be told from a hot adapter at one engine, and parts of a load were wasted on engines that could not start one. Entries now mark requests beyond the usual rate of their class; owners serve, load and queue for marked requests last, and refuse them without a load elsewhere. A divider grants whole loads, the most urgent first. A replica must save the request a wait worth its target.

--- a/internal/coordination/admission/doc.go
+++ b/internal/coordination/admission/doc.go
@@ -1,3 +1,3 @@
-// Package admission accounts for the part of an upstream that each class of work
-// uses, tells work within its usual part from a flood, and estimates waits.
+// Package admission tells work within a class's usual rate from a flood, keeps
+// count of the part of an upstream that each rank uses, and estimates waits.
 package admission
--- a/internal/coordination/loading/budget.go
+++ b/internal/coordination/loading/budget.go
@@ -2,48 +2,22 @@
 
 import "time"
 
-// Budget spaces the loads of one engine. Without limits it admits every load. It
+// Budget limits the loads of one engine. Without limits it admits every load. It
 // is not safe for concurrent use.
 type Budget struct {
 	limited  bool
-	rate     float64 // loads a second
-	burst    float64
+	rate     float64 // loads a second to be expected
 	inFlight int
-	tokens   float64
-	at       time.Time
 }
 
 // Set replaces the limits.
-func (b *Budget) Set(now time.Time, rate, burst float64, inFlight int) {
-	b.refill(now)
-	if !b.limited {
-		b.tokens = burst
-	}
+func (b *Budget) Set(rate float64, inFlight int) {
 	b.limited = true
-	b.rate, b.burst, b.inFlight = rate, burst, inFlight
-}
-
-// Admits reports whether a load may start while others are in progress. Reserve
-// is what must be left of the budget afterwards; a negative reserve lets an
-// urgent load use budget in advance.
-func (b *Budget) Admits(now time.Time, loading int, reserve float64) bool {
-	if !b.limited {
-		return true
-	}
-	b.refill(now)
-	return loading < b.inFlight && b.tokens-1 >= reserve
+	b.rate, b.inFlight = rate, inFlight
 }
 
-// Take accounts for a load that starts.
-func (b *Budget) Take(now time.Time) {
-	b.refill(now)
-	b.tokens--
-}
-
-func (b *Budget) refill(now time.Time) {
-	b.tokens = min(b.burst, b.tokens+now.Sub(b.at).Seconds()*b.rate)
-	b.at = now
-}
+// Admits reports whether a load may start while others are in progress.
+func (b *Budget) Admits(loading int) bool { return !b.limited || loading < b.inFlight }
 
 // Wait returns how long a load waits behind others.
 func (b *Budget) Wait(ahead int) time.Duration {
--- a/internal/coordination/owner/dispatch.go
+++ b/internal/coordination/owner/dispatch.go
@@ -22,6 +22,7 @@
 		Arrived:  now,
 		Due:      now.Add(s.target(r.Class.Rank)),
 		Deadline: r.Deadline,
+		Excess:   r.Excess,
 		Alone:    r.Alone,
 	}
 	if it.Deadline.Before(it.Due) {
@@ -39,11 +40,7 @@
 
 // note records the demand for the adapter of a request.
 func (s *Scheduler) note(now time.Time, r Request) {
-	weight := s.weight(r.Class.Rank)
-	if !s.meter.Within(now, r.Class) {
-		weight *= s.opts.FloodWeight
-	}
-	s.demand.Add(now, r.Adapter, r.Source, weight)
+	s.demand.Add(now, r.Adapter, r.Source, s.stallWeight(r.Class.Rank, r.Excess))
 	s.sources[r.Adapter] = r.Source
 }
 
@@ -61,54 +58,80 @@
 		if wait := s.backoff.Wait(now, it.Adapter); now.Add(wait).After(it.Due) {
 			return RefuseLoad, wait
 		}
-		if wait := s.expectedLoad(now, it.Class); s.queue.Waiting(it.Adapter) == 0 && wait > s.backlogLimit(now, it.Class) {
-			return RefuseOverload, wait
+		if wait := s.expectedLoad(now, it); s.queue.Waiting(it.Adapter) == 0 && wait > s.loadLimit(now, it) {
+			return s.overload(it), wait
 		}
 	}
-	wait := s.expectedWait(now, it.Class)
+	wait := s.expectedWait(now, it)
 	if now.Add(wait + leastRun).After(it.Deadline) {
 		return RefuseDeadline, wait
 	}
-	if wait > s.backlogLimit(now, it.Class) {
-		return RefuseOverload, wait
+	if wait > s.backlogLimit(it) {
+		return s.overload(it), wait
 	}
 	return "", 0
 }
 
-// backlogLimit returns the wait for batch slots that a class may build up.
-func (s *Scheduler) backlogLimit(now time.Time, class state.Class) time.Duration {
-	target := s.target(class.Rank)
-	if !s.meter.Within(now, class) {
+// overload returns the reason to refuse a request for which too many wait. One
+// beyond the usual rate of its class is not worth a load elsewhere.
+func (s *Scheduler) overload(it *queue.Item) RefuseReason {
+	if it.Excess {
+		return RefuseOverload
+	}
+	return RefuseBusy
+}
+
+// backlogLimit returns the wait for batch slots that a request may face.
+func (s *Scheduler) backlogLimit(it *queue.Item) time.Duration {
+	target := s.target(it.Class.Rank)
+	if it.Excess {
 		return min(s.opts.FloodBacklog, target)
 	}
 	return min(target, max(s.opts.FloodBacklog, time.Duration(s.opts.BacklogPart*float64(target))))
 }
 
+// loadLimit returns the wait for a load that a request may face.
+func (s *Scheduler) loadLimit(now time.Time, it *queue.Item) time.Duration {
+	if !it.Excess && !s.leastUrgent(it.Class.Rank) {
+		return it.Deadline.Sub(now)
+	}
+	return s.backlogLimit(it)
+}
+
+// leastUrgent reports whether a rank is the last of several.
+func (s *Scheduler) leastUrgent(rank state.Rank) bool {
+	return len(s.ranks) > 1 && int(rank) >= len(s.ranks)-1
+}
+
 // contended reports whether requests wait for batch slots.
 func (s *Scheduler) contended() bool { return s.queue.RunnableLen() > s.opts.OverloadQueue }
 
 // expectedWait returns the wait behind the runnable requests of the same rank, at
 // the rate at which the rank is served at present.
-func (s *Scheduler) expectedWait(now time.Time, class state.Class) time.Duration {
-	ahead := s.queue.RunnableRank(class.Rank)
+func (s *Scheduler) expectedWait(now time.Time, it *queue.Item) time.Duration {
+	rank := it.Class.Rank
+	ahead := s.queue.Runnable(rank, false)
+	_, slots := s.meter.Use(now, rank)
+	slots = max(slots, s.batch/2)
+	if it.Excess {
+		ahead += s.queue.Runnable(rank, true)
+		slots = s.excess
+	}
 	if ahead == 0 {
 		return 0
 	}
-	_, slots := s.meter.RankUse(now, class.Rank)
-	if s.meter.Within(now, class) {
-		slots = max(slots, s.batch/2)
-	}
-	return s.pace(class.Rank).Wait(ahead, slots)
+	return s.pace(rank).Wait(ahead, slots)
 }
 
 // expire refuses requests whose first token cannot come before the deadline, and
-// those of a flood that wait too long.
+// those beyond the usual rate of their class that wait too long.
 func (s *Scheduler) expire(now time.Time) {
 	for _, it := range s.queue.All() {
+		late := now.After(it.Due) || s.contended() && now.Sub(it.Arrived) > s.backlogLimit(it)
 		switch {
 		case !now.Add(leastRun).Before(it.Deadline):
 			s.refuse(it, RefuseDeadline, refusedRetryAfter)
-		case !s.meter.Within(now, it.Class) && s.contended() && now.Sub(it.Arrived) > s.backlogLimit(now, it.Class):
+		case it.Excess && late:
 			s.refuse(it, RefuseOverload, refusedRetryAfter)
 		}
 	}
@@ -133,133 +156,102 @@
 
 // dispatch fills the batch.
 func (s *Scheduler) dispatch(now time.Time) {
-	standing := func(c state.Class) queue.Standing { return s.standing(now, c) }
-	may := func(it *queue.Item) bool { return s.mayRun(now, it, s.level(now, it.Class)) }
+	may := func(it *queue.Item) bool { return s.mayRun(now, it) }
 	for len(s.running) < s.batch && !s.alone {
-		it := s.queue.Next(standing, may)
+		it := s.queue.Next(may)
 		if it == nil || it.Alone && len(s.running) > 0 {
 			break // what must run alone holds back the rest until the batch is empty
 		}
 		s.start(now, it)
 	}
-	s.meter.SetOverloaded(now, s.queue.RunnableLen() > s.opts.OverloadQueue)
-}
-
-func (s *Scheduler) standing(now time.Time, class state.Class) queue.Standing {
-	switch {
-	case s.meter.ClassWithin(now, class):
-		return queue.StandingFair
-	case s.meter.RankWithin(now, class.Rank):
-		return queue.StandingRank
-	}
-	return queue.StandingFlood
 }
 
-// level returns the rank of work within its class's entitlement, and the number
-// of ranks for work beyond it.
-func (s *Scheduler) level(now time.Time, class state.Class) int {
-	s.grow(int(class.Rank) + 1)
-	if s.meter.Within(now, class) {
-		return int(class.Rank)
+// level returns the position of a request in the order of urgency, in which
+// requests beyond the usual rate of their class come last.
+func (s *Scheduler) level(it *queue.Item) int {
+	if it.Excess {
+		return len(s.ranks)
 	}
-	return s.floodLevel()
+	return int(it.Class.Rank)
 }
 
-func (s *Scheduler) floodLevel() int { return len(s.active) - 1 }
-
 // mayRun reports whether a request leaves the slots that other work is likely to
 // need before this request ends.
-func (s *Scheduler) mayRun(now time.Time, it *queue.Item, level int) bool {
-	if len(s.running) > 0 && len(s.running)+1+s.keep(now, it.Class.Rank) > s.batch {
+func (s *Scheduler) mayRun(now time.Time, it *queue.Item) bool {
+	if len(s.running) > 0 && len(s.running)+1+s.keep(now, it) > s.batch {
 		return false
 	}
 	if it.Adapter.IsZero() || s.table[it.Adapter].running > 0 {
 		return true
 	}
-	return s.pinned(level) < max((s.slots+1)/2, s.slots-level*s.opts.ReservedSlots)
+	target := s.target(it.Class.Rank).Seconds()
+	if !it.Excess && now.Sub(it.Arrived).Seconds() > s.opts.PatientPart*target {
+		return true
+	}
+	return s.serving(it.Excess) < max((s.slots+1)/2, s.slots-s.level(it)*s.opts.ReservedSlots)
 }
 
-// keep returns the batch slots that a request of a rank leaves free: those that
-// more urgent ranks usually use, and with some certainty at their peaks, and do not
-// use now. A rank beyond its entitlement leaves them free for all others. When the
-// running requests end often against the target of the other rank, less is left
+// keep returns the batch slots that a request leaves free: those that more urgent
+// ranks usually use, and with some certainty at their peaks, and do not use now. A
+// request beyond the usual rate of its class leaves them free for all ranks. When
+// the running requests end often against the target of the other rank, less is left
 // free, because the other can wait for the next end.
-func (s *Scheduler) keep(now time.Time, rank state.Rank) int {
-	flood := !s.meter.RankWithin(now, rank)
-	runs := s.pace(rank).Duration().Seconds()
+func (s *Scheduler) keep(now time.Time, it *queue.Item) int {
+	rank := it.Class.Rank
+	runs := s.pace(rank).Duration().Seconds() / float64(s.batch)
 	free := 0.0
 	for r := range s.ranks {
 		other := state.Rank(r)
-		if other == rank || other > rank && !flood || !s.meter.RankWithin(now, other) {
-			continue
+		if other >= rank && !it.Excess {
+			break
 		}
-		usual, running := s.meter.RankUse(now, other)
+		usual, running := s.meter.Use(now, other)
 		peak := usual + s.opts.PeakSigma*math.Sqrt(usual)
 		if other < rank {
 			peak = max(peak, s.opts.ReservedBatch)
 		}
-		part := min(1, s.opts.ReleaseMargin*runs/float64(s.batch)/s.target(other).Seconds())
+		part := min(1, s.opts.ReleaseMargin*runs/s.target(other).Seconds())
 		free += max(0, peak*part-float64(running))
 	}
 	return int(math.Round(free))
 }
 
-// pinned returns the number of adapters that serve work of a level or below, but
-// none that is more urgent.
-func (s *Scheduler) pinned(level int) int {
+// serving returns the number of adapters that serve requests and so cannot make
+// room for others. Those that serve only excess requests count when excess is set.
+func (s *Scheduler) serving(excess bool) int {
 	n := 0
 	for _, h := range s.table {
-		if h.running > 0 && h.lowest(level, s.floodLevel()) {
+		if h.running > h.excess || excess && h.running > 0 {
 			n++
 		}
 	}
 	return n
 }
 
-// lowest reports whether all running requests are of a level or below. Those of
-// the flood level count for that level only.
-func (h *held) lowest(level, flood int) bool {
-	if level == flood {
-		return true
-	}
-	within := 0
-	for l, n := range h.active {
-		switch {
-		case n > 0 && l < level:
-			return false
-		case l < flood:
-			within += n
-		}
-	}
-	return within > 0
-}
-
 func (s *Scheduler) start(now time.Time, it *queue.Item) {
 	s.queue.Remove(it)
-	r := &run{class: it.Class, level: s.level(now, it.Class), started: now}
+	r := &run{class: it.Class, excess: it.Excess, started: now}
 	s.alone = it.Alone
 	if !it.Adapter.IsZero() {
 		r.held = s.table[it.Adapter]
 		if r.held == nil || r.held.state != slotReady {
 			panic("owner: dispatch to an adapter that is not loaded: " + it.Adapter.String())
 		}
-		r.held.start(r.level)
+		r.held.running++
 		if s.queue.Waiting(it.Adapter) == 0 {
 			delete(s.sources, it.Adapter)
 		}
 	}
 	s.running[it.ID] = r
-	s.active[r.level]++
-	s.meter.Start(now, it.Class)
-	s.do(Dispatch{ID: it.ID})
-}
-
-func (h *held) start(level int) {
-	h.running++
-	for len(h.active) <= level {
-		h.active = append(h.active, 0)
+	if it.Excess {
+		s.excess++
+		if r.held != nil {
+			r.held.excess++
+		}
+	} else {
+		s.meter.Start(now, it.Class.Rank)
 	}
-	h.active[level]++
+	s.do(Dispatch{ID: it.ID})
 }
 
 func compareRefs(a, b state.AdapterRef) int {
--- a/internal/coordination/owner/load.go
+++ b/internal/coordination/owner/load.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/loading"
 	"github.com/celerydeck/celerydeck/internal/coordination/queue"
 	"github.com/celerydeck/celerydeck/internal/state"
 )
@@ -11,7 +12,7 @@
 // claim is what speaks for loading an adapter that requests wait for.
 type claim struct {
 	ref    state.AdapterRef
-	within bool
+	excess bool // of the most pressing request, as are rank and due
 	rank   state.Rank
 	due    time.Time
 	value  float64 // cost of letting its requests wait on
@@ -20,8 +21,8 @@
 
 // before reports whether c goes before o.
 func (c *claim) before(o *claim) bool {
-	if c.within != o.within {
-		return c.within
+	if c.excess != o.excess {
+		return o.excess
 	}
 	if c.rank != o.rank {
 		return c.rank < o.rank
@@ -43,33 +44,24 @@
 			s.loadAhead(now)
 			return
 		}
-		if !s.admits(now, &best) {
+		if !s.admits(&best) {
 			return
 		}
 		if !s.makeRoom(now, best.value, best.late >= s.opts.DrainAfter) {
 			return
 		}
-		s.order(now, best.ref, s.sources[best.ref])
+		s.order(best.ref, s.sources[best.ref])
 	}
 }
 
-// urgent reports whether a load is for work within its entitlement that is not of
-// the least urgent rank.
-func (s *Scheduler) urgent(c *claim) bool {
-	return c.within && (len(s.ranks) < 2 || int(c.rank) < len(s.ranks)-1)
-}
-
-// admits reports whether the budget allows a load. Urgent loads may use some of it
-// in advance, and the first of the most urgent rank does not wait for others.
-func (s *Scheduler) admits(now time.Time, c *claim) bool {
-	loading, reserve := s.loading(), 0.0
-	if s.urgent(c) {
-		reserve = -s.opts.UrgentOverdraw / float64(1+c.rank)
-	}
-	if c.rank == 0 && c.within {
-		loading--
+// admits reports whether the budget allows a load. The first load of the most
+// urgent rank does not wait for a grant.
+func (s *Scheduler) admits(c *claim) bool {
+	loading := s.loading()
+	if c.rank == 0 && !c.excess && loading == 0 {
+		return true
 	}
-	return s.budget.Admits(now, loading, reserve)
+	return s.budget.Admits(loading)
 }
 
 func (s *Scheduler) loading() int {
@@ -101,13 +93,9 @@
 func (s *Scheduler) claim(now time.Time, g *queue.Group) claim {
 	best := claim{ref: g.Adapter}
 	for i, it := range g.Items() {
-		one := claim{ref: g.Adapter, within: s.meter.Within(now, it.Class), rank: it.Class.Rank, due: it.Due}
+		one := claim{ref: g.Adapter, excess: it.Excess, rank: it.Class.Rank, due: it.Due}
 		late := now.Sub(it.Arrived).Seconds() / s.target(it.Class.Rank).Seconds()
-		weight := s.weight(it.Class.Rank)
-		if !one.within {
-			weight *= s.opts.FloodWeight
-		}
-		one.value = best.value + weight*(1+s.opts.WaitWeight*late)
+		one.value = best.value + s.stallWeight(it.Class.Rank, it.Excess)*(1+s.opts.WaitWeight*late)
 		one.late = max(best.late, late)
 		if i > 0 && best.before(&one) {
 			best.value, best.late = one.value, one.late
@@ -127,29 +115,35 @@
 	if !s.auth.MayUnload || s.unloading() {
 		return false
 	}
-	var victim, busy *held
-	var victimRate, busyRate float64
+	busy, victim := s.victim(now)
+	if victim != nil && (force || s.demand.Rate(now, victim.ref)*s.opts.EvictHorizon.Seconds() < value) {
+		s.unload(victim)
+		return false
+	}
+	if victim == nil && force && busy != nil && !s.draining() {
+		s.drain(busy)
+	}
+	return false
+}
+
+// victim returns the adapters with the least demand of all and of those that
+// serve nothing. Either may be nil.
+func (s *Scheduler) victim(now time.Time) (least, idle *held) {
+	var leastRate, idleRate float64
 	for _, h := range s.table {
 		if h.state != slotReady {
 			continue
 		}
 		rate := s.demand.Rate(now, h.ref)
-		idle := h.running == 0 && (s.queue.Waiting(h.ref) == 0 || h.draining)
-		if idle && lower(h, rate, victim, victimRate) {
-			victim, victimRate = h, rate
+		unused := h.running == 0 && (s.queue.Waiting(h.ref) == 0 || h.draining)
+		if unused && lower(h, rate, idle, idleRate) {
+			idle, idleRate = h, rate
 		}
-		if lower(h, rate, busy, busyRate) {
-			busy, busyRate = h, rate
+		if lower(h, rate, least, leastRate) {
+			least, leastRate = h, rate
 		}
 	}
-	if victim != nil && (force || victimRate*s.opts.EvictHorizon.Seconds() < value) {
-		s.unload(victim)
-		return false
-	}
-	if victim == nil && force && busy != nil && !s.draining() {
-		s.drain(busy)
-	}
-	return false
+	return least, idle
 }
 
 func lower(h *held, rate float64, than *held, thanRate float64) bool {
@@ -196,26 +190,40 @@
 	s.do(Unload{Adapter: h.ref, Epoch: s.auth.Epoch})
 }
 
-func (s *Scheduler) order(now time.Time, ref state.AdapterRef, source string) {
+func (s *Scheduler) order(ref state.AdapterRef, source string) {
 	s.orders++
-	s.budget.Take(now)
 	s.table[ref] = &held{ref: ref, state: slotLoading, order: s.orders}
 	s.do(Load{Adapter: ref, Order: s.orders, Source: source, Epoch: s.auth.Epoch})
 }
 
-// loadAhead loads the adapter with the most demand when no request waits for one.
-func (s *Scheduler) loadAhead(now time.Time) {
-	if !s.budget.Admits(now, s.loading(), 0) || s.loading() > 0 {
-		return
+// ahead returns the adapter with the most demand that is not held, when loading it
+// before a request asks for it would pay.
+func (s *Scheduler) ahead(now time.Time) (ref state.AdapterRef, source string, pays bool) {
+	if s.loading() > 0 || !s.auth.MayLoad {
+		return ref, "", false
 	}
 	ref, source, rate := s.demand.Top(now, func(ref state.AdapterRef) bool {
 		return s.table[ref] == nil && s.backoff.Wait(now, ref) == 0
 	})
-	if rate*s.opts.EvictHorizon.Seconds() < s.opts.AheadMargin {
+	worth := rate * s.opts.EvictHorizon.Seconds()
+	if worth < s.opts.AheadMargin {
+		return ref, "", false
+	}
+	if len(s.table) < s.slots {
+		return ref, source, true
+	}
+	_, least := s.victim(now)
+	return ref, source, least != nil && s.demand.Rate(now, least.ref)*s.opts.AheadMargin < rate
+}
+
+// loadAhead loads an adapter when no request waits for one.
+func (s *Scheduler) loadAhead(now time.Time) {
+	if !s.budget.Admits(s.loading()) {
 		return
 	}
-	if s.makeRoom(now, rate*s.opts.EvictHorizon.Seconds()/s.opts.AheadMargin, false) {
-		s.order(now, ref, source)
+	ref, source, pays := s.ahead(now)
+	if pays && s.makeRoom(now, s.demand.Rate(now, ref)*s.opts.EvictHorizon.Seconds()/s.opts.AheadMargin, false) {
+		s.order(ref, source)
 	}
 }
 
@@ -260,9 +268,20 @@
 	s.queue.Release(e.Adapter)
 }
 
-// loadDemand returns the number of loads that have not started, and their urgency.
-// The budget follows it, so it grows faster with the rank than the cost of a stall.
-func (s *Scheduler) loadDemand(now time.Time) (loads int, worth float64) {
+func (s *Scheduler) loadKind(it *queue.Item) loading.Kind {
+	switch {
+	case it.Excess:
+		return loading.Excess
+	case s.leastUrgent(it.Class.Rank):
+		return loading.Patient
+	}
+	return loading.Pressing
+}
+
+// loadDemand returns the number of loads that have not started, and the urgency of
+// the most pressing, and its kind. Urgency grows faster with the rank than the cost of a stall.
+func (s *Scheduler) loadDemand(now time.Time) (loads int, urgency float64, kind loading.Kind) {
+	kind = loading.Excess
 	for _, g := range s.queue.Blocked() {
 		if s.table[g.Adapter] != nil || s.backoff.Wait(now, g.Adapter) > 0 {
 			continue
@@ -270,27 +289,24 @@
 		loads++
 		most := 0.0
 		for _, it := range g.Items() {
-			weight := s.weight(it.Class.Rank)
-			if !s.meter.Within(now, it.Class) {
-				weight *= s.opts.FloodWeight
-			}
-			most = max(most, weight)
+			most = max(most, s.stallWeight(it.Class.Rank, it.Excess))
+			kind = min(kind, s.loadKind(it))
 		}
-		worth += most * most
+		urgency = max(urgency, most*most)
 	}
-	return loads, worth
+	return loads, urgency, kind
 }
 
 // expectedLoad returns the wait for a further load behind those that are at least
-// as urgent as a class.
-func (s *Scheduler) expectedLoad(now time.Time, class state.Class) time.Duration {
-	mine := claim{within: s.meter.Within(now, class), rank: class.Rank}
+// as urgent.
+func (s *Scheduler) expectedLoad(now time.Time, it *queue.Item) time.Duration {
+	mine := claim{excess: it.Excess, rank: it.Class.Rank}
 	ahead := 0
 	for _, g := range s.queue.Blocked() {
 		if s.table[g.Adapter] != nil {
 			continue
 		}
-		if c := s.claim(now, g); !mine.before(&c) || c.rank == mine.rank && c.within == mine.within {
+		if c := s.claim(now, g); !mine.before(&c) || c.rank == mine.rank && c.excess == mine.excess {
 			ahead++
 		}
 	}
--- a/internal/coordination/owner/options.go
+++ b/internal/coordination/owner/options.go
@@ -1,10 +1,6 @@
 package owner
 
-import (
-	"time"
-
-	"github.com/celerydeck/celerydeck/internal/coordination/admission"
-)
+import "time"
 
 // Options are the constants of a Scheduler.
 type Options struct {
@@ -15,6 +11,7 @@
 	PeakSigma      float64       // standard deviations of usual use for which slots are kept free
 	OverloadQueue  int           // more requests than this wait for batch slots in overload
 	BacklogPart    float64       // part of the target that a class within its entitlement may wait
+	PatientPart    float64       // part of the target after which adapter slots are not left free
 	FloodBacklog   time.Duration // backlog of a class beyond its entitlement
 	DemandMemory   time.Duration // time constant of the demand for adapters
 	EvictHorizon   time.Duration // demand of this long is weighed against a waiting load
@@ -22,9 +19,8 @@
 	DrainAfter     float64       // part of the target after which a busy adapter is drained
 	AheadMargin    float64       // demand of an adapter loaded ahead as a multiple of the evicted one's
 	FloodWeight    float64       // weight of demand beyond a class's entitlement
-	UrgentOverdraw float64       // loads that the most urgent rank may take in advance
 	MaxLoadRetries int           // failed loads before the waiting requests are refused
-	Admission      admission.Options
+	UseMemory      time.Duration // time constant of the usual use of a rank
 }
 
 // DefaultOptions returns the options of the daemon.
@@ -37,6 +33,7 @@
 		PeakSigma:      1,
 		OverloadQueue:  2,
 		BacklogPart:    0.1,
+		PatientPart:    0.1,
 		FloodBacklog:   2 * time.Second,
 		DemandMemory:   60 * time.Second,
 		EvictHorizon:   5 * time.Second,
@@ -44,8 +41,7 @@
 		DrainAfter:     0.3,
 		AheadMargin:    2,
 		FloodWeight:    0.1,
-		UrgentOverdraw: 3,
 		MaxLoadRetries: 2,
-		Admission:      admission.DefaultOptions(),
+		UseMemory:      30 * time.Second,
 	}
 }
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/loading"
 	"github.com/celerydeck/celerydeck/internal/state"
 )
 
@@ -20,6 +21,7 @@
 	Prefix       uint64
 	Fingerprint  uint64
 	Repeatable   bool
+	Excess       bool // beyond the usual rate of its class
 	Alone        bool // nothing else may run on the upstream at the same time
 }
 
@@ -69,11 +71,10 @@
 	}
 	// Leaving reports that the upstream is listed as leaving.
 	Leaving struct{}
-	// StoreBudget is the upstream's share of the weight store's limits. It holds
+	// StoreBudget is the upstream's part of the weight store's limits. It holds
 	// until the next one. A core that was given none is not limited.
 	StoreBudget struct {
-		Rate     float64 // loads a second
-		Burst    float64 // loads that may start at once after a pause
+		Rate     float64 // loads a second to be expected
 		InFlight int     // loads that may be in progress
 	}
 	// Ranks sets the targets, worth and shares of the ranks, most urgent first.
@@ -106,7 +107,8 @@
 
 // Reasons for a refusal.
 const (
-	RefuseOverload RefuseReason = "overload"
+	RefuseOverload RefuseReason = "overload" // another engine should take it only without a load
+	RefuseBusy     RefuseReason = "busy"     // another engine should take it
 	RefuseDeadline RefuseReason = "deadline"
 	RefuseLeaving  RefuseReason = "leaving"
 	RefuseNoOwner  RefuseReason = "not_owner"
@@ -166,6 +168,22 @@
 
 	Loading      []state.AdapterRef // loads in progress
 	QueuedByRank []int              // requests that wait for the batch, most urgent first
+	LoadsStarted uint64             // ever
 	LoadsWaiting int                // loads that requests wait for and that have not started
-	LoadDemand   float64            // urgency of those loads
+	LoadDemand   float64            // urgency of the most pressing of them
+	LoadKind     loading.Kind       // of the most pressing of them
+	LoadAhead    bool               // a load ahead of demand would pay
+}
+
+// Need returns the demand for loads of an engine.
+func (s *Status) Need(engine state.UpstreamID) loading.Need {
+	return loading.Need{
+		Engine:   engine,
+		Started:  s.LoadsStarted,
+		Loading:  len(s.Loading),
+		Waiting:  s.LoadsWaiting,
+		Urgency:  s.LoadDemand,
+		Kind:     s.LoadKind,
+		MayAhead: s.LoadAhead,
+	}
 }
--- a/internal/coordination/owner/scheduler.go
+++ b/internal/coordination/owner/scheduler.go
@@ -31,8 +31,8 @@
 	queue   *queue.Queue
 	running map[string]*run
 	table   map[state.AdapterRef]*held
-	active  []int // running requests, by level; set up by grow
-	alone   bool  // a request that must run alone is running
+	excess  int  // running requests beyond the usual rate of their class
+	alone   bool // a request that must run alone is running
 	orders  uint64
 
 	meter   *admission.Meter
@@ -48,7 +48,7 @@
 // run is a dispatched request.
 type run struct {
 	class   state.Class
-	level   int
+	excess  bool
 	held    *held // nil for plain services
 	started time.Time
 }
@@ -59,8 +59,8 @@
 	state    slotState
 	order    uint64
 	running  int
-	active   []int // running requests, by level
-	draining bool  // takes no new requests, so that it can be evicted
+	excess   int  // running requests beyond the usual rate of their class
+	draining bool // takes no new requests, so that it can be evicted
 }
 
 // NewScheduler returns a core that waits for its first report and authority.
@@ -71,7 +71,7 @@
 		queue:   queue.New(),
 		running: make(map[string]*run),
 		table:   make(map[state.AdapterRef]*held),
-		meter:   admission.NewMeter(opts.Admission),
+		meter:   admission.NewMeter(opts.UseMemory),
 		demand:  loading.NewDemand(opts.DemandMemory),
 		backoff: loading.NewBackoff(),
 		sources: make(map[state.AdapterRef]string),
@@ -104,7 +104,7 @@
 		s.leaving = true
 		s.refuseAll(RefuseLeaving)
 	case StoreBudget:
-		s.budget.Set(now, e.Rate, e.Burst, e.InFlight)
+		s.budget.Set(e.Rate, e.InFlight)
 	case Ranks:
 		s.setRanks(e.Ranks)
 	case Tick:
@@ -139,7 +139,6 @@
 
 func (s *Scheduler) setRanks(ranks []state.RankInfo) {
 	s.ranks = ranks
-	s.meter.SetRanks(ranks)
 	s.weights = s.weights[:0]
 	least := math.Inf(1)
 	for _, r := range ranks {
@@ -152,15 +151,6 @@
 		}
 		s.weights = append(s.weights, weight)
 	}
-	s.grow(len(ranks))
-}
-
-// grow makes room for the counts of more ranks. The last count is that of work
-// beyond its class's entitlement.
-func (s *Scheduler) grow(ranks int) {
-	for len(s.active) < ranks+1 {
-		s.active = append(s.active, 0)
-	}
 }
 
 func (s *Scheduler) weight(r state.Rank) float64 {
@@ -170,6 +160,14 @@
 	return 1
 }
 
+// stallWeight returns what a stall of a request costs.
+func (s *Scheduler) stallWeight(rank state.Rank, excess bool) float64 {
+	if excess {
+		return s.weight(rank) * s.opts.FloodWeight
+	}
+	return s.weight(rank)
+}
+
 // target returns the time to the first token that a rank aims at.
 func (s *Scheduler) target(r state.Rank) time.Duration {
 	const unknown = time.Second
@@ -203,8 +201,11 @@
 	}
 	delete(s.running, e.ID)
 	s.alone = false
-	s.meter.End(now, r.class)
-	s.active[r.level]--
+	if r.excess {
+		s.excess--
+	} else {
+		s.meter.End(now, r.class.Rank)
+	}
 	if !e.Failed {
 		s.pace(r.class.Rank).Note(now.Sub(r.started))
 	}
@@ -212,7 +213,9 @@
 		return
 	}
 	r.held.running--
-	r.held.active[r.level]--
+	if r.excess {
+		r.held.excess--
+	}
 	if r.held.running < 0 {
 		panic(fmt.Sprintf("owner: more ends than dispatches on adapter %s", r.held.ref))
 	}
@@ -221,7 +224,6 @@
 func (s *Scheduler) report(e Report) {
 	s.healthy = true
 	s.slots, s.batch = e.Slots, e.Batch
-	s.meter.SetSlots(e.Batch)
 	if e.Boot == s.boot {
 		return
 	}
@@ -256,9 +258,11 @@
 		Running: len(s.running),
 		Queued:  s.queue.Len(),
 	}
-	st.LoadsWaiting, st.LoadDemand = s.loadDemand(s.now)
+	st.LoadsStarted = s.orders
+	st.LoadsWaiting, st.LoadDemand, st.LoadKind = s.loadDemand(s.now)
+	_, _, st.LoadAhead = s.ahead(s.now)
 	for rank := range s.ranks {
-		st.QueuedByRank = append(st.QueuedByRank, s.queue.RunnableRank(state.Rank(rank)))
+		st.QueuedByRank = append(st.QueuedByRank, s.queue.Runnable(state.Rank(rank), false))
 	}
 	for _, h := range s.sorted() {
 		switch h.state {
--- a/internal/coordination/queue/queue.go
+++ b/internal/coordination/queue/queue.go
@@ -15,6 +15,7 @@
 	Arrived  time.Time
 	Due      time.Time // when the first token should be out
 	Deadline time.Time
+	Excess   bool // beyond the usual rate of its class
 	Alone    bool // nothing else may run at the same time
 
 	seq   uint64
@@ -22,9 +23,15 @@
 	home  *line
 }
 
+// lineKey names the requests of a class within or beyond its usual rate.
+type lineKey struct {
+	class  state.Class
+	excess bool
+}
+
 // line is a heap of items by due time.
 type line struct {
-	class state.Class // of a line of one class
+	key   lineKey // of runnable requests
 	items []*Item
 }
 
@@ -66,7 +73,7 @@
 type Queue struct {
 	seq     uint64
 	items   map[string]*Item
-	classes map[state.Class]*line
+	classes map[lineKey]*line
 	order   []*line // lines of classes in order of first use
 	groups  map[state.AdapterRef]*Group
 	blocked []*Group // groups in order of first use
@@ -89,7 +96,7 @@
 func New() *Queue {
 	return &Queue{
 		items:   make(map[string]*Item),
-		classes: make(map[state.Class]*line),
+		classes: make(map[lineKey]*line),
 		groups:  make(map[state.AdapterRef]*Group),
 		waiting: make(map[state.AdapterRef]int),
 	}
@@ -104,30 +111,23 @@
 // Waiting returns the number of requests that wait for an adapter.
 func (q *Queue) Waiting(ref state.AdapterRef) int { return q.waiting[ref] }
 
-// Runnable returns the number of runnable requests of a class.
-func (q *Queue) Runnable(class state.Class) int {
-	if l := q.classes[class]; l != nil {
-		return len(l.items)
-	}
-	return 0
-}
-
-// RunnableLen returns the number of runnable requests.
-func (q *Queue) RunnableLen() int {
+// Runnable returns the number of runnable requests of a rank within or beyond the
+// usual rates of their classes.
+func (q *Queue) Runnable(rank state.Rank, excess bool) int {
 	n := 0
 	for _, l := range q.order {
-		n += len(l.items)
+		if l.key.class.Rank == rank && l.key.excess == excess {
+			n += len(l.items)
+		}
 	}
 	return n
 }
 
-// RunnableRank returns the number of runnable requests of a rank.
-func (q *Queue) RunnableRank(rank state.Rank) int {
+// RunnableLen returns the number of runnable requests.
+func (q *Queue) RunnableLen() int {
 	n := 0
 	for _, l := range q.order {
-		if l.class.Rank == rank {
-			n += len(l.items)
-		}
+		n += len(l.items)
 	}
 	return n
 }
@@ -143,18 +143,18 @@
 
 func (q *Queue) put(it *Item, usable bool) {
 	if usable {
-		it.home = q.line(it.Class)
+		it.home = q.line(lineKey{class: it.Class, excess: it.Excess})
 	} else {
 		it.home = &q.group(it.Adapter).line
 	}
 	heap.Push(it.home, it)
 }
 
-func (q *Queue) line(class state.Class) *line {
-	l := q.classes[class]
+func (q *Queue) line(key lineKey) *line {
+	l := q.classes[key]
 	if l == nil {
-		l = &line{class: class}
-		q.classes[class] = l
+		l = &line{key: key}
+		q.classes[key] = l
 		q.order = append(q.order, l)
 	}
 	return l
@@ -242,32 +242,16 @@
 	return all
 }
 
-// Standing says how a class relates to its entitlement.
-type Standing uint8
-
-// Standings of a class, best first.
-const (
-	StandingFair  Standing = iota // the class is within its entitlement
-	StandingRank                  // only its rank as a whole is
-	StandingFlood                 // neither is
-)
-
-// Next returns the runnable request that goes first, or nil. Standing returns that
-// of a class, and may says whether a request may run now.
-func (q *Queue) Next(standing func(state.Class) Standing, may func(*Item) bool) *Item {
+// Next returns the runnable request that goes first, or nil. May says whether a
+// request may run now.
+func (q *Queue) Next(may func(*Item) bool) *Item {
 	var best *Item
-	var bestStanding Standing
 	for _, l := range q.order {
 		if len(l.items) == 0 {
 			continue
 		}
-		it := l.first(may)
-		if it == nil {
-			continue
-		}
-		st := standing(it.Class)
-		if best == nil || precedes(it, st, best, bestStanding) {
-			best, bestStanding = it, st
+		if it := l.first(may); it != nil && (best == nil || precedes(it, best)) {
+			best = it
 		}
 	}
 	return best
@@ -289,15 +273,12 @@
 	return best
 }
 
-func precedes(a *Item, aStanding Standing, b *Item, bStanding Standing) bool {
-	if aFlood, bFlood := aStanding == StandingFlood, bStanding == StandingFlood; aFlood != bFlood {
-		return bFlood
+func precedes(a, b *Item) bool {
+	if a.Excess != b.Excess {
+		return b.Excess
 	}
 	if a.Class.Rank != b.Class.Rank {
 		return a.Class.Rank < b.Class.Rank
 	}
-	if aStanding != bStanding {
-		return aStanding < bStanding
-	}
 	return earlier(a, b)
 }
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -19,6 +19,8 @@
 	PromptTokens uint32
 	Repeatable   bool
 	Exclude      []state.UpstreamID
+	Excess       bool          // beyond the usual rate of its class
+	Target       time.Duration // time to the first token that the rank aims at
 }
 
 // Choice is the chosen upstream. Upstream is nil when none can serve.
--- a/internal/coordination/routing/score.go
+++ b/internal/coordination/routing/score.go
@@ -8,6 +8,10 @@
 // meets it.
 const loadingShare = 0.5
 
+// replicaPart is the part of its target that a request should rather wait than
+// cause a further replica.
+const replicaPart = 0.25
+
 // score returns the expected time in seconds until the first token.
 func (p *pick) score(c *candidate) float64 {
 	w := &p.s.sec
@@ -24,7 +28,7 @@
 	case c.loading:
 		score += w.loadStall * loadingShare
 	case p.anyReady:
-		score += w.loadStall + w.replicaCost
+		score += w.loadStall + max(w.replicaCost, p.req.Target.Seconds()*replicaPart)
 	default:
 		score += w.loadStall
 	}
--- a/internal/coordination/routing/scored.go
+++ b/internal/coordination/routing/scored.go
@@ -123,15 +123,18 @@
 }
 
 // Sent implements Tracker.
-func (s *Scored) Sent(now time.Time, _ *Request, c Choice) {
+func (s *Scored) Sent(now time.Time, req *Request, c Choice) {
+	if req.Excess {
+		return // gives way to the others and does not delay them
+	}
 	if e := s.fleet.Entry(c.Upstream.ID); e != nil {
 		e.Sent(now)
 	}
 }
 
 // Ended implements Tracker.
-func (s *Scored) Ended(_ time.Time, _ *Request, c Choice, result Result) {
-	if e := s.fleet.Entry(c.Upstream.ID); e != nil {
+func (s *Scored) Ended(_ time.Time, req *Request, c Choice, result Result) {
+	if e := s.fleet.Entry(c.Upstream.ID); e != nil && !req.Excess {
 		e.Ended()
 	}
 	if result.Outcome == OutcomeOK {
--- a/internal/coordination/routing/weights.go
+++ b/internal/coordination/routing/weights.go
@@ -27,7 +27,7 @@
 func DefaultWeights() Weights {
 	return Weights{
 		LoadStall:   300 * time.Millisecond,
-		ReplicaCost: 300 * time.Millisecond,
+		ReplicaCost: 1500 * time.Millisecond,
 		OrderCost:   20 * time.Millisecond,
 		ZoneCost:    2 * time.Millisecond,
 		FullBatch:   30 * time.Millisecond,
--- a/internal/measure/call.go
+++ b/internal/measure/call.go
@@ -35,11 +35,13 @@
 	sent    time.Time
 	tracked *routing.Request
 
+	excess     bool // beyond the usual rate of its class
 	dispatched bool
 	waitsLoad  bool
 	waitsSince time.Time
 
 	outcome    outcome
+	overloaded bool // refused by an engine for overload
 	retryAfter time.Duration
 	arrived    time.Time
 	first      time.Time
@@ -55,10 +57,14 @@
 	c.left--
 }
 
+func (c *call) class() state.Class {
+	return state.Class{Customer: c.customer, Service: service, Rank: c.arrival.Rank}
+}
+
 func (c *call) request(id string) owner.Request {
 	return owner.Request{
 		ID:           id,
-		Class:        state.Class{Customer: c.customer, Service: service, Rank: c.arrival.Rank},
+		Class:        c.class(),
 		Adapter:      c.adapter,
 		Source:       c.adapter.Adapter,
 		Deadline:     c.deadline,
@@ -66,10 +72,11 @@
 		MaxTokens:    uint32(c.left),
 		Prefix:       c.prefix,
 		Repeatable:   true,
+		Excess:       c.excess,
 	}
 }
 
-func (c *call) route(zone state.Zone) *routing.Request {
+func (c *call) route(zone state.Zone, target time.Duration) *routing.Request {
 	return &routing.Request{
 		Adapter:      c.adapter,
 		Base:         baseModel,
@@ -80,6 +87,8 @@
 		Prefix:       c.prefix,
 		PromptTokens: uint32(c.prompt),
 		Exclude:      c.exclude,
+		Excess:       c.excess,
+		Target:       target,
 	}
 }
 
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -32,7 +32,7 @@
 // Shares divides the weight store's limits among the engines. Statuses are in
 // order of the engines, and so are the budgets.
 type Shares interface {
-	Divide(now time.Time, statuses []owner.Status) []owner.StoreBudget
+	Divide(now time.Time, engines []state.UpstreamID, statuses []owner.Status) []owner.StoreBudget
 }
 
 // Policies returns the baselines and then the policies of the daemon.
@@ -46,7 +46,7 @@
 		Name:      "celerydeck",
 		NewRouter: func(env Env) routing.Router { return newScored(env) },
 		NewCore:   func(*state.Upstream) owner.Core { return owner.NewScheduler(owner.DefaultOptions()) },
-		NewShares: newByDemand,
+		NewShares: newDivided,
 	}
 }
 
