Give back loans of the store's limits with the next ask

Change: an ask gives back the lender's earlier grant, so the lender may lend it on at once; peers are asked one after the other for what is still missing; grants are renewed in the second half of their term only.

--- a/internal/coordination/storebudget/ledger.go
+++ b/internal/coordination/storebudget/ledger.go
@@ -23,9 +23,8 @@
 
 // debt is the latest grant of a lender, as its borrower sees it.
 type debt struct {
-	sequence uint64
-	amount   Amount
-	until    time.Time
+	amount Amount
+	until  time.Time
 }
 
 // peerAsk is the latest Ask of a peer.
@@ -44,7 +43,7 @@
 	limits   Limits
 	sequence uint64
 	engines  map[state.UpstreamID]*engineShare
-	loans    map[state.DaemonID][]loan
+	loans    map[state.DaemonID]loan
 	debts    map[state.DaemonID]debt
 	asks     map[state.DaemonID]peerAsk
 	asked    map[state.DaemonID]uint64 // latest Ask per lender
@@ -57,7 +56,7 @@
 		limits:   limits,
 		sequence: sequence,
 		engines:  make(map[state.UpstreamID]*engineShare),
-		loans:    make(map[state.DaemonID][]loan),
+		loans:    make(map[state.DaemonID]loan),
 		debts:    make(map[state.DaemonID]debt),
 		asks:     make(map[state.DaemonID]peerAsk),
 		asked:    make(map[state.DaemonID]uint64),
@@ -96,26 +95,14 @@
 // lent returns what is held back for all borrowers but one.
 func (l *Ledger) lent(now time.Time, except state.DaemonID) Amount {
 	var sum Amount
-	for id, loans := range l.loans {
-		if id != except {
-			sum = sum.plus(largest(now, loans))
+	for id, g := range l.loans {
+		if id != except && now.Before(g.until) {
+			sum = sum.plus(g.amount)
 		}
 	}
 	return sum
 }
 
-// largest returns the most that a borrower may use of grants that overlap. It
-// uses only the latest that it has received.
-func largest(now time.Time, loans []loan) Amount {
-	var most Amount
-	for _, g := range loans {
-		if now.Before(g.until) {
-			most = most.atLeast(g.amount)
-		}
-	}
-	return most
-}
-
 // borrowed returns what may be used of grants, and when the first of them ends.
 func (l *Ledger) borrowed(now time.Time) (Amount, time.Time) {
 	var sum Amount
@@ -151,33 +138,53 @@
 // loadsPerWaiting is the rate in loads a second asked for each waiting load.
 const loadsPerWaiting = 2
 
-// AskFor returns what to ask of a lender now. The answer counts from now on.
-func (l *Ledger) AskFor(now time.Time, lender state.DaemonID) Ask {
-	l.sequence++
-	l.asked[lender] = l.sequence
-	want, worth := l.need()
+// NeedsAsk reports whether to ask a lender now: because something is missing, or
+// a grant ends soon, or more is borrowed than wanted.
+func (l *Ledger) NeedsAsk(now time.Time, lender state.DaemonID) bool {
+	want := l.wantOf(now, lender)
+	d := l.debts[lender]
+	if !now.Before(d.until) || d.amount.IsZero() {
+		return !want.IsZero()
+	}
+	return d.amount != want.atMost(d.amount) || d.until.Sub(now) < l.limits.Term/2
+}
+
+// wantOf returns what is wanted of a lender beside the base and other grants.
+func (l *Ledger) wantOf(now time.Time, lender state.DaemonID) Amount {
+	want, _ := l.need()
 	others := l.Base(now)
 	for id, d := range l.debts {
 		if id != lender && now.Before(d.until) {
 			others = others.plus(d.amount)
 		}
 	}
-	return Ask{Sequence: l.sequence, Worth: worth, Want: want.less(others)}
+	return want.less(others)
+}
+
+// AskFor returns what to ask of a lender now. It gives the lender's grants back:
+// the caller must hand out the reduced shares before it sends the Ask. The answer
+// counts from now on.
+func (l *Ledger) AskFor(now time.Time, lender state.DaemonID) Ask {
+	l.sequence++
+	l.asked[lender] = l.sequence
+	delete(l.debts, lender)
+	_, worth := l.need()
+	return Ask{Sequence: l.sequence, Worth: worth, Want: l.wantOf(now, lender)}
 }
 
 // Answer handles the Ask of a peer and returns the grant for it.
 func (l *Ledger) Answer(now time.Time, from state.DaemonID, ask Ask) Grant {
-	last, ok := l.asks[from]
-	if ok && ask.Sequence <= last.ask.Sequence && now.Sub(last.heard) < l.limits.Term {
+	if last, ok := l.asks[from]; ok && ask.Sequence <= last.ask.Sequence {
 		return Grant{Sequence: ask.Sequence} // overtaken on its way
 	}
 	l.asks[from] = peerAsk{ask: ask, heard: now}
+	delete(l.loans, from) // given back with the Ask
 	free := l.Base(now).less(l.lent(now, from)).less(l.kept())
 	amount := l.fairPart(now, from).atMost(ask.Want).atMost(free)
 	l.drop(now)
 	if !amount.IsZero() {
 		l.check(now, from, amount)
-		l.loans[from] = append(l.loans[from], loan{amount: amount, until: now.Add(l.limits.hold())})
+		l.loans[from] = loan{amount: amount, until: now.Add(l.limits.hold())}
 	}
 	return Grant{Sequence: ask.Sequence, Amount: amount}
 }
@@ -186,10 +193,10 @@
 // whether the grant counts.
 func (l *Ledger) Granted(now, sent time.Time, lender state.DaemonID, g Grant) bool {
 	until := sent.Add(l.limits.Term)
-	if g.Sequence <= l.debts[lender].sequence || g.Sequence > l.asked[lender] || !now.Before(until) {
+	if g.Sequence != l.asked[lender] || !now.Before(until) {
 		return false
 	}
-	l.debts[lender] = debt{sequence: g.Sequence, amount: g.Amount, until: until}
+	l.debts[lender] = debt{amount: g.Amount, until: until}
 	return true
 }
 
@@ -236,15 +243,17 @@
 	return Amount{}
 }
 
-// drop forgets grants that have ended.
+// drop forgets grants that have ended and peers that no longer ask.
 func (l *Ledger) drop(now time.Time) {
-	for id, loans := range l.loans {
-		left := slices.DeleteFunc(loans, func(g loan) bool { return !now.Before(g.until) })
-		if len(left) == 0 {
+	for id, g := range l.loans {
+		if !now.Before(g.until) {
 			delete(l.loans, id)
-			continue
 		}
-		l.loans[id] = left
+	}
+	for id, p := range l.asks {
+		if now.Sub(p.heard) > l.limits.hold() {
+			delete(l.asks, id)
+		}
 	}
 }
 
--- a/internal/coordination/storebudget/ledger_test.go
+++ b/internal/coordination/storebudget/ledger_test.go
@@ -87,7 +87,7 @@
 
 func (w *world) ask(d int) {
 	for to := range w.ledgers {
-		if to != d {
+		if to != d && w.ledgers[d].NeedsAsk(w.clock(d), daemonID(to)) {
 			ask := w.ledgers[d].AskFor(w.clock(d), daemonID(to))
 			w.send(packet{from: d, to: to, sent: w.clock(d), ask: &ask})
 		}
@@ -253,3 +253,22 @@
 	usable, _ = c.Usable(now.Add(2 * storebudget.DefaultTerm))
 	qt.Assert(t, usable.Rate, qt.Equals, limits().Total.Rate/2)
 }
+
+func TestGrantForAnEarlierAskIsNotUsed(t *testing.T) {
+	a, b, now := pair()
+	b.SetDemand(engineID(6), storebudget.Demand{Worth: 10, Waiting: 4})
+	first := a.Answer(now, daemonID(1), b.AskFor(now, daemonID(0)))
+	a.Answer(now, daemonID(1), b.AskFor(now, daemonID(0)))
+	qt.Assert(t, b.Granted(now, now, daemonID(0), first), qt.IsFalse)
+}
+
+func TestBorrowerGivesBackWhatItNoLongerWants(t *testing.T) {
+	a, b, now := pair()
+	b.SetDemand(engineID(6), storebudget.Demand{Worth: 10, Waiting: 4})
+	b.Granted(now, now, daemonID(0), a.Answer(now, daemonID(1), b.AskFor(now, daemonID(0))))
+	b.SetDemand(engineID(6), storebudget.Demand{})
+	qt.Assert(t, b.NeedsAsk(now, daemonID(0)), qt.IsTrue)
+	a.Answer(now, daemonID(1), b.AskFor(now, daemonID(0)))
+	used, _ := a.Usable(now)
+	qt.Assert(t, used.Rate, qt.Equals, limits().Total.Rate/2)
+}
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -47,6 +47,6 @@
 		Name:      "celerydeck",
 		NewRouter: newScored,
 		NewCore:   func(*state.Upstream) owner.Core { return owner.NewScheduler(owner.DefaultOptions()) },
-		NewShares: newByDemand,
+		NewShares: newLedgerShares,
 	}
 }
--- a/internal/node/storebudget/node.go
+++ b/internal/node/storebudget/node.go
@@ -18,9 +18,10 @@
 
 const (
 	interval   = 100 * time.Millisecond
-	askTimeout = 500 * time.Millisecond
-	maxLenders = 8 // peers asked at a time
-	burst      = 1 // loads that an engine may start at once after a pause
+	askTimeout = 100 * time.Millisecond
+	silentFor  = 2 * time.Second // a peer that did not answer is not asked
+	maxLenders = 8               // peers asked at a time
+	burst      = 1               // loads that an engine may start at once after a pause
 )
 
 // Engines are the engines that this daemon owns.
@@ -50,7 +51,8 @@
 	mu     sync.Mutex // guards the rest; never held across I/O
 	ledger *storebudget.Ledger
 	owned  map[state.UpstreamID]bool
-	next   int // lender that is asked first
+	silent map[state.DaemonID]time.Time // until when a peer is not asked
+	next   int                          // lender that is asked first
 }
 
 // New returns a node that owns nothing.
@@ -59,6 +61,7 @@
 		opts:   opts,
 		ledger: storebudget.NewLedger(opts.Limits, uint64(opts.Clock().UnixNano())),
 		owned:  make(map[state.UpstreamID]bool),
+		silent: make(map[state.DaemonID]time.Time),
 	}
 }
 
@@ -134,32 +137,38 @@
 	}
 }
 
-// borrow asks peers for what is missing. It sends nothing when nothing is.
+// borrow asks peers, one after the other, for what is missing, and gives back
+// what is not needed. It sends nothing when nothing changes.
 func (n *Node) borrow(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	var wg sync.WaitGroup
 	for _, lender := range n.lenders() {
 		n.mu.Lock()
 		sent := n.opts.Clock()
-		ask := n.ledger.AskFor(sent, lender.ID)
+		var ask storebudget.Ask
+		needed := sent.After(n.silent[lender.ID]) && n.ledger.NeedsAsk(sent, lender.ID)
+		if needed {
+			ask = n.ledger.AskFor(sent, lender.ID)
+		}
 		n.mu.Unlock()
-		if ask.Want.IsZero() {
-			continue
+		if needed {
+			n.divide() // the ask gives back what is borrowed
+			n.ask(ctx, lender, sent, ask)
 		}
-		wg.Go(func() { n.ask(ctx, lender, sent, ask) })
 	}
-	wg.Wait()
 }
 
 func (n *Node) ask(ctx context.Context, lender peer.Peer, sent time.Time, ask storebudget.Ask) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
 	grant, err := n.opts.Peers.Ask(ctx, lender, ask)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.opts.Clock()
 	if err != nil {
+		n.silent[lender.ID] = now.Add(silentFor)
 		return
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.ledger.Granted(n.opts.Clock(), sent, lender.ID, grant)
+	delete(n.silent, lender.ID)
+	n.ledger.Granted(now, sent, lender.ID, grant)
 }
 
 // lenders returns the peers to ask now: all of few, some of many in turn.
