--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/celerydeck/celerydeck/internal/node/suspects"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/state/inflight"
 	"github.com/celerydeck/celerydeck/internal/transport/callers"
 	"github.com/celerydeck/celerydeck/internal/transport/peer"
 	"github.com/celerydeck/celerydeck/internal/transport/platform"
@@ -58,6 +59,8 @@
 	Peers   *peer.Server
 	Admin   adminServer
 	Once    *once.Gateway
+
+	Requests *inflight.Counter
 }
 
 // Start starts a daemon with an identity of its own.
@@ -68,9 +71,9 @@
 		fx.Supply(settings, id),
 		fx.Supply(fx.Annotate(d, fx.As(new(readiness)), fx.As(new(drainer)))),
 		fx.Provide(
-			state.NewFleet, newSockets, newPool, newOwner, newCluster, newConfig, newLateMembers, newSuspects, newGateway, newStoreBudget, newCallers, newPlatform,
+			state.NewFleet, newSockets, newKeyring, newPool, newOwner, newCluster, newConfig, newLateMembers, newSuspects, newGateway, newStoreBudget, newCallers, newPlatform,
 			newRecorder, newLateDrains, newOperator, newAdmin, newRouter,
-			newIncarnation, newOnce, upstream.NewClient, newCallerListener, newPeerServer,
+			newIncarnation, newOnce, inflight.New, upstream.NewClient, newCallerListener, newPeerServer,
 		),
 		fx.Populate(&d.parts),
 	)
@@ -88,28 +91,33 @@
 	return !d.drained.Load() && !d.paused.Load() && d.parts.Config != nil && d.parts.Config.Ready()
 }
 
-// Shutdown refuses new requests, hands the upstreams over, keeps answering until
-// the balancer has noticed, waits for requests in progress and stops. It gives up
-// waiting when ctx is done.
+// Shutdown refuses new requests, hands the upstreams over, waits for requests in
+// progress, keeps refusing for the grace so that no caller meets a closing
+// connection, and stops. It gives up waiting when ctx is done.
 func (d *Daemon) Shutdown(ctx context.Context) error {
 	d.drained.Store(true)
-	noticed := time.NewTimer(d.settings.DrainGrace)
-	defer noticed.Stop()
 	klog.InfoS("Draining", "daemon", d.settings.ID)
 	announce, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	d.parts.Cluster.Drain(announce)
-	select {
-	case <-noticed.C:
-	case <-ctx.Done():
-	}
-	err := d.parts.Server.Shutdown(ctx)
-	err = errors.Join(err, d.parts.Owner.Wait(ctx), d.parts.Peers.Drain(ctx), d.parts.Once.Wait(ctx))
+	err := d.parts.Requests.Wait(ctx)
+	pause(ctx, d.settings.DrainGrace)
+	err = errors.Join(err, d.parts.Server.Shutdown(ctx), d.parts.Owner.Wait(ctx), d.parts.Peers.Drain(ctx), d.parts.Once.Wait(ctx))
 	stop, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), announceTimeout)
 	defer cancelStop()
 	return errors.Join(err, d.app.Stop(stop))
 }
 
+// pause waits for d or until ctx is done.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 type readiness interface{ Ready() bool }
 
 type sockets struct {
@@ -134,11 +142,11 @@
 type poolParams struct {
 	fx.In
 	Dial net.PacketConn `name:"peer-dial"`
-	ID   peer.Identity
+	Keys *peer.Keyring
 }
 
 func newPool(lc fx.Lifecycle, p poolParams) *peer.Pool {
-	pool := peer.NewPool(p.Dial, p.ID)
+	pool := peer.NewPool(p.Dial, p.Keys)
 	lc.Append(fx.StopHook(pool.Close))
 	return pool
 }
@@ -193,7 +201,7 @@
 	return l, nil
 }
 
-func newCallers(lc fx.Lifecycle, l net.Listener, g *once.Gateway, n *config.Node, r readiness, rec *metrics.Recorder) *http.Server {
+func newCallers(lc fx.Lifecycle, l net.Listener, g *once.Gateway, n *config.Node, r readiness, rec *metrics.Recorder, requests *inflight.Counter) *http.Server {
 	api := callers.New(callers.Options{
 		Gateway: metrics.Time(g, rec),
 		Tickets: g,
@@ -201,7 +209,7 @@
 		Ready:   r.Ready,
 		NewID:   newID,
 	})
-	server := &http.Server{Handler: api.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: countRequests(requests, r, api.Handler()), ReadHeaderTimeout: readHeaderTimeout}
 	lc.Append(fx.StartStopHook(
 		func() { go func() { _ = server.Serve(l) }() },
 		func() { _ = server.Close() },
@@ -212,7 +220,7 @@
 type serverParams struct {
 	fx.In
 	Listen   net.PacketConn `name:"peer-listen"`
-	ID       peer.Identity
+	Keys     *peer.Keyring
 	Owner    *owner.Manager
 	Cluster  *cluster.Cluster
 	Operator *operator.Node
@@ -224,7 +232,7 @@
 
 func newPeerServer(lc fx.Lifecycle, p serverParams) (*peer.Server, error) {
 	handler := peerHandler{owner: p.Owner, cluster: p.Cluster, suspects: p.Suspects, config: p.Config, once: p.Once, operator: p.Operator, store: p.Store}
-	server, err := peer.Listen(p.Listen, p.ID, handler)
+	server, err := peer.Listen(p.Listen, p.Keys, handler)
 	if err != nil {
 		return nil, fmt.Errorf("serve daemons: %w", err)
 	}
--- a/internal/coordination/owner/scheduler.go
+++ b/internal/coordination/owner/scheduler.go
@@ -42,6 +42,7 @@
 	backoff *loading.Backoff
 	sources map[state.AdapterRef]string // of waiting requests
 	actions []Action
+	now     time.Time // of the last event
 }
 
 // run is a dispatched request.
@@ -80,6 +81,7 @@
 // Handle implements Core. The result is valid until the next call.
 func (s *Scheduler) Handle(now time.Time, event Event) []Action {
 	s.actions = nil
+	s.now = now
 	switch e := event.(type) {
 	case Enqueue:
 		s.enqueue(now, e.Request)
@@ -101,6 +103,8 @@
 	case Leaving:
 		s.leaving = true
 		s.refuseAll(RefuseLeaving)
+	case Staying:
+		s.leaving = false
 	case StoreBudget:
 		s.budget.Set(now, e.Rate, e.Burst, e.InFlight)
 		s.budget.EndAt(e.Until)
@@ -255,7 +259,7 @@
 		Running: len(s.running),
 		Queued:  s.queue.Len(),
 	}
-	st.LoadsWaiting, st.LoadDemand = s.loadDemand()
+	st.LoadsWaiting, st.LoadDemand = s.loadDemand(s.now)
 	for rank := range s.ranks {
 		st.QueuedByRank = append(st.QueuedByRank, s.queue.RunnableRank(state.Rank(rank)))
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -45,12 +45,12 @@
 	StoreRate      float64 // loads a second of the whole fleet; 0 for no limit
 	// CallerPorts are the ports of the daemons; 0 takes a free one.
 	CallerPorts []int
-	DrainGrace  time.Duration
+	// AdminPorts are the ports for operators; 0 takes a free one.
+	AdminPorts []int
+	DrainGrace time.Duration
 	// KeysDir, when set, gets the keys of the daemons, which are then not started
 	// but run by hand as processes of their own: see Demo.Commands.
 	KeysDir string
-	// AdminPorts are the ports for operators; 0 takes a free one.
-	AdminPorts []int
 }
 
 // DefaultOptions returns two availability zones with a daemon and two engines each.
@@ -66,7 +66,6 @@
 		StoreRate:      4,
 		CallerPorts:    []int{8080, 8081},
 		DrainGrace:     time.Second,
-		AdminPorts:     []int{9090, 9091},
 	}
 }
 
@@ -216,10 +215,10 @@
 		CallerAddr:       fmt.Sprintf("%s:%d", loopback, port),
 		PeerAddr:         peerAddr,
 		PlatformURL:      d.platform,
-		AdminAddr:        fmt.Sprintf("%s:%d", loopback, adminPort),
-		BootstrapKeyHash: state.HashKey(OperatorKey),
 		DrainTimeout:     drainTimeout,
 		DrainGrace:       d.opts.DrainGrace,
+		AdminAddr:        fmt.Sprintf("%s:%d", loopback, adminPort),
+		BootstrapKeyHash: state.HashKey(OperatorKey),
 	}
 	if d.opts.StoreRate > 0 {
 		settings.StoreRate = d.opts.StoreRate
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -55,6 +55,8 @@
 	reports    []timedReport
 	faults     Faults
 	cancels    int
+	log        []string
+	runs       map[string]int // by request id
 }
 
 type job struct {
@@ -81,6 +83,7 @@
 		stop:     make(chan struct{}),
 		adapters: make(map[string]bool),
 		running:  make(map[string]*job),
+		runs:     make(map[string]int),
 		role:     "both",
 	}
 }
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -37,8 +38,16 @@
 
 // NewClient returns a client with its own pool of connections.
 func NewClient() *Client {
+	return NewClientWithDial((&net.Dialer{Timeout: dialTimeout}).DialContext)
+}
+
+// DialFunc opens a connection to an upstream.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// NewClientWithDial returns a client that opens its connections with dial.
+func NewClientWithDial(dial DialFunc) *Client {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true, // answers are passed on as they are
@@ -99,6 +108,10 @@
 	if sent {
 		outcome = protocol.OutcomeUnknown
 	}
+	var detail *url.Error
+	if errors.As(err, &detail) {
+		err = detail.Err // without the address
+	}
 	kind := protocol.KindUnavailable
 	switch {
 	case errors.Is(err, context.Canceled):
