Compare the shares of the daemons with a central division

Cause: the strict shares replaced the division that sees all demand, so their cost could no longer be measured.

Change: the central division stays as a policy of its own beside the daemon's. Ledgers get the knee of the store as the limit in flight; with the three loads in flight that suit the central division, shares fall below one load per daemon.

--- a/internal/coordination/storebudget/storebudget.go
+++ b/internal/coordination/storebudget/storebudget.go
@@ -36,10 +36,6 @@
 	return Amount{Rate: min(a.Rate, b.Rate), InFlight: min(a.InFlight, b.InFlight)}
 }
 
-func (a Amount) atLeast(b Amount) Amount {
-	return Amount{Rate: max(a.Rate, b.Rate), InFlight: max(a.InFlight, b.InFlight)}
-}
-
 // IsZero reports whether a is nothing.
 func (a Amount) IsZero() bool { return a == Amount{} }
 
--- a/internal/measure/ledgers.go
+++ b/internal/measure/ledgers.go
@@ -20,7 +20,7 @@
 func newLedgerShares(spec StoreSpec) Shares {
 	return &ledgerShares{limits: storebudget.Limits{
 		Total: storebudget.Amount{
-			Rate:     int64(spec.Rate * pacedPart * storebudget.Unit),
+			Rate:     int64(spec.Rate * storebudget.Unit),
 			InFlight: int64(spec.Knee * storebudget.Unit),
 		},
 		Term:   storebudget.DefaultTerm,
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -38,7 +38,7 @@
 
 // Policies returns the baselines and then the policies of the daemon.
 func Policies() []Policy {
-	return append(Baselines(), Current())
+	return append(Baselines(), Current(), CentralShares())
 }
 
 // Current returns the decisions that the daemon uses.
@@ -50,3 +50,12 @@
 		NewShares: newLedgerShares,
 	}
 }
+
+// CentralShares returns the decisions of the daemon, but for a division of the
+// store's limits that sees the demand of all engines at once.
+func CentralShares() Policy {
+	p := Current()
+	p.Name = "central shares"
+	p.NewShares = newByDemand
+	return p
+}
--- a/internal/measure/shares.go
+++ b/internal/measure/shares.go
@@ -17,6 +17,11 @@
 
 func newByDemand(spec StoreSpec) Shares { return &byDemand{spec: spec} }
 
+// flights returns the loads in flight to allow.
+func flights(spec StoreSpec) int {
+	return min(spec.Knee, max(1, int(spec.Rate*spec.LoadTime.Seconds()*loadsAtOne+0.5)))
+}
+
 // Divide implements Shares.
 func (b *byDemand) Divide(_ time.Time, statuses []owner.Status) []owner.StoreBudget {
 	total := 0.0
@@ -39,7 +44,7 @@
 // divideFlights gives whole loads in flight: to those in progress, then to those
 // that wait, the most urgent first, then one to every engine.
 func (b *byDemand) divideFlights(statuses []owner.Status, budgets []owner.StoreBudget) {
-	left := max(1, int(b.spec.Rate*b.spec.LoadTime.Seconds()*loadsAtOne+0.5))
+	left := flights(b.spec)
 	for i, s := range statuses {
 		budgets[i].InFlight = len(s.Loading)
 		left -= len(s.Loading)
