--- a/internal/coordination/owner/load.go
+++ b/internal/coordination/owner/load.go
@@ -232,6 +232,9 @@
 	}
 	delete(s.table, e.Adapter)
 	if !e.Failed {
+		// The engine has restarted. What it holds is known with its next report;
+		// until then an order would be answered at once and repeated without end.
+		s.healthy = false
 		return
 	}
 	failures := s.backoff.Failed(now, e.Adapter)
