--- /dev/null
+++ b/internal/coordination/once/fuzz_test.go
@@ -0,0 +1,48 @@
+package once_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/once"
+)
+
+var fuzzNow = time.Unix(1_800_000_000, 0)
+
+// FuzzTicket parses any text as a ticket. What parses prints as it was, and only
+// what was issued is run.
+func FuzzTicket(f *testing.F) {
+	tickets := once.NewTickets("d", "run", []byte("secret"))
+	issued := tickets.Issue(fuzzNow, "c", "s").String()
+	for _, text := range []string{issued, "", "t1.....", "t1.ZA.run.1.1.00", issued + "0", "t1.ZA.run.01.1.00"} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		ticket, err := once.ParseTicket(text)
+		if err != nil {
+			return
+		}
+		qt.Assert(t, ticket.String(), qt.Equals, text)
+		fresh := once.NewTickets("d", "run", []byte("secret"))
+		verdict := fresh.Use(fuzzNow, once.TicketUse{Ticket: ticket, Customer: "c", Service: "s"})
+		qt.Assert(t, verdict.Run, qt.Equals, text == issued)
+	})
+}
+
+// FuzzKey checks any idempotency key. A key that is accepted has a record of its own
+// customer and service.
+func FuzzKey(f *testing.F) {
+	for _, key := range []string{"loan-1", "", "\x00", "01890a5d-ac96-774b-bcce-b302099a8057", "ffffffff-ffff-7fff-bfff-ffffffffffff"} {
+		f.Add(key)
+	}
+	f.Fuzz(func(t *testing.T, key string) {
+		if once.CheckKey(fuzzNow, key) != "" {
+			return
+		}
+		qt.Assert(t, len(key) > 0 && len(key) <= once.MaxKeyLen, qt.IsTrue)
+		a, b := once.RecordKey("c", "s"+"x", key), once.RecordKey("cs", "x", key)
+		qt.Assert(t, a == b, qt.IsFalse)
+	})
+}
--- /dev/null
+++ b/internal/protocol/fuzz_test.go
@@ -0,0 +1,103 @@
+package protocol_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"reflect"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+// messages returns an empty message for a kind, or nil for one without a type here.
+func message(kind protocol.MessageKind) any {
+	switch kind {
+	case protocol.MsgHello:
+		return &protocol.Hello{}
+	case protocol.MsgCall:
+		return &protocol.Call{}
+	case protocol.MsgHead:
+		return &protocol.Head{}
+	case protocol.MsgChunk:
+		return &protocol.Chunk{}
+	case protocol.MsgEnd:
+		return &protocol.End{}
+	case protocol.MsgHeartbeat:
+		return &protocol.Heartbeat{}
+	case protocol.MsgHeartbeatAck:
+		return &protocol.HeartbeatAck{}
+	}
+	return nil
+}
+
+func samples() map[protocol.MessageKind]any {
+	ref := state.AdapterRef{Service: "advice", Adapter: "blitz", Version: "v1"}
+	return map[protocol.MessageKind]any{
+		protocol.MsgHello: protocol.Hello{MinVersion: 1, MaxVersion: 1, Daemon: "d"},
+		protocol.MsgCall:  protocol.Call{RequestID: "r", Model: &protocol.ModelCall{Adapter: ref, Body: []byte("{}")}},
+		protocol.MsgHead:  protocol.Head{Attempt: 1, Adapter: ref, Header: []protocol.HeaderField{{Name: "A", Value: "b"}}},
+		protocol.MsgChunk: protocol.Chunk{Attempt: 1, Offset: 2, Count: 1, Data: []byte("x")},
+		protocol.MsgEnd:   protocol.End{Err: &protocol.Error{Kind: protocol.KindInternal}},
+		protocol.MsgHeartbeat: protocol.Heartbeat{
+			Daemon: "d", Upstreams: []protocol.UpstreamStatus{{ID: "e", Resident: []state.AdapterRef{ref}}},
+		},
+		protocol.MsgHeartbeatAck: protocol.HeartbeatAck{Sequence: 7},
+	}
+}
+
+// FuzzFrames reads any bytes as frames. What decodes must encode to the same
+// message again.
+func FuzzFrames(f *testing.F) {
+	for kind, msg := range samples() {
+		var buf bytes.Buffer
+		qt.Assert(f, protocol.WriteMessage(&buf, kind, msg), qt.IsNil)
+		f.Add(buf.Bytes())
+		f.Add(buf.Bytes()[:buf.Len()/2])
+	}
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := bytes.NewReader(data)
+		for {
+			frame, err := protocol.ReadFrame(r)
+			if err != nil {
+				return
+			}
+			msg := message(frame.Kind)
+			if msg == nil || frame.Decode(msg) != nil {
+				continue
+			}
+			var buf bytes.Buffer
+			qt.Assert(t, protocol.WriteMessage(&buf, frame.Kind, msg), qt.IsNil)
+			again, err := protocol.ReadFrame(&buf)
+			qt.Assert(t, err, qt.IsNil)
+			back := message(frame.Kind)
+			qt.Assert(t, again.Decode(back), qt.IsNil)
+			qt.Assert(t, reflect.DeepEqual(normal(msg), normal(back)), qt.IsTrue)
+		}
+	})
+}
+
+// normal encodes a message, which makes empty and absent lists equal.
+func normal(msg any) []byte {
+	var buf bytes.Buffer
+	_ = protocol.WriteMessage(&buf, protocol.MsgHello, msg)
+	return buf.Bytes()
+}
+
+func TestFrameOverTheLimitIsRefusedBeforeItIsRead(t *testing.T) {
+	var header [5]byte
+	binary.BigEndian.PutUint32(header[:], protocol.MaxFrame+1)
+	_, err := protocol.ReadFrame(io.MultiReader(bytes.NewReader(header[:]), neverRead{t}))
+	qt.Check(t, err, qt.Equals, protocol.ErrFrameTooLarge)
+}
+
+type neverRead struct{ t *testing.T }
+
+func (n neverRead) Read([]byte) (int, error) {
+	n.t.Error("the payload was read")
+	return 0, io.EOF
+}
--- a/internal/transport/platform/platform.go
+++ b/internal/transport/platform/platform.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -264,5 +265,25 @@
 	defer cancel()
 	var list vmList
 	err := c.getJSON(ctx, "/v1/vms", &list)
-	return list.VMs, err
+	return usable(list.VMs), err
+}
+
+// usable returns the entries that name what a daemon needs to know. The platform
+// may list kinds of VMs that are none of its business.
+func usable(vms []VM) []VM {
+	return slices.DeleteFunc(vms, func(vm VM) bool { return !vm.usable() })
+}
+
+func (vm *VM) usable() bool {
+	switch vm.Kind {
+	case VMEntry, VMEngine:
+	case VMPlain:
+		if vm.Service == "" {
+			return false
+		}
+	default:
+		return false
+	}
+	_, port, err := net.SplitHostPort(vm.Address)
+	return err == nil && port != "" && vm.ID != "" && vm.Zone != ""
 }
--- a/internal/transport/upstream/completion.go
+++ b/internal/transport/upstream/completion.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 
 	"github.com/celerydeck/celerydeck/internal/protocol"
@@ -21,6 +22,8 @@
 var (
 	dataPrefix = []byte("data:")
 	doneMarker = []byte("[DONE]")
+
+	errNoObject = errors.New("upstream: the body is not a JSON object")
 )
 
 type engineEvent struct {
@@ -95,6 +98,9 @@
 	if err := json.Unmarshal(call.Model.Body, &body); err != nil {
 		return nil, err
 	}
+	if body == nil {
+		return nil, errNoObject
+	}
 	fields := []struct {
 		name  string
 		value any
--- a/internal/transport/upstream/orders.go
+++ b/internal/transport/upstream/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 
@@ -10,6 +11,8 @@
 	"github.com/celerydeck/celerydeck/internal/state"
 )
 
+var errBadReport = errors.New("upstream: the load report names no boot id or has a negative count")
+
 type adapterOrder struct {
 	Name    string      `json:"lora_name"`
 	Path    string      `json:"lora_path,omitempty"`
@@ -68,8 +71,21 @@
 	if resp.StatusCode != http.StatusOK {
 		return report, statusError(step, u, resp)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReport)).Decode(&report); err != nil {
+	report, err = decodeReport(resp.Body)
+	if err != nil {
 		return report, protocol.AsError(err, step).WithPeer(string(u.ID))
 	}
 	return report, nil
 }
+
+// decodeReport reads a load report and refuses one that makes no sense.
+func decodeReport(r io.Reader) (Report, error) {
+	var report Report
+	if err := json.NewDecoder(io.LimitReader(r, maxReport)).Decode(&report); err != nil {
+		return Report{}, err
+	}
+	if report.BootID == "" || min(report.Slots, report.Batch, report.Running, report.Waiting) < 0 {
+		return Report{}, errBadReport
+	}
+	return report, nil
+}
