--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -86,6 +87,11 @@
 // CallerAddr returns the address for callers.
 func (d *Daemon) CallerAddr() string { return d.parts.Caller.Addr().String() }
 
+// Owns reports whether the daemon owns an upstream.
+func (d *Daemon) Owns(id state.UpstreamID) bool {
+	return slices.ContainsFunc(d.parts.Owner.Owned(), func(s protocol.UpstreamStatus) bool { return s.ID == id })
+}
+
 // Ready reports whether the daemon takes new requests.
 func (d *Daemon) Ready() bool {
 	return !d.drained.Load() && !d.paused.Load() && d.parts.Config != nil && d.parts.Config.Ready()
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -76,7 +76,9 @@
 	Store   *weightstore.Store
 	Booking *booking.Server
 	Engines []*engine.Engine
-	Daemons []*app.Daemon
+	// EngineAddrs are the addresses of Engines.
+	EngineAddrs []string
+	Daemons     []*app.Daemon
 	// Commands are the command lines of the daemons that run on their own.
 	Commands []string
 
@@ -165,6 +167,7 @@
 			return err
 		}
 		d.Engines = append(d.Engines, e)
+		d.EngineAddrs = append(d.EngineAddrs, addr)
 		d.VMs.Put(vmlist.VM{
 			ID: opts.ID, Zone: zone, Region: region, Address: addr, Kind: "engine",
 			Base: baseModel, Fenced: opts.Fenced, State: "live",
