--- a/internal/protocol/fuzz_test.go
+++ b/internal/protocol/fuzz_test.go
@@ -101,3 +101,19 @@
 	n.t.Error("the payload was read")
 	return 0, io.EOF
 }
+
+func TestDecodedMessageOutlivesTheBufferOfItsFrame(t *testing.T) {
+	var buf bytes.Buffer
+	for _, text := range []string{"first", "other"} {
+		qt.Assert(t, protocol.WriteMessage(&buf, protocol.MsgChunk, protocol.Chunk{Data: []byte(text)}), qt.IsNil)
+	}
+	r := protocol.NewFrameReader(&buf)
+	var first, second protocol.Chunk
+	for _, msg := range []*protocol.Chunk{&first, &second} {
+		frame, err := r.Next()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, frame.Decode(msg), qt.IsNil)
+	}
+	qt.Check(t, string(first.Data), qt.Equals, "first")
+	qt.Check(t, string(second.Data), qt.Equals, "other")
+}
--- a/internal/transport/callers/completion.go
+++ b/internal/transport/callers/completion.go
@@ -83,6 +83,7 @@
 	started      bool
 	text         strings.Builder
 	buf          []byte
+	events       eventWriter
 }
 
 func (c *completionSink) setHeaders() {
@@ -106,7 +107,13 @@
 		c.text.Write(chunk.Data)
 		return nil
 	}
-	return c.event(c.response(c.partChoice(string(chunk.Data), nil)))
+	c.buf = append(c.buf[:0], eventPrefix...)
+	buf, err := c.events.appendPart(c.buf, c, chunk.Data)
+	if err != nil {
+		return err
+	}
+	c.buf = append(buf, eventSuffix...)
+	return c.write(c.buf)
 }
 
 // End implements protocol.Sink.
@@ -123,6 +130,7 @@
 		writeJSON(c.w, http.StatusOK, resp)
 		return nil
 	}
+	c.buf = c.buf[:0]
 	if err := c.event(c.response(c.partChoice("", &end.FinishReason))); err != nil {
 		return err
 	}
@@ -133,7 +141,8 @@
 			return err
 		}
 	}
-	return c.write([]byte("data: [DONE]\n\n"))
+	c.buf = append(c.buf, "data: [DONE]\n\n"...)
+	return c.write(c.buf)
 }
 
 // fail ends the answer with an error. A stream that has begun gets an error
@@ -183,15 +192,16 @@
 	return responseChoice{Text: &text, FinishReason: &finish}
 }
 
+// event appends an event to the buffer.
 func (c *completionSink) event(resp completionResponse) error {
 	data, err := json.Marshal(resp)
 	if err != nil {
 		return err
 	}
-	c.buf = append(c.buf[:0], "data: "...)
+	c.buf = append(c.buf, eventPrefix...)
 	c.buf = append(c.buf, data...)
-	c.buf = append(c.buf, "\n\n"...)
-	return c.write(c.buf)
+	c.buf = append(c.buf, eventSuffix...)
+	return nil
 }
 
 func (c *completionSink) write(data []byte) error {
--- a/internal/transport/peer/pool.go
+++ b/internal/transport/peer/pool.go
@@ -1,8 +1,8 @@
 package peer
 
 import (
-	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -86,14 +86,18 @@
 		return peerError(step, peer, protocol.OutcomeUnknown, err)
 	}
 	defer func() { _ = stream.Close() }()
-	reader := bufio.NewReader(stream)
+	reader := protocol.NewFrameReader(stream)
 	for {
-		frame, err := protocol.ReadFrame(reader)
+		frame, err := reader.Next()
 		if err != nil {
 			reset(stream, codeCanceled)
 			return peerError("read answer of owner", peer, protocol.OutcomeUnknown, err)
 		}
 		ended, err := deliver(frame, sink)
+		if errors.Is(err, errBadFrame) {
+			reset(stream, codeBadMessage)
+			return protocol.Errorf(protocol.KindInterrupted, "read answer of owner", protocol.OutcomeUnknown, "%v", err).WithPeer(string(peer.ID))
+		}
 		if err != nil {
 			reset(stream, codeCanceled)
 			return protocol.Errorf(protocol.KindCanceled, step, protocol.OutcomeUnknown, "%v", err).WithPeer(string(peer.ID))
@@ -109,25 +113,27 @@
 	case protocol.MsgHead:
 		var head protocol.Head
 		if err := frame.Decode(&head); err != nil {
-			return false, err
+			return false, errors.Join(errBadFrame, err)
 		}
 		return false, sink.Head(head)
 	case protocol.MsgChunk:
 		var chunk protocol.Chunk
 		if err := frame.Decode(&chunk); err != nil {
-			return false, err
+			return false, errors.Join(errBadFrame, err)
 		}
 		return false, sink.Chunk(chunk)
 	case protocol.MsgEnd:
 		var end protocol.End
 		if err := frame.Decode(&end); err != nil {
-			return false, err
+			return false, errors.Join(errBadFrame, err)
 		}
 		return true, sink.End(end)
 	}
-	return false, fmt.Errorf("unexpected message kind %d", frame.Kind)
+	return false, fmt.Errorf("%w: unexpected kind %d", errBadFrame, frame.Kind)
 }
 
+var errBadFrame = errors.New("peer: bad message of the owner")
+
 func (p *Pool) open(ctx context.Context, peer Peer) (*quic.Stream, error) {
 	conn, err := p.conn(ctx, peer)
 	if err != nil {
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -152,7 +153,7 @@
 		defer close(finished)
 		waitForPeer(stream, cancel)
 	}()
-	s.handler.ServeCall(ctx, from, &call, streamSink{stream})
+	s.handler.ServeCall(ctx, from, &call, newStreamSink(stream))
 	_ = stream.Close()
 	select {
 	case <-finished:
@@ -175,16 +176,25 @@
 	stream.CancelWrite(code)
 }
 
-type streamSink struct{ stream *quic.Stream }
+// streamSink writes an answer. The head leaves together with the first part.
+type streamSink struct{ out *bufio.Writer }
+
+func newStreamSink(stream *quic.Stream) streamSink { return streamSink{out: bufio.NewWriter(stream)} }
 
 func (s streamSink) Head(m protocol.Head) error {
-	return protocol.WriteMessage(s.stream, protocol.MsgHead, m)
+	return protocol.WriteMessage(s.out, protocol.MsgHead, m)
 }
 
 func (s streamSink) Chunk(m protocol.Chunk) error {
-	return protocol.WriteMessage(s.stream, protocol.MsgChunk, m)
+	if err := protocol.WriteMessage(s.out, protocol.MsgChunk, m); err != nil {
+		return err
+	}
+	return s.out.Flush()
 }
 
 func (s streamSink) End(m protocol.End) error {
-	return protocol.WriteMessage(s.stream, protocol.MsgEnd, m)
+	if err := protocol.WriteMessage(s.out, protocol.MsgEnd, m); err != nil {
+		return err
+	}
+	return s.out.Flush()
 }
--- a/internal/transport/upstream/completion.go
+++ b/internal/transport/upstream/completion.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"sync"
 
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
@@ -23,6 +24,12 @@
 	dataPrefix = []byte("data:")
 	doneMarker = []byte("[DONE]")
 
+	// scanBuffers holds the buffers of streams that have ended.
+	scanBuffers = sync.Pool{New: func() any {
+		buffer := make([]byte, scanBuffer)
+		return &buffer
+	}}
+
 	errNoObject = errors.New("upstream: the body is not a JSON object")
 )
 
@@ -147,8 +154,10 @@
 	if err := s.sink.Head(head); err != nil {
 		return s.fail(protocol.KindCanceled, "caller is gone: %v", err)
 	}
+	buffer := scanBuffers.Get().(*[]byte)
+	defer scanBuffers.Put(buffer)
 	scanner := bufio.NewScanner(resp.Body)
-	scanner.Buffer(make([]byte, 0, scanBuffer), maxEvent)
+	scanner.Buffer((*buffer)[:0], maxEvent)
 	for scanner.Scan() {
 		data, ok := bytes.CutPrefix(scanner.Bytes(), dataPrefix)
 		if !ok {
