Own upstreams by lease and record in the running daemon

Cause: owners followed from heartbeats alone; two daemons could order the same engine, and its fencing number was a local counter.

Change: node/ownership carries out the lease, the watchers and the ownership cores. The owner asks the gate right before each dispatch and order; an unload waits for its permission, and one without an answer is settled before the adapter is used again. Daemons ask each other whether an earlier owner has stopped, for promises, and for a release. The fleet takes the owner with the highest epoch from heartbeats. Drain waits until the upstreams are released.

--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/celerydeck/celerydeck/internal/node/once"
 	"github.com/celerydeck/celerydeck/internal/node/operator"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
+	"github.com/celerydeck/celerydeck/internal/node/ownership"
 	"github.com/celerydeck/celerydeck/internal/node/storebudget"
 	"github.com/celerydeck/celerydeck/internal/node/suspects"
 	"github.com/celerydeck/celerydeck/internal/protocol"
@@ -71,7 +72,7 @@
 		fx.Supply(settings, id),
 		fx.Supply(fx.Annotate(d, fx.As(new(readiness)), fx.As(new(drainer)))),
 		fx.Provide(
-			state.NewFleet, newSockets, newPool, newOwner, newCluster, newConfig, newLateMembers, newSuspects, newGateway, newStoreBudget, newCallers, newPlatform,
+			state.NewFleet, newSockets, newPool, newOwner, newOwnership, newLateZone, newCluster, newConfig, newLateMembers, newSuspects, newGateway, newStoreBudget, newCallers, newPlatform,
 			newRecorder, newLateDrains, newOperator, newAdmin, newRouter,
 			newIncarnation, newOnce, inflight.New, upstream.NewClient, newCallerListener, newPeerServer,
 		),
@@ -173,7 +174,7 @@
 	return m
 }
 
-func newCluster(lc fx.Lifecycle, s Settings, run state.Incarnation, client *platform.Client, pool *peer.Pool, fleet *state.Fleet, m *owner.Manager, members *lateMembers, n *config.Node, drains *lateDrains) *cluster.Cluster {
+func newCluster(lc fx.Lifecycle, s Settings, run state.Incarnation, client *platform.Client, pool *peer.Pool, fleet *state.Fleet, m *owner.Manager, members *lateMembers, zone *lateZone, o *ownership.Node, n *config.Node, drains *lateDrains) *cluster.Cluster {
 	c := cluster.New(cluster.Options{
 		Self:        peer.Peer{ID: state.DaemonID(s.ID), Addr: s.PeerAddr},
 		Incarnation: run,
@@ -183,11 +184,14 @@
 		Pool:        pool,
 		Fleet:       fleet,
 		Owner:       m,
+		Ownership:   o,
 		Config:      n,
 		Clock:       time.Now,
 		Drained:     drains.Drained,
 	})
 	members.set(c)
+	zone.cluster.Store(c)
+	lc.Append(fx.StartStopHook(o.Start, o.Close))
 	lc.Append(fx.StartStopHook(c.Start, c.Close))
 	lc.Append(fx.StartStopHook(n.Start, n.Close))
 	return c
@@ -219,19 +223,20 @@
 
 type serverParams struct {
 	fx.In
-	Listen   net.PacketConn `name:"peer-listen"`
-	ID       peer.Identity
-	Owner    *owner.Manager
-	Cluster  *cluster.Cluster
-	Operator *operator.Node
-	Once     *once.Gateway
-	Config   *config.Node
-	Suspects *suspects.Node
-	Store    *storebudget.Node
+	Listen    net.PacketConn `name:"peer-listen"`
+	ID        peer.Identity
+	Owner     *owner.Manager
+	Cluster   *cluster.Cluster
+	Operator  *operator.Node
+	Once      *once.Gateway
+	Config    *config.Node
+	Suspects  *suspects.Node
+	Store     *storebudget.Node
+	Ownership *ownership.Node
 }
 
 func newPeerServer(lc fx.Lifecycle, p serverParams) (*peer.Server, error) {
-	handler := peerHandler{owner: p.Owner, cluster: p.Cluster, suspects: p.Suspects, config: p.Config, once: p.Once, operator: p.Operator, store: p.Store}
+	handler := peerHandler{owner: p.Owner, ownership: p.Ownership, cluster: p.Cluster, suspects: p.Suspects, config: p.Config, once: p.Once, operator: p.Operator, store: p.Store}
 	server, err := peer.Listen(p.Listen, p.ID, handler)
 	if err != nil {
 		return nil, fmt.Errorf("serve daemons: %w", err)
--- a/internal/app/handler.go
+++ b/internal/app/handler.go
@@ -10,6 +10,7 @@
 	"github.com/celerydeck/celerydeck/internal/node/once"
 	"github.com/celerydeck/celerydeck/internal/node/operator"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
+	"github.com/celerydeck/celerydeck/internal/node/ownership"
 	"github.com/celerydeck/celerydeck/internal/node/storebudget"
 	"github.com/celerydeck/celerydeck/internal/node/suspects"
 	"github.com/celerydeck/celerydeck/internal/protocol"
@@ -18,13 +19,14 @@
 
 // peerHandler serves the messages of other daemons.
 type peerHandler struct {
-	owner    *owner.Manager
-	cluster  *cluster.Cluster
-	config   *config.Node
-	operator *operator.Node
-	once     *once.Gateway
-	suspects *suspects.Node
-	store    *storebudget.Node // nil without limits of the weight store
+	owner     *owner.Manager
+	cluster   *cluster.Cluster
+	ownership *ownership.Node
+	config    *config.Node
+	operator  *operator.Node
+	once      *once.Gateway
+	suspects  *suspects.Node
+	store     *storebudget.Node // nil without limits of the weight store
 }
 
 // ServeCall implements peer.Handler.
@@ -52,6 +54,12 @@
 		}
 		ack, err := h.cluster.HandleHeartbeat(from, &beat)
 		return protocol.MsgHeartbeatAck, ack, err
+	case protocol.MsgOwnershipAsk:
+		var ask protocol.OwnershipAsk
+		if err := frame.Decode(&ask); err != nil {
+			return 0, nil, err
+		}
+		return protocol.MsgOwnershipAnswer, h.ownership.HandleAsk(from, ask), nil
 	case protocol.MsgStatusQuery:
 		return protocol.MsgStatusReply, h.operator.Status(), nil
 	case protocol.MsgConfigStateRequest:
--- a/internal/coordination/ownership/explore_test.go
+++ b/internal/coordination/ownership/explore_test.go
@@ -1,3 +1,5 @@
+//go:build !race
+
 package ownership_test
 
 import (
@@ -120,16 +122,6 @@
 
 var encodeWorld = encoderOf(reflect.TypeFor[world]())
 
-// bounds limit the states of an exploration.
-type bounds struct {
-	first, last int // engines that take part
-	lastTick    int
-	faults      int
-	flips       int // changes of which daemon should own an engine
-	unloads     int
-	skipTicks   int // ticks that pass before the exploration
-}
-
 const maxStates = 20_000_000
 
 func explore(v variant, b bounds) *explorer {
--- a/internal/coordination/ownership/model_test.go
+++ b/internal/coordination/ownership/model_test.go
@@ -27,6 +27,16 @@
 	adapter = state.AdapterRef{Service: "s", Adapter: "a", Version: "v"}
 )
 
+// bounds limit the states of an exploration.
+type bounds struct {
+	first, last int // engines that take part
+	lastTick    int
+	faults      int
+	flips       int // changes of which daemon should own an engine
+	unloads     int
+	skipTicks   int // ticks that pass before the exploration
+}
+
 // variant is a deliberately broken version of the shell around the machines.
 type variant int
 
@@ -115,6 +125,7 @@
 	engines [engines]engine
 	orders  []order
 	late    []write
+	unloads int    // that took effect; counted in random runs only
 	broken  string // the invariant that was violated
 }
 
--- a/internal/coordination/ownership/moves_test.go
+++ b/internal/coordination/ownership/moves_test.go
@@ -35,6 +35,9 @@
 	"dispatch", "finish", "unload", "report", "resolve", "promise", "flip",
 }
 
+// randomTicks is the least length of a random run.
+const randomTicks = 100
+
 // move is one transition of node a, or of entry a of a list, and machine or engine b.
 type move struct {
 	kind  moveKind
@@ -245,6 +248,9 @@
 	if en.loaded && slices.Contains(en.serving[:], true) {
 		w.violate("an adapter that serves was unloaded")
 	}
+	if en.loaded && w.bounds.lastTick >= randomTicks {
+		w.unloads++
+	}
 	en.loaded = false
 	if o.engine == 0 {
 		en.fence = o.epoch
--- a/internal/node/cluster/cluster.go
+++ b/internal/node/cluster/cluster.go
@@ -6,10 +6,11 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
-	core "github.com/celerydeck/celerydeck/internal/coordination/owner"
+	"github.com/celerydeck/celerydeck/internal/coordination/lease"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/transport/peer"
@@ -21,17 +22,26 @@
 	heartbeatTimeout  = time.Second
 	aliveFor          = 3 * time.Second
 	listInterval      = 500 * time.Millisecond
+	goneAfter         = 15 * time.Second
 )
 
 // Owner is told what this daemon owns.
 type Owner interface {
-	Own(u *state.Upstream, auth core.Authority)
-	Disown(id state.UpstreamID)
 	Leaving(id state.UpstreamID)
 	Staying(id state.UpstreamID)
 	Owned() []protocol.UpstreamStatus
 }
 
+// Ownership acquires and releases the upstreams of this zone.
+type Ownership interface {
+	Want(u *state.Upstream, mine bool)
+	Forget(id state.UpstreamID)
+	// Epoch returns the epoch under which this daemon owns an upstream.
+	Epoch(id state.UpstreamID) (state.Epoch, bool)
+	// WaitReleased waits until this daemon owns nothing.
+	WaitReleased(ctx context.Context)
+}
+
 // Config is the configuration whose revision the heartbeats carry.
 type Config interface {
 	Revision() uint64
@@ -48,6 +58,7 @@
 	Pool        *peer.Pool
 	Fleet       *state.Fleet
 	Owner       Owner
+	Ownership   Ownership
 	Config      Config
 	Clock       func() time.Time
 	// Drained reports whether operators drain an upstream; nil for none.
@@ -57,7 +68,9 @@
 type member struct {
 	peer     peer.Peer
 	zone     state.Zone
+	run      state.Incarnation // empty before the first heartbeat
 	lastSeen time.Time
+	listedAt time.Time // when the list named the daemon last
 	draining bool
 }
 
@@ -69,7 +82,8 @@
 
 	mu       sync.Mutex
 	members  map[state.DaemonID]*member
-	owned    map[state.UpstreamID]bool
+	listAt   time.Time // when the list was read last
+	startAt  time.Time
 	draining bool
 	sequence uint64
 }
@@ -79,7 +93,7 @@
 	return &Cluster{
 		opts:    opts,
 		members: make(map[state.DaemonID]*member),
-		owned:   make(map[state.UpstreamID]bool),
+		startAt: opts.Clock(),
 	}
 }
 
@@ -132,8 +146,9 @@
 	c.mu.Lock()
 	c.draining = true
 	c.mu.Unlock()
-	c.heartbeat(ctx)
 	c.assign()
+	c.opts.Ownership.WaitReleased(ctx)
+	c.heartbeat(ctx)
 }
 
 // Address returns the address of a daemon.
@@ -178,6 +193,9 @@
 	}
 	listed := make(map[state.UpstreamID]bool)
 	c.mu.Lock()
+	if len(vms) > 0 {
+		c.listAt = c.opts.Clock()
+	}
 	for _, vm := range vms {
 		if vm.Kind == platform.VMEntry {
 			c.noteDaemon(vm)
@@ -194,6 +212,7 @@
 	for _, u := range c.opts.Fleet.All() {
 		if !listed[u.ID] && len(vms) > 0 {
 			c.opts.Fleet.Delete(u.ID)
+			c.opts.Ownership.Forget(u.ID)
 		}
 	}
 	c.assign()
@@ -202,10 +221,15 @@
 // noteDaemon records a listed daemon. The caller must hold mu.
 func (c *Cluster) noteDaemon(vm platform.VM) {
 	id := state.DaemonID(vm.ID)
-	if id == c.opts.Self.ID || c.members[id] != nil {
+	if id == c.opts.Self.ID {
 		return
 	}
-	c.members[id] = &member{peer: peer.Peer{ID: id, Addr: vm.Address}, zone: vm.Zone}
+	if c.members[id] == nil {
+		c.members[id] = &member{}
+	}
+	m := c.members[id]
+	m.peer, m.zone = peer.Peer{ID: id, Addr: vm.Address}, vm.Zone
+	m.listedAt = c.opts.Clock()
 }
 
 func (c *Cluster) noteUpstream(vm platform.VM) {
@@ -234,36 +258,63 @@
 	}
 }
 
-// assign recomputes the owners of the upstreams of this zone.
+// assign recomputes which upstreams of this zone this daemon should own, and
+// forgets the owners that are silent.
 func (c *Cluster) assign() {
 	daemons := c.liveDaemons()
 	for _, u := range c.opts.Fleet.All() {
-		if u.Zone != c.opts.Zone {
-			continue
+		if u.Owner != "" && u.Owner != c.opts.Self.ID && !c.alive(u.Owner) {
+			c.clearOwner(u.ID, u.Owner)
 		}
-		owner := state.RendezvousOwner(string(u.ID), daemons)
-		if owner != u.Owner {
-			c.opts.Fleet.Update(u.ID, func(u *state.Upstream) {
-				u.Owner = owner
-				u.Epoch++
-			})
+		if u.Zone == c.opts.Zone {
+			owner := state.RendezvousOwner(string(u.ID), daemons)
+			c.opts.Ownership.Want(u, owner == c.opts.Self.ID)
 		}
-		c.take(u, owner == c.opts.Self.ID)
 	}
 }
 
-func (c *Cluster) take(u *state.Upstream, mine bool) {
+func (c *Cluster) alive(id state.DaemonID) bool {
 	c.mu.Lock()
-	had := c.owned[u.ID]
-	c.owned[u.ID] = mine
-	c.mu.Unlock()
-	switch {
-	case mine && !had:
-		auth := core.Authority{Epoch: u.Epoch + 1, MayDispatch: true, MayLoad: true, MayUnload: true}
-		c.opts.Owner.Own(u, auth)
-	case had && !mine:
-		c.opts.Owner.Disown(u.ID)
+	defer c.mu.Unlock()
+	m := c.members[id]
+	return m != nil && c.opts.Clock().Sub(m.lastSeen) < aliveFor
+}
+
+// clearOwner notes that a daemon no longer owns an upstream.
+func (c *Cluster) clearOwner(id state.UpstreamID, was state.DaemonID) {
+	c.opts.Fleet.Update(id, func(u *state.Upstream) {
+		if u.Owner == was {
+			u.Owner = ""
+		}
+	})
+}
+
+// Runs returns the runs of the live daemons of this zone without self.
+func (c *Cluster) Runs() []lease.Session {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var runs []lease.Session
+	now := c.opts.Clock()
+	for id, m := range c.members {
+		if m.zone == c.opts.Zone && m.run != "" && now.Sub(m.lastSeen) < aliveFor {
+			runs = append(runs, lease.Session{Daemon: id, Incarnation: m.run})
+		}
 	}
+	slices.SortFunc(runs, func(a, b lease.Session) int { return strings.Compare(string(a.Daemon), string(b.Daemon)) })
+	return runs
+}
+
+// Gone reports that a daemon has neither been listed nor heard for a while, though
+// the list can be read.
+func (c *Cluster) Gone(id state.DaemonID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.opts.Clock()
+	if now.Sub(c.listAt) > goneAfter || now.Sub(c.startAt) < goneAfter {
+		return false
+	}
+	m := c.members[id]
+	return m == nil || now.Sub(m.listedAt) > goneAfter && now.Sub(m.lastSeen) > goneAfter
 }
 
 // liveDaemons returns the daemons of this zone that may own upstreams.
@@ -286,10 +337,8 @@
 }
 
 func (c *Cluster) heartbeat(ctx context.Context) {
-	statuses := c.opts.Owner.Owned()
-	for _, s := range statuses {
-		c.applyStatus(c.opts.Self.ID, s)
-	}
+	statuses := c.owned()
+	c.applyStatuses(c.opts.Self.ID, statuses)
 	c.mu.Lock()
 	c.sequence++
 	beat := protocol.Heartbeat{
@@ -318,6 +367,33 @@
 	wg.Wait()
 }
 
+// owned returns the status of the upstreams that this daemon owns by the record.
+func (c *Cluster) owned() []protocol.UpstreamStatus {
+	var statuses []protocol.UpstreamStatus
+	for _, s := range c.opts.Owner.Owned() {
+		epoch, ok := c.opts.Ownership.Epoch(s.ID)
+		if ok {
+			s.Epoch = epoch
+			statuses = append(statuses, s)
+		}
+	}
+	return statuses
+}
+
+// applyStatuses takes all that a daemon owns.
+func (c *Cluster) applyStatuses(owner state.DaemonID, statuses []protocol.UpstreamStatus) {
+	owns := make(map[state.UpstreamID]bool, len(statuses))
+	for _, s := range statuses {
+		owns[s.ID] = true
+		c.applyStatus(owner, s)
+	}
+	for _, u := range c.opts.Fleet.All() {
+		if u.Owner == owner && !owns[u.ID] {
+			c.clearOwner(u.ID, owner)
+		}
+	}
+}
+
 // HandleHeartbeat takes the heartbeat of a peer.
 func (c *Cluster) HandleHeartbeat(from state.DaemonID, beat *protocol.Heartbeat) (protocol.HeartbeatAck, error) {
 	if from != beat.Daemon {
@@ -327,11 +403,10 @@
 	if m := c.members[from]; m != nil {
 		m.lastSeen = c.opts.Clock()
 		m.draining = beat.Draining
+		m.run = beat.Incarnation
 	}
 	c.mu.Unlock()
-	for _, s := range beat.Upstreams {
-		c.applyStatus(from, s)
-	}
+	c.applyStatuses(from, beat.Upstreams)
 	ack := protocol.HeartbeatAck{Sequence: beat.Sequence}
 	ack.Revision = c.opts.Config.Revision()
 	c.opts.Config.NotePeer(from, beat.Revision)
@@ -340,12 +415,10 @@
 
 func (c *Cluster) applyStatus(owner state.DaemonID, s protocol.UpstreamStatus) {
 	c.opts.Fleet.Update(s.ID, func(u *state.Upstream) {
-		if u.Zone != c.opts.Zone {
-			u.Owner = owner
-		}
-		if u.Owner != owner {
+		if s.Epoch < u.Epoch {
 			return
 		}
+		u.Owner, u.Epoch = owner, s.Epoch
 		u.Boot = s.Boot
 		u.Healthy = s.Healthy
 		u.Running = s.Running
--- a/internal/node/owner/manager.go
+++ b/internal/node/owner/manager.go
@@ -39,8 +39,11 @@
 
 	inFlight *inflight.Counter
 
+	gate Gate // nil allows everything
+
 	mu      sync.Mutex
 	workers map[state.UpstreamID]*worker
+	retired map[state.UpstreamID][]*worker // given up with work in progress
 }
 
 // New returns a manager that owns nothing.
@@ -55,6 +58,7 @@
 		stop:     stop,
 		inFlight: inflight.New(),
 		workers:  make(map[state.UpstreamID]*worker),
+		retired:  make(map[state.UpstreamID][]*worker),
 	}
 }
 
@@ -75,6 +79,9 @@
 	m.mu.Lock()
 	w := m.workers[id]
 	delete(m.workers, id)
+	if w != nil && !w.idle() {
+		m.retired[id] = append(m.retired[id], w)
+	}
 	m.mu.Unlock()
 	if w != nil {
 		w.handle(core.Authority{})
--- a/internal/node/owner/worker.go
+++ b/internal/node/owner/worker.go
@@ -35,6 +35,7 @@
 	loading map[state.AdapterRef]time.Time // start of each load in progress
 	failing map[state.AdapterRef]failingLoad
 	check   *crashCheck // of the latest run that broke
+	orders  int         // loads and unloads in progress
 }
 
 type pending struct {
@@ -178,10 +179,12 @@
 
 func (w *worker) dispatch(p *pending) {
 	w.observeDispatch(p)
-	var err *protocol.Error
-	if p.call.Model != nil {
+	err := w.mayDispatch(p.call)
+	switch {
+	case err != nil:
+	case p.call.Model != nil:
 		err = w.m.opts.Client.Complete(p.ctx, w.u, p.call, p.sink)
-	} else {
+	default:
 		err = w.m.opts.Client.Plain(p.ctx, w.u, p.call, p.sink)
 	}
 	err = w.noteCrash(p, err)
@@ -203,6 +206,11 @@
 func (w *worker) load(a core.Load) {
 	ctx, cancel := context.WithTimeout(w.m.ctx, orderTimeout)
 	defer cancel()
+	defer w.beginOrder()()
+	if !w.mayLoad(a) {
+		w.handle(core.LoadDone{Adapter: a.Adapter, Order: a.Order, Failed: true})
+		return
+	}
 	start := w.observeLoadStart(a.Adapter)
 	boot, err := w.m.opts.Client.Load(ctx, w.u, a.Adapter, a.Source, a.Epoch)
 	if err != nil {
@@ -215,8 +223,9 @@
 func (w *worker) unload(a core.Unload) {
 	ctx, cancel := context.WithTimeout(w.m.ctx, orderTimeout)
 	defer cancel()
-	err := w.m.opts.Client.Unload(ctx, w.u, a.Adapter, a.Epoch)
-	if err != nil {
+	defer w.beginOrder()()
+	err := w.orderUnload(ctx, a)
+	if err != nil && err.Kind != protocol.KindNotOwner {
 		statelog.Info("Unload failed", "adapter", a.Adapter, "upstream", w.u.ID, "err", err)
 	}
 	w.forgetLoad(a)
@@ -257,6 +266,7 @@
 	}
 	ctx, cancel := context.WithTimeout(w.ctx, reportTimeout)
 	defer cancel()
+	askedAt := w.m.opts.Clock()
 	report, err := w.m.opts.Client.Report(ctx, w.u)
 	if err != nil {
 		w.handle(core.Unreachable{})
@@ -276,6 +286,11 @@
 			event.Resident = append(event.Resident, ref)
 		}
 	}
+	if g := w.m.gate; g != nil {
+		usable := g.Report(w.u.ID, event.Boot, event.Resident, askedAt)
+		event.Slots -= len(event.Resident) - len(usable)
+		event.Resident = usable
+	}
 	w.handle(event)
 	w.handle(core.Tick{})
 }
--- /dev/null
+++ b/internal/node/ownership/lease.go
@@ -0,0 +1,186 @@
+package ownership
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/lease"
+	"github.com/celerydeck/celerydeck/internal/coordination/ownership"
+	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/statelog"
+	"github.com/celerydeck/celerydeck/internal/transport/platform"
+)
+
+func leaseKey(id state.DaemonID) string { return "lease/" + string(id) }
+
+func ownerKey(id state.UpstreamID) string { return "owner/" + string(id) }
+
+// stepLease renews the lease if it is time. The caller must hold mu.
+func (n *Node) stepLease() {
+	now := n.opts.Clock()
+	hold := false
+	for _, e := range n.entries {
+		hold = hold || e.core.NoticeOnly()
+	}
+	n.holder.Handle(now, lease.Hold{On: hold})
+	n.holder.Handle(now, lease.Peers{Peers: n.opts.Members.Runs()})
+	n.runHolder(n.holder.Handle(now, lease.Tick{}))
+}
+
+func (n *Node) runHolder(actions []lease.Action) {
+	self := n.opts.Self
+	for _, a := range actions {
+		switch a := a.(type) {
+		case lease.Read:
+			n.background(func(ctx context.Context) func() {
+				event := readLease(ctx, n.opts.Objects, self)
+				return func() { n.runHolder(n.holder.Handle(n.opts.Clock(), event)) }
+			})
+		case lease.Write:
+			n.background(func(ctx context.Context) func() {
+				event := writeLease(ctx, n.opts.Objects, self, a)
+				return func() { n.runHolder(n.holder.Handle(n.opts.Clock(), event)) }
+			})
+		}
+	}
+	event := ownership.Lease{Session: n.holder.Session(), Until: n.holder.Until()}
+	for _, e := range n.entries {
+		n.feed(e, event)
+	}
+}
+
+// recordExit writes the end of the daemon, unless something is in progress.
+func (n *Node) recordExit() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for id, e := range n.entries {
+		if e.owned || e.core.Busy() || !n.opts.Owner.Idle(id) {
+			return
+		}
+	}
+	for _, a := range n.holder.Handle(n.opts.Clock(), lease.Exit{}) {
+		write, ok := a.(lease.Write)
+		if !ok {
+			continue
+		}
+		n.mu.Unlock()
+		ctx, cancel := context.WithTimeout(n.ctx, exitTimeout)
+		writeLease(ctx, n.opts.Objects, n.opts.Self, write)
+		cancel()
+		n.mu.Lock()
+	}
+}
+
+// watch starts to watch the sessions that a core waits for. The caller must hold mu.
+func (n *Node) watch(e *entry) {
+	if s, waits := e.core.WaitsFor(); waits {
+		n.watchSession(s)
+	}
+	for _, claim := range e.core.Unresolved() {
+		n.watchSession(claim.Session)
+	}
+}
+
+func (n *Node) watchSession(s lease.Session) {
+	if n.watchers[s] != nil || s.SameRun(n.holder.Session()) {
+		return
+	}
+	duration := leasePeriods * n.period
+	w := lease.NewWatcher(lease.WatcherConfig{
+		Self:     n.holder.Session(),
+		Margin:   duration / driftFraction,
+		Duration: duration,
+		Bound:    Bound + 2*duration,
+		Settle:   Settle,
+		Retry:    askInterval,
+	}, s)
+	n.watchers[s] = &w
+	statelog.Info("Watching lease", "daemon", s.Daemon, "term", s.Term)
+}
+
+// dropWatchers forgets the sessions that no core waits for.
+func (n *Node) dropWatchers() {
+	needed := make(map[lease.Session]bool)
+	for _, e := range n.entries {
+		if s, waits := e.core.WaitsFor(); waits {
+			needed[s] = true
+		}
+		for _, claim := range e.core.Unresolved() {
+			needed[claim.Session] = true
+		}
+	}
+	for s, w := range n.watchers {
+		if !needed[s] && !w.Breaking() {
+			delete(n.watchers, s)
+		}
+	}
+}
+
+func (n *Node) runWatcher(w *lease.Watcher, actions []lease.Action) {
+	target := w.Target().Daemon
+	for _, a := range actions {
+		switch a := a.(type) {
+		case lease.Read:
+			n.background(func(ctx context.Context) func() {
+				event := readLease(ctx, n.opts.Objects, target)
+				return func() { n.runWatcher(w, w.Handle(n.opts.Clock(), event)) }
+			})
+		case lease.Write:
+			n.background(func(ctx context.Context) func() {
+				event := writeLease(ctx, n.opts.Objects, target, a)
+				return func() { n.runWatcher(w, w.Handle(n.opts.Clock(), event)) }
+			})
+		case lease.Lapsed:
+			statelog.Info("Lease has lapsed", "daemon", a.Session.Daemon, "term", a.Session.Term, "settled", a.Settled)
+			for _, e := range n.entries {
+				n.feed(e, ownership.Lapsed{Session: a.Session, Settled: a.Settled})
+			}
+		case lease.Ended:
+			claim := ownership.Claim{Session: a.Session, Epoch: ownership.AllEpochs}
+			for _, e := range n.entries {
+				n.feed(e, ownership.Resolved{Claim: claim})
+			}
+		}
+	}
+}
+
+func readLease(ctx context.Context, objects platform.Objects, id state.DaemonID) lease.ReadDone {
+	var record lease.Record
+	version, found, err := readObject(platform.WithPriority(ctx, platform.PriorityLease), objects, leaseKey(id), &record)
+	return lease.ReadDone{OK: err == nil, Found: found, Version: version, Record: record}
+}
+
+func writeLease(ctx context.Context, objects platform.Objects, id state.DaemonID, w lease.Write) lease.WriteDone {
+	ctx = platform.WithPriority(ctx, platform.PriorityLease)
+	outcome, version := writeObject(ctx, objects, leaseKey(id), w.Record, w.Base)
+	return lease.WriteDone{Outcome: outcome, Version: version}
+}
+
+func readObject(ctx context.Context, objects platform.Objects, key string, v any) (lease.Version, bool, error) {
+	o, err := objects.Get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, false, nil
+	}
+	if err != nil {
+		return 0, false, err
+	}
+	return lease.Version(o.Version), true, json.Unmarshal(o.Value, v)
+}
+
+func writeObject(ctx context.Context, objects platform.Objects, key string, v any, base lease.Version) (lease.Outcome, lease.Version) {
+	value, err := json.Marshal(v)
+	if err != nil {
+		return lease.WriteFailed, 0
+	}
+	version, err := objects.Put(ctx, key, value, platform.Version(base))
+	switch {
+	case err == nil:
+		return lease.WriteOK, lease.Version(version)
+	case errors.Is(err, platform.ErrConflict):
+		return lease.WriteConflict, 0
+	case errors.Is(err, platform.ErrUnknown):
+		return lease.WriteUnknown, 0
+	}
+	return lease.WriteFailed, 0
+}
