--- a/internal/coordination/ownership/model_test.go
+++ b/internal/coordination/ownership/model_test.go
@@ -91,6 +91,7 @@
 type order struct {
 	node, run, engine int
 	epoch             state.Epoch
+	deadAt            time.Time // when the run that sent it ended
 }
 
 type node struct {
@@ -105,7 +106,6 @@
 	unloading [engines]bool
 	asking    [engines]bool
 	ask       [engines]ownership.PendingUnload
-	deadAt    time.Time // when the previous run ended
 }
 
 type engine struct {
--- a/internal/coordination/ownership/moves_test.go
+++ b/internal/coordination/ownership/moves_test.go
@@ -141,19 +141,13 @@
 
 func (w *world) advance() bool {
 	w.tick++
-	for i := range w.nodes {
-		n := &w.nodes[i]
-		if n.run == 0 || w.now().Before(n.deadAt.Add(settleUnits*unit)) {
-			continue
-		}
-		kept := w.orders[:0:0]
-		for _, o := range w.orders {
-			if o.node != i || o.run == n.run {
-				kept = append(kept, o)
-			}
+	kept := w.orders[:0:0]
+	for _, o := range w.orders {
+		if o.deadAt.IsZero() || w.now().Before(o.deadAt.Add(settleUnits*unit)) {
+			kept = append(kept, o)
 		}
-		w.orders = kept
 	}
+	w.orders = kept
 	return true
 }
 
@@ -326,8 +320,13 @@
 		}
 	}
 	n.slow = nil
+	w.orders = slices.Clone(w.orders)
+	for k := range w.orders {
+		if w.orders[k].node == i && w.orders[k].deadAt.IsZero() {
+			w.orders[k].deadAt = w.now()
+		}
+	}
 	n.run++
-	n.deadAt = w.now()
 	w.startNode(i)
 	f := noFault
 	for e := range engines {
