Send heartbeats as deltas with a digest

Cause: every heartbeat carried the full status of every owned upstream, every 200 ms to every daemon of every zone.

Change: a heartbeat carries what changed since the state that the peer confirmed, the load apart from the rest, and a digest of the whole; a gap, a restart or a dropped state makes the receiver ask for all.

Conclusion: the relay of a zone's digest is still to come.

--- a/internal/node/cluster/cluster.go
+++ b/internal/node/cluster/cluster.go
@@ -4,13 +4,13 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/lease"
+	"github.com/celerydeck/celerydeck/internal/coordination/membership"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/transport/peer"
@@ -73,6 +73,10 @@
 	lastSeen time.Time
 	listedAt time.Time // when the list named the daemon last
 	draining bool
+	acked    uint64    // state of this daemon that the member has confirmed
+	sentAt   time.Time // when the last heartbeat was sent
+	replica  membership.Replica
+	loads    membership.Replica
 }
 
 // Cluster runs the loops that keep the view up to date.
@@ -86,7 +90,8 @@
 	listAt   time.Time // when the list was read last
 	startAt  time.Time
 	draining bool
-	sequence uint64
+	log      *membership.Log // what this daemon owns, without the load
+	loads    *membership.Log
 }
 
 // New returns a cluster that is not running.
@@ -95,6 +100,8 @@
 		opts:    opts,
 		members: make(map[state.DaemonID]*member),
 		startAt: opts.Clock(),
+		log:     membership.NewLog(),
+		loads:   membership.NewLog(),
 	}
 }
 
@@ -244,6 +251,7 @@
 	id := state.UpstreamID(vm.ID)
 	if c.opts.Fleet.Get(id) == nil {
 		c.opts.Fleet.Put(newUpstream(vm))
+		c.askAll("")
 	}
 	c.setLeaving(id, vm.State == platform.VMLeaving)
 }
@@ -272,6 +280,7 @@
 	daemons := c.liveDaemons()
 	for _, u := range c.opts.Fleet.All() {
 		if u.Owner != "" && u.Owner != c.opts.Self.ID && !c.alive(u.Owner) {
+			c.askAll(u.Owner)
 			c.clearOwner(u.ID, u.Owner)
 		}
 		if u.Zone == c.opts.Zone {
@@ -281,6 +290,19 @@
 	}
 }
 
+// askAll makes a member, or all of them, send their whole state again: what they
+// sent before was dropped here.
+func (c *Cluster) askAll(id state.DaemonID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, m := range c.members {
+		if id == "" || id == name {
+			m.replica.Reset()
+			m.loads.Reset()
+		}
+	}
+}
+
 func (c *Cluster) alive(id state.DaemonID) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -343,100 +365,3 @@
 	slices.Sort(daemons)
 	return daemons
 }
-
-func (c *Cluster) heartbeat(ctx context.Context) {
-	statuses := c.owned()
-	c.applyStatuses(c.opts.Self.ID, statuses)
-	c.mu.Lock()
-	c.sequence++
-	beat := protocol.Heartbeat{
-		Daemon:      c.opts.Self.ID,
-		Incarnation: c.opts.Incarnation,
-		Zone:        c.opts.Zone,
-		Sequence:    c.sequence,
-		Draining:    c.draining,
-		Upstreams:   statuses,
-	}
-	beat.Revision = c.opts.Config.Revision()
-	peers := make([]peer.Peer, 0, len(c.members))
-	for _, m := range c.members {
-		peers = append(peers, m.peer)
-	}
-	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-	defer cancel()
-	var wg sync.WaitGroup
-	for _, p := range peers {
-		wg.Go(func() {
-			var ack protocol.HeartbeatAck
-			_ = c.opts.Pool.Exchange(ctx, p, protocol.MsgHeartbeat, beat, &ack)
-		})
-	}
-	wg.Wait()
-}
-
-// owned returns the status of the upstreams that this daemon owns by the record.
-func (c *Cluster) owned() []protocol.UpstreamStatus {
-	var statuses []protocol.UpstreamStatus
-	for _, s := range c.opts.Owner.Owned() {
-		epoch, ok := c.opts.Ownership.Epoch(s.ID)
-		if ok {
-			s.Epoch = epoch
-			statuses = append(statuses, s)
-		}
-	}
-	return statuses
-}
-
-// applyStatuses takes all that a daemon owns.
-func (c *Cluster) applyStatuses(owner state.DaemonID, statuses []protocol.UpstreamStatus) {
-	owns := make(map[state.UpstreamID]bool, len(statuses))
-	for _, s := range statuses {
-		owns[s.ID] = true
-		c.applyStatus(owner, s)
-	}
-	for _, u := range c.opts.Fleet.All() {
-		if u.Owner == owner && !owns[u.ID] {
-			c.clearOwner(u.ID, owner)
-		}
-	}
-}
-
-// HandleHeartbeat takes the heartbeat of a peer.
-func (c *Cluster) HandleHeartbeat(from state.DaemonID, beat *protocol.Heartbeat) (protocol.HeartbeatAck, error) {
-	if from != beat.Daemon {
-		return protocol.HeartbeatAck{}, errors.New("cluster: heartbeat names another daemon")
-	}
-	c.mu.Lock()
-	if m := c.members[from]; m != nil {
-		m.lastSeen = c.opts.Clock()
-		m.draining = beat.Draining
-		m.run = beat.Incarnation
-	}
-	c.mu.Unlock()
-	c.applyStatuses(from, beat.Upstreams)
-	ack := protocol.HeartbeatAck{Sequence: beat.Sequence}
-	ack.Revision = c.opts.Config.Revision()
-	c.opts.Config.NotePeer(from, beat.Revision)
-	return ack, nil
-}
-
-func (c *Cluster) applyStatus(owner state.DaemonID, s protocol.UpstreamStatus) {
-	c.opts.Fleet.Update(s.ID, func(u *state.Upstream) {
-		if s.Epoch < u.Epoch {
-			return
-		}
-		u.Owner, u.Epoch = owner, s.Epoch
-		u.Boot = s.Boot
-		u.Healthy = s.Healthy
-		u.Running = s.Running
-		u.Queued = s.Queued
-		u.Slots = s.Slots
-		u.Batch = s.Batch
-		u.Resident = s.Resident
-		u.Loading = s.Loading
-		u.QueuedByRank = s.QueuedByRank
-		u.Role = s.Role
-		u.ReportedAt = c.opts.Clock()
-	})
-}
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -144,18 +144,33 @@
 	QueuedByRank []int `cbor:"12,keyasint,omitempty"`
 }
 
-// Heartbeat tells a peer that a daemon is alive and what it owns.
-type Heartbeat struct {
-	Daemon      state.DaemonID    `cbor:"1,keyasint"`
-	Incarnation state.Incarnation `cbor:"2,keyasint"`
-	Zone        state.Zone        `cbor:"3,keyasint"`
-	Sequence    uint64            `cbor:"4,keyasint"`
-	Revision    uint64            `cbor:"5,keyasint"` // configuration in force
-	Draining    bool              `cbor:"6,keyasint"`
-	Upstreams   []UpstreamStatus  `cbor:"7,keyasint,omitempty"`
+// UpstreamLoad is the part of an UpstreamStatus that changes with every request.
+type UpstreamLoad struct {
+	ID           state.UpstreamID `cbor:"1,keyasint"`
+	Running      int              `cbor:"2,keyasint"`
+	Queued       int              `cbor:"3,keyasint"`
+	QueuedByRank []int            `cbor:"4,keyasint,omitempty"`
 }
 
-// HeartbeatAck answers a heartbeat with the receiver's configuration revision.
+// Heartbeat tells a peer that a daemon is alive and what has changed of what it
+// owns since the state with sequence number Base. Base 0 stands for nothing known.
+type Heartbeat struct {
+	Daemon      state.DaemonID     `cbor:"1,keyasint"`
+	Incarnation state.Incarnation  `cbor:"2,keyasint"`
+	Zone        state.Zone         `cbor:"3,keyasint"`
+	Sequence    uint64             `cbor:"4,keyasint"`
+	Revision    uint64             `cbor:"5,keyasint"` // configuration in force
+	Draining    bool               `cbor:"6,keyasint,omitempty"`
+	Upstreams   []UpstreamStatus   `cbor:"7,keyasint,omitempty"` // without their load
+	Loads       []UpstreamLoad     `cbor:"8,keyasint,omitempty"`
+	Removed     []state.UpstreamID `cbor:"9,keyasint,omitempty"`
+	Base        uint64             `cbor:"10,keyasint,omitempty"`
+	Digest      uint64             `cbor:"11,keyasint,omitempty"` // of all upstreams after the change
+	LoadDigest  uint64             `cbor:"12,keyasint,omitempty"`
+}
+
+// HeartbeatAck answers a heartbeat with the sequence number of the state that the
+// receiver has, 0 if it needs all, and its configuration revision.
 type HeartbeatAck struct {
 	Sequence uint64 `cbor:"1,keyasint"`
 	Revision uint64 `cbor:"2,keyasint"`
