--- a/internal/app/operators.go
+++ b/internal/app/operators.go
@@ -18,6 +18,7 @@
 	"github.com/celerydeck/celerydeck/internal/node/config"
 	"github.com/celerydeck/celerydeck/internal/node/operator"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
+	"github.com/celerydeck/celerydeck/internal/node/ownership"
 	"github.com/celerydeck/celerydeck/internal/node/suspects"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
@@ -87,6 +88,7 @@
 	Owner       *owner.Manager
 	Config      *config.Node
 	Cluster     *cluster.Cluster
+	Ownership   *ownership.Node
 	Pool        *peer.Pool
 	Platform    *platform.Client
 	Recorder    *metrics.Recorder
@@ -103,7 +105,7 @@
 		Zone:        state.Zone(p.Settings.Zone),
 		Region:      state.Region(p.Settings.Region),
 		Fleet:       p.Fleet,
-		Owned:       p.Owner.Owned,
+		Owned:       p.Cluster.Owned,
 		Catalog:     p.Config.Catalog,
 		Members:     p.Cluster,
 		Peers:       p.Pool,
@@ -111,7 +113,7 @@
 		Router:      p.Router,
 		Stats:       p.Recorder,
 		Gauges:      p.Recorder,
-		Reporters:   []operator.Reporter{suspectReporter{p.Suspects}, configReporter{p.Config}, p.Owner, p.Recorder},
+		Reporters:   []operator.Reporter{suspectReporter{p.Suspects}, configReporter{p.Config}, p.Owner, p.Ownership, p.Recorder},
 		SetDraining: p.Drainer.SetDraining,
 		Clock:       time.Now,
 	})
--- a/internal/node/cluster/heartbeat.go
+++ b/internal/node/cluster/heartbeat.go
@@ -26,7 +26,7 @@
 
 // heartbeat tells every peer what has changed since the state it has confirmed.
 func (c *Cluster) heartbeat(ctx context.Context) {
-	statuses := c.owned()
+	statuses := c.Owned()
 	c.applyOwn(statuses)
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
@@ -119,8 +119,8 @@
 	return xxhash.Sum64(data)
 }
 
-// owned returns the status of the upstreams that this daemon owns by the record.
-func (c *Cluster) owned() []protocol.UpstreamStatus {
+// Owned returns the status of the upstreams that this daemon owns by the record.
+func (c *Cluster) Owned() []protocol.UpstreamStatus {
 	var statuses []protocol.UpstreamStatus
 	for _, s := range c.opts.Owner.Owned() {
 		epoch, ok := c.opts.Ownership.Epoch(s.ID)
--- /dev/null
+++ b/internal/node/ownership/conditions.go
@@ -0,0 +1,62 @@
+package ownership
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/ownership"
+	"github.com/celerydeck/celerydeck/internal/protocol"
+)
+
+// Conditions reports every state in which this daemon may do less than an owner can.
+func (n *Node) Conditions(now time.Time) []protocol.Condition {
+	var list []protocol.Condition
+	until := n.LeaseUntil()
+	if !now.Before(until) {
+		list = append(list, protocol.Condition{
+			Kind:     protocol.ConditionLeaseLost,
+			Severity: protocol.SeverityWatch,
+			Subject:  "lease of " + string(n.opts.Self),
+			Detail:   "the platform has not confirmed the lease; requests go on at the loads that upstreams have",
+			Since:    until.UTC(),
+		})
+	}
+	for _, s := range n.Status() {
+		if reasons := frozenBy(s); len(reasons) > 0 {
+			list = append(list, protocol.Condition{
+				Kind:     protocol.ConditionUnloadFrozen,
+				Severity: protocol.SeverityWatch,
+				Subject:  "upstream " + string(s.Upstream),
+				Detail:   describe(s, reasons),
+			})
+		}
+	}
+	return list
+}
+
+// frozenBy returns the reasons that freeze unloads, but for the lost lease.
+func frozenBy(s ownership.Status) []ownership.Reason {
+	if !s.Mine {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(s.Reasons), func(r ownership.Reason) bool {
+		return r == ownership.ReasonNoLease || r == ownership.ReasonReleasing || r == ownership.ReasonFence
+	})
+}
+
+func describe(s ownership.Status, reasons []ownership.Reason) string {
+	parts := make([]string, 0, len(reasons))
+	for _, r := range reasons {
+		parts = append(parts, string(r))
+	}
+	text := strings.Join(parts, ", ")
+	for _, c := range s.Unresolved {
+		text += fmt.Sprintf("; waits for %s, epoch %d", c.Session.Daemon, c.Epoch)
+	}
+	for _, a := range s.Frozen {
+		text += fmt.Sprintf("; %s is not used", a)
+	}
+	return text
+}
