--- a/internal/app/parse.go
+++ b/internal/app/parse.go
@@ -129,6 +129,8 @@
 		return "duration such as 30s"
 	case t.Kind() == reflect.Int:
 		return "whole number"
+	case t.Kind() == reflect.Float64:
+		return "number"
 	}
 	return t.String()
 }
--- a/internal/app/settings.go
+++ b/internal/app/settings.go
@@ -89,7 +89,7 @@
 		add("--metrics-classes must be 1 to %d", maxMetricsClasses)
 	}
 	if s.StoreRate < 0 || s.StoreRate > 0 && (s.StoreInFlight <= 0 || s.StoreEngines <= 0) {
-		errs = append(errs, errors.New("--store-rate needs --store-in-flight and --store-engines, all positive"))
+		add("--store-rate needs --store-in-flight and --store-engines, all positive")
 	}
 	return errors.Join(errs...)
 }
--- a/internal/cli/large_test.go
+++ b/internal/cli/large_test.go
@@ -92,15 +92,19 @@
 	})
 }
 
-// BenchmarkLargeMemory measures what a daemon keeps for the configuration: its
-// objects and the catalog that is compiled from them.
-func BenchmarkLargeMemory(b *testing.B) {
-	config := large(largeAdapters)
-	rec, err := configsync.FirstRecord(config, "bench", time.Now())
+// largeRecord returns the encoded first record of the large configuration.
+func largeRecord(b *testing.B) []byte {
+	rec, err := configsync.FirstRecord(large(largeAdapters), "bench", time.Now())
 	qt.Assert(b, err, qt.IsNil)
 	data, err := json.Marshal(rec)
 	qt.Assert(b, err, qt.IsNil)
-	rec, config = configsync.Record{}, nil
+	return data
+}
+
+// BenchmarkLargeMemory measures what a daemon keeps for the configuration: its
+// objects and the catalog that is compiled from them.
+func BenchmarkLargeMemory(b *testing.B) {
+	data := largeRecord(b)
 	before := heap()
 	var own configsync.Record
 	qt.Assert(b, json.Unmarshal(data, &own), qt.IsNil)
@@ -110,11 +114,9 @@
 	qt.Assert(b, err, qt.IsNil)
 	own = configsync.Record{}
 	catalog := state.EmptyCatalog().With(1, "", edits)
-	edits = nil
 	after := heap()
 	b.ReportMetric(float64(after-before)/largeAdapters, "B/adapter")
 	b.ReportMetric(float64(after-before)/(1<<20), "MiB")
-	_, _ = rec, edits
 	runtime.KeepAlive(replica)
 	runtime.KeepAlive(catalog)
 	runtime.KeepAlive(data)
