--- a/internal/cli/session_test.go
+++ b/internal/cli/session_test.go
@@ -19,6 +19,8 @@
 
 	"github.com/celerydeck/celerydeck/internal/cli"
 	"github.com/celerydeck/celerydeck/internal/demo"
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/transport/admin"
 )
 
@@ -143,6 +145,28 @@
 	}
 }
 
+func TestDeadDaemonIsLeftOutOfTheHandover(t *testing.T) {
+	d := startDemo(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	qt.Assert(t, d.Daemons[1].Shutdown(ctx), qt.IsNil)
+	client := admin.NewClient([]string{d.Daemons[0].AdminAddr()}, demo.OperatorKey)
+	defer client.Close()
+	h, err := client.Handover(ctx, time.Now().Add(-time.Hour))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(h.Missing), qt.Equals, 1)
+	qt.Assert(t, h.Missing[0].Daemon, qt.Equals, state.DaemonID("cascadia-b-entry-1"))
+	qt.Assert(t, h.NeedsYou[0].Kind, qt.Equals, protocol.ConditionDaemonSilent)
+	unowned := 0
+	for _, g := range h.NeedsYou {
+		if g.Kind == protocol.ConditionUpstreamUnowned {
+			unowned = g.Count
+		}
+	}
+	qt.Assert(t, unowned, qt.Equals, 3)
+	d.Daemons = d.Daemons[:1]
+}
+
 var masks = []struct {
 	pattern *regexp.Regexp
 	with    string
--- a/internal/report/html.go
+++ b/internal/report/html.go
@@ -48,7 +48,9 @@
 	LoadPlot template.HTML
 	Shown    []protocol.OwnedUpstream
 	States   []protocol.StateChange
-	Interval time.Duration
+	// OlderChanges counts the changes that are not in States.
+	OlderChanges int
+	Interval     time.Duration
 }
 
 // HTML writes the handover as one page that needs no other file.
@@ -68,5 +70,6 @@
 		Shown:    h.Upstreams[:min(len(h.Upstreams), maxLines)],
 		States:   h.Changes[:min(len(h.Changes), maxLines)],
 	}
+	data.OlderChanges = len(h.Changes) - len(data.States) + h.MoreChanges
 	return page.Execute(w, data)
 }
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -13,6 +13,9 @@
 	"github.com/celerydeck/celerydeck/internal/state"
 )
 
+// maxChanges bounds the changes of state in a handover.
+const maxChanges = 500
+
 // Input is what a handover is built from.
 type Input struct {
 	Since      time.Time
@@ -44,16 +47,18 @@
 	Notes      []protocol.Note           `json:"notes"`
 	Revisions  []configsync.RevisionInfo `json:"revisions"` // since, newest first
 	Changes    []protocol.StateChange    `json:"changes"`   // since, newest first
-	Drains     []protocol.Drain          `json:"drains"`
-	Revision   uint64                    `json:"revision"`
-	Digest     string                    `json:"digest,omitempty"`
-	Progress   configsync.Progress       `json:"progress"`
-	InForce    []RevisionCount           `json:"in_force"`
-	Zones      []ZoneSummary             `json:"zones"`
-	Daemons    []DaemonSummary           `json:"daemons"`
-	Upstreams  []protocol.OwnedUpstream  `json:"upstreams"`
-	Ranks      []protocol.RankStatus     `json:"ranks"`
-	Classes    []protocol.ClassStatus    `json:"classes"`
+	// MoreChanges counts the older changes that are left out.
+	MoreChanges int                      `json:"more_changes,omitempty"`
+	Drains      []protocol.Drain         `json:"drains"`
+	Revision    uint64                   `json:"revision"`
+	Digest      string                   `json:"digest,omitempty"`
+	Progress    configsync.Progress      `json:"progress"`
+	InForce     []RevisionCount          `json:"in_force"`
+	Zones       []ZoneSummary            `json:"zones"`
+	Daemons     []DaemonSummary          `json:"daemons"`
+	Upstreams   []protocol.OwnedUpstream `json:"upstreams"`
+	Ranks       []protocol.RankStatus    `json:"ranks"`
+	Classes     []protocol.ClassStatus   `json:"classes"`
 }
 
 // RevisionCount tells how many daemons have a revision in force.
@@ -204,4 +209,7 @@
 	slices.SortStableFunc(h.Changes, func(a, b protocol.StateChange) int {
 		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Daemon, b.Daemon), cmp.Compare(a.Subject, b.Subject))
 	})
+	if more := len(h.Changes) - maxChanges; more > 0 {
+		h.Changes, h.MoreChanges = h.Changes[:maxChanges], more
+	}
 }
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -130,6 +130,21 @@
 	qt.Assert(t, second.String(), qt.Equals, first.String())
 }
 
+func TestThousandsOfChangesFillTheHandover(t *testing.T) {
+	in := input()
+	for i := range 2000 {
+		in.Fleet.Daemons[1].Changes = append(in.Fleet.Daemons[1].Changes, protocol.StateChange{At: noon.Add(-time.Duration(i) * time.Second), Subject: "u", What: "w"})
+	}
+	h := report.Build(in)
+	qt.Assert(t, h.Changes, qt.HasLen, 500)
+	qt.Assert(t, h.MoreChanges, qt.Equals, 1502)
+	var text, html bytes.Buffer
+	qt.Assert(t, h.Text(&text), qt.IsNil)
+	qt.Assert(t, h.HTML(&html), qt.IsNil)
+	qt.Assert(t, text.String(), qt.Contains, "and 1972 more changes of state")
+	qt.Assert(t, html.String(), qt.Contains, "and 1972 more")
+}
+
 func TestEveryConditionHasAdvice(t *testing.T) {
 	for _, kind := range protocol.ConditionKinds() {
 		qt.Check(t, report.Advice(kind), qt.Not(qt.Equals), "", qt.Commentf(string(kind)))
--- a/internal/report/text.go
+++ b/internal/report/text.go
@@ -104,7 +104,7 @@
 	}
 	for i, c := range h.Changes {
 		if i == maxLines {
-			fmt.Fprintf(b, "  and %d more changes of state\n", len(h.Changes)-maxLines)
+			fmt.Fprintf(b, "  and %d more changes of state\n", len(h.Changes)-maxLines+h.MoreChanges)
 			break
 		}
 		fmt.Fprintf(b, "  %s %s: %s (seen by %s)\n", stamp(c.At), c.Subject, c.What, c.Daemon)
