Serve the operators' API by HTTPS and test roles end to end

Cause: operator keys are bearer tokens and went over plain HTTP. Conclusion: a client that does not trust the authority gets no answer.

--- a/internal/app/operators.go
+++ b/internal/app/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -152,8 +153,18 @@
 		Clock:            time.Now,
 	})
 	server := &http.Server{Handler: api.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	serve := func() error { return server.Serve(l) }
+	if s.AdminCertFile != "" {
+		cert, err := tls.LoadX509KeyPair(s.AdminCertFile, s.AdminKeyFile)
+		if err != nil {
+			_ = l.Close()
+			return adminServer{}, fmt.Errorf("certificate for operators: %w", err)
+		}
+		server.TLSConfig = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13}
+		serve = func() error { return server.ServeTLS(l, "", "") }
+	}
 	lc.Append(fx.StartStopHook(
-		func() { go func() { _ = server.Serve(l) }() },
+		func() { go func() { _ = serve() }() },
 		func() { _ = server.Close() },
 	))
 	return adminServer{listener: l}, nil
--- a/internal/app/settings.go
+++ b/internal/app/settings.go
@@ -34,6 +34,8 @@
 	DrainTimeout     time.Duration `arg:"--drain-timeout,env:CELERYDECK_DRAIN_TIMEOUT" default:"5m" help:"longest wait for requests in progress at shutdown"`
 	DrainGrace       time.Duration `arg:"--drain-grace,env:CELERYDECK_DRAIN_GRACE" default:"2s" help:"time in which new requests are refused before the port for callers closes"`
 	AdminAddr        string        `arg:"--admin-addr,env:CELERYDECK_ADMIN_ADDR" default:"127.0.0.1:9090" help:"TCP address for operators; empty serves none"`
+	AdminCertFile    string        `arg:"--admin-cert-file,env:CELERYDECK_ADMIN_CERT_FILE" help:"PEM file with the certificate for operators; without it their API speaks plain HTTP"`
+	AdminKeyFile     string        `arg:"--admin-key-file,env:CELERYDECK_ADMIN_KEY_FILE" help:"PEM file with the private key of that certificate"`
 	BootstrapKeyHash string        `arg:"--bootstrap-key-hash,env:CELERYDECK_BOOTSTRAP_KEY_HASH" help:"SHA-256 hash of an operator key that holds before the configuration names operators"`
 	MetricsClasses   int           `arg:"--metrics-classes,env:CELERYDECK_METRICS_CLASSES" default:"200" help:"customers' classes with metrics of their own; the others share one"`
 	StoreRate        float64       `arg:"--store-rate,env:CELERYDECK_STORE_RATE" help:"loads a second that the weight store allows the whole fleet; 0 for no limit"`
@@ -82,6 +84,9 @@
 	if s.DrainTimeout <= s.DrainGrace {
 		add("--drain-timeout must be longer than --drain-grace")
 	}
+	if (s.AdminCertFile == "") != (s.AdminKeyFile == "") {
+		add("--admin-cert-file and --admin-key-file go together")
+	}
 	if s.BootstrapKeyHash != "" && !hashPattern.MatchString(s.BootstrapKeyHash) {
 		add("--bootstrap-key-hash must be SHA-256 in 64 lower-case hex digits")
 	}
--- a/internal/app/settings_test.go
+++ b/internal/app/settings_test.go
@@ -19,7 +19,7 @@
 
 func TestSettingsStopAtTheFirstError(t *testing.T) {
 	_, err := ParseSettings(
-		[]string{"--drain-timeout", "soon", "--metrics-classes=many", "--caller-addr", "nowhere", "--platform-url", "host"},
+		[]string{"--drain-timeout", "soon", "--metrics-classes=many", "--caller-addr", "nowhere", "--platform-url", "host", "--admin-cert-file", "c"},
 		[]string{"CELERYDECK_ZNE=z", "CELERYDECK_ZONE=z", "CELERYDECK_CLI_KEY=secret", "OTHER=1", "CELERYDECK_BOOTSTRAP_KEY_HASH=secret"})
 	qt.Assert(t, err, qt.IsNotNil)
 	for _, want := range []string{
@@ -30,6 +30,7 @@
 		"--region is required",
 		"--caller-addr must be host:port",
 		"--platform-url must be a URL",
+		"--admin-cert-file and --admin-key-file go together",
 		"--bootstrap-key-hash must be SHA-256",
 	} {
 		qt.Check(t, err.Error(), qt.Contains, want)
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
@@ -50,6 +51,7 @@
 	Addr    string        `arg:"--addr,env:CELERYDECK_CLI_ADDR" default:"127.0.0.1:9090" help:"addresses of daemons' operators' API, separated by commas and tried in order"`
 	Key     string        `arg:"--,env:CELERYDECK_CLI_KEY" help:"operator key"`
 	KeyFile string        `arg:"--key-file,env:CELERYDECK_CLI_KEY_FILE" help:"file with the operator key"`
+	CAFile  string        `arg:"--ca-file,env:CELERYDECK_CLI_CA_FILE" help:"PEM file with the authorities of https addresses [default: those of the system]"`
 	Timeout time.Duration `arg:"--timeout,env:CELERYDECK_CLI_TIMEOUT" default:"30s" help:"longest time for the whole command"`
 	Output  string        `arg:"-o,--output,env:CELERYDECK_CLI_OUTPUT" default:"table" help:"table for people or json for programs"`
 	Color   string        `arg:"--color,env:CELERYDECK_CLI_COLOR" default:"auto" help:"auto, always or never; auto colors on terminals only"`
@@ -180,6 +182,18 @@
 		key = strings.TrimSpace(string(data))
 	}
 	e.client = admin.NewClient(strings.Split(e.args.Addr, ","), key)
+	if e.args.CAFile == "" {
+		return nil
+	}
+	data, err := os.ReadFile(e.args.CAFile)
+	if err != nil {
+		return fmt.Errorf("--ca-file: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return errors.New("--ca-file holds no certificate")
+	}
+	e.client.TrustOnly(pool)
 	return nil
 }
 
--- a/internal/cli/session_test.go
+++ b/internal/cli/session_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -17,6 +18,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/sebdah/goldie/v2"
 
+	"github.com/celerydeck/celerydeck/deckconfig"
 	"github.com/celerydeck/celerydeck/internal/cli"
 	"github.com/celerydeck/celerydeck/internal/demo"
 	"github.com/celerydeck/celerydeck/internal/protocol"
@@ -24,12 +26,17 @@
 	"github.com/celerydeck/celerydeck/internal/transport/admin"
 )
 
-func startDemo(t testing.TB) *demo.Demo {
-	t.Helper()
+func demoOptions() demo.Options {
 	opts := demo.DefaultOptions()
 	opts.CallerPorts, opts.DrainGrace = nil, 0
 	opts.Engine.TokenTime = time.Millisecond
 	opts.StoreLoad = 10 * time.Millisecond
+	return opts
+}
+
+func startDemo(t testing.TB) *demo.Demo {
+	t.Helper()
+	opts := demoOptions()
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	d, err := demo.Start(ctx, opts)
@@ -129,6 +136,7 @@
 }
 
 func TestEndedDrainKeepsAnUpstreamOut(t *testing.T) {
+	t.Parallel()
 	d := startDemo(t)
 	runDeck(t, d, "drain", "upstream", "cascadia-b-engine-2", "--wait")
 	runDeck(t, d, "drain", "daemon", "cascadia-a-entry-1", "--wait")
@@ -145,7 +153,52 @@
 	}
 }
 
+func TestViewerChangesTheDeployment(t *testing.T) {
+	t.Parallel()
+	s := newSession(t)
+	config := demo.DefaultConfig()
+	config.Operators = []deckconfig.Operator{
+		{Name: "lee", Role: deckconfig.RoleOperator, KeyHashes: []string{deckconfig.HashKey("lee-key")}},
+		{Name: "wall", Role: deckconfig.RoleViewer, KeyHashes: []string{deckconfig.HashKey("wall-key")}},
+	}
+	data, err := config.Canonical()
+	qt.Assert(t, err, qt.IsNil)
+	s.write("c.json", string(data))
+	_, code := s.deck(0, "apply --base 1 c.json")
+	qt.Assert(t, code, qt.Equals, cli.ExitOK)
+	for key, want := range map[string]int{"lee-key": cli.ExitOK, "wall-key": cli.ExitUnauthorized, "no-key": cli.ExitUnauthorized} {
+		s.write("operator.key", key)
+		_, code = s.deck(1, "note hello")
+		qt.Check(t, code, qt.Equals, want, qt.Commentf(key))
+	}
+	s.write("operator.key", "wall-key")
+	out, code := s.deck(1, "note")
+	qt.Assert(t, code, qt.Equals, cli.ExitOK)
+	qt.Assert(t, out, qt.Contains, " lee: hello")
+}
+
+func TestKeyOfAnOperatorTravelsInTheClear(t *testing.T) {
+	dir := t.TempDir()
+	for _, args := range [][]string{{"keys", "authority", "--dir", dir}, {"keys", "daemon", "--dir", dir, "localhost"}} {
+		qt.Assert(t, run(t, cli.Shell{}, args...).code, qt.Equals, cli.ExitOK)
+	}
+	opts := demoOptions()
+	opts.AdminCertFile, opts.AdminKeyFile = filepath.Join(dir, "localhost.crt"), filepath.Join(dir, "localhost.key")
+	d, err := demo.Start(t.Context(), opts)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { d.Close(context.Background()) })
+	_, port, err := net.SplitHostPort(d.Daemons[0].AdminAddr())
+	qt.Assert(t, err, qt.IsNil)
+	t.Setenv("CELERYDECK_CLI_KEY", demo.OperatorKey)
+	addr, ca := "https://localhost:"+port, filepath.Join(dir, "authority.crt")
+	got := run(t, cli.Shell{}, "--addr", addr, "--ca-file", ca, "history")
+	qt.Assert(t, got.code, qt.Equals, cli.ExitOK, qt.Commentf(got.err))
+	qt.Assert(t, run(t, cli.Shell{}, "--addr", addr, "history").code, qt.Equals, cli.ExitUnreachable)
+	qt.Assert(t, run(t, cli.Shell{}, "--addr", "localhost:"+port, "history").code, qt.Not(qt.Equals), cli.ExitOK)
+}
+
 func TestDeadDaemonIsLeftOutOfTheHandover(t *testing.T) {
+	t.Parallel()
 	d := startDemo(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
@@ -191,6 +244,7 @@
 }
 
 func TestNewcomerMeetsAnotherSession(t *testing.T) {
+	t.Parallel()
 	s := newSession(t)
 	s.program("v1", "deployment.json")
 	s.deck(0, "validate deployment.json")
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -45,6 +45,9 @@
 	StoreRate      float64 // loads a second of the whole fleet; 0 for no limit
 	// CallerPorts are the ports of the daemons; 0 takes a free one.
 	CallerPorts []int
+	// AdminCertFile and AdminKeyFile make the operators' API speak HTTPS.
+	AdminCertFile string
+	AdminKeyFile  string
 	// AdminPorts are the ports for operators; 0 takes a free one.
 	AdminPorts []int
 	DrainGrace time.Duration
@@ -218,6 +221,8 @@
 		DrainTimeout:     drainTimeout,
 		DrainGrace:       d.opts.DrainGrace,
 		AdminAddr:        fmt.Sprintf("%s:%d", loopback, adminPort),
+		AdminCertFile:    d.opts.AdminCertFile,
+		AdminKeyFile:     d.opts.AdminKeyFile,
 		BootstrapKeyHash: state.HashKey(OperatorKey),
 	}
 	if d.opts.StoreRate > 0 {
--- a/internal/transport/admin/client.go
+++ b/internal/transport/admin/client.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -57,6 +59,11 @@
 	return &Client{addrs: addrs, key: key, http: &http.Client{}}
 }
 
+// TrustOnly makes the client trust only the given authorities at https addresses.
+func (c *Client) TrustOnly(authorities *x509.CertPool) {
+	c.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: authorities, MinVersion: tls.VersionTLS13}}
+}
+
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
