Name units and adapters in the JSON for programs, and print single objects

Cause: durations in JSON had no unit, loaded adapters were objects with capital fields, and one adapter of 82,000 could be seen only in the whole file.

--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -66,7 +66,7 @@
 	}
 	out := applyOutput{Revision: accepted.Revision, ID: s.ID, Changes: len(s.Changes), Repeated: accepted.Repeated}
 	if !e.json() {
-		fmt.Fprintf(e.Stdout, "accepted as revision %d: %d changes\n", accepted.Revision, len(s.Changes))
+		fmt.Fprintf(e.Stdout, "accepted as revision %d: objects changed: %d\n", accepted.Revision, len(s.Changes))
 	}
 	var waitErr error
 	if wait {
--- a/internal/cli/handover.go
+++ b/internal/cli/handover.go
@@ -25,7 +25,9 @@
 	case e.json():
 		err = e.printJSON(h)
 	case c.HTML != "":
-		err = writeFile(c.HTML, func(f *os.File) error { return h.HTML(f) })
+		if err = writeFile(c.HTML, func(f *os.File) error { return h.HTML(f) }); err == nil {
+			fmt.Fprintf(e.Stdout, "wrote %s\n", c.HTML)
+		}
 	default:
 		err = h.Text(e.Stdout)
 	}
--- a/internal/cli/revisions.go
+++ b/internal/cli/revisions.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"io"
 
+	"github.com/celerydeck/celerydeck/deckconfig"
 	"github.com/celerydeck/celerydeck/internal/coordination/configsync"
 )
 
 type getCmd struct {
 	Revision uint64 `arg:"--revision" help:"revision to print; 0 is the one in force"`
+	Object   string `arg:"--object" help:"print this object only, such as adapter/advice/blitz or ranks"`
 }
 
 // run prints the canonical JSON in both formats, and the revision on standard error.
@@ -19,9 +21,25 @@
 		return err
 	}
 	fmt.Fprintf(e.Stderr, "revision %d\n", body.Revision)
+	if c.Object != "" {
+		return c.printObject(e, body.Config)
+	}
 	return body.Config.Write(e.Stdout)
 }
 
+func (c *getCmd) printObject(e *env, config *deckconfig.Config) error {
+	objects, err := configsync.Split(config)
+	if err != nil {
+		return err
+	}
+	for _, o := range objects {
+		if o.Key.String() == c.Object {
+			return e.printJSON(o.Value)
+		}
+	}
+	return &codeError{code: ExitNotFound, err: fmt.Errorf("no object %q", c.Object)}
+}
+
 type historyCmd struct {
 	Limit int `arg:"--limit" default:"20" help:"number of revisions"`
 }
--- a/internal/cli/session_test.go
+++ b/internal/cli/session_test.go
@@ -263,6 +263,8 @@
 	_, code = s.deck(1, "apply --base 3 -m from_another_shell other.json")
 	qt.Assert(t, code, qt.Equals, cli.ExitConflict)
 	s.deck(1, "history")
+	s.deck(1, "get --object adapter/advice/endgame")
+	s.deck(1, "get --revision 3 --object adapter/advice/none")
 	s.deck(0, "drain upstream cascadia-a-engine-1 --reason new_disk --wait")
 	s.deck(1, "drain")
 	s.deck(1, "explain --upstream cascadia-a-engine-1")
--- a/internal/node/operator/explain.go
+++ b/internal/node/operator/explain.go
@@ -193,7 +193,7 @@
 		fmt.Sprintf("%s in %s, %s", u.Kind, u.Zone, report.UpstreamState(u)),
 		fmt.Sprintf("%d running and %d queued, batch of %d", u.Running, u.Queued, u.Batch))
 	if u.Kind == protocol.UpstreamEngine {
-		e.Facts = append(e.Facts, fencingFact(u), fmt.Sprintf("%d of %d slots hold adapters: %s", len(u.Resident), u.Slots, names(u.Resident)))
+		e.Facts = append(e.Facts, fencingFact(u), fmt.Sprintf("%d of %d slots hold adapters: %s", len(u.Resident), u.Slots, strings.Join(u.Resident, ", ")))
 	}
 	for _, d := range view.Drains {
 		if d.Kind == protocol.DrainUpstream && d.Subject == string(id) {
@@ -228,10 +228,10 @@
 	return "takes orders with any fencing number, so unloads are written down before they are ordered"
 }
 
-func names(refs []state.AdapterRef) string {
+func names(refs []state.AdapterRef) []string {
 	text := make([]string, len(refs))
 	for i, ref := range refs {
 		text[i] = ref.String()
 	}
-	return strings.Join(text, ", ")
+	return text
 }
--- a/internal/node/operator/status.go
+++ b/internal/node/operator/status.go
@@ -61,7 +61,7 @@
 		u.Healthy = s.Healthy
 		u.Running, u.Queued = s.Running, s.Queued
 		u.Slots, u.Batch = s.Slots, s.Batch
-		u.Resident = s.Resident
+		u.Resident = names(s.Resident)
 		list = append(list, u)
 	}
 	slices.SortFunc(list, func(a, b protocol.OwnedUpstream) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/protocol/operators.go
+++ b/internal/protocol/operators.go
@@ -41,31 +41,31 @@
 
 // OwnedUpstream is the state of an upstream as its owner sees it.
 type OwnedUpstream struct {
-	ID       state.UpstreamID   `json:"id"`
-	Zone     state.Zone         `json:"zone"`
-	Region   state.Region       `json:"region"`
-	Kind     string             `json:"kind"`
-	Service  state.ServiceID    `json:"service,omitempty"`
-	Base     string             `json:"base,omitempty"`
-	Fenced   bool               `json:"fenced,omitempty"`
-	Owner    state.DaemonID     `json:"owner"`
-	Epoch    state.Epoch        `json:"epoch"`
-	Boot     state.BootID       `json:"boot,omitempty"`
-	Healthy  bool               `json:"healthy"`
-	Leaving  bool               `json:"leaving,omitempty"`
-	Running  int                `json:"running"`
-	Queued   int                `json:"queued"`
-	Slots    int                `json:"slots"`
-	Batch    int                `json:"batch"`
-	Resident []state.AdapterRef `json:"resident,omitempty"`
-	Restarts int                `json:"restarts,omitempty"` // in the time that changes are kept
+	ID       state.UpstreamID `json:"id"`
+	Zone     state.Zone       `json:"zone"`
+	Region   state.Region     `json:"region"`
+	Kind     string           `json:"kind"`
+	Service  state.ServiceID  `json:"service,omitempty"`
+	Base     string           `json:"base,omitempty"`
+	Fenced   bool             `json:"fenced,omitempty"`
+	Owner    state.DaemonID   `json:"owner"`
+	Epoch    state.Epoch      `json:"epoch"`
+	Boot     state.BootID     `json:"boot,omitempty"`
+	Healthy  bool             `json:"healthy"`
+	Leaving  bool             `json:"leaving,omitempty"`
+	Running  int              `json:"running"`
+	Queued   int              `json:"queued"`
+	Slots    int              `json:"slots"`
+	Batch    int              `json:"batch"`
+	Resident []string         `json:"resident,omitempty"` // service/adapter@version
+	Restarts int              `json:"restarts,omitempty"` // in the time that changes are kept
 }
 
 // RankStatus compares the requests of a rank with its targets.
 type RankStatus struct {
 	Rank         string        `json:"rank"`
-	TargetFirst  time.Duration `json:"target_first"`
-	TargetGap    time.Duration `json:"target_gap"`
+	TargetFirst  time.Duration `json:"target_first_ns"`
+	TargetGap    time.Duration `json:"target_gap_ns"`
 	Requests     uint64        `json:"requests"`
 	FirstInTime  uint64        `json:"first_in_time"` // first tokens within the target
 	Firsts       uint64        `json:"firsts"`
@@ -73,10 +73,10 @@
 	Gaps         uint64        `json:"gaps"`
 	Failed       uint64        `json:"failed"`
 	Refused      uint64        `json:"refused"`
-	FirstP95     time.Duration `json:"first_p95"`
-	GapP95       time.Duration `json:"gap_p95"`
+	FirstP95     time.Duration `json:"first_p95_ns"`
+	GapP95       time.Duration `json:"gap_p95_ns"`
 	Intervals    []Interval    `json:"intervals"` // oldest first
-	IntervalSize time.Duration `json:"interval_size"`
+	IntervalSize time.Duration `json:"interval_size_ns"`
 }
 
 // Interval counts the first tokens of a rank in a span of time.
@@ -94,7 +94,7 @@
 	Requests uint64           `json:"requests"`
 	Refused  uint64           `json:"refused"`
 	Failed   uint64           `json:"failed"`
-	FirstP95 time.Duration    `json:"first_p95"`
+	FirstP95 time.Duration    `json:"first_p95_ns"`
 }
 
 // Severity orders conditions by what operators have to do.
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -39,7 +39,7 @@
 		ID: state.UpstreamID(fmt.Sprintf("%s-engine-%d", zone, i)), Zone: state.Zone(zone), Region: "amba",
 		Kind: protocol.UpstreamEngine, Base: "base-7b", Owner: state.DaemonID(zone + "-entry-1"), Epoch: 7,
 		Healthy: true, Running: 6 + i, Queued: 2 * i, Slots: 4, Batch: 16,
-		Resident: []state.AdapterRef{{Service: "permits", Adapter: "renewal", Version: "v1"}},
+		Resident: []string{"permits/renewal@v1"},
 	}
 }
 
