Report outages of the platform, and give drains the priority of configuration

Cause: no condition told that the platform does not answer, and drains had the lowest priority among a daemon's calls. Change: the watch of the drains notes failures; after 5 s platform_unreachable is urgent; the log of changes tells when it came back.

--- a/internal/node/operator/drains.go
+++ b/internal/node/operator/drains.go
@@ -28,6 +28,7 @@
 	if !n.known(d) {
 		return protocol.Errorf(protocol.KindNotFound, stepDrain, protocol.OutcomeNotRun, "no %s %q", d.Kind, d.Subject)
 	}
+	ctx = platform.WithPriority(ctx, platform.PriorityConfig)
 	value, err := json.Marshal(d)
 	if err != nil {
 		return err
@@ -61,6 +62,7 @@
 
 // Undrain ends a drain.
 func (n *Node) Undrain(ctx context.Context, d protocol.Drain) error {
+	ctx = platform.WithPriority(ctx, platform.PriorityConfig)
 	key := drainKey(d.Kind, d.Subject)
 	o, err := n.opts.Objects.Get(ctx, key)
 	if err == nil {
@@ -130,6 +132,7 @@
 	var seen platform.Version
 	for n.ctx.Err() == nil {
 		page, err := n.nextDrains(seen)
+		n.notePlatform(n.opts.Clock(), err)
 		if err != nil {
 			n.pause(retryInterval)
 			continue
--- a/internal/node/operator/fakes_test.go
+++ b/internal/node/operator/fakes_test.go
@@ -77,6 +77,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	page := platform.Page{Revision: m.version + 1}
+	if m.down {
+		return platform.Page{}, errors.New("down")
+	}
 	for key, o := range m.objects {
 		if strings.HasPrefix(key, prefix) {
 			page.Objects = append(page.Objects, o)
--- a/internal/node/operator/operator.go
+++ b/internal/node/operator/operator.go
@@ -89,6 +89,7 @@
 	restarts map[state.UpstreamID][]time.Time
 	drains   map[string]protocol.Drain // by key of the object
 	draining bool
+	outage   outage
 }
 
 // New returns a node that is not running.
--- a/internal/node/operator/operator_test.go
+++ b/internal/node/operator/operator_test.go
@@ -95,6 +95,27 @@
 	})
 }
 
+func TestOutageOfThePlatformIsQuiet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := start(t)
+		u.memory.down = true
+		u.opts.Clock = time.Now
+		u.Start()
+		time.Sleep(outageAfter + 2500*time.Millisecond) // between two retries
+		got := u.Status().Conditions
+		qt.Assert(t, got, qt.HasLen, 1)
+		qt.Assert(t, got[0].Kind, qt.Equals, protocol.ConditionPlatformDown)
+		u.memory.mu.Lock()
+		u.memory.down = false
+		u.memory.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		qt.Assert(t, u.Status().Conditions, qt.HasLen, 0)
+		changes := u.Status().Changes
+		qt.Assert(t, changes[len(changes)-1].What, qt.Equals, "answers again after 8s")
+		u.Close()
+	})
+}
+
 func TestTwoNotesAtOnceLoseOne(t *testing.T) {
 	u := start(t)
 	u.memory.beforePut = func() {
--- a/internal/node/operator/status.go
+++ b/internal/node/operator/status.go
@@ -39,6 +39,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	status.Conditions = append(status.Conditions, n.platformConditions(now)...)
 	status.Draining = n.draining
 	status.Changes = n.changes.all()
 	for i := range status.Upstreams {
