Test that disjoint changes from one base both stay

Cause: only the conflict of the same object was driven through the command. Change: two shells change different objects from revision 1. Conclusion: both are in force; a file without the other change ends in a conflict.

--- a/internal/cli/session_test.go
+++ b/internal/cli/session_test.go
@@ -197,6 +197,36 @@
 	qt.Assert(t, run(t, cli.Shell{}, "--addr", "localhost:"+port, "history").code, qt.Not(qt.Equals), cli.ExitOK)
 }
 
+func TestDisjointChangesUndoEachOther(t *testing.T) {
+	t.Parallel()
+	s := newSession(t)
+	write := func(name string, change func(*deckconfig.Config)) {
+		config := demo.DefaultConfig()
+		change(config)
+		data, err := config.Canonical()
+		qt.Assert(t, err, qt.IsNil)
+		s.write(name, string(data))
+	}
+	write("a.json", func(c *deckconfig.Config) { c.Services[0].Adapters[0].Default = "v1" })
+	write("b.json", func(c *deckconfig.Config) { c.Customers[0].RequestsPerSecond = 7 })
+	for shell, file := range []string{"a.json", "b.json"} { // both started from revision 1
+		out, code := s.deck(shell, "apply --base 1 "+file)
+		qt.Assert(t, code, qt.Equals, cli.ExitOK, qt.Commentf(out))
+	}
+	out, _ := s.deck(0, "get")
+	config, err := deckconfig.Parse([]byte(out))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, config.Customers[0].RequestsPerSecond, qt.Equals, 7.0)
+	defaults := make(map[string]string)
+	for _, a := range config.Services[0].Adapters {
+		defaults[a.Name] = a.Default
+	}
+	qt.Assert(t, defaults["blitz"], qt.Equals, "v1")
+	qt.Assert(t, defaults["rapid"], qt.Equals, "v2")
+	_, code := s.deck(1, "apply --base 2 a.json") // the file lacks what b.json changed since
+	qt.Assert(t, code, qt.Equals, cli.ExitConflict)
+}
+
 func TestDeadDaemonIsLeftOutOfTheHandover(t *testing.T) {
 	t.Parallel()
 	d := startDemo(t)
