--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -200,12 +200,16 @@
 	ResultOK      Result = "ok"
 	ResultRefused Result = "refused" // not run
 	ResultFailed  Result = "failed"
+	// ResultCanceled stands for requests that their caller gave up.
+	ResultCanceled Result = "canceled"
 )
 
 func resultOf(err *protocol.Error) Result {
 	switch {
 	case err == nil:
 		return ResultOK
+	case err.Kind == protocol.KindCanceled:
+		return ResultCanceled
 	case err.Outcome == protocol.OutcomeNotRun:
 		return ResultRefused
 	}
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -39,7 +39,7 @@
 		ID: state.UpstreamID(fmt.Sprintf("%s-engine-%d", zone, i)), Zone: state.Zone(zone), Region: "amba",
 		Kind: protocol.UpstreamEngine, Base: "base-7b", Owner: state.DaemonID(zone + "-entry-1"), Epoch: 7,
 		Healthy: true, Running: 6 + i, Queued: 2 * i, Slots: 4, Batch: 16,
-		Resident: []state.AdapterRef{{Service: "permits", Adapter: "renewal", Version: "v1"}},
+		Resident: []string{"permits/renewal@v1"},
 	}
 }
 
@@ -130,6 +130,37 @@
 	qt.Assert(t, second.String(), qt.Equals, first.String())
 }
 
+func TestManyDaemonsRepeatOneCondition(t *testing.T) {
+	in := input()
+	refused := in.Fleet.Daemons[0].Conditions[1]
+	refused.Daemon, refused.Since = "amba-b-entry-1", refused.Since.Add(-time.Hour)
+	in.Fleet.Daemons[1].Conditions = []protocol.Condition{refused}
+	found := 0
+	for _, c := range report.Conditions(in) {
+		if c.Kind == protocol.ConditionFingerprintRefused {
+			found++
+			qt.Check(t, c.Daemons, qt.Equals, 2)
+			qt.Check(t, c.Since, qt.Equals, refused.Since)
+		}
+	}
+	qt.Assert(t, found, qt.Equals, 1)
+}
+
+func TestThousandsOfChangesFillTheHandover(t *testing.T) {
+	in := input()
+	for i := range 2000 {
+		in.Fleet.Daemons[1].Changes = append(in.Fleet.Daemons[1].Changes, protocol.StateChange{At: noon.Add(-time.Duration(i) * time.Second), Subject: "u", What: "w"})
+	}
+	h := report.Build(in)
+	qt.Assert(t, h.Changes, qt.HasLen, 500)
+	qt.Assert(t, h.MoreChanges, qt.Equals, 1502)
+	var text, html bytes.Buffer
+	qt.Assert(t, h.Text(&text), qt.IsNil)
+	qt.Assert(t, h.HTML(&html), qt.IsNil)
+	qt.Assert(t, text.String(), qt.Contains, "and 1972 more changes of state")
+	qt.Assert(t, html.String(), qt.Contains, "and 1972 more")
+}
+
 func TestEveryConditionHasAdvice(t *testing.T) {
 	for _, kind := range protocol.ConditionKinds() {
 		qt.Check(t, report.Advice(kind), qt.Not(qt.Equals), "", qt.Commentf(string(kind)))
