--- a/internal/node/owner/worker.go
+++ b/internal/node/owner/worker.go
@@ -43,7 +43,9 @@
 	sink   protocol.Sink
 	ctx    context.Context
 	cancel context.CancelFunc
-	done   chan *protocol.Error // buffered; receives exactly one result
+	// Exactly one of these, both buffered, receives a value.
+	run     chan struct{}
+	refused chan *protocol.Error
 	// dispatched is guarded by worker.mu.
 	dispatched bool
 	queued     time.Time
@@ -89,8 +91,10 @@
 		sink:   sink,
 		ctx:    runCtx,
 		cancel: cancel,
-		done:   make(chan *protocol.Error, 1),
-		queued: w.m.opts.Clock(),
+		run:    make(chan struct{}, 1),
+
+		refused: make(chan *protocol.Error, 1),
+		queued:  w.m.opts.Clock(),
 	}
 	w.mu.Lock()
 	if w.pending[p.id] != nil {
@@ -101,12 +105,13 @@
 	w.pending[p.id] = p
 	w.mu.Unlock()
 	w.handle(core.Enqueue{Request: coreRequest(p.id, call, w.m.opts.Clock())})
+	stop := context.AfterFunc(runCtx, func() { w.handle(core.Cancel{ID: p.id}) })
+	defer stop()
 	select {
-	case err := <-p.done:
+	case <-p.run:
+		return w.dispatch(p)
+	case err := <-p.refused:
 		return err
-	case <-runCtx.Done():
-		w.handle(core.Cancel{ID: p.id})
-		return <-p.done
 	}
 }
 
@@ -133,11 +138,11 @@
 	switch a := action.(type) {
 	case core.Dispatch:
 		if p := w.start(a.ID); p != nil {
-			go w.dispatch(p)
+			p.run <- struct{}{}
 		}
 	case core.Refuse:
 		if p := w.take(a.ID); p != nil {
-			p.done <- refusal(a, string(w.u.ID))
+			p.refused <- refusal(a, string(w.u.ID))
 		}
 	case core.Abort:
 		if p := w.lookup(a.ID); p != nil {
@@ -176,7 +181,8 @@
 	return p
 }
 
-func (w *worker) dispatch(p *pending) {
+// dispatch runs a request in the goroutine of its submitter.
+func (w *worker) dispatch(p *pending) *protocol.Error {
 	w.observeDispatch(p)
 	var err *protocol.Error
 	if p.call.Model != nil {
@@ -187,7 +193,7 @@
 	err = w.noteCrash(p, err)
 	w.take(p.id)
 	w.handle(core.Ended{ID: p.id, Failed: err != nil})
-	p.done <- err
+	return err
 }
 
 // cancelUpstream stops a request whose connection may outlive its caller.
--- a/internal/transport/peer/call_test.go
+++ b/internal/transport/peer/call_test.go
@@ -40,7 +40,7 @@
 	to     peer.Peer
 }
 
-func newPair(t *testing.T, h handler) pair {
+func newPair(t testing.TB, h handler) pair {
 	t.Helper()
 	authority, err := peer.NewAuthority(time.Now(), time.Hour)
 	qt.Assert(t, err, qt.IsNil)
@@ -61,7 +61,7 @@
 	return pair{server: server, pool: pool, to: peer.Peer{ID: "owner", Addr: listen.LocalAddr().String()}}
 }
 
-func socket(t *testing.T) net.PacketConn {
+func socket(t testing.TB) net.PacketConn {
 	t.Helper()
 	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
