Keep what the list of VMs omits as long as it answers

Cause: an upstream that one read of the list omitted was dropped at once, a replaced address was never taken over, and daemons were never forgotten.

--- a/internal/node/cluster/cluster.go
+++ b/internal/node/cluster/cluster.go
@@ -71,7 +71,6 @@
 	zone     state.Zone
 	run      state.Incarnation // empty before the first heartbeat
 	lastSeen time.Time
-	listedAt time.Time // when the list named the daemon last
 	draining bool
 	acked    uint64    // state of this daemon that the member has confirmed
 	sentAt   time.Time // when the last heartbeat was sent
@@ -88,6 +87,7 @@
 	mu       sync.Mutex
 	members  map[state.DaemonID]*member
 	listAt   time.Time // when the list was read last
+	listing  *membership.Listing
 	startAt  time.Time
 	draining bool
 	log      *membership.Log // what this daemon owns, without the load
@@ -100,6 +100,7 @@
 		opts:    opts,
 		members: make(map[state.DaemonID]*member),
 		startAt: opts.Clock(),
+		listing: membership.NewListing(goneAfter),
 		log:     membership.NewLog(),
 		loads:   membership.NewLog(),
 	}
@@ -200,62 +201,6 @@
 	return max(minListInterval, time.Duration(c.Daemons())*time.Second/listRate)
 }
 
-func (c *Cluster) syncList(ctx context.Context) {
-	vms, err := c.opts.Platform.VMs(ctx)
-	if err != nil {
-		return
-	}
-	listed := make(map[state.UpstreamID]bool)
-	c.mu.Lock()
-	if len(vms) > 0 {
-		c.listAt = c.opts.Clock()
-	}
-	for _, vm := range vms {
-		if vm.Kind == platform.VMEntry {
-			c.noteDaemon(vm)
-		}
-	}
-	c.mu.Unlock()
-	for _, vm := range vms {
-		if vm.Kind == platform.VMEntry {
-			continue
-		}
-		listed[state.UpstreamID(vm.ID)] = true
-		c.noteUpstream(vm)
-	}
-	for _, u := range c.opts.Fleet.All() {
-		if !listed[u.ID] && len(vms) > 0 {
-			c.opts.Fleet.Delete(u.ID)
-			c.opts.Ownership.Forget(u.ID)
-		}
-	}
-	c.assign()
-	c.opts.Platform.Budget().SetDaemons(c.Daemons())
-}
-
-// noteDaemon records a listed daemon. The caller must hold mu.
-func (c *Cluster) noteDaemon(vm platform.VM) {
-	id := state.DaemonID(vm.ID)
-	if id == c.opts.Self.ID {
-		return
-	}
-	if c.members[id] == nil {
-		c.members[id] = &member{}
-	}
-	m := c.members[id]
-	m.peer, m.zone = peer.Peer{ID: id, Addr: vm.Address}, vm.Zone
-	m.listedAt = c.opts.Clock()
-}
-
-func (c *Cluster) noteUpstream(vm platform.VM) {
-	id := state.UpstreamID(vm.ID)
-	if c.opts.Fleet.Get(id) == nil {
-		c.opts.Fleet.Put(newUpstream(vm))
-		c.askAll("")
-	}
-	c.setLeaving(id, vm.State == platform.VMLeaving)
-}
-
 func newUpstream(vm platform.VM) state.Upstream {
 	kind := state.KindEngine
 	if vm.Kind == platform.VMPlain {
@@ -344,7 +289,7 @@
 		return false
 	}
 	m := c.members[id]
-	return m == nil || now.Sub(m.listedAt) > goneAfter && now.Sub(m.lastSeen) > goneAfter
+	return c.listing.Missing(now, string(id)) && (m == nil || now.Sub(m.lastSeen) > goneAfter)
 }
 
 // liveDaemons returns the daemons of this zone that may own upstreams.
