Tell other zones through one relay per zone

Cause: every daemon sent heartbeats to every daemon of every zone.

Change: a daemon tells the daemons of its zone; the relay of the zone, chosen by rendezvous over its live daemons, sends the relays of the other zones a delta of its zone and its own zone a delta of the other zones of the region. Both carry digests; a gap makes the receiver ask for all. A daemon that leaves tells the other relays itself.

--- a/internal/app/handler.go
+++ b/internal/app/handler.go
@@ -54,6 +54,13 @@
 		}
 		ack, err := h.cluster.HandleHeartbeat(from, &beat)
 		return protocol.MsgHeartbeatAck, ack, err
+	case protocol.MsgZoneFeed:
+		var msg protocol.ZoneFeed
+		if err := frame.Decode(&msg); err != nil {
+			return 0, nil, err
+		}
+		ack, err := h.cluster.HandleFeed(from, &msg)
+		return protocol.MsgZoneFeedAck, ack, err
 	case protocol.MsgOwnershipAsk:
 		var ask protocol.OwnershipAsk
 		if err := frame.Decode(&ask); err != nil {
--- a/internal/node/cluster/cluster.go
+++ b/internal/node/cluster/cluster.go
@@ -72,8 +72,8 @@
 	run      state.Incarnation // empty before the first heartbeat
 	lastSeen time.Time
 	draining bool
-	acked    uint64    // state of this daemon that the member has confirmed
-	sentAt   time.Time // when the last heartbeat was sent
+	revision uint64
+	acked    uint64 // state of this daemon that the member has confirmed
 	replica  membership.Replica
 	loads    membership.Replica
 }
@@ -92,6 +92,9 @@
 	draining bool
 	log      *membership.Log // what this daemon owns, without the load
 	loads    *membership.Log
+	ownFeed  *feed // this zone, to other relays
+	farFeed  *feed // the other zones, to this one
+	feeds    map[feedKey]*replica
 }
 
 // New returns a cluster that is not running.
@@ -103,6 +106,9 @@
 		listing: membership.NewListing(goneAfter),
 		log:     membership.NewLog(),
 		loads:   membership.NewLog(),
+		ownFeed: newFeed(false),
+		farFeed: newFeed(true),
+		feeds:   make(map[feedKey]*replica),
 	}
 }
 
@@ -112,6 +118,7 @@
 	c.stop = stop
 	c.loop(ctx, c.listInterval, c.syncList)
 	c.loop(ctx, func() time.Duration { return heartbeatInterval }, c.heartbeat)
+	c.loop(ctx, func() time.Duration { return feedInterval }, c.relay)
 }
 
 // Close stops the loops.
@@ -158,6 +165,7 @@
 	c.assign()
 	c.opts.Ownership.WaitReleased(ctx)
 	c.heartbeat(ctx)
+	c.announce(ctx)
 }
 
 // Address returns the address of a daemon.
@@ -246,6 +254,11 @@
 			m.loads.Reset()
 		}
 	}
+	if id == "" || c.members[id] != nil && c.members[id].zone != c.opts.Zone {
+		for _, r := range c.feeds {
+			r.reset()
+		}
+	}
 }
 
 func (c *Cluster) alive(id state.DaemonID) bool {
--- a/internal/node/cluster/heartbeat.go
+++ b/internal/node/cluster/heartbeat.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
@@ -15,16 +14,13 @@
 	"github.com/celerydeck/celerydeck/internal/transport/peer"
 )
 
-// farInterval is the pause between heartbeats to other availability zones.
-const farInterval = time.Second
-
 // outgoing is a heartbeat to one peer.
 type outgoing struct {
 	to   peer.Peer
 	beat protocol.Heartbeat
 }
 
-// heartbeat tells every peer what has changed since the state it has confirmed.
+// heartbeat tells every peer of the zone what has changed since the state it has confirmed.
 func (c *Cluster) heartbeat(ctx context.Context) {
 	statuses := c.Owned()
 	c.applyOwn(statuses)
@@ -51,7 +47,7 @@
 	}
 }
 
-// outgoing returns the heartbeats that are due.
+// outgoing returns the heartbeats to the peers of the zone.
 func (c *Cluster) outgoing(statuses []protocol.UpstreamStatus) []outgoing {
 	byID := make(map[state.UpstreamID]protocol.UpstreamStatus, len(statuses))
 	var items, loads []membership.Item
@@ -65,13 +61,11 @@
 	defer c.mu.Unlock()
 	c.log.Update(items)
 	c.loads.Update(loads)
-	now := c.opts.Clock()
 	var due []outgoing
 	for _, m := range c.members {
-		if m.zone != c.opts.Zone && !c.draining && now.Sub(m.sentAt) < farInterval {
-			continue
+		if m.zone != c.opts.Zone {
+			continue // told by the relay
 		}
-		m.sentAt = now
 		due = append(due, outgoing{to: m.peer, beat: c.beat(byID, m.acked)})
 	}
 	return due
@@ -181,7 +175,7 @@
 		m.loads.Reset()
 	}
 	m.lastSeen = c.opts.Clock()
-	m.draining = beat.Draining
+	m.draining, m.revision = beat.Draining, beat.Revision
 	if beat.Base != 0 && beat.Sequence <= m.replica.Sequence() {
 		return m.replica.Sequence(), false
 	}
