Send changes of state only for handovers, and ask for progress less often

Change: the query names the time since which changes are wanted; the pauses of apply double up to 2 s. Conclusion: a handover through the demo shows the changes of both daemons, the fleet view none.

--- a/internal/app/handler.go
+++ b/internal/app/handler.go
@@ -53,7 +53,11 @@
 		ack, err := h.cluster.HandleHeartbeat(from, &beat)
 		return protocol.MsgHeartbeatAck, ack, err
 	case protocol.MsgStatusQuery:
-		return protocol.MsgStatusReply, h.operator.Status(), nil
+		var query protocol.StatusQuery
+		if err := frame.Decode(&query); err != nil {
+			return 0, nil, err
+		}
+		return protocol.MsgStatusReply, h.operator.Status(query), nil
 	case protocol.MsgConfigStateRequest:
 		var req protocol.ConfigStateRequest
 		if err := frame.Decode(&req); err != nil {
--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -15,7 +15,10 @@
 )
 
 const (
+	// progressInterval is the first pause between two looks at the progress. It
+	// doubles up to maxProgress, since each look asks every daemon.
 	progressInterval = 300 * time.Millisecond
+	maxProgress      = 2 * time.Second
 	submitInterval   = time.Second
 	idBytes          = 12
 )
@@ -139,6 +142,7 @@
 func (e *env) waitInForce(ctx context.Context, revision uint64) (*configsync.Progress, error) {
 	var last configsync.Progress
 	shown := -1
+	pause := progressInterval
 	for {
 		progress, err := e.client.Progress(ctx, revision)
 		if err == nil {
@@ -152,7 +156,8 @@
 			}
 		}
 		select {
-		case <-time.After(progressInterval):
+		case <-time.After(pause):
+			pause = min(2*pause, maxProgress)
 		case <-ctx.Done():
 			return &last, notInForce(last, revision)
 		}
--- a/internal/cli/session_test.go
+++ b/internal/cli/session_test.go
@@ -151,6 +151,18 @@
 		qt.Assert(t, ctx.Err(), qt.IsNil, qt.Commentf("the drained daemon or upstream does not come back"))
 		time.Sleep(20 * time.Millisecond)
 	}
+	seen := make(map[state.DaemonID]bool)
+	for len(seen) < 2 { // both daemons tell what changed
+		qt.Assert(t, ctx.Err(), qt.IsNil, qt.Commentf("changes of state are missing"))
+		h, err := client.Handover(ctx, time.Now().Add(-time.Hour))
+		qt.Assert(t, err, qt.IsNil)
+		for _, c := range h.Changes {
+			seen[c.Daemon] = true
+		}
+	}
+	view, err := client.Fleet(ctx)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, view.Daemons[0].Changes, qt.HasLen, 0)
 }
 
 func TestViewerChangesTheDeployment(t *testing.T) {
--- a/internal/node/operator/changes.go
+++ b/internal/node/operator/changes.go
@@ -30,11 +30,18 @@
 	l.first = (l.first + 1) % maxChanges
 }
 
-// all returns the changes, oldest first.
-func (l *changeLog) all() []protocol.StateChange {
-	list := make([]protocol.StateChange, 0, len(l.ring))
-	list = append(list, l.ring[l.first:]...)
-	return append(list, l.ring[:l.first]...)
+// since returns the changes since a time, oldest first, and none for the zero time.
+func (l *changeLog) since(t time.Time) []protocol.StateChange {
+	if t.IsZero() {
+		return nil
+	}
+	var list []protocol.StateChange
+	for i := range l.ring {
+		if c := l.ring[(l.first+i)%len(l.ring)]; !c.At.Before(t) {
+			list = append(list, c)
+		}
+	}
+	return list
 }
 
 // observation is what the last look at an owned upstream showed.
--- a/internal/node/operator/explain.go
+++ b/internal/node/operator/explain.go
@@ -22,7 +22,7 @@
 	if (q.Model == "") == (q.Upstream == "") {
 		return e, protocol.Errorf(protocol.KindBadRequest, stepExplain, protocol.OutcomeNotRun, "name either a model or an upstream")
 	}
-	view := n.Collect(ctx)
+	view := n.Collect(ctx, protocol.StatusQuery{})
 	for _, m := range view.Missing {
 		e.Missing = append(e.Missing, string(m.Daemon))
 	}
--- a/internal/node/operator/operator_test.go
+++ b/internal/node/operator/operator_test.go
@@ -14,6 +14,9 @@
 	"github.com/celerydeck/celerydeck/internal/transport/peer"
 )
 
+// allChanges asks for every change that is kept.
+var allChanges = protocol.StatusQuery{ChangesSince: time.Unix(1, 0)}
+
 func TestSilentDaemonHidesInTheFleetView(t *testing.T) {
 	u := start(t)
 	u.fleet.peers = []peer.Peer{{ID: "d3"}, {ID: "d2"}}
@@ -25,7 +28,7 @@
 	}
 	u.table.Put(state.Upstream{ID: "lost", Zone: "z2", Owner: "d3"})
 	u.table.Put(state.Upstream{ID: "far", Zone: "z2", Owner: "d2"})
-	view := u.Collect(t.Context())
+	view := u.Collect(t.Context(), protocol.StatusQuery{})
 	qt.Assert(t, view.Partial(), qt.IsTrue)
 	qt.Assert(t, view.Missing, qt.DeepEquals, []protocol.MissingDaemon{{Daemon: "d3", Zone: "z2", Reason: "timeout"}})
 	qt.Assert(t, len(view.Daemons), qt.Equals, 2)
@@ -43,7 +46,7 @@
 	u.owned[1].Healthy = true
 	u.owned = u.owned[:2]
 	u.observe(u.now)
-	status := u.Status()
+	status := u.Status(allChanges)
 	qt.Assert(t, status.Upstreams[0].Restarts, qt.Equals, 1)
 	var seen []string
 	for _, c := range status.Changes {
@@ -54,12 +57,14 @@
 		"e1 restarted: boot b2 after b1", "e2 stopped answering", "e2 answers again", "p1 no longer owned here",
 	})
 	u.observe(u.now.Add(2 * time.Hour))
-	qt.Assert(t, u.Status().Upstreams[0].Restarts, qt.Equals, 0)
+	qt.Assert(t, u.Status(allChanges).Upstreams[0].Restarts, qt.Equals, 0)
 	for range 3 * maxChanges {
 		u.owned[0].Boot += "x"
 		u.observe(u.now.Add(2 * time.Hour))
 	}
-	qt.Assert(t, len(u.Status().Changes), qt.Equals, maxChanges)
+	qt.Assert(t, len(u.Status(allChanges).Changes), qt.Equals, maxChanges)
+	qt.Assert(t, u.Status(protocol.StatusQuery{}).Changes, qt.HasLen, 0)
+	qt.Assert(t, u.Status(protocol.StatusQuery{ChangesSince: u.now.Add(3 * time.Hour)}).Changes, qt.HasLen, 0)
 }
 
 func TestLostAnswerOfADrainLooksLikeAFailure(t *testing.T) {
@@ -102,15 +107,15 @@
 		u.opts.Clock = time.Now
 		u.Start()
 		time.Sleep(outageAfter + 2500*time.Millisecond) // between two retries
-		got := u.Status().Conditions
+		got := u.Status(allChanges).Conditions
 		qt.Assert(t, got, qt.HasLen, 1)
 		qt.Assert(t, got[0].Kind, qt.Equals, protocol.ConditionPlatformDown)
 		u.memory.mu.Lock()
 		u.memory.down = false
 		u.memory.mu.Unlock()
 		time.Sleep(2 * time.Second)
-		qt.Assert(t, u.Status().Conditions, qt.HasLen, 0)
-		changes := u.Status().Changes
+		qt.Assert(t, u.Status(allChanges).Conditions, qt.HasLen, 0)
+		changes := u.Status(allChanges).Changes
 		qt.Assert(t, changes[len(changes)-1].What, qt.Equals, "answers again after 8s")
 		u.Close()
 	})
--- a/internal/node/operator/status.go
+++ b/internal/node/operator/status.go
@@ -13,7 +13,7 @@
 )
 
 // Status returns the status of this daemon.
-func (n *Node) Status() protocol.DaemonStatus {
+func (n *Node) Status(q protocol.StatusQuery) protocol.DaemonStatus {
 	now := n.opts.Clock()
 	status := protocol.DaemonStatus{
 		Daemon:      n.opts.Self,
@@ -41,7 +41,7 @@
 	defer n.mu.Unlock()
 	status.Conditions = append(status.Conditions, n.platformConditions(now)...)
 	status.Draining = n.draining
-	status.Changes = n.changes.all()
+	status.Changes = n.changes.since(q.ChangesSince)
 	for i := range status.Upstreams {
 		status.Upstreams[i].Restarts = len(n.restarts[status.Upstreams[i].ID])
 	}
@@ -84,13 +84,13 @@
 
 // Collect asks all known daemons for their status. Those that do not answer in
 // time are listed as missing.
-func (n *Node) Collect(ctx context.Context) protocol.FleetView {
+func (n *Node) Collect(ctx context.Context, q protocol.StatusQuery) protocol.FleetView {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	view := protocol.FleetView{
 		At:      n.opts.Clock().UTC(),
 		From:    n.opts.Self,
-		Daemons: []protocol.DaemonStatus{n.Status()},
+		Daemons: []protocol.DaemonStatus{n.Status(q)},
 		Missing: []protocol.MissingDaemon{},
 		Unowned: []protocol.OwnedUpstream{},
 		Drains:  n.Drains(),
@@ -101,7 +101,7 @@
 	for _, to := range n.opts.Members.AllPeers() {
 		group.Go(func() error {
 			var status protocol.DaemonStatus
-			err := n.opts.Peers.Exchange(ctx, to, protocol.MsgStatusQuery, protocol.StatusQuery{}, &status)
+			err := n.opts.Peers.Exchange(ctx, to, protocol.MsgStatusQuery, q, &status)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
--- a/internal/protocol/operators.go
+++ b/internal/protocol/operators.go
@@ -13,7 +13,10 @@
 )
 
 // StatusQuery asks a daemon for its status.
-type StatusQuery struct{}
+type StatusQuery struct {
+	// ChangesSince asks for changes of state since a time; zero asks for none.
+	ChangesSince time.Time `json:"changes_since,omitzero"`
+}
 
 // DaemonStatus is what a daemon tells operators about itself and its upstreams.
 type DaemonStatus struct {
@@ -30,7 +33,7 @@
 	Ranks       []RankStatus      `json:"ranks"`
 	Classes     []ClassStatus     `json:"classes,omitempty"` // busiest first
 	Conditions  []Condition       `json:"conditions"`
-	Changes     []StateChange     `json:"changes"` // oldest first
+	Changes     []StateChange     `json:"changes,omitempty"` // oldest first
 }
 
 // Kinds of upstreams in a status.
--- a/internal/transport/admin/admin_test.go
+++ b/internal/transport/admin/admin_test.go
@@ -54,9 +54,11 @@
 
 func (f *fake) At(context.Context, uint64) (*deckconfig.Config, error) { return config(), f.err }
 
-func (f *fake) Status() protocol.DaemonStatus { return protocol.DaemonStatus{Daemon: "d1"} }
+func (f *fake) Status(protocol.StatusQuery) protocol.DaemonStatus {
+	return protocol.DaemonStatus{Daemon: "d1"}
+}
 
-func (f *fake) Collect(context.Context) protocol.FleetView {
+func (f *fake) Collect(context.Context, protocol.StatusQuery) protocol.FleetView {
 	return protocol.FleetView{From: "d1", Missing: []protocol.MissingDaemon{{Daemon: "d2"}}}
 }
 
--- a/internal/transport/admin/fleet.go
+++ b/internal/transport/admin/fleet.go
@@ -18,11 +18,11 @@
 )
 
 func (s *Server) status(w http.ResponseWriter, _ *http.Request, _ deckconfig.Operator) {
-	writeJSON(w, http.StatusOK, s.opts.Fleet.Status())
+	writeJSON(w, http.StatusOK, s.opts.Fleet.Status(protocol.StatusQuery{}))
 }
 
 func (s *Server) fleet(w http.ResponseWriter, r *http.Request, _ deckconfig.Operator) {
-	writeJSON(w, http.StatusOK, s.opts.Fleet.Collect(r.Context()))
+	writeJSON(w, http.StatusOK, s.opts.Fleet.Collect(r.Context(), protocol.StatusQuery{}))
 }
 
 func (s *Server) explain(w http.ResponseWriter, r *http.Request, _ deckconfig.Operator) {
@@ -127,7 +127,7 @@
 
 // build collects all that a handover shows. What cannot be read is named in it.
 func (s *Server) build(r *http.Request, since time.Time) *report.Handover {
-	in := report.Input{Since: since, Fleet: s.opts.Fleet.Collect(r.Context())}
+	in := report.Input{Since: since, Fleet: s.opts.Fleet.Collect(r.Context(), protocol.StatusQuery{ChangesSince: since})}
 	notes, err := s.opts.Fleet.Notes(r.Context())
 	in.Notes = notes
 	in.Unread("notes", err)
--- a/internal/transport/admin/server.go
+++ b/internal/transport/admin/server.go
@@ -43,8 +43,8 @@
 // Fleet answers questions about the state of the fleet and keeps what operators
 // leave for each other.
 type Fleet interface {
-	Status() protocol.DaemonStatus
-	Collect(ctx context.Context) protocol.FleetView
+	Status(q protocol.StatusQuery) protocol.DaemonStatus
+	Collect(ctx context.Context, q protocol.StatusQuery) protocol.FleetView
 	Explain(ctx context.Context, q protocol.ExplainQuery) (protocol.Explanation, error)
 	Notes(ctx context.Context) ([]protocol.Note, error)
 	AddNote(ctx context.Context, author, text string) (protocol.Note, error)
