--- a/internal/coordination/ownership/moves_test.go
+++ b/internal/coordination/ownership/moves_test.go
@@ -35,6 +35,9 @@
 	"dispatch", "finish", "unload", "report", "resolve", "promise", "flip",
 }
 
+// randomTicks is the least length of a random run.
+const randomTicks = 100
+
 // move is one transition of node a, or of entry a of a list, and machine or engine b.
 type move struct {
 	kind  moveKind
@@ -138,19 +141,13 @@
 
 func (w *world) advance() bool {
 	w.tick++
-	for i := range w.nodes {
-		n := &w.nodes[i]
-		if n.run == 0 || w.now().Before(n.deadAt.Add(settleUnits*unit)) {
-			continue
-		}
-		kept := w.orders[:0:0]
-		for _, o := range w.orders {
-			if o.node != i || o.run == n.run {
-				kept = append(kept, o)
-			}
+	kept := w.orders[:0:0]
+	for _, o := range w.orders {
+		if o.deadAt.IsZero() || w.now().Before(o.deadAt.Add(settleUnits*unit)) {
+			kept = append(kept, o)
 		}
-		w.orders = kept
 	}
+	w.orders = kept
 	return true
 }
 
@@ -245,6 +242,9 @@
 	if en.loaded && slices.Contains(en.serving[:], true) {
 		w.violate("an adapter that serves was unloaded")
 	}
+	if en.loaded && w.bounds.lastTick >= randomTicks {
+		w.unloads++
+	}
 	en.loaded = false
 	if o.engine == 0 {
 		en.fence = o.epoch
@@ -320,8 +320,13 @@
 		}
 	}
 	n.slow = nil
+	w.orders = slices.Clone(w.orders)
+	for k := range w.orders {
+		if w.orders[k].node == i && w.orders[k].deadAt.IsZero() {
+			w.orders[k].deadAt = w.now()
+		}
+	}
 	n.run++
-	n.deadAt = w.now()
 	w.startNode(i)
 	f := noFault
 	for e := range engines {
