--- a/internal/coordination/configsync/snapshot.go
+++ b/internal/coordination/configsync/snapshot.go
@@ -97,33 +97,15 @@
 	if err != nil {
 		return nil, err
 	}
-	var buf bytes.Buffer
-	w, err := gzip.NewWriterLevel(&buf, gzip.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
-	if _, err := w.Write(raw); err != nil {
-		return nil, err
-	}
-	if err := w.Close(); err != nil {
-		return nil, err
-	}
-	return buf.Bytes(), nil
+	return Compress(raw)
 }
 
 // DecodeBucket reverses EncodeBucket and checks the digests of the objects.
 func DecodeBucket(data []byte) ([]Stored, error) {
-	r, err := gzip.NewReader(bytes.NewReader(data))
+	raw, err := Decompress(data, maxBucket)
 	if err != nil {
 		return nil, fmt.Errorf("bucket: %w", err)
 	}
-	raw, err := io.ReadAll(io.LimitReader(r, maxBucket+1))
-	if err != nil {
-		return nil, fmt.Errorf("bucket: %w", err)
-	}
-	if len(raw) > maxBucket {
-		return nil, fmt.Errorf("bucket: larger than %d bytes", maxBucket)
-	}
 	var objects []Stored
 	if err := json.Unmarshal(raw, &objects); err != nil {
 		return nil, fmt.Errorf("bucket: %w", err)
@@ -135,3 +117,30 @@
 	}
 	return objects, nil
 }
+
+// Compress returns the compressed form of data.
+func Compress(raw []byte) ([]byte, error) {
+	var buf bytes.Buffer
+	w, err := gzip.NewWriterLevel(&buf, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(raw); err != nil {
+		return nil, err
+	}
+	err = w.Close()
+	return buf.Bytes(), err
+}
+
+// Decompress reverses Compress. It fails when the result exceeds limit bytes.
+func Decompress(packed []byte, limit int64) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, err
+	}
+	raw, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(raw)) > limit {
+		err = fmt.Errorf("more than %d bytes", limit)
+	}
+	return raw, err
+}
--- a/internal/node/config/records.go
+++ b/internal/node/config/records.go
@@ -1,11 +1,8 @@
 package config
 
 import (
-	"bytes"
-	"compress/gzip"
 	"encoding/json"
 	"fmt"
-	"io"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/configsync"
 )
@@ -49,7 +46,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	packed, err := compress(raw)
+	packed, err := configsync.Compress(raw)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -82,7 +79,7 @@
 		}
 		packed = append(packed, blob...)
 	}
-	raw, err := decompress(packed)
+	raw, err := configsync.Decompress(packed, maxChanges)
 	if err != nil {
 		return nil, err
 	}
@@ -95,31 +92,6 @@
 	return &rec, nil
 }
 
-func compress(raw []byte) ([]byte, error) {
-	var buf bytes.Buffer
-	w, err := gzip.NewWriterLevel(&buf, gzip.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
-	if _, err := w.Write(raw); err != nil {
-		return nil, err
-	}
-	err = w.Close()
-	return buf.Bytes(), err
-}
-
-func decompress(packed []byte) ([]byte, error) {
-	r, err := gzip.NewReader(bytes.NewReader(packed))
-	if err != nil {
-		return nil, err
-	}
-	raw, err := io.ReadAll(io.LimitReader(r, maxChanges+1))
-	if err == nil && len(raw) > maxChanges {
-		err = fmt.Errorf("changes exceed %d bytes", maxChanges)
-	}
-	return raw, err
-}
-
 // recordLog holds the latest records in their encoded form for peers.
 type recordLog struct {
 	entries []logEntry
