--- a/internal/node/entry/gateway.go
+++ b/internal/node/entry/gateway.go
@@ -222,7 +222,7 @@
 func failure(err *protocol.Error, begun bool) retry.Failure {
 	f := retry.Failure{Cause: retry.Failed, MaybeRan: err.Outcome != protocol.OutcomeNotRun || begun, Begun: begun}
 	switch err.Kind {
-	case protocol.KindBadRequest, protocol.KindCanceled, protocol.KindDeadline, protocol.KindTooLarge, protocol.KindRefusedPoison:
+	case protocol.KindBadRequest, protocol.KindCanceled, protocol.KindDeadline, protocol.KindTooLarge, protocol.KindRefusedFingerprint:
 		f.Cause = retry.Final
 	case protocol.KindNotOwner:
 		f.Cause = retry.NotOwner
--- a/internal/node/suspects/node.go
+++ b/internal/node/suspects/node.go
@@ -361,6 +361,6 @@
 }
 
 func refusal(f core.Fingerprint) *protocol.Error {
-	return protocol.Errorf(protocol.KindRefusedPoison, "admit request", protocol.OutcomeNotRun,
+	return protocol.Errorf(protocol.KindRefusedFingerprint, "admit request", protocol.OutcomeNotRun,
 		"requests with fingerprint %016x crash upstreams and are refused", uint64(f))
 }
--- a/internal/transport/callers/errors.go
+++ b/internal/transport/callers/errors.go
@@ -52,7 +52,7 @@
 		return http.StatusNotFound
 	case protocol.KindTooLarge:
 		return http.StatusRequestEntityTooLarge
-	case protocol.KindRefusedPoison:
+	case protocol.KindRefusedFingerprint:
 		return http.StatusUnprocessableEntity
 	case protocol.KindDeadline:
 		return http.StatusGatewayTimeout
