--- a/internal/coordination/ownership/unload.go
+++ b/internal/coordination/ownership/unload.go
@@ -60,14 +60,24 @@
 	return len(c.granted) > 0 || len(c.asked)+len(c.asking)+len(c.inWrite) > 0
 }
 
-// Honors reports that this daemon will not use the adapter after a takeover.
-func (c *Core) Honors(p PendingUnload) bool { return slices.Contains(c.notices, p) }
+// Honors reports that this daemon promises not to use the adapter after a takeover.
+// A promise of an earlier unload of the same adapter does not count once this daemon
+// may have taken over.
+func (c *Core) Honors(p PendingUnload) bool {
+	return !c.tookOver(p.By) && slices.Contains(c.notices, p)
+}
+
+// tookOver reports that the claim may have been taken over, by this daemon or by
+// one that this daemon knows of.
+func (c *Core) tookOver(claim Claim) bool {
+	return c.phase == writing || c.mine() || slices.Contains(c.lapsed, claim.Session) ||
+		c.known && c.record.Epoch > claim.Epoch
+}
 
 func (c *Core) notice(p PendingUnload) {
-	if c.phase == writing || c.mine() || slices.Contains(c.lapsed, p.By.Session) {
-		return
+	if !c.tookOver(p.By) {
+		c.notices = appendNew(c.notices, p)
 	}
-	c.notices = appendNew(c.notices, p)
 }
 
 func (c *Core) askUnload(now time.Time, a state.AdapterRef) []Action {
--- a/internal/node/cluster/cluster.go
+++ b/internal/node/cluster/cluster.go
@@ -4,12 +4,13 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
-	core "github.com/celerydeck/celerydeck/internal/coordination/owner"
+	"github.com/celerydeck/celerydeck/internal/coordination/lease"
+	"github.com/celerydeck/celerydeck/internal/coordination/membership"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/transport/peer"
@@ -20,18 +21,28 @@
 	heartbeatInterval = 200 * time.Millisecond
 	heartbeatTimeout  = time.Second
 	aliveFor          = 3 * time.Second
-	listInterval      = 500 * time.Millisecond
+	minListInterval   = 500 * time.Millisecond
+	listRate          = 200 // reads of the list a second by the whole fleet
+	goneAfter         = 15 * time.Second
 )
 
 // Owner is told what this daemon owns.
 type Owner interface {
-	Own(u *state.Upstream, auth core.Authority)
-	Disown(id state.UpstreamID)
 	Leaving(id state.UpstreamID)
 	Staying(id state.UpstreamID)
 	Owned() []protocol.UpstreamStatus
 }
 
+// Ownership acquires and releases the upstreams of this zone.
+type Ownership interface {
+	Want(u *state.Upstream, mine bool)
+	Forget(id state.UpstreamID)
+	// Epoch returns the epoch under which this daemon owns an upstream.
+	Epoch(id state.UpstreamID) (state.Epoch, bool)
+	// WaitReleased waits until this daemon owns nothing.
+	WaitReleased(ctx context.Context)
+}
+
 // Config is the configuration whose revision the heartbeats carry.
 type Config interface {
 	Revision() uint64
@@ -48,6 +59,7 @@
 	Pool        *peer.Pool
 	Fleet       *state.Fleet
 	Owner       Owner
+	Ownership   Ownership
 	Config      Config
 	Clock       func() time.Time
 	// Drained reports whether operators drain an upstream; nil for none.
@@ -57,8 +69,13 @@
 type member struct {
 	peer     peer.Peer
 	zone     state.Zone
+	run      state.Incarnation // empty before the first heartbeat
 	lastSeen time.Time
 	draining bool
+	revision uint64
+	acked    uint64 // state of this daemon that the member has confirmed
+	replica  membership.Replica
+	loads    membership.Replica
 }
 
 // Cluster runs the loops that keep the view up to date.
@@ -69,9 +86,15 @@
 
 	mu       sync.Mutex
 	members  map[state.DaemonID]*member
-	owned    map[state.UpstreamID]bool
+	listAt   time.Time // when the list was read last
+	listing  *membership.Listing
+	startAt  time.Time
 	draining bool
-	sequence uint64
+	log      *membership.Log // what this daemon owns, without the load
+	loads    *membership.Log
+	ownFeed  *feed // this zone, to other relays
+	farFeed  *feed // the other zones, to this one
+	feeds    map[feedKey]*replica
 }
 
 // New returns a cluster that is not running.
@@ -79,7 +102,13 @@
 	return &Cluster{
 		opts:    opts,
 		members: make(map[state.DaemonID]*member),
-		owned:   make(map[state.UpstreamID]bool),
+		startAt: opts.Clock(),
+		listing: membership.NewListing(goneAfter),
+		log:     membership.NewLog(),
+		loads:   membership.NewLog(),
+		ownFeed: newFeed(false),
+		farFeed: newFeed(true),
+		feeds:   make(map[feedKey]*replica),
 	}
 }
 
@@ -87,8 +116,9 @@
 func (c *Cluster) Start() {
 	ctx, stop := context.WithCancel(context.Background())
 	c.stop = stop
-	c.loop(ctx, listInterval, c.syncList)
-	c.loop(ctx, heartbeatInterval, c.heartbeat)
+	c.loop(ctx, c.listInterval, c.syncList)
+	c.loop(ctx, func() time.Duration { return heartbeatInterval }, c.heartbeat)
+	c.loop(ctx, func() time.Duration { return feedInterval }, c.relay)
 }
 
 // Close stops the loops.
@@ -132,8 +162,10 @@
 	c.mu.Lock()
 	c.draining = true
 	c.mu.Unlock()
-	c.heartbeat(ctx)
 	c.assign()
+	c.opts.Ownership.WaitReleased(ctx)
+	c.heartbeat(ctx)
+	c.announce(ctx)
 }
 
 // Address returns the address of a daemon.
@@ -154,66 +186,27 @@
 	return len(c.members) + 1
 }
 
-func (c *Cluster) loop(ctx context.Context, every time.Duration, step func(context.Context)) {
+func (c *Cluster) loop(ctx context.Context, every func() time.Duration, step func(context.Context)) {
 	c.wg.Add(1)
 	go func() {
 		defer c.wg.Done()
-		ticker := time.NewTicker(every)
-		defer ticker.Stop()
 		for {
 			step(ctx)
+			timer := time.NewTimer(every())
 			select {
-			case <-ticker.C:
+			case <-timer.C:
 			case <-ctx.Done():
+				timer.Stop()
 				return
 			}
 		}
 	}()
 }
 
-func (c *Cluster) syncList(ctx context.Context) {
-	vms, err := c.opts.Platform.VMs(ctx)
-	if err != nil {
-		return
-	}
-	listed := make(map[state.UpstreamID]bool)
-	c.mu.Lock()
-	for _, vm := range vms {
-		if vm.Kind == platform.VMEntry {
-			c.noteDaemon(vm)
-		}
-	}
-	c.mu.Unlock()
-	for _, vm := range vms {
-		if vm.Kind == platform.VMEntry {
-			continue
-		}
-		listed[state.UpstreamID(vm.ID)] = true
-		c.noteUpstream(vm)
-	}
-	for _, u := range c.opts.Fleet.All() {
-		if !listed[u.ID] && len(vms) > 0 {
-			c.opts.Fleet.Delete(u.ID)
-		}
-	}
-	c.assign()
-}
-
-// noteDaemon records a listed daemon. The caller must hold mu.
-func (c *Cluster) noteDaemon(vm platform.VM) {
-	id := state.DaemonID(vm.ID)
-	if id == c.opts.Self.ID || c.members[id] != nil {
-		return
-	}
-	c.members[id] = &member{peer: peer.Peer{ID: id, Addr: vm.Address}, zone: vm.Zone}
-}
-
-func (c *Cluster) noteUpstream(vm platform.VM) {
-	id := state.UpstreamID(vm.ID)
-	if c.opts.Fleet.Get(id) == nil {
-		c.opts.Fleet.Put(newUpstream(vm))
-	}
-	c.setLeaving(id, vm.State == platform.VMLeaving)
+// listInterval returns the pause between reads of the list. All daemons together
+// read it listRate times a second.
+func (c *Cluster) listInterval() time.Duration {
+	return max(minListInterval, time.Duration(c.Daemons())*time.Second/listRate)
 }
 
 func newUpstream(vm platform.VM) state.Upstream {
@@ -234,36 +227,82 @@
 	}
 }
 
-// assign recomputes the owners of the upstreams of this zone.
+// assign recomputes which upstreams of this zone this daemon should own, and
+// forgets the owners that are silent.
 func (c *Cluster) assign() {
 	daemons := c.liveDaemons()
 	for _, u := range c.opts.Fleet.All() {
-		if u.Zone != c.opts.Zone {
-			continue
+		if u.Owner != "" && u.Owner != c.opts.Self.ID && !c.alive(u.Owner) {
+			c.askAll(u.Owner)
+			c.clearOwner(u.ID, u.Owner)
 		}
-		owner := state.RendezvousOwner(string(u.ID), daemons)
-		if owner != u.Owner {
-			c.opts.Fleet.Update(u.ID, func(u *state.Upstream) {
-				u.Owner = owner
-				u.Epoch++
-			})
+		if u.Zone == c.opts.Zone {
+			owner := state.RendezvousOwner(string(u.ID), daemons)
+			c.opts.Ownership.Want(u, owner == c.opts.Self.ID)
 		}
-		c.take(u, owner == c.opts.Self.ID)
 	}
 }
 
-func (c *Cluster) take(u *state.Upstream, mine bool) {
+// askAll makes a member, or all of them, send their whole state again: what they
+// sent before was dropped here.
+func (c *Cluster) askAll(id state.DaemonID) {
 	c.mu.Lock()
-	had := c.owned[u.ID]
-	c.owned[u.ID] = mine
-	c.mu.Unlock()
-	switch {
-	case mine && !had:
-		auth := core.Authority{Epoch: u.Epoch + 1, MayDispatch: true, MayLoad: true, MayUnload: true}
-		c.opts.Owner.Own(u, auth)
-	case had && !mine:
-		c.opts.Owner.Disown(u.ID)
+	defer c.mu.Unlock()
+	for name, m := range c.members {
+		if id == "" || id == name {
+			m.replica.Reset()
+			m.loads.Reset()
+		}
 	}
+	if id == "" || c.members[id] != nil && c.members[id].zone != c.opts.Zone {
+		for _, r := range c.feeds {
+			r.reset()
+		}
+	}
+}
+
+func (c *Cluster) alive(id state.DaemonID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.members[id]
+	return m != nil && c.opts.Clock().Sub(m.lastSeen) < aliveFor
+}
+
+// clearOwner notes that a daemon no longer owns an upstream.
+func (c *Cluster) clearOwner(id state.UpstreamID, was state.DaemonID) {
+	c.opts.Fleet.Update(id, func(u *state.Upstream) {
+		if u.Owner == was {
+			u.Owner = ""
+		}
+	})
+}
+
+// Runs returns the runs of the live daemons of this zone without self.
+func (c *Cluster) Runs() []lease.Session {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var runs []lease.Session
+	now := c.opts.Clock()
+	for id, m := range c.members {
+		if m.zone == c.opts.Zone && m.run != "" && now.Sub(m.lastSeen) < aliveFor {
+			runs = append(runs, lease.Session{Daemon: id, Incarnation: m.run})
+		}
+	}
+	slices.SortFunc(runs, func(a, b lease.Session) int { return strings.Compare(string(a.Daemon), string(b.Daemon)) })
+	return runs
+}
+
+// Gone reports that a daemon has neither been listed nor heard for a while, though
+// the list can be read.
+func (c *Cluster) Gone(id state.DaemonID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.opts.Clock()
+	if now.Sub(c.listAt) > goneAfter || now.Sub(c.startAt) < goneAfter {
+		return false
+	}
+	m := c.members[id]
+	return c.listing.Missing(now, string(id)) && (m == nil || now.Sub(m.lastSeen) > goneAfter)
 }
 
 // liveDaemons returns the daemons of this zone that may own upstreams.
@@ -284,78 +323,3 @@
 	slices.Sort(daemons)
 	return daemons
 }
-
-func (c *Cluster) heartbeat(ctx context.Context) {
-	statuses := c.opts.Owner.Owned()
-	for _, s := range statuses {
-		c.applyStatus(c.opts.Self.ID, s)
-	}
-	c.mu.Lock()
-	c.sequence++
-	beat := protocol.Heartbeat{
-		Daemon:      c.opts.Self.ID,
-		Incarnation: c.opts.Incarnation,
-		Zone:        c.opts.Zone,
-		Sequence:    c.sequence,
-		Draining:    c.draining,
-		Upstreams:   statuses,
-	}
-	beat.Revision = c.opts.Config.Revision()
-	peers := make([]peer.Peer, 0, len(c.members))
-	for _, m := range c.members {
-		peers = append(peers, m.peer)
-	}
-	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-	defer cancel()
-	var wg sync.WaitGroup
-	for _, p := range peers {
-		wg.Go(func() {
-			var ack protocol.HeartbeatAck
-			_ = c.opts.Pool.Exchange(ctx, p, protocol.MsgHeartbeat, beat, &ack)
-		})
-	}
-	wg.Wait()
-}
-
-// HandleHeartbeat takes the heartbeat of a peer.
-func (c *Cluster) HandleHeartbeat(from state.DaemonID, beat *protocol.Heartbeat) (protocol.HeartbeatAck, error) {
-	if from != beat.Daemon {
-		return protocol.HeartbeatAck{}, errors.New("cluster: heartbeat names another daemon")
-	}
-	c.mu.Lock()
-	if m := c.members[from]; m != nil {
-		m.lastSeen = c.opts.Clock()
-		m.draining = beat.Draining
-	}
-	c.mu.Unlock()
-	for _, s := range beat.Upstreams {
-		c.applyStatus(from, s)
-	}
-	ack := protocol.HeartbeatAck{Sequence: beat.Sequence}
-	ack.Revision = c.opts.Config.Revision()
-	c.opts.Config.NotePeer(from, beat.Revision)
-	return ack, nil
-}
-
-func (c *Cluster) applyStatus(owner state.DaemonID, s protocol.UpstreamStatus) {
-	c.opts.Fleet.Update(s.ID, func(u *state.Upstream) {
-		if u.Zone != c.opts.Zone {
-			u.Owner = owner
-		}
-		if u.Owner != owner {
-			return
-		}
-		u.Boot = s.Boot
-		u.Healthy = s.Healthy
-		u.Running = s.Running
-		u.Queued = s.Queued
-		u.Slots = s.Slots
-		u.Batch = s.Batch
-		u.Resident = s.Resident
-		u.Loading = s.Loading
-		u.QueuedByRank = s.QueuedByRank
-		u.Role = s.Role
-		u.ReportedAt = c.opts.Clock()
-	})
-}
