--- a/internal/node/cluster/cluster.go
+++ b/internal/node/cluster/cluster.go
@@ -18,12 +18,14 @@
 )
 
 const (
-	heartbeatInterval = 200 * time.Millisecond
-	heartbeatTimeout  = time.Second
-	aliveFor          = 3 * time.Second
-	minListInterval   = 500 * time.Millisecond
-	listRate          = 200 // reads of the list a second by the whole fleet
-	goneAfter         = 15 * time.Second
+	minHeartbeat     = 200 * time.Millisecond
+	maxHeartbeat     = time.Second
+	heartbeatPerPeer = 50 * time.Millisecond
+	heartbeatTimeout = time.Second
+	aliveFor         = 3 * time.Second
+	minListInterval  = 500 * time.Millisecond
+	listRate         = 200 // reads of the list a second by the whole fleet
+	goneAfter        = 15 * time.Second
 )
 
 // Owner is told what this daemon owns.
@@ -117,8 +119,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	c.stop = stop
 	c.loop(ctx, c.listInterval, c.syncList)
-	c.loop(ctx, func() time.Duration { return heartbeatInterval }, c.heartbeat)
-	c.loop(ctx, func() time.Duration { return feedInterval }, c.relay)
+	c.loop(ctx, c.heartbeatInterval, c.heartbeat)
+	c.loop(ctx, c.feedInterval, c.relay)
 }
 
 // Close stops the loops.
@@ -203,6 +205,11 @@
 	}()
 }
 
+// heartbeatInterval returns the pause between heartbeats, which grows with the zone.
+func (c *Cluster) heartbeatInterval() time.Duration {
+	return min(max(minHeartbeat, time.Duration(len(c.ZonePeers()))*heartbeatPerPeer), maxHeartbeat)
+}
+
 // listInterval returns the pause between reads of the list. All daemons together
 // read it listRate times a second.
 func (c *Cluster) listInterval() time.Duration {
--- a/internal/node/cluster/relay.go
+++ b/internal/node/cluster/relay.go
@@ -12,8 +12,17 @@
 	"github.com/celerydeck/celerydeck/internal/transport/peer"
 )
 
-// feedInterval is the pause between the feeds of a relay.
-const feedInterval = 500 * time.Millisecond
+const (
+	minFeed     = 500 * time.Millisecond
+	maxFeed     = time.Second
+	feedPerPeer = 10 * time.Millisecond
+)
+
+// feedInterval returns the pause between the feeds of a relay, which grows with the
+// fleet.
+func (c *Cluster) feedInterval() time.Duration {
+	return min(max(minFeed, time.Duration(c.Daemons())*feedPerPeer), maxFeed)
+}
 
 // feed is what a relay tells: its own zone to other relays, or the other zones to
 // its own.
@@ -107,17 +116,10 @@
 // sendFeed sends a feed to each peer, with what the peer has not confirmed.
 func (c *Cluster) sendFeed(ctx context.Context, wg *sync.WaitGroup, f *feed, to []peer.Peer) {
 	members, upstreams := c.feedContent(f.forwarded)
-	var memberItems, rest, loads []membership.Item
-	for id, m := range members {
-		memberItems = append(memberItems, membership.Item{ID: state.UpstreamID(id), Hash: hashOf(m)})
-	}
-	for id, u := range upstreams {
-		rest = append(rest, membership.Item{ID: id, Hash: hashOf(u.upstream)})
-		loads = append(loads, membership.Item{ID: id, Hash: hashOf(u.load)})
-	}
+	who, rest, loads := itemsOf(members, upstreams)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	f.members.Update(memberItems)
+	f.members.Update(who)
 	f.rest.Update(rest)
 	f.loads.Update(loads)
 	for _, p := range to {
@@ -134,6 +136,18 @@
 	}
 }
 
+// itemsOf returns the items of the three parts of a feed.
+func itemsOf(members map[state.DaemonID]protocol.FeedMember, upstreams map[state.UpstreamID]feedUpstream) (who, rest, loads []membership.Item) {
+	for id, m := range members {
+		who = append(who, membership.Item{ID: state.UpstreamID(id), Hash: hashOf(m)})
+	}
+	for id, u := range upstreams {
+		rest = append(rest, membership.Item{ID: id, Hash: hashOf(u.upstream)})
+		loads = append(loads, membership.Item{ID: id, Hash: hashOf(u.load)})
+	}
+	return who, rest, loads
+}
+
 type feedUpstream struct {
 	upstream protocol.FeedUpstream
 	load     protocol.UpstreamLoad
@@ -295,6 +309,9 @@
 			c.applyStatus(u.Owner, u.Status)
 		}
 	}
+	if msg.Base == 0 {
+		c.clearOmitted(msg, owners)
+	}
 	for _, l := range msg.Loads {
 		if u := c.opts.Fleet.Get(l.ID); u != nil && c.far(l.ID) {
 			c.applyLoad(u.Owner, l)
@@ -307,6 +324,21 @@
 	}
 }
 
+// clearOmitted forgets the owners of the upstreams that a whole feed should name
+// and does not.
+func (c *Cluster) clearOmitted(msg *protocol.ZoneFeed, named map[state.UpstreamID]state.DaemonID) {
+	zone := c.ZoneOf(msg.Daemon)
+	for _, u := range c.opts.Fleet.All() {
+		covered := u.Zone == zone
+		if msg.ForwardedFrom {
+			covered = u.Region == c.opts.Region
+		}
+		if covered && u.Zone != c.opts.Zone && u.Owner != "" && named[u.ID] == "" {
+			c.clearOwner(u.ID, u.Owner)
+		}
+	}
+}
+
 // far reports whether an upstream is of another zone.
 func (c *Cluster) far(id state.UpstreamID) bool {
 	u := c.opts.Fleet.Get(id)
--- /dev/null
+++ b/internal/node/cluster/relay_test.go
@@ -0,0 +1,123 @@
+package cluster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/transport/peer"
+)
+
+// chain is the relay of zone a, the relay of zone b and another daemon of zone b.
+type chain struct {
+	now        time.Time
+	a, b, mate *Cluster
+	lastOfA    int // bytes
+}
+
+func newChain(n int) *chain {
+	ch := &chain{now: time.Unix(1000, 0)}
+	build := func(id state.DaemonID, zone state.Zone) *Cluster {
+		c := New(Options{
+			Self: peer.Peer{ID: id}, Incarnation: "1", Zone: zone, Region: "r", Fleet: state.NewFleet(),
+			Config: noConfig{}, Clock: func() time.Time { return ch.now },
+		})
+		for _, m := range []struct {
+			id   state.DaemonID
+			zone state.Zone
+		}{{"a1", "a"}, {"b1", "b"}, {"b2", "b"}} {
+			if m.id != id {
+				c.members[m.id] = &member{peer: peer.Peer{ID: m.id}, zone: m.zone}
+			}
+		}
+		for i := range n {
+			c.opts.Fleet.Put(state.Upstream{ID: state.UpstreamID(fmt.Sprintf("engine-%04d", i)), Zone: "a", Region: "r"})
+		}
+		return c
+	}
+	ch.a, ch.b, ch.mate = build("a1", "a"), build("b1", "b"), build("b2", "b")
+	return ch
+}
+
+// hop carries a feed from one daemon to another and returns its size.
+func (ch *chain) hop(t testing.TB, from *Cluster, f *feed, to *Cluster, lost bool) int {
+	members, upstreams := from.feedContent(f.forwarded)
+	who, rest, loads := itemsOf(members, upstreams)
+	f.members.Update(who)
+	f.rest.Update(rest)
+	f.loads.Update(loads)
+	id := to.opts.Self.ID
+	msg := from.feedMessage(f, f.acked[id], members, upstreams)
+	data, err := cbor.Marshal(msg)
+	qt.Assert(t, err, qt.IsNil)
+	if lost {
+		return len(data)
+	}
+	var decoded protocol.ZoneFeed
+	qt.Assert(t, cbor.Unmarshal(data, &decoded), qt.IsNil)
+	ack, err := to.HandleFeed(from.opts.Self.ID, &decoded)
+	qt.Assert(t, err, qt.IsNil)
+	f.acked[id] = ack.Sequence
+	return len(data)
+}
+
+func (ch *chain) round(t testing.TB, all []protocol.UpstreamStatus, lostFirst, lostSecond bool) {
+	ch.now = ch.now.Add(minFeed)
+	ch.a.applyOwn(all)
+	ch.lastOfA = ch.hop(t, ch.a, ch.a.ownFeed, ch.b, lostFirst)
+	ch.hop(t, ch.b, ch.b.farFeed, ch.mate, lostSecond)
+}
+
+func TestRelayCarriesAZoneThroughLossAndRestart(t *testing.T) {
+	ch := newChain(4)
+	for i := range 60 {
+		if i == 20 {
+			ch.mate.feeds = make(map[feedKey]*replica)
+		}
+		if i == 30 {
+			ch.b.opts.Incarnation = "2"
+			ch.b.farFeed = newFeed(true)
+		}
+		ch.round(t, statuses(4-i/20, i), i%3 == 1, i%4 == 2)
+	}
+	last := statuses(1, 60)
+	for range 3 {
+		ch.round(t, last, false, false)
+	}
+	u := ch.mate.opts.Fleet.Get(last[0].ID)
+	qt.Assert(t, u.Owner, qt.Equals, state.DaemonID("a1"))
+	qt.Assert(t, u.Resident, qt.DeepEquals, last[0].Resident)
+	qt.Assert(t, u.Running, qt.Equals, last[0].Running)
+	qt.Assert(t, ch.mate.opts.Fleet.Get("engine-0003").Owner, qt.Equals, state.DaemonID(""))
+	qt.Assert(t, ch.mate.alive("a1"), qt.IsTrue)
+}
+
+func TestFarDaemonIsSilentWhenItsRelayIs(t *testing.T) {
+	ch := newChain(1)
+	for range 3 {
+		ch.round(t, statuses(1, 1), false, false)
+	}
+	qt.Assert(t, ch.mate.alive("a1"), qt.IsTrue)
+	for range 40 {
+		ch.round(t, statuses(1, 1), true, false)
+	}
+	qt.Assert(t, ch.mate.alive("a1"), qt.IsFalse)
+}
+
+func TestFeedOfAZoneCostsLittleWhenLittleChanges(t *testing.T) {
+	for _, n := range []int{10, 100, 310} {
+		ch := newChain(n)
+		ch.round(t, statuses(n, 1), false, false)
+		first := ch.lastOfA
+		ch.round(t, statuses(n, 1), false, false)
+		idle := ch.lastOfA
+		ch.round(t, statuses(n, 2), false, false)
+		t.Logf("%d upstreams: %d bytes at first, %d idle, %d when all loads change", n, first, idle, ch.lastOfA)
+		qt.Assert(t, idle < 120, qt.IsTrue, qt.Commentf("%d", idle))
+	}
+}
