--- a/internal/app/handler.go
+++ b/internal/app/handler.go
@@ -68,7 +68,11 @@
 		}
 		return protocol.MsgOwnershipAnswer, h.ownership.HandleAsk(from, ask), nil
 	case protocol.MsgStatusQuery:
-		return protocol.MsgStatusReply, h.operator.Status(), nil
+		var query protocol.StatusQuery
+		if err := frame.Decode(&query); err != nil {
+			return 0, nil, err
+		}
+		return protocol.MsgStatusReply, h.operator.Status(query), nil
 	case protocol.MsgConfigStateRequest:
 		var req protocol.ConfigStateRequest
 		if err := frame.Decode(&req); err != nil {
--- a/internal/app/operators.go
+++ b/internal/app/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -113,7 +114,7 @@
 		Router:      p.Router,
 		Stats:       p.Recorder,
 		Gauges:      p.Recorder,
-		Reporters:   []operator.Reporter{suspectReporter{p.Suspects}, configReporter{p.Config}, p.Owner, p.Ownership, p.Recorder},
+		Reporters:   []operator.Reporter{suspectReporter{p.Suspects}, configReporter{p.Config}, ejectionReporter{p.Fleet}, p.Owner, p.Ownership, p.Recorder},
 		SetDraining: p.Drainer.SetDraining,
 		Clock:       time.Now,
 	})
@@ -154,8 +155,18 @@
 		Clock:            time.Now,
 	})
 	server := &http.Server{Handler: api.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	serve := func() error { return server.Serve(l) }
+	if s.AdminCertFile != "" {
+		cert, err := tls.LoadX509KeyPair(s.AdminCertFile, s.AdminKeyFile)
+		if err != nil {
+			_ = l.Close()
+			return adminServer{}, fmt.Errorf("certificate for operators: %w", err)
+		}
+		server.TLSConfig = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13}
+		serve = func() error { return server.ServeTLS(l, "", "") }
+	}
 	lc.Append(fx.StartStopHook(
-		func() { go func() { _ = server.Serve(l) }() },
+		func() { go func() { _ = serve() }() },
 		func() { _ = server.Close() },
 	))
 	return adminServer{listener: l}, nil
--- a/internal/report/html.go
+++ b/internal/report/html.go
@@ -18,6 +18,7 @@
 	"objects": objects,
 	"state":   UpstreamState,
 	"title":   title,
+	"reports": reports,
 	"count":   countSeverity,
 	"percent": percent,
 	"p95":     p95,
@@ -48,7 +49,9 @@
 	LoadPlot template.HTML
 	Shown    []protocol.OwnedUpstream
 	States   []protocol.StateChange
-	Interval time.Duration
+	// OlderChanges counts the changes that are not in States.
+	OlderChanges int
+	Interval     time.Duration
 }
 
 // HTML writes the handover as one page that needs no other file.
@@ -68,5 +71,6 @@
 		Shown:    h.Upstreams[:min(len(h.Upstreams), maxLines)],
 		States:   h.Changes[:min(len(h.Changes), maxLines)],
 	}
+	data.OlderChanges = len(h.Changes) - len(data.States) + h.MoreChanges
 	return page.Execute(w, data)
 }
