--- a/internal/node/cluster/relay.go
+++ b/internal/node/cluster/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/bits"
 	"sync"
 	"time"
 
@@ -176,11 +177,36 @@
 			continue
 		}
 		rest, load := split(statusOf(u))
+		load = coarse(load, u.Batch)
 		upstreams[u.ID] = feedUpstream{upstream: protocol.FeedUpstream{Owner: u.Owner, Status: rest}, load: load}
 	}
 	return members, upstreams
 }
 
+// coarse rounds the load that other zones are told, so that it seldom changes: what
+// runs up to a quarter of the batch, what waits up to a power of two.
+func coarse(l protocol.UpstreamLoad, batch int) protocol.UpstreamLoad {
+	step := max(1, batch/4)
+	l.Running = (l.Running + step - 1) / step * step
+	l.Queued = ceilPower(l.Queued)
+	byRank := make([]int, len(l.QueuedByRank))
+	for i, n := range l.QueuedByRank {
+		byRank[i] = ceilPower(n)
+	}
+	if len(byRank) > 0 {
+		l.QueuedByRank = byRank
+	}
+	return l
+}
+
+// ceilPower returns the least power of two that is not below n, or 0 for 0.
+func ceilPower(n int) int {
+	if n <= 0 {
+		return 0
+	}
+	return 1 << bits.Len(uint(n-1))
+}
+
 func statusOf(u *state.Upstream) protocol.UpstreamStatus {
 	return protocol.UpstreamStatus{
 		ID: u.ID, Epoch: u.Epoch, Boot: u.Boot, Healthy: u.Healthy, Running: u.Running, Queued: u.Queued,
--- a/internal/node/cluster/relay_test.go
+++ b/internal/node/cluster/relay_test.go
@@ -121,3 +121,13 @@
 		qt.Assert(t, idle < 120, qt.IsTrue, qt.Commentf("%d", idle))
 	}
 }
+
+func TestSmallChangesOfLoadAreNotToldToOtherZones(t *testing.T) {
+	load := func(running, queued int) protocol.UpstreamLoad {
+		return protocol.UpstreamLoad{ID: "e", Running: running, Queued: queued, QueuedByRank: []int{queued}}
+	}
+	qt.Assert(t, coarse(load(5, 5), 8), qt.DeepEquals, coarse(load(6, 8), 8))
+	qt.Assert(t, coarse(load(6, 8), 8), qt.DeepEquals, load(6, 8))
+	qt.Assert(t, coarse(load(0, 0), 8), qt.DeepEquals, load(0, 0))
+	qt.Assert(t, coarse(load(1, 1), 8), qt.DeepEquals, load(2, 1))
+}
