Stop reading the lease of a session that has lapsed and is not waited for

Cause: a watcher of a lapsed session of a living daemon read its lease once a second for ever, since the run never ended.

Change: watchers are dropped when no core waits for their session.

--- a/internal/app/ownership.go
+++ b/internal/app/ownership.go
@@ -57,7 +57,6 @@
 		Self:     state.DaemonID(s.ID),
 		Run:      run,
 		Objects:  client,
-		Budget:   client.Budget(),
 		Upstream: engines,
 		Owner:    m,
 		Members:  zone,
--- a/internal/node/ownership/lease.go
+++ b/internal/node/ownership/lease.go
@@ -99,7 +99,8 @@
 	statelog.Info("Watching lease", "daemon", s.Daemon, "term", s.Term)
 }
 
-// dropWatchers forgets the sessions that no core waits for.
+// dropWatchers forgets the sessions that no core waits for, unless their lease may
+// still be broken by a write under way. The cores remember those that have lapsed.
 func (n *Node) dropWatchers() {
 	needed := make(map[lease.Session]bool)
 	for _, e := range n.entries {
@@ -111,7 +112,7 @@
 		}
 	}
 	for s, w := range n.watchers {
-		if !needed[s] && !w.Breaking() {
+		if !needed[s] && (w.Lapsed() || !w.Breaking()) {
 			delete(n.watchers, s)
 		}
 	}
--- a/internal/node/ownership/node.go
+++ b/internal/node/ownership/node.go
@@ -70,7 +70,6 @@
 	Self     state.DaemonID
 	Run      state.Incarnation
 	Objects  platform.Objects
-	Budget   *platform.Budget
 	Upstream *upstream.Client
 	Owner    Owner
 	Members  Members
