--- a/internal/node/cluster/cluster.go
+++ b/internal/node/cluster/cluster.go
@@ -18,12 +18,14 @@
 )
 
 const (
-	heartbeatInterval = 200 * time.Millisecond
-	heartbeatTimeout  = time.Second
-	aliveFor          = 3 * time.Second
-	minListInterval   = 500 * time.Millisecond
-	listRate          = 200 // reads of the list a second by the whole fleet
-	goneAfter         = 15 * time.Second
+	minHeartbeat     = 200 * time.Millisecond
+	maxHeartbeat     = time.Second
+	heartbeatPerPeer = 50 * time.Millisecond
+	heartbeatTimeout = time.Second
+	aliveFor         = 3 * time.Second
+	minListInterval  = 500 * time.Millisecond
+	listRate         = 200 // reads of the list a second by the whole fleet
+	goneAfter        = 15 * time.Second
 )
 
 // Owner is told what this daemon owns.
@@ -71,10 +73,9 @@
 	zone     state.Zone
 	run      state.Incarnation // empty before the first heartbeat
 	lastSeen time.Time
-	listedAt time.Time // when the list named the daemon last
 	draining bool
-	acked    uint64    // state of this daemon that the member has confirmed
-	sentAt   time.Time // when the last heartbeat was sent
+	revision uint64
+	acked    uint64 // state of this daemon that the member has confirmed
 	replica  membership.Replica
 	loads    membership.Replica
 }
@@ -88,10 +89,14 @@
 	mu       sync.Mutex
 	members  map[state.DaemonID]*member
 	listAt   time.Time // when the list was read last
+	listing  *membership.Listing
 	startAt  time.Time
 	draining bool
 	log      *membership.Log // what this daemon owns, without the load
 	loads    *membership.Log
+	ownFeed  *feed // this zone, to other relays
+	farFeed  *feed // the other zones, to this one
+	feeds    map[feedKey]*replica
 }
 
 // New returns a cluster that is not running.
@@ -100,8 +105,12 @@
 		opts:    opts,
 		members: make(map[state.DaemonID]*member),
 		startAt: opts.Clock(),
+		listing: membership.NewListing(goneAfter),
 		log:     membership.NewLog(),
 		loads:   membership.NewLog(),
+		ownFeed: newFeed(false),
+		farFeed: newFeed(true),
+		feeds:   make(map[feedKey]*replica),
 	}
 }
 
@@ -110,7 +119,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	c.stop = stop
 	c.loop(ctx, c.listInterval, c.syncList)
-	c.loop(ctx, func() time.Duration { return heartbeatInterval }, c.heartbeat)
+	c.loop(ctx, c.heartbeatInterval, c.heartbeat)
+	c.loop(ctx, c.feedInterval, c.relay)
 }
 
 // Close stops the loops.
@@ -157,6 +167,7 @@
 	c.assign()
 	c.opts.Ownership.WaitReleased(ctx)
 	c.heartbeat(ctx)
+	c.announce(ctx)
 }
 
 // Address returns the address of a daemon.
@@ -194,68 +205,17 @@
 	}()
 }
 
+// heartbeatInterval returns the pause between heartbeats, which grows with the zone.
+func (c *Cluster) heartbeatInterval() time.Duration {
+	return min(max(minHeartbeat, time.Duration(len(c.ZonePeers()))*heartbeatPerPeer), maxHeartbeat)
+}
+
 // listInterval returns the pause between reads of the list. All daemons together
 // read it listRate times a second.
 func (c *Cluster) listInterval() time.Duration {
 	return max(minListInterval, time.Duration(c.Daemons())*time.Second/listRate)
 }
 
-func (c *Cluster) syncList(ctx context.Context) {
-	vms, err := c.opts.Platform.VMs(ctx)
-	if err != nil {
-		return
-	}
-	listed := make(map[state.UpstreamID]bool)
-	c.mu.Lock()
-	if len(vms) > 0 {
-		c.listAt = c.opts.Clock()
-	}
-	for _, vm := range vms {
-		if vm.Kind == platform.VMEntry {
-			c.noteDaemon(vm)
-		}
-	}
-	c.mu.Unlock()
-	for _, vm := range vms {
-		if vm.Kind == platform.VMEntry {
-			continue
-		}
-		listed[state.UpstreamID(vm.ID)] = true
-		c.noteUpstream(vm)
-	}
-	for _, u := range c.opts.Fleet.All() {
-		if !listed[u.ID] && len(vms) > 0 {
-			c.opts.Fleet.Delete(u.ID)
-			c.opts.Ownership.Forget(u.ID)
-		}
-	}
-	c.assign()
-	c.opts.Platform.Budget().SetDaemons(c.Daemons())
-}
-
-// noteDaemon records a listed daemon. The caller must hold mu.
-func (c *Cluster) noteDaemon(vm platform.VM) {
-	id := state.DaemonID(vm.ID)
-	if id == c.opts.Self.ID {
-		return
-	}
-	if c.members[id] == nil {
-		c.members[id] = &member{}
-	}
-	m := c.members[id]
-	m.peer, m.zone = peer.Peer{ID: id, Addr: vm.Address}, vm.Zone
-	m.listedAt = c.opts.Clock()
-}
-
-func (c *Cluster) noteUpstream(vm platform.VM) {
-	id := state.UpstreamID(vm.ID)
-	if c.opts.Fleet.Get(id) == nil {
-		c.opts.Fleet.Put(newUpstream(vm))
-		c.askAll("")
-	}
-	c.setLeaving(id, vm.State == platform.VMLeaving)
-}
-
 func newUpstream(vm platform.VM) state.Upstream {
 	kind := state.KindEngine
 	if vm.Kind == platform.VMPlain {
@@ -301,6 +261,11 @@
 			m.loads.Reset()
 		}
 	}
+	if id == "" || c.members[id] != nil && c.members[id].zone != c.opts.Zone {
+		for _, r := range c.feeds {
+			r.reset()
+		}
+	}
 }
 
 func (c *Cluster) alive(id state.DaemonID) bool {
@@ -344,7 +309,7 @@
 		return false
 	}
 	m := c.members[id]
-	return m == nil || now.Sub(m.listedAt) > goneAfter && now.Sub(m.lastSeen) > goneAfter
+	return c.listing.Missing(now, string(id)) && (m == nil || now.Sub(m.lastSeen) > goneAfter)
 }
 
 // liveDaemons returns the daemons of this zone that may own upstreams.
