--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -219,6 +219,7 @@
 		commands = append(commands, word)
 	}
 	variables = append(variables, cli.Variables()...)
+	variables = append(variables, testVariables(t)...)
 	err := filepath.WalkDir(".", func(path string, d fs.DirEntry, err error) error {
 		if err != nil || d.IsDir() || filepath.Ext(path) != ".md" {
 			return err
@@ -243,6 +244,19 @@
 	qt.Assert(t, err, qt.IsNil)
 }
 
+// testVariables returns the variables that set up tests.
+func testVariables(t *testing.T) []string {
+	var names []string
+	err := filepath.WalkDir("../internal", func(path string, _ fs.DirEntry, err error) error {
+		if err == nil && strings.HasSuffix(path, "_test.go") {
+			names = append(names, find(read(t, path), `"(CELERYDECK_[A-Z_]*[A-Z])"`)...)
+		}
+		return err
+	})
+	qt.Assert(t, err, qt.IsNil)
+	return names
+}
+
 // commandLines returns what follows the name of the command in code.
 func commandLines(page string) []string {
 	lines := find(page, "`celerydeck ([a-z-][^`]*)`")
