--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -15,8 +15,7 @@
 
 // Kinds of messages. Values are part of the wire format.
 const (
-	MsgHello MessageKind = iota + 1
-	MsgCall
+	MsgCall MessageKind = iota + 2
 	MsgHead
 	MsgChunk
 	MsgEnd
@@ -34,14 +33,6 @@
 	MsgStoreGrant
 )
 
-// Hello opens every stream and negotiates the version.
-type Hello struct {
-	MinVersion  uint16            `cbor:"1,keyasint"`
-	MaxVersion  uint16            `cbor:"2,keyasint"`
-	Daemon      state.DaemonID    `cbor:"3,keyasint"`
-	Incarnation state.Incarnation `cbor:"4,keyasint"`
-}
-
 // Call asks the owner of an upstream to run a request. Exactly one of Model and
 // Plain is set.
 type Call struct {
