Weigh the queue in front by a part of the mean run time

With them, the mean stall rose: the run time of 3 to 5 s that it learned made it load further replicas for short queues, and loads cost the others too.

--- a/cmd/deckmeasure/main.go
+++ b/cmd/deckmeasure/main.go
@@ -16,11 +16,16 @@
 	Scenario []string `arg:"--scenario,separate" help:"only this scenario"`
 	Policy   []string `arg:"--policy,separate" help:"only this policy"`
 	Seed     uint64   `arg:"--seed" default:"1"`
+	Sweep    bool     `arg:"--sweep" help:"vary the weights of routing instead of the policy"`
 }
 
 func main() {
 	var a args
 	arg.MustParse(&a)
+	policies := measure.Policies()
+	if a.Sweep {
+		policies = measure.RoutingSweep()
+	}
 	for _, size := range measure.Sizes() {
 		if a.Size != "" && a.Size != size.Name {
 			continue
@@ -29,7 +34,7 @@
 			if len(a.Scenario) > 0 && !slices.Contains(a.Scenario, s.Name) {
 				continue
 			}
-			for _, p := range measure.Policies() {
+			for _, p := range policies {
 				if len(a.Policy) > 0 && !slices.Contains(a.Policy, p.Name) {
 					continue
 				}
--- a/internal/coordination/routing/pick.go
+++ b/internal/coordination/routing/pick.go
@@ -47,7 +47,7 @@
 		req:     req,
 		random:  s.random(),
 		daemons: float64(s.daemons.Load()),
-		service: math.Float64frombits(s.serviceTime.Load()),
+		service: math.Float64frombits(s.serviceTime.Load()) * s.weights.QueueShare,
 	}
 }
 
--- a/internal/coordination/routing/weights.go
+++ b/internal/coordination/routing/weights.go
@@ -11,6 +11,7 @@
 	ZoneCost    time.Duration // of crossing zones
 	FullBatch   time.Duration // slowdown of a batch that is just full
 	ServiceTime time.Duration // run time of a request before one was observed
+	QueueShare  float64       // part of a mean run time that each request in front costs
 	TokenCost   time.Duration // prefill time of a prompt token
 	DecodeOnly  time.Duration // of prefill on an engine meant for decoding
 	StaleAfter  time.Duration // an older report makes an upstream unknown
@@ -31,7 +32,8 @@
 		OrderCost:   20 * time.Millisecond,
 		ZoneCost:    2 * time.Millisecond,
 		FullBatch:   30 * time.Millisecond,
-		ServiceTime: time.Second,
+		ServiceTime: 3 * time.Second,
+		QueueShare:  0.3,
 		TokenCost:   100 * time.Microsecond,
 		DecodeOnly:  200 * time.Millisecond,
 		StaleAfter:  3 * time.Second,
