--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -178,13 +178,7 @@
 }
 
 func TestErrorKindsPageLagsBehind(t *testing.T) {
-	if _, err := os.Stat("API.md"); err != nil {
-		t.Skip("API.md is not written yet")
-	}
-	page := read(t, "API.md")
-	for _, kind := range errorKinds(t) {
-		qt.Check(t, strings.Contains(page, "`"+kind+"`"), qt.IsTrue, qt.Commentf("error kind %s is not documented", kind))
-	}
+	same(t, "error kind", find(read(t, "API.md"), "(?m)^\\| `([a-z_]+)` \\| [0-9]"), errorKinds(t))
 }
 
 // errorKinds reads the constants of type ErrorKind from the source.
@@ -208,6 +202,12 @@
 	return kinds
 }
 
+func TestPageForOperatorsIsNotLinked(t *testing.T) {
+	pages, err := filepath.Glob("operators/*.md")
+	qt.Assert(t, err, qt.IsNil)
+	same(t, "page", find(read(t, "OPERATORS.md"), `\]\((operators/[^)#]+)\)`), pages)
+}
+
 // TestPagesNameWhatDoesNotExist checks every flag, variable, command and link of
 // all pages.
 func TestPagesNameWhatDoesNotExist(t *testing.T) {
@@ -219,6 +219,7 @@
 		commands = append(commands, word)
 	}
 	variables = append(variables, cli.Variables()...)
+	variables = append(variables, testVariables(t)...)
 	err := filepath.WalkDir(".", func(path string, d fs.DirEntry, err error) error {
 		if err != nil || d.IsDir() || filepath.Ext(path) != ".md" {
 			return err
@@ -236,13 +237,26 @@
 		}
 		for _, link := range find(page, `\]\(([^)#:]+)(?:#[^)]*)?\)`) {
 			_, err := os.Stat(filepath.Join(filepath.Dir(path), link))
-			qt.Check(t, err == nil || link == "API.md", qt.IsTrue, qt.Commentf("%s: link %s", path, link))
+			qt.Check(t, err == nil, qt.IsTrue, qt.Commentf("%s: link %s", path, link))
 		}
 		return nil
 	})
 	qt.Assert(t, err, qt.IsNil)
 }
 
+// testVariables returns the variables that set up tests.
+func testVariables(t *testing.T) []string {
+	var names []string
+	err := filepath.WalkDir("../internal", func(path string, _ fs.DirEntry, err error) error {
+		if err == nil && strings.HasSuffix(path, "_test.go") {
+			names = append(names, find(read(t, path), `"(CELERYDECK_[A-Z_]*[A-Z])"`)...)
+		}
+		return err
+	})
+	qt.Assert(t, err, qt.IsNil)
+	return names
+}
+
 // commandLines returns what follows the name of the command in code.
 func commandLines(page string) []string {
 	lines := find(page, "`celerydeck ([a-z-][^`]*)`")
--- a/internal/coordination/loading/budget.go
+++ b/internal/coordination/loading/budget.go
@@ -2,19 +2,23 @@
 
 import "time"
 
-// Budget spaces the loads of one engine. Without limits it admits every load. It
-// is not safe for concurrent use.
+// advance is the part of the budget, in loads, that an urgent load may use before
+// it is earned.
+const advance = 1.0
+
+// Budget limits the loads of one engine by rate and by number in flight. Without
+// limits it admits every load. It is not safe for concurrent use.
 type Budget struct {
 	limited  bool
-	rate     float64 // loads a second
-	burst    float64
+	rate     float64 // loads a second; only expected, not enforced, without a burst
+	burst    float64 // loads that may start at once after a pause
 	inFlight int
 	tokens   float64
 	at       time.Time
 	until    time.Time // zero for no end
 }
 
-// Set replaces the limits.
+// Set replaces the limits. With a burst of 0 only the number in flight is limited.
 func (b *Budget) Set(now time.Time, rate, burst float64, inFlight int) {
 	b.refill(now)
 	if !b.limited {
@@ -28,24 +32,29 @@
 // they are set anew. A zero time means no end.
 func (b *Budget) EndAt(until time.Time) { b.until = until }
 
-// Admits reports whether a load may start while others are in progress. Reserve
-// is what must be left of the budget afterwards; a negative reserve lets an
-// urgent load use budget in advance.
-func (b *Budget) Admits(now time.Time, loading int, reserve float64) bool {
+// Admits reports whether a load may start while others are in progress. The first
+// load of an urgent request may start in advance of the budget, which it then
+// uses up.
+func (b *Budget) Admits(now time.Time, loading int, urgent bool) bool {
 	if !b.limited {
 		return true
 	}
-	b.refill(now)
 	if !b.until.IsZero() && !now.Before(b.until) {
 		return false
 	}
-	return loading < b.inFlight && b.tokens-1 >= reserve
+	b.refill(now)
+	if urgent && loading == 0 {
+		return b.burst == 0 || b.tokens >= 1-advance
+	}
+	return loading < b.inFlight && (b.burst == 0 || b.tokens >= 1)
 }
 
 // Take accounts for a load that starts.
 func (b *Budget) Take(now time.Time) {
 	b.refill(now)
-	b.tokens--
+	if b.burst > 0 {
+		b.tokens--
+	}
 }
 
 func (b *Budget) refill(now time.Time) {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -45,6 +45,9 @@
 	StoreRate      float64 // loads a second of the whole fleet; 0 for no limit
 	// CallerPorts are the ports of the daemons; 0 takes a free one.
 	CallerPorts []int
+	// AdminCertFile and AdminKeyFile make the operators' API speak HTTPS.
+	AdminCertFile string
+	AdminKeyFile  string
 	// AdminPorts are the ports for operators; 0 takes a free one.
 	AdminPorts []int
 	DrainGrace time.Duration
@@ -76,7 +79,9 @@
 	Store   *weightstore.Store
 	Booking *booking.Server
 	Engines []*engine.Engine
-	Daemons []*app.Daemon
+	// EngineAddrs are the addresses of Engines.
+	EngineAddrs []string
+	Daemons     []*app.Daemon
 	// Commands are the command lines of the daemons that run on their own.
 	Commands []string
 
@@ -165,6 +170,7 @@
 			return err
 		}
 		d.Engines = append(d.Engines, e)
+		d.EngineAddrs = append(d.EngineAddrs, addr)
 		d.VMs.Put(vmlist.VM{
 			ID: opts.ID, Zone: zone, Region: region, Address: addr, Kind: "engine",
 			Base: baseModel, Fenced: opts.Fenced, State: "live",
@@ -218,6 +224,8 @@
 		DrainTimeout:     drainTimeout,
 		DrainGrace:       d.opts.DrainGrace,
 		AdminAddr:        fmt.Sprintf("%s:%d", loopback, adminPort),
+		AdminCertFile:    d.opts.AdminCertFile,
+		AdminKeyFile:     d.opts.AdminKeyFile,
 		BootstrapKeyHash: state.HashKey(OperatorKey),
 	}
 	if d.opts.StoreRate > 0 {
--- a/internal/measure/ledgers.go
+++ b/internal/measure/ledgers.go
@@ -37,7 +37,7 @@
 const enginesPerDaemon = 2
 
 // Divide implements Shares.
-func (l *ledgerShares) Divide(now time.Time, statuses []owner.Status) []owner.StoreBudget {
+func (l *ledgerShares) Divide(now time.Time, _ []state.UpstreamID, statuses []owner.Status) []owner.StoreBudget {
 	if l.ledgers == nil {
 		l.start(now, len(statuses))
 	}
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -33,7 +33,7 @@
 // Shares divides the weight store's limits among the engines. Statuses are in
 // order of the engines, and so are the budgets.
 type Shares interface {
-	Divide(now time.Time, statuses []owner.Status) []owner.StoreBudget
+	Divide(now time.Time, engines []state.UpstreamID, statuses []owner.Status) []owner.StoreBudget
 }
 
 // Policies returns the baselines and then the policies of the daemon.
@@ -56,6 +56,6 @@
 func CentralShares() Policy {
 	p := Current()
 	p.Name = "central shares"
-	p.NewShares = newByDemand
+	p.NewShares = newDivided
 	return p
 }
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -99,8 +99,10 @@
 	_ = metrics.Time(slow{clock: c, err: refused}, r).Serve(t.Context(), call(1), "", discard{})
 	broken := protocol.Errorf(protocol.KindInterrupted, "s", protocol.OutcomeUnknown, "gone")
 	_ = metrics.Time(slow{clock: c, err: broken}, r).Serve(t.Context(), call(1), "", discard{})
+	gone := protocol.Errorf(protocol.KindCanceled, "s", protocol.OutcomeUnknown, "caller is gone")
+	_ = metrics.Time(slow{clock: c, err: gone}, r).Serve(t.Context(), &protocol.Call{Customer: "c", Repeatable: true}, "", discard{})
 	s := r.Ranks(c.now, ranks)[0]
-	qt.Assert(t, s.Requests, qt.Equals, uint64(12))
+	qt.Assert(t, s.Requests, qt.Equals, uint64(13))
 	qt.Assert(t, s.Refused, qt.Equals, uint64(1))
 	qt.Assert(t, s.Failed, qt.Equals, uint64(1))
 	qt.Assert(t, s.Firsts, qt.Equals, uint64(10))
--- a/internal/node/owner/worker.go
+++ b/internal/node/owner/worker.go
@@ -35,6 +35,7 @@
 	loading map[state.AdapterRef]time.Time // start of each load in progress
 	failing map[state.AdapterRef]failingLoad
 	check   *crashCheck // of the latest run that broke
+	orders  int         // loads and unloads in progress
 }
 
 type pending struct {
@@ -43,7 +44,9 @@
 	sink   protocol.Sink
 	ctx    context.Context
 	cancel context.CancelFunc
-	done   chan *protocol.Error // buffered; receives exactly one result
+	// Exactly one of these, both buffered, receives a value.
+	run     chan struct{}
+	refused chan *protocol.Error
 	// dispatched is guarded by worker.mu.
 	dispatched bool
 	queued     time.Time
@@ -89,8 +92,10 @@
 		sink:   sink,
 		ctx:    runCtx,
 		cancel: cancel,
-		done:   make(chan *protocol.Error, 1),
-		queued: w.m.opts.Clock(),
+		run:    make(chan struct{}, 1),
+
+		refused: make(chan *protocol.Error, 1),
+		queued:  w.m.opts.Clock(),
 	}
 	w.mu.Lock()
 	if w.pending[p.id] != nil {
@@ -101,12 +106,13 @@
 	w.pending[p.id] = p
 	w.mu.Unlock()
 	w.handle(core.Enqueue{Request: coreRequest(p.id, call, w.m.opts.Clock())})
+	stop := context.AfterFunc(runCtx, func() { w.handle(core.Cancel{ID: p.id}) })
+	defer stop()
 	select {
-	case err := <-p.done:
+	case <-p.run:
+		return w.dispatch(p)
+	case err := <-p.refused:
 		return err
-	case <-runCtx.Done():
-		w.handle(core.Cancel{ID: p.id})
-		return <-p.done
 	}
 }
 
@@ -133,11 +139,11 @@
 	switch a := action.(type) {
 	case core.Dispatch:
 		if p := w.start(a.ID); p != nil {
-			go w.dispatch(p)
+			p.run <- struct{}{}
 		}
 	case core.Refuse:
 		if p := w.take(a.ID); p != nil {
-			p.done <- refusal(a, string(w.u.ID))
+			p.refused <- refusal(a, string(w.u.ID))
 		}
 	case core.Abort:
 		if p := w.lookup(a.ID); p != nil {
@@ -176,18 +182,21 @@
 	return p
 }
 
-func (w *worker) dispatch(p *pending) {
+// dispatch runs a request in the goroutine of its submitter.
+func (w *worker) dispatch(p *pending) *protocol.Error {
 	w.observeDispatch(p)
-	var err *protocol.Error
-	if p.call.Model != nil {
+	err := w.mayDispatch(p.call)
+	switch {
+	case err != nil:
+	case p.call.Model != nil:
 		err = w.m.opts.Client.Complete(p.ctx, w.u, p.call, p.sink)
-	} else {
+	default:
 		err = w.m.opts.Client.Plain(p.ctx, w.u, p.call, p.sink)
 	}
 	err = w.noteCrash(p, err)
 	w.take(p.id)
 	w.handle(core.Ended{ID: p.id, Failed: err != nil})
-	p.done <- err
+	return err
 }
 
 // cancelUpstream stops a request whose connection may outlive its caller.
@@ -203,6 +212,11 @@
 func (w *worker) load(a core.Load) {
 	ctx, cancel := context.WithTimeout(w.m.ctx, orderTimeout)
 	defer cancel()
+	defer w.beginOrder()()
+	if !w.mayLoad(a) {
+		w.handle(core.LoadDone{Adapter: a.Adapter, Order: a.Order, Failed: true})
+		return
+	}
 	start := w.observeLoadStart(a.Adapter)
 	boot, err := w.m.opts.Client.Load(ctx, w.u, a.Adapter, a.Source, a.Epoch)
 	if err != nil {
@@ -215,8 +229,9 @@
 func (w *worker) unload(a core.Unload) {
 	ctx, cancel := context.WithTimeout(w.m.ctx, orderTimeout)
 	defer cancel()
-	err := w.m.opts.Client.Unload(ctx, w.u, a.Adapter, a.Epoch)
-	if err != nil {
+	defer w.beginOrder()()
+	err := w.orderUnload(ctx, a)
+	if err != nil && err.Kind != protocol.KindNotOwner {
 		statelog.Info("Unload failed", "adapter", a.Adapter, "upstream", w.u.ID, "err", err)
 	}
 	w.forgetLoad(a)
@@ -257,6 +272,7 @@
 	}
 	ctx, cancel := context.WithTimeout(w.ctx, reportTimeout)
 	defer cancel()
+	askedAt := w.m.opts.Clock()
 	report, err := w.m.opts.Client.Report(ctx, w.u)
 	if err != nil {
 		w.handle(core.Unreachable{})
@@ -276,6 +292,11 @@
 			event.Resident = append(event.Resident, ref)
 		}
 	}
+	if g := w.m.gate; g != nil {
+		usable := g.Report(w.u.ID, event.Boot, event.Resident, askedAt)
+		event.Slots -= len(event.Resident) - len(usable)
+		event.Resident = usable
+	}
 	w.handle(event)
 	w.handle(core.Tick{})
 }
--- a/internal/protocol/operators.go
+++ b/internal/protocol/operators.go
@@ -13,7 +13,10 @@
 )
 
 // StatusQuery asks a daemon for its status.
-type StatusQuery struct{}
+type StatusQuery struct {
+	// ChangesSince asks for changes of state since a time; zero asks for none.
+	ChangesSince time.Time `json:"changes_since,omitzero"`
+}
 
 // DaemonStatus is what a daemon tells operators about itself and its upstreams.
 type DaemonStatus struct {
@@ -30,7 +33,7 @@
 	Ranks       []RankStatus      `json:"ranks"`
 	Classes     []ClassStatus     `json:"classes,omitempty"` // busiest first
 	Conditions  []Condition       `json:"conditions"`
-	Changes     []StateChange     `json:"changes"` // oldest first
+	Changes     []StateChange     `json:"changes,omitempty"` // oldest first
 }
 
 // Kinds of upstreams in a status.
@@ -41,31 +44,31 @@
 
 // OwnedUpstream is the state of an upstream as its owner sees it.
 type OwnedUpstream struct {
-	ID       state.UpstreamID   `json:"id"`
-	Zone     state.Zone         `json:"zone"`
-	Region   state.Region       `json:"region"`
-	Kind     string             `json:"kind"`
-	Service  state.ServiceID    `json:"service,omitempty"`
-	Base     string             `json:"base,omitempty"`
-	Fenced   bool               `json:"fenced,omitempty"`
-	Owner    state.DaemonID     `json:"owner"`
-	Epoch    state.Epoch        `json:"epoch"`
-	Boot     state.BootID       `json:"boot,omitempty"`
-	Healthy  bool               `json:"healthy"`
-	Leaving  bool               `json:"leaving,omitempty"`
-	Running  int                `json:"running"`
-	Queued   int                `json:"queued"`
-	Slots    int                `json:"slots"`
-	Batch    int                `json:"batch"`
-	Resident []state.AdapterRef `json:"resident,omitempty"`
-	Restarts int                `json:"restarts,omitempty"` // in the time that changes are kept
+	ID       state.UpstreamID `json:"id"`
+	Zone     state.Zone       `json:"zone"`
+	Region   state.Region     `json:"region"`
+	Kind     string           `json:"kind"`
+	Service  state.ServiceID  `json:"service,omitempty"`
+	Base     string           `json:"base,omitempty"`
+	Fenced   bool             `json:"fenced,omitempty"`
+	Owner    state.DaemonID   `json:"owner"`
+	Epoch    state.Epoch      `json:"epoch"`
+	Boot     state.BootID     `json:"boot,omitempty"`
+	Healthy  bool             `json:"healthy"`
+	Leaving  bool             `json:"leaving,omitempty"`
+	Running  int              `json:"running"`
+	Queued   int              `json:"queued"`
+	Slots    int              `json:"slots"`
+	Batch    int              `json:"batch"`
+	Resident []string         `json:"resident,omitempty"` // service/adapter@version
+	Restarts int              `json:"restarts,omitempty"` // in the time that changes are kept
 }
 
 // RankStatus compares the requests of a rank with its targets.
 type RankStatus struct {
 	Rank         string        `json:"rank"`
-	TargetFirst  time.Duration `json:"target_first"`
-	TargetGap    time.Duration `json:"target_gap"`
+	TargetFirst  time.Duration `json:"target_first_ns"`
+	TargetGap    time.Duration `json:"target_gap_ns"`
 	Requests     uint64        `json:"requests"`
 	FirstInTime  uint64        `json:"first_in_time"` // first tokens within the target
 	Firsts       uint64        `json:"firsts"`
@@ -73,10 +76,10 @@
 	Gaps         uint64        `json:"gaps"`
 	Failed       uint64        `json:"failed"`
 	Refused      uint64        `json:"refused"`
-	FirstP95     time.Duration `json:"first_p95"`
-	GapP95       time.Duration `json:"gap_p95"`
+	FirstP95     time.Duration `json:"first_p95_ns"`
+	GapP95       time.Duration `json:"gap_p95_ns"`
 	Intervals    []Interval    `json:"intervals"` // oldest first
-	IntervalSize time.Duration `json:"interval_size"`
+	IntervalSize time.Duration `json:"interval_size_ns"`
 }
 
 // Interval counts the first tokens of a rank in a span of time.
@@ -94,7 +97,7 @@
 	Requests uint64           `json:"requests"`
 	Refused  uint64           `json:"refused"`
 	Failed   uint64           `json:"failed"`
-	FirstP95 time.Duration    `json:"first_p95"`
+	FirstP95 time.Duration    `json:"first_p95_ns"`
 }
 
 // Severity orders conditions by what operators have to do.
@@ -116,6 +119,7 @@
 	ConditionUpstreamUnowned    ConditionKind = "upstream_unowned"
 	ConditionUpstreamDown       ConditionKind = "upstream_down"
 	ConditionUpstreamCrashed    ConditionKind = "upstream_crashed"
+	ConditionUpstreamEjected    ConditionKind = "upstream_ejected"
 	ConditionEngineCold         ConditionKind = "engine_cold"
 	ConditionLoadFailing        ConditionKind = "load_failing"
 	ConditionLoadStalled        ConditionKind = "load_stalled"
@@ -135,6 +139,7 @@
 func ConditionKinds() []ConditionKind {
 	return []ConditionKind{
 		ConditionDaemonSilent, ConditionUpstreamUnowned, ConditionUpstreamDown, ConditionUpstreamCrashed,
+		ConditionUpstreamEjected,
 		ConditionEngineCold, ConditionLoadFailing, ConditionLoadStalled, ConditionUnloadFrozen,
 		ConditionLeaseLost, ConditionPlatformDown, ConditionPartition, ConditionConfigBehind,
 		ConditionFlood, ConditionRankLate, ConditionFingerprintRefused, ConditionOutcomeUnknown,
@@ -148,7 +153,8 @@
 	Severity Severity       `json:"severity"`
 	Subject  string         `json:"subject"` // such as the name of an upstream or adapter
 	Detail   string         `json:"detail,omitempty"`
-	Daemon   state.DaemonID `json:"daemon,omitempty"` // daemon that reports it
+	Daemon   state.DaemonID `json:"daemon,omitempty"`  // daemon that reports it
+	Daemons  int            `json:"daemons,omitempty"` // daemons that report the same, if more than one
 	Since    time.Time      `json:"since,omitzero"`
 }
 
--- a/internal/transport/upstream/completion.go
+++ b/internal/transport/upstream/completion.go
@@ -5,7 +5,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
+	"sync"
 
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
@@ -21,6 +23,14 @@
 var (
 	dataPrefix = []byte("data:")
 	doneMarker = []byte("[DONE]")
+
+	// scanBuffers holds the buffers of streams that have ended.
+	scanBuffers = sync.Pool{New: func() any {
+		buffer := make([]byte, scanBuffer)
+		return &buffer
+	}}
+
+	errNoObject = errors.New("upstream: the body is not a JSON object")
 )
 
 type engineEvent struct {
@@ -95,6 +105,9 @@
 	if err := json.Unmarshal(call.Model.Body, &body); err != nil {
 		return nil, err
 	}
+	if body == nil {
+		return nil, errNoObject
+	}
 	fields := []struct {
 		name  string
 		value any
@@ -141,8 +154,10 @@
 	if err := s.sink.Head(head); err != nil {
 		return s.fail(protocol.KindCanceled, "caller is gone: %v", err)
 	}
+	buffer := scanBuffers.Get().(*[]byte)
+	defer scanBuffers.Put(buffer)
 	scanner := bufio.NewScanner(resp.Body)
-	scanner.Buffer(make([]byte, 0, scanBuffer), maxEvent)
+	scanner.Buffer((*buffer)[:0], maxEvent)
 	for scanner.Scan() {
 		data, ok := bytes.CutPrefix(scanner.Bytes(), dataPrefix)
 		if !ok {
