--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -15,17 +15,18 @@
 	"go.uber.org/fx/fxevent"
 	"k8s.io/klog/v2"
 
-	"github.com/celerydeck/celerydeck/internal/coordination/routing"
-
 	ownercore "github.com/celerydeck/celerydeck/internal/coordination/owner"
+	"github.com/celerydeck/celerydeck/internal/metrics"
 	"github.com/celerydeck/celerydeck/internal/node/cluster"
 	"github.com/celerydeck/celerydeck/internal/node/config"
-	"github.com/celerydeck/celerydeck/internal/node/entry"
 	"github.com/celerydeck/celerydeck/internal/node/once"
+	"github.com/celerydeck/celerydeck/internal/node/operator"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
+	"github.com/celerydeck/celerydeck/internal/node/storebudget"
 	"github.com/celerydeck/celerydeck/internal/node/suspects"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/state/inflight"
 	"github.com/celerydeck/celerydeck/internal/transport/callers"
 	"github.com/celerydeck/celerydeck/internal/transport/peer"
 	"github.com/celerydeck/celerydeck/internal/transport/platform"
@@ -44,6 +45,7 @@
 	app      *fx.App
 	parts    parts
 	drained  atomic.Bool
+	paused   atomic.Bool // drained by operators
 }
 
 type parts struct {
@@ -55,7 +57,10 @@
 	Server  *http.Server
 	Caller  net.Listener
 	Peers   *peer.Server
+	Admin   adminServer
 	Once    *once.Gateway
+
+	Requests *inflight.Counter
 }
 
 // Start starts a daemon with an identity of its own.
@@ -64,10 +69,11 @@
 	d.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(settings, id),
-		fx.Supply(fx.Annotate(d, fx.As(new(readiness)))),
+		fx.Supply(fx.Annotate(d, fx.As(new(readiness)), fx.As(new(drainer)))),
 		fx.Provide(
-			state.NewFleet, newSockets, newPool, newOwner, newCluster, newConfig, newLateMembers, newSuspects, newGateway, newCallers, newPlatform,
-			newIncarnation, newOnce, upstream.NewClient, newCallerListener, newPeerServer,
+			state.NewFleet, newSockets, newKeyring, newPool, newOwner, newCluster, newConfig, newLateMembers, newSuspects, newGateway, newStoreBudget, newCallers, newPlatform,
+			newRecorder, newLateDrains, newOperator, newAdmin, newRouter,
+			newIncarnation, newOnce, inflight.New, upstream.NewClient, newCallerListener, newPeerServer,
 		),
 		fx.Populate(&d.parts),
 	)
@@ -82,24 +88,36 @@
 
 // Ready reports whether the daemon takes new requests.
 func (d *Daemon) Ready() bool {
-	return !d.drained.Load() && d.parts.Config != nil && d.parts.Config.Ready()
+	return !d.drained.Load() && !d.paused.Load() && d.parts.Config != nil && d.parts.Config.Ready()
 }
 
-// Shutdown stops taking requests, hands the upstreams over, waits for requests
-// in progress and stops. It gives up waiting when ctx is done.
+// Shutdown refuses new requests, hands the upstreams over, waits for requests in
+// progress, keeps refusing for the grace so that no caller meets a closing
+// connection, and stops. It gives up waiting when ctx is done.
 func (d *Daemon) Shutdown(ctx context.Context) error {
 	d.drained.Store(true)
 	klog.InfoS("Draining", "daemon", d.settings.ID)
 	announce, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	d.parts.Cluster.Drain(announce)
-	err := d.parts.Server.Shutdown(ctx)
-	err = errors.Join(err, d.parts.Owner.Wait(ctx), d.parts.Peers.Drain(ctx), d.parts.Once.Wait(ctx))
+	err := d.parts.Requests.Wait(ctx)
+	pause(ctx, d.settings.DrainGrace)
+	err = errors.Join(err, d.parts.Server.Shutdown(ctx), d.parts.Owner.Wait(ctx), d.parts.Peers.Drain(ctx), d.parts.Once.Wait(ctx))
 	stop, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), announceTimeout)
 	defer cancelStop()
 	return errors.Join(err, d.app.Stop(stop))
 }
 
+// pause waits for d or until ctx is done.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 type readiness interface{ Ready() bool }
 
 type sockets struct {
@@ -124,11 +142,11 @@
 type poolParams struct {
 	fx.In
 	Dial net.PacketConn `name:"peer-dial"`
-	ID   peer.Identity
+	Keys *peer.Keyring
 }
 
 func newPool(lc fx.Lifecycle, p poolParams) *peer.Pool {
-	pool := peer.NewPool(p.Dial, p.ID)
+	pool := peer.NewPool(p.Dial, p.Keys)
 	lc.Append(fx.StopHook(pool.Close))
 	return pool
 }
@@ -139,7 +157,7 @@
 	return client
 }
 
-func newOwner(lc fx.Lifecycle, s Settings, fleet *state.Fleet, client *upstream.Client, n *config.Node, crashes *suspects.Node) *owner.Manager {
+func newOwner(lc fx.Lifecycle, s Settings, fleet *state.Fleet, client *upstream.Client, n *config.Node, crashes *suspects.Node, r *metrics.Recorder) *owner.Manager {
 	m := owner.New(owner.Options{
 		Self:    state.DaemonID(s.ID),
 		Fleet:   fleet,
@@ -148,12 +166,14 @@
 		Catalog: n.Catalog,
 		Crashes: crashes,
 		Clock:   time.Now,
+
+		Observer: r,
 	})
 	lc.Append(fx.StopHook(func() { m.Close(); client.Close() }))
 	return m
 }
 
-func newCluster(lc fx.Lifecycle, s Settings, run state.Incarnation, client *platform.Client, pool *peer.Pool, fleet *state.Fleet, m *owner.Manager, members *lateMembers, n *config.Node) *cluster.Cluster {
+func newCluster(lc fx.Lifecycle, s Settings, run state.Incarnation, client *platform.Client, pool *peer.Pool, fleet *state.Fleet, m *owner.Manager, members *lateMembers, n *config.Node, drains *lateDrains) *cluster.Cluster {
 	c := cluster.New(cluster.Options{
 		Self:        peer.Peer{ID: state.DaemonID(s.ID), Addr: s.PeerAddr},
 		Incarnation: run,
@@ -165,6 +185,7 @@
 		Owner:       m,
 		Config:      n,
 		Clock:       time.Now,
+		Drained:     drains.Drained,
 	})
 	members.set(c)
 	lc.Append(fx.StartStopHook(c.Start, c.Close))
@@ -172,21 +193,6 @@
 	return c
 }
 
-func newGateway(s Settings, fleet *state.Fleet, m *owner.Manager, pool *peer.Pool, c *cluster.Cluster, admit *suspects.Node) *entry.Gateway {
-	router := newRouter(fleet)
-	return entry.New(entry.Options{
-		Self:     state.DaemonID(s.ID),
-		Zone:     state.Zone(s.Zone),
-		Region:   state.Region(s.Region),
-		Router:   router,
-		Trackers: []routing.Tracker{router},
-		Owner:    m,
-		Peers:    peers{pool: pool, cluster: c},
-		Suspects: admit,
-		Clock:    time.Now,
-	})
-}
-
 func newCallerListener(s Settings) (net.Listener, error) {
 	l, err := net.Listen("tcp", s.CallerAddr)
 	if err != nil {
@@ -195,15 +201,15 @@
 	return l, nil
 }
 
-func newCallers(lc fx.Lifecycle, l net.Listener, g *once.Gateway, n *config.Node, r readiness) *http.Server {
+func newCallers(lc fx.Lifecycle, l net.Listener, g *once.Gateway, n *config.Node, r readiness, rec *metrics.Recorder, requests *inflight.Counter) *http.Server {
 	api := callers.New(callers.Options{
-		Gateway: g,
+		Gateway: metrics.Time(g, rec),
 		Tickets: g,
 		Catalog: n.Catalog,
 		Ready:   r.Ready,
 		NewID:   newID,
 	})
-	server := &http.Server{Handler: api.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: countRequests(requests, r, api.Handler()), ReadHeaderTimeout: readHeaderTimeout}
 	lc.Append(fx.StartStopHook(
 		func() { go func() { _ = server.Serve(l) }() },
 		func() { _ = server.Close() },
@@ -214,17 +220,19 @@
 type serverParams struct {
 	fx.In
 	Listen   net.PacketConn `name:"peer-listen"`
-	ID       peer.Identity
+	Keys     *peer.Keyring
 	Owner    *owner.Manager
 	Cluster  *cluster.Cluster
+	Operator *operator.Node
 	Once     *once.Gateway
 	Config   *config.Node
 	Suspects *suspects.Node
+	Store    *storebudget.Node
 }
 
 func newPeerServer(lc fx.Lifecycle, p serverParams) (*peer.Server, error) {
-	handler := peerHandler{owner: p.Owner, cluster: p.Cluster, suspects: p.Suspects, config: p.Config, once: p.Once}
-	server, err := peer.Listen(p.Listen, p.ID, handler)
+	handler := peerHandler{owner: p.Owner, cluster: p.Cluster, suspects: p.Suspects, config: p.Config, once: p.Once, operator: p.Operator, store: p.Store}
+	server, err := peer.Listen(p.Listen, p.Keys, handler)
 	if err != nil {
 		return nil, fmt.Errorf("serve daemons: %w", err)
 	}
--- a/internal/coordination/owner/load.go
+++ b/internal/coordination/owner/load.go
@@ -9,6 +9,9 @@
 	"github.com/celerydeck/celerydeck/internal/state"
 )
 
+// unloadBackoff is the time after a failed unload in which the adapter is kept.
+const unloadBackoff = time.Second
+
 // claim is what speaks for loading an adapter that requests wait for.
 type claim struct {
 	ref    state.AdapterRef
@@ -44,24 +47,23 @@
 			s.loadAhead(now)
 			return
 		}
-		if !s.admits(&best) {
+		if !s.admits(now, &best) {
 			return
 		}
 		if !s.makeRoom(now, best.value, best.late >= s.opts.DrainAfter) {
 			return
 		}
-		s.order(best.ref, s.sources[best.ref])
+		s.order(now, best.ref, s.sources[best.ref])
 	}
 }
 
 // admits reports whether the budget allows a load. The first load of the most
 // urgent rank does not wait for a grant.
-func (s *Scheduler) admits(c *claim) bool {
-	loading := s.loading()
-	if c.rank == 0 && !c.excess && loading == 0 {
-		return true
+func (s *Scheduler) admits(now time.Time, c *claim) bool {
+	if c.rank == 0 && !c.excess {
+		return s.budget.AdmitsUrgent(now, s.loading())
 	}
-	return s.budget.Admits(loading)
+	return s.budget.Admits(now, s.loading())
 }
 
 func (s *Scheduler) loading() int {
@@ -131,7 +133,7 @@
 func (s *Scheduler) victim(now time.Time) (least, idle *held) {
 	var leastRate, idleRate float64
 	for _, h := range s.table {
-		if h.state != slotReady {
+		if h.state != slotReady || now.Before(h.keepUntil) {
 			continue
 		}
 		rate := s.demand.Rate(now, h.ref)
@@ -190,8 +192,9 @@
 	s.do(Unload{Adapter: h.ref, Epoch: s.auth.Epoch})
 }
 
-func (s *Scheduler) order(ref state.AdapterRef, source string) {
+func (s *Scheduler) order(now time.Time, ref state.AdapterRef, source string) {
 	s.orders++
+	s.budget.Take(now)
 	s.table[ref] = &held{ref: ref, state: slotLoading, order: s.orders}
 	s.do(Load{Adapter: ref, Order: s.orders, Source: source, Epoch: s.auth.Epoch})
 }
@@ -218,12 +221,12 @@
 
 // loadAhead loads an adapter when no request waits for one.
 func (s *Scheduler) loadAhead(now time.Time) {
-	if !s.budget.Admits(s.loading()) {
+	if !s.budget.Admits(now, s.loading()) {
 		return
 	}
 	ref, source, pays := s.ahead(now)
 	if pays && s.makeRoom(now, s.demand.Rate(now, ref)*s.opts.EvictHorizon.Seconds()/s.opts.AheadMargin, false) {
-		s.order(ref, source)
+		s.order(now, ref, source)
 	}
 }
 
@@ -239,10 +242,10 @@
 		return
 	}
 	delete(s.table, e.Adapter)
+	failures := s.backoff.Failed(now, e.Adapter)
 	if !e.Failed {
-		return
+		return // loaded into another boot, which the next report tells more of
 	}
-	failures := s.backoff.Failed(now, e.Adapter)
 	wait := s.backoff.Wait(now, e.Adapter)
 	for _, it := range s.queue.All() {
 		if it.Adapter != e.Adapter {
@@ -254,7 +257,7 @@
 	}
 }
 
-func (s *Scheduler) unloadDone(e UnloadDone) {
+func (s *Scheduler) unloadDone(now time.Time, e UnloadDone) {
 	h := s.table[e.Adapter]
 	if h == nil || h.state != slotUnloading {
 		return
@@ -265,6 +268,7 @@
 	}
 	h.state = slotReady
 	h.draining = false
+	h.keepUntil = now.Add(unloadBackoff)
 	s.queue.Release(e.Adapter)
 }
 
--- a/internal/coordination/owner/scheduler.go
+++ b/internal/coordination/owner/scheduler.go
@@ -55,12 +55,13 @@
 
 // held is an adapter that takes a slot of the engine.
 type held struct {
-	ref      state.AdapterRef
-	state    slotState
-	order    uint64
-	running  int
-	excess   int  // running requests beyond the usual rate of their class
-	draining bool // takes no new requests, so that it can be evicted
+	ref       state.AdapterRef
+	state     slotState
+	order     uint64
+	running   int
+	excess    int       // running requests beyond the usual rate of their class
+	keepUntil time.Time // the last unload failed
+	draining  bool      // takes no new requests, so that it can be evicted
 }
 
 // NewScheduler returns a core that waits for its first report and authority.
@@ -92,7 +93,7 @@
 	case LoadDone:
 		s.loadDone(now, e)
 	case UnloadDone:
-		s.unloadDone(e)
+		s.unloadDone(now, e)
 	case Report:
 		s.report(e)
 	case Unreachable:
@@ -103,8 +104,11 @@
 	case Leaving:
 		s.leaving = true
 		s.refuseAll(RefuseLeaving)
+	case Staying:
+		s.leaving = false
 	case StoreBudget:
-		s.budget.Set(e.Rate, e.InFlight)
+		s.budget.Set(now, e.Rate, e.Burst, e.InFlight)
+		s.budget.EndAt(e.Until)
 	case Ranks:
 		s.setRanks(e.Ranks)
 	case Tick:
--- a/internal/coordination/suspects/tracker.go
+++ b/internal/coordination/suspects/tracker.go
@@ -84,6 +84,6 @@
 	delete(t.grants, f)
 	id := CrashID{Upstream: state.UpstreamID("unreported by " + string(g.holder)), Boot: state.BootID(g.until.UTC().Format(time.RFC3339Nano))}
 	e := t.table.entry(f)
-	e.merge(&Entry{Fingerprint: f, Crashes: []CrashID{id}, Last: now})
+	e.merge(&Entry{Fingerprint: f, Crashes: []Crash{{ID: id, Alone: true}}, Last: now})
 	return []Entry{e.clone()}
 }
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -1,7 +1,6 @@
 package measure
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/owner"
@@ -27,6 +26,8 @@
 	Zone  state.Zone
 	Seed  uint64
 	Ranks []state.RankInfo
+	// Daemons is the number of entry daemons.
+	Daemons int
 }
 
 // Shares divides the weight store's limits among the engines. Statuses are in
@@ -44,16 +45,8 @@
 func Current() Policy {
 	return Policy{
 		Name:      "celerydeck",
-		NewRouter: func(env Env) routing.Router { return newScored(env) },
+		NewRouter: newScored,
 		NewCore:   func(*state.Upstream) owner.Core { return owner.NewScheduler(owner.DefaultOptions()) },
 		NewShares: newDivided,
 	}
 }
-
-func newScored(env Env) routing.Router {
-	return routing.NewScored(routing.Options{
-		Fleet:   env.Fleet,
-		Weights: routing.DefaultWeights(),
-		Rand:    rand.New(rand.NewPCG(env.Seed, 5)),
-	})
-}
--- a/internal/node/entry/delivery.go
+++ b/internal/node/entry/delivery.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 
@@ -87,7 +88,11 @@
 	}
 	first, err := a.d.answer.Head(a.number, h.Adapter, h.Boot)
 	if err != nil {
-		return a.fail(protocol.KindWrongAdapter, fmt.Errorf("%w: %s", err, h.Adapter))
+		kind := protocol.KindInterrupted
+		if errors.Is(err, answer.ErrWrongAdapter) {
+			kind = protocol.KindWrongAdapter
+		}
+		return a.fail(kind, fmt.Errorf("%w: %s", err, h.Adapter))
 	}
 	if !first {
 		return nil
@@ -97,7 +102,7 @@
 
 // Chunk implements protocol.Sink.
 func (a *attemptSink) Chunk(c protocol.Chunk) error {
-	a.tracked.part()
+	a.tracked.part(c.Count)
 	a.d.mu.Lock()
 	defer a.d.mu.Unlock()
 	if err := a.check(c.Attempt); err != nil {
--- a/internal/node/entry/gateway.go
+++ b/internal/node/entry/gateway.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/retry"
@@ -40,17 +41,22 @@
 	Owner    Owner
 	Peers    Peers
 	Suspects Suspects
-	Clock    func() time.Time
+	// Catalog returns the configuration in force, or nil before the first one.
+	Catalog func() *state.Catalog
+	Clock   func() time.Time
 }
 
 // Gateway serves requests from end to end. It is safe for concurrent use.
 type Gateway struct {
 	opts   Options
 	budget *retry.Budget
+	marks  *marks
 }
 
 // New returns a gateway.
-func New(opts Options) *Gateway { return &Gateway{opts: opts, budget: retry.NewBudget()} }
+func New(opts Options) *Gateway {
+	return &Gateway{opts: opts, budget: retry.NewBudget(), marks: newMarks(opts.Catalog)}
+}
 
 // session is one request with its attempts.
 type session struct {
@@ -62,6 +68,8 @@
 	deadline time.Time
 	attempt  uint32
 	last     *protocol.Error
+	excluded []state.UpstreamID // failed or refused
+	avoided  []state.UpstreamID // had another owner a moment ago
 }
 
 // Serve runs a call and delivers the whole answer to sink in order and once. An
@@ -88,7 +96,10 @@
 		Rank:    call.Rank,
 		Zone:    g.opts.Zone,
 		Region:  g.opts.Region,
+
+		Repeatable: call.Repeatable,
 	}
+	route.Excess, route.Target = g.marks.mark(g.opts.Clock(), call)
 	if call.Model != nil {
 		route.Adapter = call.Model.Adapter
 		route.Prefix = call.Model.Prefix
@@ -104,7 +115,7 @@
 			return s.final(ctx, err)
 		}
 		choice := s.pick(ctx)
-		if choice.Upstream == nil {
+		if choice.Upstream == nil || s.notWorthLoad(choice) {
 			s.finish(ctx, alone, false)
 			return s.noUpstream(ctx)
 		}
@@ -121,20 +132,38 @@
 		if !decision.Retry || ctx.Err() != nil {
 			return s.final(ctx, err)
 		}
-		if decision.Exclude {
-			s.route.Exclude = append(s.route.Exclude, choice.Upstream.ID)
-		}
+		s.leaveOut(choice.Upstream.ID, decision)
 		sleep(ctx, decision.After)
 	}
 }
 
-// pick waits a little for an upstream to appear, as after a start.
+// notWorthLoad reports whether a request that was refused in overload would need a
+// load at its next choice.
+func (s *session) notWorthLoad(choice routing.Choice) bool {
+	overloaded := s.last != nil && s.last.Kind == protocol.KindOverloaded
+	return overloaded && s.call.Model != nil && !choice.Resident
+}
+
+func (s *session) leaveOut(id state.UpstreamID, d retry.Decision) {
+	if d.Exclude {
+		s.excluded = append(s.excluded, id)
+	}
+	if d.Avoid {
+		s.avoided = append(s.avoided, id)
+	}
+	s.route.Exclude = slices.Concat(s.excluded, s.avoided)
+}
+
+// pick waits a little for an upstream to appear, as after a start. Upstreams that
+// are only avoided are tried again when there is no other.
 func (s *session) pick(ctx context.Context) routing.Choice {
 	for range noUpstreamTries {
 		choice := s.g.opts.Router.Pick(s.g.opts.Clock(), s.route)
-		if choice.Upstream != nil || len(s.route.Exclude) > 0 || ctx.Err() != nil {
+		if choice.Upstream != nil || len(s.excluded) > 0 && len(s.avoided) == 0 || ctx.Err() != nil {
 			return choice
 		}
+		s.avoided = nil
+		s.route.Exclude = s.excluded
 		sleep(ctx, noUpstreamGap)
 	}
 	return routing.Choice{}
@@ -146,6 +175,7 @@
 	call.Attempt = s.attempt
 	call.Upstream = u.ID
 	call.Alone = alone
+	call.Excess = s.route.Excess
 	call.Budget = s.deadline.Sub(s.g.opts.Clock())
 	if call.Model != nil {
 		model := *call.Model
@@ -190,6 +220,9 @@
 		e.Outcome = protocol.OutcomeUnknown
 		e.RetryAfter = 0
 	}
+	if e.Outcome == protocol.OutcomeNotRun && s.out.started() {
+		panic("entry: a request whose answer has begun counts as not run: " + s.call.RequestID)
+	}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		e.Kind = protocol.KindDeadline
@@ -201,7 +234,7 @@
 
 // failure translates an error for the decision about a retry.
 func failure(err *protocol.Error, begun bool) retry.Failure {
-	f := retry.Failure{Cause: retry.Failed, MaybeRan: err.Outcome != protocol.OutcomeNotRun, Begun: begun}
+	f := retry.Failure{Cause: retry.Failed, MaybeRan: err.Outcome != protocol.OutcomeNotRun || begun, Begun: begun}
 	switch err.Kind {
 	case protocol.KindBadRequest, protocol.KindCanceled, protocol.KindDeadline, protocol.KindTooLarge, protocol.KindRefusedPoison:
 		f.Cause = retry.Final
--- a/internal/node/owner/worker.go
+++ b/internal/node/owner/worker.go
@@ -5,11 +5,10 @@
 	"sync"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	core "github.com/celerydeck/celerydeck/internal/coordination/owner"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/statelog"
 )
 
 const (
@@ -27,11 +26,14 @@
 	ctx  context.Context
 	stop context.CancelFunc
 
-	mu      sync.Mutex // guards core and pending; never held across I/O
+	mu      sync.Mutex // guards core, auth and pending; never held across I/O
 	core    core.Core
+	auth    core.Authority
 	pending map[string]*pending
 	catalog *state.Catalog // last one told to the core; used by poll only
 	loads   map[state.AdapterRef]loadSpan
+	loading map[state.AdapterRef]time.Time // start of each load in progress
+	failing map[state.AdapterRef]failingLoad
 	check   *crashCheck // of the latest run that broke
 }
 
@@ -49,6 +51,9 @@
 
 func (w *worker) handle(event core.Event) {
 	w.mu.Lock()
+	if auth, ok := event.(core.Authority); ok {
+		w.auth = auth
+	}
 	actions := w.core.Handle(w.m.opts.Clock(), event)
 	w.mu.Unlock()
 	for _, a := range actions {
@@ -113,6 +118,7 @@
 		Fingerprint: call.Fingerprint,
 		Repeatable:  call.Repeatable,
 		Alone:       call.Alone,
+		Excess:      call.Excess,
 	}
 	if call.Model != nil {
 		r.Adapter = call.Model.Adapter
@@ -198,12 +204,12 @@
 func (w *worker) load(a core.Load) {
 	ctx, cancel := context.WithTimeout(w.m.ctx, orderTimeout)
 	defer cancel()
-	start := w.m.opts.Clock()
+	start := w.observeLoadStart(a.Adapter)
 	boot, err := w.m.opts.Client.Load(ctx, w.u, a.Adapter, a.Source, a.Epoch)
 	if err != nil {
-		klog.InfoS("Load failed", "adapter", a.Adapter, "upstream", w.u.ID, "err", err)
+		statelog.Info("Load failed", "adapter", a.Adapter, "upstream", w.u.ID, "err", err)
 	}
-	w.observeLoad(a.Adapter, start, err != nil)
+	w.observeLoad(a.Adapter, start, err)
 	w.handle(core.LoadDone{Adapter: a.Adapter, Order: a.Order, Boot: boot, Failed: err != nil})
 }
 
@@ -212,7 +218,7 @@
 	defer cancel()
 	err := w.m.opts.Client.Unload(ctx, w.u, a.Adapter, a.Epoch)
 	if err != nil {
-		klog.InfoS("Unload failed", "adapter", a.Adapter, "upstream", w.u.ID, "err", err)
+		statelog.Info("Unload failed", "adapter", a.Adapter, "upstream", w.u.ID, "err", err)
 	}
 	w.forgetLoad(a)
 	w.handle(core.UnloadDone{Adapter: a.Adapter, Failed: err != nil})
--- a/internal/node/suspects/node.go
+++ b/internal/node/suspects/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -28,6 +27,7 @@
 	askTimeout       = time.Second
 	waitInterval     = 200 * time.Millisecond
 	gossipInterval   = 20 * time.Second
+	firstGossip      = 250 * time.Millisecond // until a first peer has answered
 	persistTimeout   = 5 * time.Second
 	retryAfter       = 2 * time.Second
 )
@@ -230,7 +230,10 @@
 	for _, p := range n.opts.Members.AllPeers() {
 		wg.Go(func() {
 			var reply protocol.Suspects
-			_ = n.opts.Peers.Exchange(ctx, p, protocol.MsgSuspects, protocol.Suspects{Entries: entries}, &reply)
+			err := n.opts.Peers.Exchange(ctx, p, protocol.MsgSuspects, protocol.Suspects{Entries: entries}, &reply)
+			if err != nil {
+				klog.V(1).InfoS("Peer did not take suspects", "peer", p.ID, "err", err)
+			}
 		})
 	}
 	wg.Wait()
@@ -239,18 +242,22 @@
 // gossip compares tables with one random peer now and then, expires entries and
 // stores what could not be stored before.
 func (n *Node) gossip() {
+	wait := firstGossip
 	for n.ctx.Err() == nil {
 		n.load()
 		n.save()
-		n.compare()
+		if n.compare() {
+			wait = gossipInterval
+		}
 		select {
-		case <-time.After(gossipInterval):
+		case <-time.After(wait):
 		case <-n.ctx.Done():
 		}
 	}
 }
 
-func (n *Node) compare() {
+// compare reports whether a peer answered.
+func (n *Node) compare() bool {
 	n.mu.Lock()
 	now := n.opts.Clock()
 	n.noteRefused(n.tracker.Expire(now))
@@ -263,17 +270,18 @@
 	}
 	n.mu.Unlock()
 	if len(peers) == 0 {
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, askTimeout)
 	defer cancel()
 	var reply protocol.Suspects
 	if err := n.opts.Peers.Exchange(ctx, peers[pick], protocol.MsgSuspects, msg, &reply); err != nil {
-		return
+		return false
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.noteRefused(n.table.Merge(reply.Entries))
+	return true
 }
 
 // noteRefused remembers which refused entries to store. The caller must hold mu.
@@ -346,11 +354,8 @@
 
 func digest(entries []core.Entry) uint64 {
 	h := xxhash.New()
-	var b [16]byte
 	for _, e := range entries {
-		binary.BigEndian.PutUint64(b[:8], uint64(e.Fingerprint))
-		binary.BigEndian.PutUint64(b[8:], uint64(len(e.Crashes))<<32|uint64(e.Cleared))
-		_, _ = h.Write(b[:])
+		_, _ = fmt.Fprint(h, e.Fingerprint, e.Crashes)
 	}
 	return h.Sum64()
 }
--- a/internal/report/conditions.go
+++ b/internal/report/conditions.go
@@ -14,6 +14,9 @@
 	lateShare = 0.95
 	// fewRequests is the number of requests below which a share says little.
 	fewRequests = 20
+	// floodRefusals and floodShare are the refusals that make a class a flood.
+	floodRefusals = 100
+	floodShare    = 0.5
 	// manyRestarts is the number of restarts that make a crash urgent.
 	manyRestarts = 3
 	// maxSubjects is the number of subjects shown in a group.
@@ -64,6 +67,7 @@
 			Detail:  fmt.Sprintf("in force at %d of %d daemons, not at %s", in.Progress.InForce, in.Progress.Daemons, join(in.Progress.Behind)),
 		})
 	}
+	all = append(all, floods(MergeClasses(in.Fleet.Daemons))...)
 	all = append(all, lateRanks(MergeRanks(in.Fleet.Daemons))...)
 	slices.SortStableFunc(all, compareConditions)
 	return slices.Compact(all)
@@ -118,6 +122,22 @@
 	return late
 }
 
+// floods returns the classes most of whose requests are refused.
+func floods(classes []protocol.ClassStatus) []protocol.Condition {
+	var list []protocol.Condition
+	for _, c := range classes {
+		if c.Refused < floodRefusals || Share(c.Refused, c.Requests) < floodShare {
+			continue
+		}
+		list = append(list, protocol.Condition{
+			Kind: protocol.ConditionFlood, Severity: protocol.SeverityWatch,
+			Subject: fmt.Sprintf("%s/%s/%s", c.Customer, c.Service, c.Rank),
+			Detail:  fmt.Sprintf("%d of %d requests of the last minutes were refused", c.Refused, c.Requests),
+		})
+	}
+	return list
+}
+
 // Share returns part/whole, and 1 for an empty whole.
 func Share(part, whole uint64) float64 {
 	if whole == 0 {
@@ -187,7 +207,7 @@
 	protocol.ConditionUpstreamDown:       "Check the upstream's VM and process; requests go elsewhere meanwhile.",
 	protocol.ConditionUpstreamCrashed:    "Look for refused fingerprints; drain the upstream if it keeps restarting.",
 	protocol.ConditionEngineCold:         "Nothing to do while it refills; look at the weight store if it stays empty.",
-	protocol.ConditionLoadFailing:        "Check the source of the version in the weight store; celerydeck explain --model names the error.",
+	protocol.ConditionLoadFailing:        "Check the source of the version in the weight store; celerydeck explain names the error.",
 	protocol.ConditionLoadStalled:        "The weight store is the bottleneck; find the adapters that load most with celerydeck top.",
 	protocol.ConditionUnloadFrozen:       "Adapters stay loaded until the owner can prove that it is alone; restore the platform or the zone's links.",
 	protocol.ConditionLeaseLost:          "The daemon cannot renew its lease; check its path to the platform.",
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -53,6 +53,10 @@
 	events     []cacheEvent
 	eventSeq   uint64
 	reports    []timedReport
+	faults     Faults
+	cancels    int
+	log        []string
+	runs       map[string]int // by request id
 }
 
 type job struct {
@@ -79,6 +83,7 @@
 		stop:     make(chan struct{}),
 		adapters: make(map[string]bool),
 		running:  make(map[string]*job),
+		runs:     make(map[string]int),
 		role:     "both",
 	}
 }
--- a/internal/transport/callers/server.go
+++ b/internal/transport/callers/server.go
@@ -25,6 +25,8 @@
 	HeaderKey       = "Idempotency-Key"
 	HeaderTicket    = "X-Celerydeck-Ticket"
 	HeaderReplayed  = "X-Celerydeck-Replayed"
+
+	headerPrefix = "X-Celerydeck-"
 )
 
 // Limits of requests.
@@ -32,6 +34,11 @@
 	MaxBody        = 8 << 20
 	DefaultTimeout = 60 * time.Second
 	MaxTimeout     = 10 * time.Minute
+	// MaxAnswer is the largest answer of a completion that is not streamed.
+	MaxAnswer = 32 << 20
+
+	bodyTimeout = 30 * time.Second // longest time to read the body of a request
+	writeMargin = 5 * time.Second  // time to write after the deadline of a request
 )
 
 // Gateway serves a call from end to end.
@@ -85,7 +92,18 @@
 	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		writeError(w, protocol.Errorf(protocol.KindBadRequest, "route request", protocol.OutcomeNotRun, "method %s is not allowed", r.Method))
 	})
-	return r
+	return s.closeWhenLeaving(r)
+}
+
+// closeWhenLeaving ends the connections of callers after their next answer once
+// the daemon takes no more requests, so that none of them is cut when it stops.
+func (s *Server) closeWhenLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !s.opts.Ready() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func (s *Server) health(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
