--- a/internal/app/routing.go
+++ b/internal/app/routing.go
@@ -10,6 +10,7 @@
 
 	"github.com/celerydeck/celerydeck/internal/coordination/routing"
 	"github.com/celerydeck/celerydeck/internal/node/cluster"
+	"github.com/celerydeck/celerydeck/internal/node/config"
 	"github.com/celerydeck/celerydeck/internal/node/entry"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
 	"github.com/celerydeck/celerydeck/internal/node/suspects"
@@ -36,6 +37,7 @@
 	Cluster  *cluster.Cluster
 	Suspects *suspects.Node
 	Router   *routing.Scored
+	Config   *config.Node
 }
 
 func newGateway(lc fx.Lifecycle, p gatewayParams) *entry.Gateway {
@@ -53,6 +55,7 @@
 		Owner:    p.Owner,
 		Peers:    peers{pool: p.Pool, cluster: p.Cluster},
 		Suspects: p.Suspects,
+		Catalog:  p.Config.Catalog,
 		Clock:    time.Now,
 	})
 }
--- a/internal/coordination/owner/load.go
+++ b/internal/coordination/owner/load.go
@@ -9,6 +9,9 @@
 	"github.com/celerydeck/celerydeck/internal/state"
 )
 
+// unloadBackoff is the time after a failed unload in which the adapter is kept.
+const unloadBackoff = time.Second
+
 // claim is what speaks for loading an adapter that requests wait for.
 type claim struct {
 	ref    state.AdapterRef
@@ -54,9 +57,13 @@
 	}
 }
 
-// admits reports whether the budget allows a load.
+// admits reports whether the budget allows a load. The first load of the most
+// urgent rank does not wait for a grant.
 func (s *Scheduler) admits(now time.Time, c *claim) bool {
-	return s.budget.Admits(now, s.loading(), c.rank == 0 && !c.excess)
+	if c.rank == 0 && !c.excess {
+		return s.budget.AdmitsUrgent(now, s.loading())
+	}
+	return s.budget.Admits(now, s.loading())
 }
 
 func (s *Scheduler) loading() int {
@@ -126,7 +133,7 @@
 func (s *Scheduler) victim(now time.Time) (least, idle *held) {
 	var leastRate, idleRate float64
 	for _, h := range s.table {
-		if h.state != slotReady {
+		if h.state != slotReady || now.Before(h.keepUntil) {
 			continue
 		}
 		rate := s.demand.Rate(now, h.ref)
@@ -186,8 +193,8 @@
 }
 
 func (s *Scheduler) order(now time.Time, ref state.AdapterRef, source string) {
-	s.budget.Take(now)
 	s.orders++
+	s.budget.Take(now)
 	s.table[ref] = &held{ref: ref, state: slotLoading, order: s.orders}
 	s.do(Load{Adapter: ref, Order: s.orders, Source: source, Epoch: s.auth.Epoch})
 }
@@ -214,7 +221,7 @@
 
 // loadAhead loads an adapter when no request waits for one.
 func (s *Scheduler) loadAhead(now time.Time) {
-	if !s.budget.Admits(now, s.loading(), false) {
+	if !s.budget.Admits(now, s.loading()) {
 		return
 	}
 	ref, source, pays := s.ahead(now)
@@ -235,13 +242,10 @@
 		return
 	}
 	delete(s.table, e.Adapter)
+	failures := s.backoff.Failed(now, e.Adapter)
 	if !e.Failed {
-		// The engine has restarted. What it holds is known with its next report;
-		// until then an order would be answered at once and repeated without end.
-		s.healthy = false
-		return
+		return // loaded into another boot, which the next report tells more of
 	}
-	failures := s.backoff.Failed(now, e.Adapter)
 	wait := s.backoff.Wait(now, e.Adapter)
 	for _, it := range s.queue.All() {
 		if it.Adapter != e.Adapter {
@@ -253,7 +257,7 @@
 	}
 }
 
-func (s *Scheduler) unloadDone(e UnloadDone) {
+func (s *Scheduler) unloadDone(now time.Time, e UnloadDone) {
 	h := s.table[e.Adapter]
 	if h == nil || h.state != slotUnloading {
 		return
@@ -264,6 +268,7 @@
 	}
 	h.state = slotReady
 	h.draining = false
+	h.keepUntil = now.Add(unloadBackoff)
 	s.queue.Release(e.Adapter)
 }
 
--- a/internal/coordination/owner/policy_test.go
+++ b/internal/coordination/owner/policy_test.go
@@ -124,3 +124,36 @@
 	served, offered := flood(t, testClass(0, 0), testClass(1, 2))
 	qt.Assert(t, float64(served) >= 0.95*float64(offered), qt.IsTrue, qt.Commentf("%d of %d", served, offered))
 }
+
+func TestLoadIntoAnotherBootIsNotRepeatedAtOnce(t *testing.T) {
+	r := newRig(t)
+	r.enqueue("waits", 0, testClass(0, 0), time.Minute)
+	for order, l := range r.loads {
+		delete(r.loads, order)
+		r.handle(LoadDone{Adapter: l.Adapter, Order: order, Boot: "another"})
+	}
+	qt.Assert(t, r.loads, qt.HasLen, 0)
+	r.tick(time.Second)
+	qt.Assert(t, r.loads, qt.HasLen, 1)
+}
+
+func TestFailedUnloadIsNotRepeatedAtOnce(t *testing.T) {
+	r := newRig(t)
+	for i := range testSlots {
+		r.enqueue(fmt.Sprint("warm-", i), i, testClass(0, 0), time.Minute)
+		r.finishLoads()
+		r.end(fmt.Sprint("warm-", i))
+	}
+	r.enqueue("cold", testSlots, testClass(0, 0), time.Minute)
+	r.tick(500 * time.Millisecond)
+	tried := make(map[state.AdapterRef]bool)
+	for range testSlots {
+		for ref := range r.unloads {
+			qt.Assert(t, tried[ref], qt.IsFalse, qt.Commentf("second unload of %s", ref))
+			tried[ref] = true
+			delete(r.unloads, ref)
+			r.handle(UnloadDone{Adapter: ref, Failed: true})
+		}
+	}
+	qt.Assert(t, r.unloads, qt.HasLen, 0)
+}
--- a/internal/node/entry/gateway.go
+++ b/internal/node/entry/gateway.go
@@ -41,17 +41,22 @@
 	Owner    Owner
 	Peers    Peers
 	Suspects Suspects
-	Clock    func() time.Time
+	// Catalog returns the configuration in force, or nil before the first one.
+	Catalog func() *state.Catalog
+	Clock   func() time.Time
 }
 
 // Gateway serves requests from end to end. It is safe for concurrent use.
 type Gateway struct {
 	opts   Options
 	budget *retry.Budget
+	marks  *marks
 }
 
 // New returns a gateway.
-func New(opts Options) *Gateway { return &Gateway{opts: opts, budget: retry.NewBudget()} }
+func New(opts Options) *Gateway {
+	return &Gateway{opts: opts, budget: retry.NewBudget(), marks: newMarks(opts.Catalog)}
+}
 
 // session is one request with its attempts.
 type session struct {
@@ -94,6 +99,7 @@
 
 		Repeatable: call.Repeatable,
 	}
+	route.Excess, route.Target = g.marks.mark(g.opts.Clock(), call)
 	if call.Model != nil {
 		route.Adapter = call.Model.Adapter
 		route.Prefix = call.Model.Prefix
@@ -109,7 +115,7 @@
 			return s.final(ctx, err)
 		}
 		choice := s.pick(ctx)
-		if choice.Upstream == nil {
+		if choice.Upstream == nil || s.notWorthLoad(choice) {
 			s.finish(ctx, alone, false)
 			return s.noUpstream(ctx)
 		}
@@ -131,6 +137,13 @@
 	}
 }
 
+// notWorthLoad reports whether a request that was refused in overload would need a
+// load at its next choice.
+func (s *session) notWorthLoad(choice routing.Choice) bool {
+	overloaded := s.last != nil && s.last.Kind == protocol.KindOverloaded
+	return overloaded && s.call.Model != nil && !choice.Resident
+}
+
 func (s *session) leaveOut(id state.UpstreamID, d retry.Decision) {
 	if d.Exclude {
 		s.excluded = append(s.excluded, id)
@@ -162,6 +175,7 @@
 	call.Attempt = s.attempt
 	call.Upstream = u.ID
 	call.Alone = alone
+	call.Excess = s.route.Excess
 	call.Budget = s.deadline.Sub(s.g.opts.Clock())
 	if call.Model != nil {
 		model := *call.Model
--- a/internal/node/owner/worker.go
+++ b/internal/node/owner/worker.go
@@ -124,6 +124,7 @@
 		Fingerprint: call.Fingerprint,
 		Repeatable:  call.Repeatable,
 		Alone:       call.Alone,
+		Excess:      call.Excess,
 	}
 	if call.Model != nil {
 		r.Adapter = call.Model.Adapter
--- a/internal/node/storebudget/node_test.go
+++ b/internal/node/storebudget/node_test.go
@@ -100,13 +100,17 @@
 	}
 }
 
-func start(t *testing.T) (net *network, a, b *daemon) {
+// start runs two daemons that own two engines each and are known to be alone.
+func start(t *testing.T) (net *network, a, b *daemon) { return startAlone(t, true) }
+
+// startAlone runs two daemons; aAlone says whether daemon a is proven alone.
+func startAlone(t *testing.T, aAlone bool) (net *network, a, b *daemon) {
 	net = &network{nodes: make(map[state.DaemonID]*daemon)}
 	for _, id := range []state.DaemonID{"a", "b"} {
 		d := &daemon{net: net, id: id, budgets: make(map[state.UpstreamID]core.StoreBudget)}
 		for i := range 2 {
 			d.demands = append(d.demands, owner.StoreDemand{
-				Upstream: state.UpstreamID(fmt.Sprintf("%s-%d", id, i)), Alone: true, MayLoad: true,
+				Upstream: state.UpstreamID(fmt.Sprintf("%s-%d", id, i)), Alone: id != "a" || aAlone, MayLoad: true,
 			})
 		}
 		d.node = storebudget.New(storebudget.Options{
@@ -154,12 +158,7 @@
 
 func TestOwnerWithoutProofOfBeingAloneTakesNoShare(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		_, a, _ := start(t)
-		a.mu.Lock()
-		for i := range a.demands {
-			a.demands[i].Alone = false
-		}
-		a.mu.Unlock()
+		_, a, _ := startAlone(t, false)
 		time.Sleep(grown)
 		qt.Check(t, a.rate(), qt.Equals, 0)
 	})
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -49,6 +49,8 @@
 	Plain       *PlainCall       `cbor:"11,keyasint,omitempty"`
 	// Alone asks that nothing else runs on the upstream at the same time.
 	Alone bool `cbor:"20,keyasint,omitempty"`
+	// Excess marks a call beyond the usual rate of its class.
+	Excess bool `cbor:"21,keyasint,omitempty"`
 	// Ticket is set when the daemon that issued it is asked to run the call. The
 	// call then names no upstream.
 	Ticket string `cbor:"12,keyasint,omitempty"`
