--- a/internal/capacity/cluster.go
+++ b/internal/capacity/cluster.go
@@ -9,15 +9,33 @@
 
 // Periods of membership and ownership, as set in the code, in seconds.
 const (
-	nearBeat     = 0.2 // between daemons of an availability zone
-	feedPeriod   = 0.5 // of a relay to other relays and to its zone
+	minBeat      = 0.2
+	beatPerPeer  = 0.05
+	maxBeat      = 1.0
+	minFeed      = 0.5
+	feedPerPeer  = 0.01
+	maxFeed      = 1.0
 	leaseRate    = 97.0
 	listRate     = 200.0
 	writesPerOwn = 2.0 // release or takeover, and the acquisition after it
 )
 
-// busyPart is the part of the upstreams whose load changes between two messages.
-const busyPart = 1.0
+// Parts of the upstreams whose load changes between two messages. Other zones are
+// told loads in steps of a quarter of the batch, which few of them cross.
+const (
+	busyPart = 1.0
+	stepPart = 0.1
+)
+
+// nearBeat returns the seconds between heartbeats in an availability zone.
+func nearBeat(t Target) float64 {
+	return min(max(minBeat, (t.ZoneDaemons()-1)*beatPerPeer), maxBeat)
+}
+
+// feedPeriod returns the seconds between the feeds of a relay.
+func feedPeriod(t Target) float64 {
+	return min(max(minFeed, float64(t.Daemons)*feedPerPeer), maxFeed)
+}
 
 // loadBytes returns the size of the load of one upstream in a message.
 func loadBytes() float64 {
@@ -61,8 +79,8 @@
 	beatBytes := s.BeatBytes + changed + owned*busyPart*s.LoadBytes
 	zone, region := owned*t.ZoneDaemons(), t.RegionEngines()
 	feeds := (float64(t.Zones) - 1) / feed
-	own := s.BeatBytes + zone*(busyPart*s.LoadBytes+adapterChanges(t)*feed*s.StatusBytes)
-	far := s.BeatBytes + region*(busyPart*s.LoadBytes+adapterChanges(t)*feed*s.StatusBytes)
+	own := s.BeatBytes + zone*(stepPart*s.LoadBytes+adapterChanges(t)*feed*s.StatusBytes)
+	far := s.BeatBytes + region*(stepPart*s.LoadBytes+adapterChanges(t)*feed*s.StatusBytes)
 	return []Line{
 		{
 			Role: "member", Mechanism: "heartbeats to all daemons of the availability zone, as deltas",
@@ -71,11 +89,11 @@
 		},
 		{
 			Role: "relay", Mechanism: "feed of its availability zone to the relays of the others, as deltas",
-			Messages: feeds, Traffic: feeds * own, CPU: feeds * (s.BeatSeconds + zone*busyPart*s.LoadSeconds),
+			Messages: feeds, Traffic: feeds * own, CPU: feeds * (s.BeatSeconds + zone*stepPart*s.LoadSeconds),
 		},
 		{
 			Role: "relay", Mechanism: "feed of the other zones of its region to its zone, as deltas",
-			Messages: peers / feed, Traffic: peers / feed * far, CPU: peers / feed * (s.BeatSeconds + region*busyPart*s.LoadSeconds),
+			Messages: peers / feed, Traffic: peers / feed * far, CPU: peers / feed * (s.BeatSeconds + region*stepPart*s.LoadSeconds),
 		},
 	}
 }
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -58,8 +58,8 @@
 }
 
 func writeControl(b *strings.Builder, t Target, s Slopes) {
-	b.WriteString("## Control at a daemon\n\nA daemon of average load that is the relay of its availability zone; others have less.\n\n")
-	lines := append(ConfigLines(t, s), ClusterLines(t, s, nearBeat, feedPeriod)...)
+	b.WriteString("## Control at a daemon\n\nA daemon of average load that is the relay of its availability zone; others have less. Assumed: the load of each upstream\nchanges between two heartbeats, and one in ten crosses a step of what other zones are told.\n\n")
+	lines := append(ConfigLines(t, s), ClusterLines(t, s, nearBeat(t), feedPeriod(t))...)
 	writeLines(b, lines)
 	writeVerdict(b, t, Sum(lines))
 	writeNeeded(b, t, s)
@@ -90,9 +90,9 @@
 	today := t
 	today.Daemons, today.Engines, today.Zones, today.Regions, today.Adapters = 9, 21, 3, 1, 3000
 	today.Changes = 100
-	now := Sum(append(ConfigLines(today, s), ClusterLines(today, s, nearBeat, feedPeriod)...))
-	fmt.Fprintf(b, `What would change that, in this order: the loads of upstreams make up nearly all of the traffic, and owners can return
-them with each answer, which is not control; a change of adapters sends the whole status of %.0f bytes where the adapter
+	now := Sum(append(ConfigLines(today, s), ClusterLines(today, s, nearBeat(today), feedPeriod(today))...))
+	fmt.Fprintf(b, `What would change that, in this order: owners can return the loads of upstreams with each answer, which is not
+control; a change of adapters sends the whole status of %.0f bytes where the adapter
 alone takes %.0f; heartbeats and feeds need not come as often. Without loads, with single adapters, heartbeats every %.0f s and
 feeds every %.0f s the sum is %.1f KB/s at a relay (%s) and %.2f%% of a core.
 
--- a/internal/capacity/page_test.go
+++ b/internal/capacity/page_test.go
@@ -23,7 +23,7 @@
 func TestSmallFleetFitsProcessorAndMemory(t *testing.T) {
 	target := DesignTarget()
 	target.Daemons, target.Engines, target.Zones, target.Regions, target.Adapters = 9, 21, 3, 1, 3000
-	lines := append(ConfigLines(target, fixed()), ClusterLines(target, fixed(), nearBeat, feedPeriod)...)
+	lines := append(ConfigLines(target, fixed()), ClusterLines(target, fixed(), nearBeat(target), feedPeriod(target))...)
 	sum := Sum(lines)
 	qt.Assert(t, sum.CPU < target.ControlCPU, qt.IsTrue, qt.Commentf("%v", sum.CPU))
 	qt.Assert(t, sum.Memory < target.ControlMemory, qt.IsTrue, qt.Commentf("%v", sum.Memory))
