--- a/internal/coordination/routing/bench_test.go
+++ b/internal/coordination/routing/bench_test.go
@@ -54,7 +54,11 @@
 		requests[i] = request(int(zipf.Uint64()))
 		requests[i].Prefix = rng.Uint64()
 	}
-	r.Pick(start, requests[0])
+	if _, ok := r.(*routing.Scored); ok {
+		for _, req := range requests {
+			r.Pick(start, req) // computes the orders of the partitions in use
+		}
+	}
 	b.ReportAllocs()
 	b.ResetTimer()
 	for i := range b.N {
@@ -63,3 +67,22 @@
 		}
 	}
 }
+
+// BenchmarkFirstOrder measures the first use of a partition in a group.
+func BenchmarkFirstOrder(b *testing.B) {
+	for _, engines := range []int{12, 300, 6200} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			fleet := fullFleet(engines, 82000)
+			group := fleet.Engines(base, region)
+			for i := range b.N {
+				if i%(1<<14) == 0 {
+					b.StopTimer()
+					fleet = fullFleet(engines, 82000)
+					group = fleet.Engines(base, region)
+					b.StartTimer()
+				}
+				group.Order(uint64(i))
+			}
+		})
+	}
+}
