--- a/internal/coordination/loading/budget.go
+++ b/internal/coordination/loading/budget.go
@@ -2,9 +2,6 @@
 
 import "time"
 
-// advance is the part of the budget, in loads, that an urgent load may use before
-// it is earned.
-const advance = 1.0
 
 // Budget limits the loads of one engine by rate and by number in flight. Without
 // limits it admits every load. It is not safe for concurrent use.
