--- a/internal/coordination/loading/budget.go
+++ b/internal/coordination/loading/budget.go
@@ -2,7 +2,6 @@
 
 import "time"
 
-
 // Budget limits the loads of one engine by rate and by number in flight. Without
 // limits it admits every load. It is not safe for concurrent use.
 type Budget struct {
