--- a/internal/app/operators.go
+++ b/internal/app/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -18,6 +19,7 @@
 	"github.com/celerydeck/celerydeck/internal/node/config"
 	"github.com/celerydeck/celerydeck/internal/node/operator"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
+	"github.com/celerydeck/celerydeck/internal/node/ownership"
 	"github.com/celerydeck/celerydeck/internal/node/suspects"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
@@ -58,7 +60,7 @@
 	return d.parts.Admin.listener.Addr().String()
 }
 
-func newRecorder(lc fx.Lifecycle, s Settings, n *config.Node) *metrics.Recorder {
+func newRecorder(lc fx.Lifecycle, s Settings, n *config.Node, late *lateRecorder) *metrics.Recorder {
 	classes := s.MetricsClasses
 	if classes == 0 {
 		classes = defaultMetricsClasses
@@ -75,6 +77,7 @@
 		Clock: time.Now,
 	})
 	lc.Append(fx.StopHook(r.Close))
+	late.recorder.Store(r)
 	return r
 }
 
@@ -86,6 +89,7 @@
 	Owner       *owner.Manager
 	Config      *config.Node
 	Cluster     *cluster.Cluster
+	Ownership   *ownership.Node
 	Pool        *peer.Pool
 	Platform    *platform.Client
 	Recorder    *metrics.Recorder
@@ -102,7 +106,7 @@
 		Zone:        state.Zone(p.Settings.Zone),
 		Region:      state.Region(p.Settings.Region),
 		Fleet:       p.Fleet,
-		Owned:       p.Owner.Owned,
+		Owned:       p.Cluster.Owned,
 		Catalog:     p.Config.Catalog,
 		Members:     p.Cluster,
 		Peers:       p.Pool,
@@ -110,7 +114,7 @@
 		Router:      p.Router,
 		Stats:       p.Recorder,
 		Gauges:      p.Recorder,
-		Reporters:   []operator.Reporter{suspectReporter{p.Suspects}, configReporter{p.Config}, p.Owner, p.Recorder},
+		Reporters:   []operator.Reporter{suspectReporter{p.Suspects}, configReporter{p.Config}, ejectionReporter{p.Fleet}, p.Owner, p.Ownership, p.Recorder},
 		SetDraining: p.Drainer.SetDraining,
 		Clock:       time.Now,
 	})
@@ -151,8 +155,18 @@
 		Clock:            time.Now,
 	})
 	server := &http.Server{Handler: api.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	serve := func() error { return server.Serve(l) }
+	if s.AdminCertFile != "" {
+		cert, err := tls.LoadX509KeyPair(s.AdminCertFile, s.AdminKeyFile)
+		if err != nil {
+			_ = l.Close()
+			return adminServer{}, fmt.Errorf("certificate for operators: %w", err)
+		}
+		server.TLSConfig = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13}
+		serve = func() error { return server.ServeTLS(l, "", "") }
+	}
 	lc.Append(fx.StartStopHook(
-		func() { go func() { _ = server.Serve(l) }() },
+		func() { go func() { _ = serve() }() },
 		func() { _ = server.Close() },
 	))
 	return adminServer{listener: l}, nil
--- a/internal/cli/session_test.go
+++ b/internal/cli/session_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -17,17 +18,25 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/sebdah/goldie/v2"
 
+	"github.com/celerydeck/celerydeck/deckconfig"
 	"github.com/celerydeck/celerydeck/internal/cli"
 	"github.com/celerydeck/celerydeck/internal/demo"
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/transport/admin"
 )
 
-func startDemo(t testing.TB) *demo.Demo {
-	t.Helper()
+func demoOptions() demo.Options {
 	opts := demo.DefaultOptions()
 	opts.CallerPorts, opts.DrainGrace = nil, 0
 	opts.Engine.TokenTime = time.Millisecond
 	opts.StoreLoad = 10 * time.Millisecond
+	return opts
+}
+
+func startDemo(t testing.TB) *demo.Demo {
+	t.Helper()
+	opts := demoOptions()
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	d, err := demo.Start(ctx, opts)
@@ -127,6 +136,7 @@
 }
 
 func TestEndedDrainKeepsAnUpstreamOut(t *testing.T) {
+	t.Parallel()
 	d := startDemo(t)
 	runDeck(t, d, "drain", "upstream", "cascadia-b-engine-2", "--wait")
 	runDeck(t, d, "drain", "daemon", "cascadia-a-entry-1", "--wait")
@@ -141,6 +151,115 @@
 		qt.Assert(t, ctx.Err(), qt.IsNil, qt.Commentf("the drained daemon or upstream does not come back"))
 		time.Sleep(20 * time.Millisecond)
 	}
+	seen := make(map[state.DaemonID]bool)
+	for len(seen) < 2 { // both daemons tell what changed
+		qt.Assert(t, ctx.Err(), qt.IsNil, qt.Commentf("changes of state are missing"))
+		h, err := client.Handover(ctx, time.Now().Add(-time.Hour))
+		qt.Assert(t, err, qt.IsNil)
+		for _, c := range h.Changes {
+			seen[c.Daemon] = true
+		}
+	}
+	view, err := client.Fleet(ctx)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, view.Daemons[0].Changes, qt.HasLen, 0)
+}
+
+func TestViewerChangesTheDeployment(t *testing.T) {
+	t.Parallel()
+	s := newSession(t)
+	config := demo.DefaultConfig()
+	config.Operators = []deckconfig.Operator{
+		{Name: "lee", Role: deckconfig.RoleOperator, KeyHashes: []string{deckconfig.HashKey("lee-key")}},
+		{Name: "wall", Role: deckconfig.RoleViewer, KeyHashes: []string{deckconfig.HashKey("wall-key")}},
+	}
+	data, err := config.Canonical()
+	qt.Assert(t, err, qt.IsNil)
+	s.write("c.json", string(data))
+	_, code := s.deck(0, "apply --base 1 c.json")
+	qt.Assert(t, code, qt.Equals, cli.ExitOK)
+	for key, want := range map[string]int{"lee-key": cli.ExitOK, "wall-key": cli.ExitUnauthorized, "no-key": cli.ExitUnauthorized} {
+		s.write("operator.key", key)
+		_, code = s.deck(1, "note hello")
+		qt.Check(t, code, qt.Equals, want, qt.Commentf(key))
+	}
+	s.write("operator.key", "wall-key")
+	out, code := s.deck(1, "note")
+	qt.Assert(t, code, qt.Equals, cli.ExitOK)
+	qt.Assert(t, out, qt.Contains, " lee: hello")
+}
+
+func TestKeyOfAnOperatorTravelsInTheClear(t *testing.T) {
+	dir := t.TempDir()
+	for _, args := range [][]string{{"keys", "authority", "--dir", dir}, {"keys", "daemon", "--dir", dir, "localhost"}} {
+		qt.Assert(t, run(t, cli.Shell{}, args...).code, qt.Equals, cli.ExitOK)
+	}
+	opts := demoOptions()
+	opts.AdminCertFile, opts.AdminKeyFile = filepath.Join(dir, "localhost.crt"), filepath.Join(dir, "localhost.key")
+	d, err := demo.Start(t.Context(), opts)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { d.Close(context.Background()) })
+	_, port, err := net.SplitHostPort(d.Daemons[0].AdminAddr())
+	qt.Assert(t, err, qt.IsNil)
+	t.Setenv("CELERYDECK_CLI_KEY", demo.OperatorKey)
+	addr, ca := "https://localhost:"+port, filepath.Join(dir, "authority.crt")
+	got := run(t, cli.Shell{}, "--addr", addr, "--ca-file", ca, "history")
+	qt.Assert(t, got.code, qt.Equals, cli.ExitOK, qt.Commentf(got.err))
+	qt.Assert(t, run(t, cli.Shell{}, "--addr", addr, "history").code, qt.Equals, cli.ExitUnreachable)
+	qt.Assert(t, run(t, cli.Shell{}, "--addr", "localhost:"+port, "history").code, qt.Not(qt.Equals), cli.ExitOK)
+}
+
+func TestDisjointChangesUndoEachOther(t *testing.T) {
+	t.Parallel()
+	s := newSession(t)
+	write := func(name string, change func(*deckconfig.Config)) {
+		config := demo.DefaultConfig()
+		change(config)
+		data, err := config.Canonical()
+		qt.Assert(t, err, qt.IsNil)
+		s.write(name, string(data))
+	}
+	write("a.json", func(c *deckconfig.Config) { c.Services[0].Adapters[0].Default = "v1" })
+	write("b.json", func(c *deckconfig.Config) { c.Customers[0].RequestsPerSecond = 7 })
+	for shell, file := range []string{"a.json", "b.json"} { // both started from revision 1
+		out, code := s.deck(shell, "apply --base 1 "+file)
+		qt.Assert(t, code, qt.Equals, cli.ExitOK, qt.Commentf(out))
+	}
+	out, _ := s.deck(0, "get")
+	config, err := deckconfig.Parse([]byte(out))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, config.Customers[0].RequestsPerSecond, qt.Equals, 7.0)
+	defaults := make(map[string]string)
+	for _, a := range config.Services[0].Adapters {
+		defaults[a.Name] = a.Default
+	}
+	qt.Assert(t, defaults["blitz"], qt.Equals, "v1")
+	qt.Assert(t, defaults["rapid"], qt.Equals, "v2")
+	_, code := s.deck(1, "apply --base 2 a.json") // the file lacks what b.json changed since
+	qt.Assert(t, code, qt.Equals, cli.ExitConflict)
+}
+
+func TestDeadDaemonIsLeftOutOfTheHandover(t *testing.T) {
+	t.Parallel()
+	d := startDemo(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	qt.Assert(t, d.Daemons[1].Shutdown(ctx), qt.IsNil)
+	client := admin.NewClient([]string{d.Daemons[0].AdminAddr()}, demo.OperatorKey)
+	defer client.Close()
+	h, err := client.Handover(ctx, time.Now().Add(-time.Hour))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(h.Missing), qt.Equals, 1)
+	qt.Assert(t, h.Missing[0].Daemon, qt.Equals, state.DaemonID("cascadia-b-entry-1"))
+	qt.Assert(t, h.NeedsYou[0].Kind, qt.Equals, protocol.ConditionDaemonSilent)
+	unowned := 0
+	for _, g := range h.NeedsYou {
+		if g.Kind == protocol.ConditionUpstreamUnowned {
+			unowned = g.Count
+		}
+	}
+	qt.Assert(t, unowned, qt.Equals, 3)
+	d.Daemons = d.Daemons[:1]
 }
 
 var masks = []struct {
@@ -167,6 +286,7 @@
 }
 
 func TestNewcomerMeetsAnotherSession(t *testing.T) {
+	t.Parallel()
 	s := newSession(t)
 	s.program("v1", "deployment.json")
 	s.deck(0, "validate deployment.json")
@@ -185,6 +305,8 @@
 	_, code = s.deck(1, "apply --base 3 -m from_another_shell other.json")
 	qt.Assert(t, code, qt.Equals, cli.ExitConflict)
 	s.deck(1, "history")
+	s.deck(1, "get --object adapter/advice/endgame")
+	s.deck(1, "get --revision 3 --object adapter/advice/none")
 	s.deck(0, "drain upstream cascadia-a-engine-1 --reason new_disk --wait")
 	s.deck(1, "drain")
 	s.deck(1, "explain --upstream cascadia-a-engine-1")
--- a/internal/coordination/admission/marker.go
+++ b/internal/coordination/admission/marker.go
@@ -14,6 +14,7 @@
 	Headroom   float64       // multiple of the usual rate that a class may have
 	Burst      time.Duration // unused rate that a class may save up
 	LeastBurst float64       // requests that any class may send at once
+	Learning   time.Duration // nothing is marked this long after the first request
 	CalmAfter  time.Duration // time without excess after which a class counts as calm
 }
 
@@ -25,6 +26,7 @@
 		Headroom:   1.5,
 		Burst:      5 * time.Second,
 		LeastBurst: 4,
+		Learning:   30 * time.Second,
 		CalmAfter:  10 * time.Second,
 	}
 }
@@ -82,11 +84,11 @@
 	allowed := max(b.usual.value*m.opts.Headroom, m.floor(class.Rank))
 	b.usual.add(now, memory)
 	b.tokens = min(max(m.opts.LeastBurst, allowed*m.opts.Burst.Seconds()), b.tokens+allowed*elapsed)
-	if b.tokens < 1 {
+	if learned := now.Sub(m.since) >= m.opts.Learning; b.tokens < 1 && learned {
 		b.excess = now
 		return true
 	}
-	b.tokens--
+	b.tokens = max(0, b.tokens-1)
 	m.total.add(now, m.memory(now))
 	return false
 }
--- a/internal/coordination/owner/fifo.go
+++ b/internal/coordination/owner/fifo.go
@@ -155,7 +155,7 @@
 		return
 	}
 	delete(f.running, id)
-	if s := f.adapters[r.Adapter]; s != nil {
+	if s := f.adapters[r.Adapter]; s != nil && s.running > 0 {
 		s.running--
 		s.lastUsed = now
 	}
@@ -205,7 +205,11 @@
 		return
 	}
 	f.boot = e.Boot
-	f.adapters = make(map[state.AdapterRef]*slot)
+	for ref, s := range f.adapters {
+		if s.state != slotLoading {
+			delete(f.adapters, ref)
+		}
+	}
 	for _, ref := range e.Resident {
 		f.adapters[ref] = &slot{state: slotReady, lastUsed: now}
 	}
--- a/internal/coordination/owner/load.go
+++ b/internal/coordination/owner/load.go
@@ -57,13 +57,9 @@
 	}
 }
 
-// admits reports whether the budget allows a load. The first load of the most
-// urgent rank does not wait for a grant.
+// admits reports whether the budget allows a load.
 func (s *Scheduler) admits(now time.Time, c *claim) bool {
-	if c.rank == 0 && !c.excess {
-		return s.budget.AdmitsUrgent(now, s.loading())
-	}
-	return s.budget.Admits(now, s.loading())
+	return s.budget.Admits(now, s.loading(), c.rank == 0 && !c.excess)
 }
 
 func (s *Scheduler) loading() int {
@@ -193,8 +189,8 @@
 }
 
 func (s *Scheduler) order(now time.Time, ref state.AdapterRef, source string) {
-	s.orders++
 	s.budget.Take(now)
+	s.orders++
 	s.table[ref] = &held{ref: ref, state: slotLoading, order: s.orders}
 	s.do(Load{Adapter: ref, Order: s.orders, Source: source, Epoch: s.auth.Epoch})
 }
@@ -221,7 +217,7 @@
 
 // loadAhead loads an adapter when no request waits for one.
 func (s *Scheduler) loadAhead(now time.Time) {
-	if !s.budget.Admits(now, s.loading()) {
+	if !s.budget.Admits(now, s.loading(), false) {
 		return
 	}
 	ref, source, pays := s.ahead(now)
@@ -242,10 +238,13 @@
 		return
 	}
 	delete(s.table, e.Adapter)
-	failures := s.backoff.Failed(now, e.Adapter)
 	if !e.Failed {
-		return // loaded into another boot, which the next report tells more of
+		// The engine has restarted. What it holds is known with its next report;
+		// until then an order would be answered at once and repeated without end.
+		s.healthy = false
+		return
 	}
+	failures := s.backoff.Failed(now, e.Adapter)
 	wait := s.backoff.Wait(now, e.Adapter)
 	for _, it := range s.queue.All() {
 		if it.Adapter != e.Adapter {
--- a/internal/transport/platform/platform.go
+++ b/internal/transport/platform/platform.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -72,6 +73,7 @@
 	base   string
 	http   *http.Client
 	budget *Budget
+	outage *outage
 }
 
 // NewClient returns a client of the platform at base, such as http://10.0.0.1:80.
@@ -85,7 +87,7 @@
 // NewClientWithDial returns a client that opens its connections with dial.
 func NewClientWithDial(base string, dial DialFunc) *Client {
 	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: time.Minute}
-	return &Client{base: base, http: &http.Client{Transport: transport}, budget: NewBudget(1)}
+	return &Client{base: base, http: &http.Client{Transport: transport}, budget: NewBudget(1), outage: newOutage()}
 }
 
 // Budget returns the budget that all calls of the client share.
@@ -191,6 +193,9 @@
 	if method != http.MethodGet {
 		kind = CallWrite
 	}
+	if err := c.outage.check(ctx, time.Now()); err != nil {
+		return nil, errors.Join(errNotSent, err)
+	}
 	if err := c.budget.Wait(ctx, kind); err != nil {
 		return nil, errors.Join(errNotSent, err)
 	}
@@ -201,7 +206,9 @@
 	for name, values := range header {
 		req.Header[name] = values
 	}
-	return c.http.Do(req)
+	resp, err := c.http.Do(req)
+	c.outage.note(ctx, time.Now(), resp, err)
+	return resp, err
 }
 
 func statusErr(resp *http.Response, method string) error {
@@ -264,5 +271,25 @@
 	defer cancel()
 	var list vmList
 	err := c.getJSON(ctx, "/v1/vms", &list)
-	return list.VMs, err
+	return usable(list.VMs), err
+}
+
+// usable returns the entries that name what a daemon needs to know. The platform
+// may list kinds of VMs that are none of its business.
+func usable(vms []VM) []VM {
+	return slices.DeleteFunc(vms, func(vm VM) bool { return !vm.usable() })
+}
+
+func (vm *VM) usable() bool {
+	switch vm.Kind {
+	case VMEntry, VMEngine:
+	case VMPlain:
+		if vm.Service == "" {
+			return false
+		}
+	default:
+		return false
+	}
+	_, port, err := net.SplitHostPort(vm.Address)
+	return err == nil && port != "" && vm.ID != "" && vm.Zone != ""
 }
