--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 	go test -run '^$$' -bench . -benchmem ./...
 
 measure:
-	go run ./cmd/deckmeasure
+	go run ./cmd/deckmeasure --out docs/measurements
 
 capacity:
 	go run ./cmd/deckcapacity --page docs/CAPACITY.md
--- a/cmd/deckmeasure/main.go
+++ b/cmd/deckmeasure/main.go
@@ -3,8 +3,8 @@
 
 import (
 	"fmt"
+	"os"
 	"slices"
-	"time"
 
 	"github.com/alexflint/go-arg"
 
@@ -15,35 +15,43 @@
 	Size     string   `arg:"--size" help:"only this size"`
 	Scenario []string `arg:"--scenario,separate" help:"only this scenario"`
 	Policy   []string `arg:"--policy,separate" help:"only this policy"`
-	Seed     uint64   `arg:"--seed" default:"1"`
+	Seed     []uint64 `arg:"--seed,separate" help:"seed of a run; by default those kept for the tables"`
+	Parallel int      `arg:"--parallel" default:"4" help:"runs at a time"`
 	Sweep    bool     `arg:"--sweep" help:"vary the weights of routing instead of the policy"`
+	Out      string   `arg:"--out" help:"directory for the table, the rows and the plots"`
+	Label    string   `arg:"--label" default:"current" help:"name of this variant among the kept rows"`
 }
 
 func main() {
 	var a args
 	arg.MustParse(&a)
+	seeds := a.Seed
+	if len(seeds) == 0 {
+		seeds = measure.TableSeeds()
+	}
 	policies := measure.Policies()
 	if a.Sweep {
 		policies = measure.RoutingSweep()
 	}
+	wanted := func(names []string, name string) bool { return len(names) == 0 || slices.Contains(names, name) }
+	var jobs []measure.Job
 	for _, size := range measure.Sizes() {
-		if a.Size != "" && a.Size != size.Name {
-			continue
-		}
 		for _, s := range measure.Scenarios() {
-			if len(a.Scenario) > 0 && !slices.Contains(a.Scenario, s.Name) {
-				continue
-			}
 			for _, p := range policies {
-				if len(a.Policy) > 0 && !slices.Contains(a.Policy, p.Name) {
+				if a.Size != "" && a.Size != size.Name || !wanted(a.Scenario, s.Name) || !wanted(a.Policy, p.Name) {
 					continue
 				}
-				start := time.Now()
-				r := measure.Run(size, s, p, a.Seed)
-				fmt.Printf("%-12s %-20s %-12s stall %7.3f stalled %.3f batch %.2f speed %.0f in %.3f worth %.3f kept %.3f fl %.2f rec %5.1f loads %.2f ref %.2f pre %.2f bound %.3f/%.3f (%s)\n",
-					r.Size, r.Scenario, r.Policy, r.Stall, r.Stalled, r.Batch, r.Speed, r.InTarget, r.Worth, r.Kept, r.Flooder,
-					r.Recovery, r.Loads, r.Refused, r.Prefixed, r.Bound, r.OnDemand, time.Since(start).Round(time.Millisecond))
+				jobs = append(jobs, measure.Job{Size: size, Scenario: s, Policy: p, Seeds: seeds})
 			}
 		}
 	}
+	rows := measure.RunJobs(jobs, a.Parallel)
+	fmt.Print(measure.Table(rows))
+	if a.Out == "" {
+		return
+	}
+	if err := measure.Write(a.Out, a.Label, rows); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
 }
--- a/internal/coordination/loading/budget.go
+++ b/internal/coordination/loading/budget.go
@@ -2,21 +2,23 @@
 
 import "time"
 
+// advance is the part of the budget, in loads, that an urgent load may use before
+// it is earned.
+const advance = 1.0
+
 // Budget limits the loads of one engine by rate and by number in flight. Without
 // limits it admits every load. It is not safe for concurrent use.
 type Budget struct {
 	limited  bool
-	rate     float64 // loads a second
-	burst    float64 // loads at once after a pause; 0 leaves the rate to the grants
+	rate     float64 // loads a second; only expected, not enforced, without a burst
+	burst    float64 // loads that may start at once after a pause
 	inFlight int
 	tokens   float64
 	at       time.Time
 	until    time.Time // zero for no end
 }
 
-// Set replaces the limits. With a burst, the budget keeps to the rate by itself;
-// without one, only the loads in flight are limited and the rate is what may be
-// expected.
+// Set replaces the limits. With a burst of 0 only the number in flight is limited.
 func (b *Budget) Set(now time.Time, rate, burst float64, inFlight int) {
 	b.refill(now)
 	if !b.limited {
@@ -30,18 +32,21 @@
 // they are set anew. A zero time means no end.
 func (b *Budget) EndAt(until time.Time) { b.until = until }
 
-// Admits reports whether a load may start while others are in progress.
-func (b *Budget) Admits(now time.Time, loading int) bool {
+// Admits reports whether a load may start while others are in progress. The first
+// load of an urgent request may start in advance of the budget, which it then
+// uses up.
+func (b *Budget) Admits(now time.Time, loading int, urgent bool) bool {
 	if !b.limited {
 		return true
 	}
-	return !b.ended(now) && loading < b.inFlight && b.affords(now)
-}
-
-// AdmitsUrgent reports whether an urgent load may start: it does not wait for a
-// grant when no other load is in progress.
-func (b *Budget) AdmitsUrgent(now time.Time, loading int) bool {
-	return b.Admits(now, loading) || loading == 0 && !b.ended(now) && b.burst == 0
+	if !b.until.IsZero() && !now.Before(b.until) {
+		return false
+	}
+	b.refill(now)
+	if urgent && loading == 0 {
+		return b.burst == 0 || b.tokens >= 1-advance
+	}
+	return loading < b.inFlight && (b.burst == 0 || b.tokens >= 1)
 }
 
 // Take accounts for a load that starts.
@@ -52,13 +57,6 @@
 	}
 }
 
-func (b *Budget) ended(now time.Time) bool { return !b.until.IsZero() && !now.Before(b.until) }
-
-func (b *Budget) affords(now time.Time) bool {
-	b.refill(now)
-	return b.burst == 0 || b.tokens >= 1
-}
-
 func (b *Budget) refill(now time.Time) {
 	b.tokens = min(b.burst, b.tokens+now.Sub(b.at).Seconds()*b.rate)
 	b.at = now
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -74,10 +74,11 @@
 	// StoreBudget is the upstream's part of the weight store's limits. It holds
 	// until the next one. A core that was given none is not limited.
 	StoreBudget struct {
-		Rate     float64   // loads a second
-		Burst    float64   // loads at once after a pause; 0 leaves the rate to whoever grants
-		InFlight int       // loads that may be in progress
-		Until    time.Time // when it ends; zero for no end
+		Rate     float64 // loads a second to be expected
+		Burst    float64 // loads that may start at once after a pause; 0 leaves the rate unlimited
+		InFlight int     // loads that may be in progress
+		// Until ends the share when no other event replaced it; zero for no end.
+		Until time.Time
 	}
 	// Ranks sets the targets, worth and shares of the ranks, most urgent first.
 	Ranks struct{ Ranks []state.RankInfo }
--- a/internal/coordination/owner/scheduler.go
+++ b/internal/coordination/owner/scheduler.go
@@ -232,10 +232,14 @@
 		return
 	}
 	s.boot = e.Boot
+	// Loads in progress may still reach the new boot: their slots stay taken until
+	// they are answered.
 	for _, h := range s.sorted() {
 		s.queue.Block(h.ref)
+		if h.state != slotLoading {
+			delete(s.table, h.ref)
+		}
 	}
-	s.table = make(map[state.AdapterRef]*held)
 	for _, ref := range e.Resident {
 		s.table[ref] = &held{ref: ref, state: slotReady}
 		s.queue.Release(ref)
--- a/internal/coordination/owner/scheduler_test.go
+++ b/internal/coordination/owner/scheduler_test.go
@@ -171,9 +171,13 @@
 	for id := range r.running {
 		r.lost[id] = true
 	}
+	lost := r.loads
 	r.loads = make(map[uint64]Load)
 	r.unloads = make(map[state.AdapterRef]bool)
 	r.resident = make(map[state.AdapterRef]bool)
+	for order, l := range lost {
+		r.handle(LoadDone{Adapter: l.Adapter, Order: order, Failed: true})
+	}
 	r.report()
 }
 
