--- a/internal/transport/callers/completion.go
+++ b/internal/transport/callers/completion.go
@@ -39,37 +39,24 @@
 }
 
 func (s *Server) completion(chat bool) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		id := s.opts.NewID()
-		w.Header().Set(HeaderRequestID, id)
-		who, err := s.authenticate(r)
+	return s.authenticated(func(in incoming) *protocol.Error {
+		call, req, service, err := in.who.modelCall(in.r, chat, in.body)
 		if err != nil {
-			writeError(w, err)
-			return
-		}
-		body, err := readBody(w, r)
-		if err != nil {
-			writeError(w, err)
-			return
-		}
-		call, req, service, err := who.modelCall(r, chat, body)
-		if err != nil {
-			writeError(w, err)
-			return
+			return err
 		}
-		call.RequestID = id
-		if err := onceHeaders(r, &call); err != nil {
-			writeError(w, err)
-			return
+		call.RequestID = in.id
+		if err := onceHeaders(in.r, &call); err != nil {
+			return err
 		}
-		sink := &completionSink{w: w, call: &call, chat: chat, stream: req.Stream, created: time.Now().Unix()}
+		sink := &completionSink{w: in.w, call: &call, chat: chat, stream: req.Stream, created: time.Now().Unix()}
 		sink.includeUsage = req.Options != nil && req.Options.IncludeUsage
 		sink.setHeaders()
-		limitWrites(w, call.Budget)
-		if err := s.opts.Gateway.Serve(r.Context(), &call, service.BaseModel, sink); err != nil {
+		limitWrites(in.w, call.Budget)
+		if err := s.opts.Gateway.Serve(in.r.Context(), &call, service.BaseModel, sink); err != nil {
 			sink.fail(err)
 		}
-	}
+		return nil
+	})
 }
 
 // completionSink writes the answer of a completion, streamed or at once.
--- a/internal/transport/callers/once.go
+++ b/internal/transport/callers/once.go
@@ -22,35 +22,23 @@
 }
 
 // ticket issues a ticket for one call of a service.
-func (s *Server) ticket(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set(HeaderRequestID, s.opts.NewID())
-	who, err := s.authenticate(r)
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	body, err := readBody(w, r)
-	if err != nil {
-		writeError(w, err)
-		return
-	}
+func (s *Server) ticket(in incoming) *protocol.Error {
 	var req ticketRequest
-	if err := json.Unmarshal(body, &req); err != nil {
-		writeError(w, notRun(protocol.KindBadRequest, stepParse, "the body is not valid JSON: %v", err))
-		return
+	if err := json.Unmarshal(in.body, &req); err != nil {
+		return notRun(protocol.KindBadRequest, stepParse, "the body is not valid JSON: %v", err)
 	}
-	service, err := who.nonRepeatable(state.ServiceID(req.Service))
+	service, err := in.who.nonRepeatable(state.ServiceID(req.Service))
 	if err != nil {
-		writeError(w, err)
-		return
+		return err
 	}
-	ticket := s.opts.Tickets.IssueTicket(who.customer, state.ServiceID(service.Name))
-	writeJSON(w, http.StatusCreated, ticketResponse{
+	ticket := s.opts.Tickets.IssueTicket(in.who.customer, state.ServiceID(service.Name))
+	writeJSON(in.w, http.StatusCreated, ticketResponse{
 		Ticket:  ticket.String(),
 		Service: service.Name,
 		Daemon:  ticket.Daemon,
 		Expires: ticket.Expires.UTC().Truncate(time.Second),
 	})
+	return nil
 }
 
 // nonRepeatable returns a service whose calls need tickets.
--- a/internal/transport/callers/plain.go
+++ b/internal/transport/callers/plain.go
@@ -13,47 +13,33 @@
 )
 
 // plain serves a call of a plain service.
-func (s *Server) plain(w http.ResponseWriter, r *http.Request) {
-	id := s.opts.NewID()
-	w.Header().Set(HeaderRequestID, id)
-	who, err := s.authenticate(r)
+func (s *Server) plain(in incoming) *protocol.Error {
+	name := state.ServiceID(mux.Vars(in.r)["service"])
+	service, err := in.who.service(name, deckconfig.PlainService)
 	if err != nil {
-		writeError(w, err)
-		return
-	}
-	name := state.ServiceID(mux.Vars(r)["service"])
-	service, err := who.service(name, deckconfig.PlainService)
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	call, err := who.base(r, service)
-	if err != nil {
-		writeError(w, err)
-		return
+		return err
 	}
-	body, err := readBody(w, r)
+	call, err := in.who.base(in.r, service)
 	if err != nil {
-		writeError(w, err)
-		return
+		return err
 	}
-	call.RequestID = id
-	call.Repeatable = !service.NonRepeatable || r.Method == http.MethodGet || r.Method == http.MethodHead
-	if err := onceHeaders(r, &call); err != nil {
-		writeError(w, err)
-		return
+	call.RequestID = in.id
+	call.Repeatable = !service.NonRepeatable || in.r.Method == http.MethodGet || in.r.Method == http.MethodHead
+	if err := onceHeaders(in.r, &call); err != nil {
+		return err
 	}
 	call.Plain = &protocol.PlainCall{
-		Method: r.Method,
-		Path:   strings.TrimPrefix(r.URL.RequestURI(), "/services/"+service.Name),
-		Header: upstream.ForwardHeader(r.Header),
-		Body:   body,
+		Method: in.r.Method,
+		Path:   strings.TrimPrefix(in.r.URL.RequestURI(), "/services/"+service.Name),
+		Header: upstream.ForwardHeader(in.r.Header),
+		Body:   in.body,
 	}
-	sink := &plainSink{w: w}
-	limitWrites(w, call.Budget)
-	if err := s.opts.Gateway.Serve(r.Context(), &call, "", sink); err != nil {
+	sink := &plainSink{w: in.w}
+	limitWrites(in.w, call.Budget)
+	if err := s.opts.Gateway.Serve(in.r.Context(), &call, "", sink); err != nil {
 		sink.fail(err)
 	}
+	return nil
 }
 
 // plainSink passes the answer of a plain service on.
--- a/internal/transport/callers/request.go
+++ b/internal/transport/callers/request.go
@@ -65,6 +65,34 @@
 	return caller{catalog: catalog, customer: customer}, nil
 }
 
+// incoming is a request of an authenticated caller with its whole body.
+type incoming struct {
+	w    http.ResponseWriter
+	r    *http.Request
+	id   string
+	who  caller
+	body []byte
+}
+
+// authenticated gives each request an id, checks its caller and reads its body. An
+// error that serve returns is written as the answer.
+func (s *Server) authenticated(serve func(incoming) *protocol.Error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		in := incoming{w: w, r: r, id: s.opts.NewID()}
+		w.Header().Set(HeaderRequestID, in.id)
+		var err *protocol.Error
+		if in.who, err = s.authenticate(r); err == nil {
+			in.body, err = readBody(w, r)
+		}
+		if err == nil {
+			err = serve(in)
+		}
+		if err != nil {
+			writeError(w, err)
+		}
+	}
+}
+
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *protocol.Error) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
--- a/internal/transport/callers/server.go
+++ b/internal/transport/callers/server.go
@@ -84,8 +84,8 @@
 	r.HandleFunc("/v1/completions", s.completion(false)).Methods(http.MethodPost)
 	r.HandleFunc("/v1/chat/completions", s.completion(true)).Methods(http.MethodPost)
 	r.HandleFunc("/v1/models", s.models).Methods(http.MethodGet)
-	r.HandleFunc("/v1/tickets", s.ticket).Methods(http.MethodPost)
-	r.PathPrefix("/services/{service}/").HandlerFunc(s.plain)
+	r.HandleFunc("/v1/tickets", s.authenticated(s.ticket)).Methods(http.MethodPost)
+	r.PathPrefix("/services/{service}/").HandlerFunc(s.authenticated(s.plain))
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		writeError(w, protocol.Errorf(protocol.KindNotFound, "route request", protocol.OutcomeNotRun, "no route for %s %s", r.Method, r.URL.Path))
 	})
