--- /dev/null
+++ b/internal/coordination/owner/bench_test.go
@@ -0,0 +1,54 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+// BenchmarkEnqueue measures a request from arrival to its end, with the load and
+// the eviction that it causes, by the number of adapters that are asked for in turn.
+func BenchmarkEnqueue(b *testing.B) {
+	for _, adapters := range []int{3_000, 82_000} {
+		refs := make([]state.AdapterRef, adapters)
+		for i := range refs {
+			refs[i] = state.AdapterRef{Service: "advice", Adapter: fmt.Sprint("a", i), Version: "v1"}
+		}
+		b.Run(fmt.Sprint("adapters=", adapters), func(b *testing.B) {
+			s := NewScheduler(DefaultOptions())
+			now := time.Unix(0, 0)
+			s.Handle(now, Ranks{Ranks: testRanks})
+			s.Handle(now, Authority{Epoch: 1, MayDispatch: true, MayLoad: true, MayUnload: true})
+			s.Handle(now, Report{Boot: "boot", Slots: 8, Batch: 8})
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				now = now.Add(10 * time.Millisecond)
+				ref := refs[i%adapters]
+				i++
+				r := Request{ID: "r", Class: testClass(0, 1), Adapter: ref, Deadline: now.Add(time.Minute)}
+				answer(s, now, s.Handle(now, Enqueue{Request: r}))
+			}
+		})
+	}
+}
+
+// answer carries out actions until none is left.
+func answer(s *Scheduler, now time.Time, actions []Action) {
+	for len(actions) > 0 {
+		var next []Action
+		for _, action := range actions {
+			switch a := action.(type) {
+			case Load:
+				next = append(next, s.Handle(now, LoadDone{Adapter: a.Adapter, Order: a.Order, Boot: "boot"})...)
+			case Unload:
+				next = append(next, s.Handle(now, UnloadDone{Adapter: a.Adapter})...)
+			case Dispatch:
+				next = append(next, s.Handle(now, Ended{ID: a.ID})...)
+			}
+		}
+		actions = next
+	}
+}
