--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -40,22 +40,14 @@
 }
 
 func (c *applyCmd) run(ctx context.Context, e *env) error {
-	next, err := e.readConfig(c.File)
+	p, err := e.proposal(ctx, c.File, c.Base)
 	if err != nil {
 		return err
 	}
-	base, err := e.baseConfig(ctx, c.Base)
-	if err != nil {
-		return err
-	}
-	changes, err := compare(base.Config, next)
-	if err != nil {
-		return err
-	}
-	if len(changes) == 0 {
-		return e.nothingToDo(ctx, base.Revision, next)
+	if len(p.changes) == 0 {
+		return e.nothingToDo(ctx, p.base.Revision, p.next)
 	}
-	return e.submit(ctx, base, configsync.Submission{ID: c.ID, Message: c.Message, Changes: changes}, !c.NoWait)
+	return e.submit(ctx, p.base, configsync.Submission{ID: c.ID, Message: c.Message, Changes: p.changes}, !c.NoWait)
 }
 
 // submit submits changes and waits until they are in force.
--- a/internal/cli/diff.go
+++ b/internal/cli/diff.go
@@ -52,29 +52,42 @@
 }
 
 func (c *diffCmd) run(ctx context.Context, e *env) error {
-	next, err := e.readConfig(c.File)
+	p, err := e.proposal(ctx, c.File, c.Base)
 	if err != nil {
 		return err
 	}
-	base, err := e.baseConfig(ctx, c.Base)
+	described, err := describe(p.base.Config, p.changes)
 	if err != nil {
 		return err
 	}
-	changes, err := compare(base.Config, next)
-	if err != nil {
+	if err := e.printDiff(p.base.Revision, described); err != nil {
 		return err
 	}
-	described, err := describe(base.Config, changes)
-	if err != nil {
-		return err
+	if c.ExitCode && len(p.changes) > 0 {
+		return &codeError{code: ExitDiffers, err: fmt.Errorf("%d objects differ", len(p.changes))}
 	}
-	if err := e.printDiff(base.Revision, described); err != nil {
-		return err
+	return nil
+}
+
+// proposal is a configuration with the one that it starts from.
+type proposal struct {
+	base    admin.ConfigBody
+	next    *deckconfig.Config
+	changes []configsync.Change
+}
+
+// proposal reads a configuration from a file and compares it with what it starts from.
+func (e *env) proposal(ctx context.Context, file, from string) (proposal, error) {
+	next, err := e.readConfig(file)
+	if err != nil {
+		return proposal{}, err
 	}
-	if c.ExitCode && len(changes) > 0 {
-		return &codeError{code: ExitDiffers, err: fmt.Errorf("%d objects differ", len(changes))}
+	base, err := e.baseConfig(ctx, from)
+	if err != nil {
+		return proposal{}, err
 	}
-	return nil
+	changes, err := compare(base.Config, next)
+	return proposal{base: base, next: next, changes: changes}, err
 }
 
 // baseConfig reads the configuration that a change starts from.
