--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -13,6 +13,7 @@
 	writeControl(&b, t, s)
 	writePlatform(&b, t)
 	writeData(&b, t, s)
+	writeOperators(&b, t)
 	writeDay(&b, t)
 	return b.String()
 }
@@ -65,6 +66,11 @@
 	writeNeeded(b, t, s)
 }
 
+// allCalls returns the calls of all roles at the platform.
+func allCalls(t Target) []Call {
+	return append(append(PlatformCalls(t), ClusterCalls(t)...), OperatorCalls(t)...)
+}
+
 // writeVerdict compares the sum with the budget of control.
 func writeVerdict(b *strings.Builder, t Target, sum Line) {
 	b.WriteString("| Budget of control | Allowed | Worked out | |\n|---|---|---|---|\n")
@@ -105,7 +111,7 @@
 func writePlatform(b *strings.Builder, t Target) {
 	b.WriteString("## Calls at the platform\n\nAll daemons together, in a second.\n\n| Role | Mechanism | Writes | Reads |\n|---|---|---|---|\n")
 	var writes, reads float64
-	for _, c := range append(PlatformCalls(t), ClusterCalls(t)...) {
+	for _, c := range allCalls(t) {
 		writes += c.Writes
 		reads += c.Reads
 		fmt.Fprintf(b, "| %s | %s | %s | %s |\n", c.Role, c.Mechanism, number(c.Writes, "%.2f"), number(c.Reads, "%.2f"))
--- a/internal/capacity/page_test.go
+++ b/internal/capacity/page_test.go
@@ -32,7 +32,7 @@
 func TestPlatformCallsStayWithinTheRates(t *testing.T) {
 	target := DesignTarget()
 	var writes, reads float64
-	for _, c := range append(PlatformCalls(target), ClusterCalls(target)...) {
+	for _, c := range allCalls(target) {
 		writes += c.Writes
 		reads += c.Reads
 	}
