--- a/internal/node/config/compact.go
+++ b/internal/node/config/compact.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/configsync"
+	"github.com/celerydeck/celerydeck/internal/statelog"
 	"github.com/celerydeck/celerydeck/internal/transport/platform"
 )
 
@@ -95,7 +96,7 @@
 		return n.deleteBuckets(ctx, written) // another relay was faster
 	}
 	if err == nil {
-		klog.InfoS("Configuration snapshot written", "daemon", n.opts.Self, "revision", next.Revision, "buckets", len(next.Buckets))
+		statelog.Info("Configuration snapshot written", "daemon", n.opts.Self, "revision", next.Revision, "buckets", len(next.Buckets))
 	}
 	return err
 }
--- a/internal/node/entry/ejector.go
+++ b/internal/node/entry/ejector.go
@@ -5,11 +5,10 @@
 	"sync"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/celerydeck/celerydeck/internal/coordination/ejection"
 	"github.com/celerydeck/celerydeck/internal/coordination/routing"
 	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/statelog"
 )
 
 const (
@@ -144,7 +143,7 @@
 			continue
 		}
 		entry.SetGate(gate.Gate)
-		klog.InfoS("Gate of upstream changed", "upstream", gate.Upstream, "gate", gate.Gate, "reason", gate.Reason, "term", gate.Term)
+		statelog.Info("Gate of upstream changed", "upstream", gate.Upstream, "gate", gate.Gate, "reason", gate.Reason, "term", gate.Term)
 	}
 }
 
--- a/internal/node/storebudget/node.go
+++ b/internal/node/storebudget/node.go
@@ -7,12 +7,11 @@
 	"sync"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	core "github.com/celerydeck/celerydeck/internal/coordination/owner"
 	"github.com/celerydeck/celerydeck/internal/coordination/storebudget"
 	"github.com/celerydeck/celerydeck/internal/node/owner"
 	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/statelog"
 	"github.com/celerydeck/celerydeck/internal/transport/peer"
 )
 
@@ -109,14 +108,14 @@
 		owned[d.Upstream] = true
 		if !n.owned[d.Upstream] {
 			n.ledger.Own(now, d.Upstream)
-			klog.InfoS("Store share of engine taken", "upstream", d.Upstream)
+			statelog.Info("Store share of engine taken", "upstream", d.Upstream)
 		}
 		n.ledger.SetDemand(d.Upstream, storebudget.Demand{Worth: d.Worth, Waiting: d.Waiting, Loading: d.Loading})
 	}
 	for id := range n.owned {
 		if !owned[id] {
 			n.ledger.Lose(id)
-			klog.InfoS("Store share of engine given up", "upstream", id)
+			statelog.Info("Store share of engine given up", "upstream", id)
 		}
 	}
 	n.owned = owned
--- a/internal/node/suspects/node.go
+++ b/internal/node/suspects/node.go
@@ -17,6 +17,7 @@
 	core "github.com/celerydeck/celerydeck/internal/coordination/suspects"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/statelog"
 	"github.com/celerydeck/celerydeck/internal/transport/peer"
 	"github.com/celerydeck/celerydeck/internal/transport/platform"
 )
@@ -148,7 +149,7 @@
 	changed := n.table.Crash(n.opts.Clock(), id, running)
 	n.noteRefused(changed)
 	n.mu.Unlock()
-	klog.InfoS("Upstream crashed", "upstream", id.Upstream, "boot", id.Boot, "suspects", len(changed))
+	statelog.Info("Upstream crashed", "upstream", id.Upstream, "boot", id.Boot, "suspects", len(changed))
 	n.broadcast(ctx, changed)
 	n.wg.Go(n.save)
 }
@@ -290,7 +291,7 @@
 	for i := range changed {
 		if changed[i].Verdict(now) == core.Refused {
 			n.unsaved[changed[i].Fingerprint] = true
-			klog.InfoS("Refusing fingerprint", "daemon", n.opts.Self, "fingerprint", refusedKey(changed[i].Fingerprint), "crashes", len(changed[i].Crashes))
+			statelog.Info("Refusing fingerprint", "daemon", n.opts.Self, "fingerprint", refusedKey(changed[i].Fingerprint), "crashes", len(changed[i].Crashes))
 		}
 	}
 }
