List drains again after a failed watch

Cause: the watch went on from the last revision that it had seen; a platform that had compacted its changes could hide the end of a drain until a restart. The list after a failure now also ends the drains that it does not name.

--- a/internal/node/operator/drains.go
+++ b/internal/node/operator/drains.go
@@ -134,6 +134,7 @@
 		page, err := n.nextDrains(seen)
 		n.notePlatform(n.opts.Clock(), err)
 		if err != nil {
+			seen = 0 // changes may be missed: list all drains again
 			n.pause(retryInterval)
 			continue
 		}
@@ -141,7 +142,8 @@
 	}
 }
 
-// nextDrains lists all drains at first and waits for changes afterwards.
+// nextDrains lists all drains at first and after a failure, and waits for changes
+// otherwise.
 func (n *Node) nextDrains(seen platform.Version) (platform.Page, error) {
 	if seen > 0 {
 		page, err := n.opts.Objects.Watch(n.ctx, drainPrefix, seen, watchWait)
@@ -151,10 +153,29 @@
 		return page, err
 	}
 	page, err := n.opts.Objects.List(n.ctx, drainPrefix)
+	if err != nil {
+		return page, err
+	}
+	n.dropMissing(page.Objects)
 	for _, o := range page.Objects {
 		n.applyDrain(o)
 	}
-	return page, err
+	return page, nil
+}
+
+// dropMissing ends the drains that are not in a list of all drains.
+func (n *Node) dropMissing(listed []platform.Object) {
+	n.mu.Lock()
+	var gone []string
+	for key := range n.drains {
+		if !slices.ContainsFunc(listed, func(o platform.Object) bool { return o.Key == key }) {
+			gone = append(gone, key)
+		}
+	}
+	n.mu.Unlock()
+	for _, key := range gone {
+		n.setDrain(key, nil)
+	}
 }
 
 func (n *Node) applyDrain(o platform.Object) {
--- a/internal/node/operator/operator_test.go
+++ b/internal/node/operator/operator_test.go
@@ -100,6 +100,17 @@
 	})
 }
 
+func TestDrainThatEndedDuringAFailedWatchStays(t *testing.T) {
+	u := start(t)
+	d := protocol.Drain{Kind: protocol.DrainUpstream, Subject: "e1", Author: "lee", At: u.now}
+	qt.Assert(t, u.Drain(t.Context(), d), qt.IsNil)
+	key := drainKey(d.Kind, d.Subject)
+	qt.Assert(t, u.memory.Delete(t.Context(), key, u.memory.objects[key].Version), qt.IsNil)
+	_, err := u.nextDrains(0)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, u.Drained("e1"), qt.IsFalse)
+}
+
 func TestOutageOfThePlatformIsQuiet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		u := start(t)
