--- a/internal/coordination/configsync/types.go
+++ b/internal/coordination/configsync/types.go
@@ -79,7 +79,11 @@
 
 // Error names the object and the change that won.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("%s was changed by %q in revision %d (%s)", e.Key, e.Author, e.Revision, e.Message)
+	text := fmt.Sprintf("%s was changed by %q in revision %d", e.Key, e.Author, e.Revision)
+	if e.Message == "" {
+		return text
+	}
+	return text + " (" + e.Message + ")"
 }
 
 // RevisionInfo describes one revision for the history.
