--- a/cmd/deckmeasure/main.go
+++ b/cmd/deckmeasure/main.go
@@ -19,12 +19,17 @@
 	Parallel int      `arg:"--parallel" default:"4" help:"runs at a time"`
 	Sweep    bool     `arg:"--sweep" help:"vary the weights of routing instead of the policy"`
 	Out      string   `arg:"--out" help:"directory for the table, the rows and the plots"`
+	Redraw   bool     `arg:"--redraw" help:"only draw the plots of the kept rows again"`
 	Label    string   `arg:"--label" default:"current" help:"name of this variant among the kept rows"`
 }
 
 func main() {
 	var a args
 	arg.MustParse(&a)
+	if a.Redraw {
+		exitOn(measure.Redraw(a.Out, a.Label))
+		return
+	}
 	seeds := a.Seed
 	if len(seeds) == 0 {
 		seeds = measure.TableSeeds()
@@ -50,8 +55,14 @@
 	if a.Out == "" {
 		return
 	}
-	if err := measure.Write(a.Out, a.Label, rows); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+	exitOn(measure.Write(a.Out, a.Label, rows))
+}
+
+// exitOn ends the program with an error, if there is one.
+func exitOn(err error) {
+	if err == nil {
+		return
 	}
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(1)
 }
--- a/internal/measure/write.go
+++ b/internal/measure/write.go
@@ -5,11 +5,14 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"math"
 	"os"
 	"path/filepath"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/text"
 	"gonum.org/v1/plot/vg"
 )
 
@@ -17,6 +20,7 @@
 	plotWidth  = 9 * vg.Inch
 	plotHeight = 4 * vg.Inch
 	barWidth   = 8 * vg.Millimeter
+	labelAngle = math.Pi / 6
 )
 
 // Variant is the rows of one state of the policies.
@@ -38,12 +42,39 @@
 	if err := os.WriteFile(filepath.Join(dir, "decisions-table.md"), []byte(Table(rows)), 0o644); err != nil {
 		return err
 	}
-	stall := func(r Result) float64 { return r.Stall }
-	urgent := func(r Result) float64 { return r.InTarget[0] }
+	return drawAll(plots, rows)
+}
+
+// Redraw draws the plots of a kept variant again.
+func Redraw(dir, label string) error {
+	variants, err := readKept(filepath.Join(dir, "decisions.json"))
+	if err != nil {
+		return err
+	}
+	for _, v := range variants {
+		if v.Label == label {
+			return drawAll(filepath.Join(dir, "plots"), v.Rows)
+		}
+	}
+	return fmt.Errorf("no rows are kept under the label %q", label)
+}
+
+// measured is a value of a run with its name for files and for readers.
+type measured struct {
+	file  string
+	title string
+	of    func(Result) float64
+}
+
+func drawAll(dir string, rows []Result) error {
+	values := []measured{
+		{file: "stall", title: "stall, seconds a request", of: func(r Result) float64 { return r.Stall }},
+		{file: "urgent", title: "most urgent rank within its targets", of: func(r Result) float64 { return r.InTarget[0] }},
+	}
 	for _, size := range Sizes() {
-		for name, value := range map[string]func(Result) float64{"stall": stall, "urgent": urgent} {
-			path := filepath.Join(plots, fmt.Sprintf("decisions-%s-%s.svg", size.Name, name))
-			if err := bars(path, size.Name, name, rows, value); err != nil {
+		for _, v := range values {
+			path := filepath.Join(dir, fmt.Sprintf("decisions-%s-%s.svg", size.Name, v.file))
+			if err := bars(path, size.Name, v, rows); err != nil {
 				return err
 			}
 		}
@@ -51,16 +82,24 @@
 	return nil
 }
 
-func keep(path, label string, rows []Result) error {
-	var all []Variant
+// readKept returns the variants that are kept in a file, none if there is no file.
+func readKept(path string) ([]Variant, error) {
 	old, err := os.ReadFile(path)
-	if err != nil && !errors.Is(err, fs.ErrNotExist) {
-		return err
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
 	}
-	if err == nil {
-		if err := json.Unmarshal(old, &all); err != nil {
-			return err
-		}
+	if err != nil {
+		return nil, err
+	}
+	var all []Variant
+	err = json.Unmarshal(old, &all)
+	return all, err
+}
+
+func keep(path, label string, rows []Result) error {
+	all, err := readKept(path)
+	if err != nil {
+		return err
 	}
 	replaced := false
 	for i := range all {
@@ -79,10 +118,10 @@
 }
 
 // bars plots a value of every scenario and policy at one size.
-func bars(path, size, name string, rows []Result, value func(Result) float64) error {
+func bars(path, size string, value measured, rows []Result) error {
 	p := plot.New()
 	p.Title.Text = size
-	p.Y.Label.Text = name
+	p.Y.Label.Text = value.title
 	scenarios := Scenarios()
 	labels := make([]string, len(scenarios))
 	for i, s := range scenarios {
@@ -93,7 +132,7 @@
 		for _, r := range rows {
 			for j, s := range scenarios {
 				if r.Size == size && r.Policy == policy && r.Scenario == s.Name {
-					values[j] = value(r)
+					values[j] = value.of(r)
 				}
 			}
 		}
@@ -102,14 +141,15 @@
 			return err
 		}
 		chart.Offset = barWidth / 2 * vg.Length(i)
-		chart.Color = plotter.DefaultLineStyle.Color
-		if i == 0 {
-			chart.Color = nil
-		}
+		chart.Color = plotutil.Color(i)
+		chart.LineStyle.Width = 0
 		p.Add(chart)
 		p.Legend.Add(policy, chart)
 	}
 	p.NominalX(labels...)
-	p.Legend.Top = true
+	p.X.Tick.Label.Rotation = labelAngle
+	p.X.Tick.Label.XAlign = text.XRight
+	p.X.Tick.Label.YAlign = text.YCenter
+	p.Legend.Top, p.Legend.Left = true, true
 	return p.Save(plotWidth, plotHeight, path)
 }
