Close the callers' port before the server's shutdown; restore the strict test

Change: the port closes first, accepted connections get their refusal for half a second, then the server shuts down. The balancer of the test is as strict as before it was narrowed. A connection that waits to be accepted when the port closes is still reset.

--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -37,6 +37,7 @@
 
 const (
 	idBytes           = 12
+	acceptedGrace     = 500 * time.Millisecond // for connections accepted before the port closed
 	announceTimeout   = 2 * time.Second
 	readHeaderTimeout = 10 * time.Second
 )
@@ -109,6 +110,10 @@
 	d.parts.Cluster.Drain(announce)
 	err := d.parts.Requests.Wait(ctx)
 	pause(ctx, d.settings.DrainGrace)
+	// net/http drops requests that it reads after its own shutdown has begun, so the
+	// port closes first and connections that were accepted still get their refusal.
+	_ = d.parts.Caller.Close()
+	pause(ctx, acceptedGrace)
 	err = errors.Join(err, d.parts.Server.Shutdown(ctx), d.parts.Owner.Wait(ctx), d.parts.Peers.Drain(ctx), d.parts.Once.Wait(ctx))
 	stop, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), announceTimeout)
 	defer cancelStop()
--- a/internal/demo/shutdown_test.go
+++ b/internal/demo/shutdown_test.go
@@ -24,12 +24,9 @@
 	shutdownTokens  = 40
 )
 
-// balancer sends each request to the first daemon that has not refused one as not
-// ready. Like the platform's balancer it sends no more to a daemon that has: a new
-// request on an idle connection that the daemon is closing at that moment would
-// otherwise end without an answer, which HTTP/1.1 can't tell from a failure.
+// balancer sends each request to the first daemon and goes on to the next one when
+// that is refused as not run.
 type balancer struct {
-	leaving sync.Map // addresses of daemons that refused
 	addrs   []string
 	http    http.Client
 	answers atomic.Int32
@@ -42,9 +39,6 @@
 	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"stream":true,"max_tokens":%d}`, model, prompt, shutdownTokens)
 	for {
 		for _, addr := range b.addrs {
-			if _, left := b.leaving.Load(addr); left {
-				continue
-			}
 			again, err := b.try(ctx, addr, body, model, prompt)
 			if !again {
 				return err
@@ -72,7 +66,6 @@
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("X-Celerydeck-Outcome") == "not-run" {
-		b.noteRefusal(addr, resp)
 		return true, nil
 	}
 	if err != nil {
@@ -88,13 +81,6 @@
 	return false, nil
 }
 
-// noteRefusal takes a daemon out that asks for the connection to be closed.
-func (b *balancer) noteRefusal(addr string, resp *http.Response) {
-	if resp.Close {
-		b.leaving.Store(addr, true)
-	}
-}
-
 func TestShutdownUnderLoadLosesNoRequest(t *testing.T) {
 	t.Parallel()
 	opts := demo.DefaultOptions()
