--- a/cmd/celerydeckd/main.go
+++ b/cmd/celerydeckd/main.go
@@ -5,6 +5,12 @@
 	"os"
 
 	"github.com/celerydeck/celerydeck/internal/app"
+	"github.com/celerydeck/celerydeck/platform"
 )
 
-func main() { os.Exit(app.Main(os.Args[1:])) }
+func main() {
+	if path := os.Getenv(platform.SettingsEnv); path != "" {
+		os.Exit(app.MainOnPlatform(path))
+	}
+	os.Exit(app.Main(os.Args[1:]))
+}
--- /dev/null
+++ b/internal/app/edge.go
@@ -0,0 +1,357 @@
+package app
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"golang.org/x/sys/unix"
+
+	"github.com/celerydeck/celerydeck/internal/decisionlog"
+	"github.com/celerydeck/celerydeck/internal/metrics"
+	"github.com/celerydeck/celerydeck/internal/node/fleet"
+	"github.com/celerydeck/celerydeck/internal/node/gateway"
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/transport/httpconn"
+	"github.com/celerydeck/celerydeck/internal/transport/peer"
+	"github.com/celerydeck/celerydeck/platform"
+)
+
+const (
+	// exitMargin is kept free before the platform kills the process.
+	exitMargin = 700 * time.Millisecond
+	// closeIdleAfter is when a leaving daemon closes unused connections: the balancer
+	// needs two failed checks, a second apart, before it sends callers elsewhere.
+	closeIdleAfter = 2500 * time.Millisecond
+	// refuseAfter is when a leaving daemon refuses requests on connections that are
+	// left; they could not end within the grace.
+	refuseAfter = 3 * time.Second
+	// minLeaving is how long a leaving daemon answers at least.
+	minLeaving = 4 * time.Second
+	// outdatedShare of the bound on adapter versions is used; the rest is for requests on their way.
+	outdatedShare   = 0.6
+	runIDBytes      = 6
+	sweepInterval   = time.Second
+	settingsRecheck = 2 * time.Second
+	edgeIdle        = 75 * time.Second // beyond what callers use of the configured limit
+	edgeHeaderTime  = 10 * time.Second
+	edgeHeaderBytes = 64 << 10
+	leavingPoll     = 50 * time.Millisecond
+)
+
+// Edge is a daemon on the users' platform.
+type Edge struct {
+	settings platform.Settings
+	log      *decisionlog.Log
+	view     *fleet.View
+	node     *fleet.Node
+	gateway  *gateway.Gateway
+	pool     *httpconn.Pool
+	front    *http.Server
+	app      *fx.App
+	leaving  atomic.Bool
+}
+
+// MainOnPlatform runs a daemon from a settings file of the platform until a signal.
+func MainOnPlatform(path string) int {
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitSettings
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGPIPE)
+	log := decisionlog.New(os.Stdout, settings.VM)
+	defer log.Close()
+	e, err := StartEdge(settings, log)
+	if err != nil {
+		log.Event("not started", slog.String("err", err.Error()))
+		fmt.Fprintln(os.Stderr, err)
+		return ExitFailed
+	}
+	log.Event("started", slog.String("zone", settings.Zone), slog.String("front", settings.FrontAddr), slog.Int("pid", os.Getpid()))
+	recheck := time.NewTicker(settingsRecheck)
+	defer recheck.Stop()
+	for {
+		select {
+		case <-recheck.C:
+			e.reload(path, false)
+		case s := <-signals:
+			switch s {
+			case syscall.SIGPIPE:
+			case syscall.SIGHUP:
+				e.reload(path, true)
+			default:
+				e.Shutdown()
+				return ExitOK
+			}
+		}
+	}
+}
+
+// reload reads the settings again and tells what changed.
+func (e *Edge) reload(path string, signaled bool) {
+	s, err := platform.ReadSettings(path)
+	switch {
+	case err != nil:
+		e.log.Event("settings not reloaded", slog.String("err", err.Error()))
+	case s != e.settings:
+		e.log.Event("settings changed", slog.Any("settings", s), slog.Bool("signal", signaled))
+		e.settings = s
+	case signaled:
+		e.log.Event("settings reloaded without a change")
+	}
+}
+
+type edgeParts struct {
+	fx.In
+	View    *fleet.View
+	Node    *fleet.Node
+	Gateway *gateway.Gateway
+	Pool    *httpconn.Pool
+	Front   *http.Server
+}
+
+// StartEdge starts a daemon.
+func StartEdge(settings platform.Settings, log *decisionlog.Log) (*Edge, error) {
+	e := &Edge{settings: settings, log: log}
+	var parts edgeParts
+	e.app = fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(settings, log, e, new(peer.Pins)),
+		fx.Provide(newEdgeSelf, newEdgeView, newEdgeKeys, newEdgePeerPool, newEdgeNode, newEdgeGateway, newEdgeMetrics, newEdgeFront, httpconn.NewPool),
+		fx.Populate(&parts),
+		fx.Invoke(serveEdgePeers, serveEdgeMetrics, serveEdgeReady, serveEdgeFront),
+	)
+	e.view, e.node, e.gateway, e.pool, e.front = parts.View, parts.Node, parts.Gateway, parts.Pool, parts.Front
+	if err := e.app.Err(); err != nil {
+		return nil, err
+	}
+	return e, e.app.Start(context.Background())
+}
+
+// Ready reports whether the daemon takes new connections.
+func (e *Edge) Ready() bool { return !e.leaving.Load() && e.node != nil && e.node.Ready() }
+
+// Shutdown lets requests in progress end, as long as the platform's grace allows, and stops.
+func (e *Edge) Shutdown() {
+	begin := time.Now()
+	e.log.Event("leaving", slog.Int64("active", e.gateway.Active()))
+	e.leaving.Store(true)
+	e.gateway.SetLeaving()
+	e.node.SetLeaving()
+	time.AfterFunc(closeIdleAfter, func() { e.front.SetKeepAlivesEnabled(false) })
+	time.AfterFunc(refuseAfter, e.gateway.RefuseAll)
+	limit := e.settings.Bounds.Grace - exitMargin
+	for time.Since(begin) < limit && (e.gateway.Active() > 0 || time.Since(begin) < minLeaving) {
+		time.Sleep(leavingPoll)
+	}
+	e.log.Event("stopped", slog.Int64("active", e.gateway.Active()), slog.Duration("after", time.Since(begin)))
+	ctx, cancel := context.WithTimeout(context.Background(), exitMargin/2)
+	defer cancel()
+	if err := e.app.Stop(ctx); err != nil {
+		e.log.Event("stopped late", slog.String("err", err.Error()))
+	}
+}
+
+func newEdgeSelf(s platform.Settings) fleet.Member {
+	var run [runIDBytes]byte
+	_, _ = rand.Read(run[:])
+	return fleet.Member{
+		VM: s.VM, Run: hex.EncodeToString(run[:]), Zone: state.Zone(s.Zone),
+		Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)),
+	}
+}
+
+func newEdgeView(s platform.Settings, log *decisionlog.Log) *fleet.View {
+	return fleet.NewView(fleet.ViewOptions{
+		Zone:        state.Zone(s.Zone),
+		Retries:     fleet.RetryLimits{Ratio: s.Bounds.RetryRatio, Burst: s.Bounds.RetryBurst, Window: s.Bounds.RetryWindow},
+		OutdatedFor: time.Duration(float64(s.Bounds.AdapterVersion) * outdatedShare),
+		Log:         log,
+		Clock:       time.Now,
+	})
+}
+
+type edgeKeys struct {
+	fx.Out
+	Keys *peer.Keyring
+	Hash string `name:"certificate-hash"`
+}
+
+func newEdgeKeys(self fleet.Member, pins *peer.Pins) (edgeKeys, error) {
+	id, hash, err := peer.NewPinnedIdentity(self.ID(), pins, time.Now())
+	if err != nil {
+		return edgeKeys{}, fmt.Errorf("make identity: %w", err)
+	}
+	return edgeKeys{Keys: peer.NewKeyring(id, nil), Hash: hash}, nil
+}
+
+func newEdgePeerPool(lc fx.Lifecycle, s platform.Settings, keys *peer.Keyring) (*peer.Pool, error) {
+	conn, err := net.ListenPacket("udp", net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort+1)))
+	if err != nil {
+		return nil, fmt.Errorf("open socket to daemons: %w", err)
+	}
+	pool := peer.NewPool(conn, keys)
+	lc.Append(fx.StopHook(pool.Close))
+	return pool, nil
+}
+
+type edgeNodeParams struct {
+	fx.In
+	Self     fleet.Member
+	Settings platform.Settings
+	View     *fleet.View
+	Pool     *peer.Pool
+	Pins     *peer.Pins
+	Log      *decisionlog.Log
+	Hash     string `name:"certificate-hash"`
+}
+
+func newEdgeNode(lc fx.Lifecycle, p edgeNodeParams) *fleet.Node {
+	self := p.Self
+	self.Hash = p.Hash
+	b := p.Settings.Bounds
+	n := fleet.New(fleet.Options{
+		Self: self, View: p.View, Store: platform.NewStore(p.Settings.StoreAddr), Engines: platform.NewEngines(),
+		Pool: p.Pool, Pins: p.Pins, Log: p.Log, Clock: time.Now, BootClock: bootClock,
+		Turns: b.Lease, LapseReturn: b.LapseReturn, LoadWindow: b.LoadWindow, LoadBurst: b.LoadBurst,
+	})
+	lc.Append(fx.StartStopHook(n.Start, n.Close))
+	return n
+}
+
+// bootClock counts while the machine is suspended, unlike the monotonic clock.
+func bootClock() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic("app: no boot clock: " + err.Error()) // Linux has had it since 2.6.39
+	}
+	return time.Duration(ts.Nano())
+}
+
+func newEdgeMetrics(lc fx.Lifecycle) *metrics.Recorder {
+	r := metrics.New(metrics.Options{MaxClasses: defaultMetricsClasses, RankName: func(r state.Rank) string { return fmt.Sprint(r) }, Clock: time.Now})
+	lc.Append(fx.StopHook(r.Close))
+	return r
+}
+
+func newEdgeGateway(view *fleet.View, n *fleet.Node, pool *httpconn.Pool, log *decisionlog.Log, r *metrics.Recorder) *gateway.Gateway {
+	return gateway.New(gateway.Options{
+		View: view, Loader: n, Pool: pool, Dialect: platform.Dialect{}, Log: log, Metrics: r.Routes(), Clock: time.Now,
+	})
+}
+
+// edgePeers serves the messages of other daemons.
+type edgePeers struct{ node *fleet.Node }
+
+var errNotServed = errors.New("app: message is not served on this platform")
+
+// ServeCall implements peer.Handler. Requests do not pass between daemons here.
+func (edgePeers) ServeCall(_ context.Context, _ state.DaemonID, _ *protocol.Call, _ protocol.Sink) {}
+
+// ServeMessage implements peer.Handler.
+func (p edgePeers) ServeMessage(_ context.Context, from state.DaemonID, frame protocol.Frame) (protocol.MessageKind, any, error) {
+	switch frame.Kind {
+	case protocol.MsgFleet:
+		var msg protocol.FleetState
+		if err := frame.Decode(&msg); err != nil {
+			return 0, nil, err
+		}
+		p.node.TakeState(from, &msg)
+		return protocol.MsgFleetAck, protocol.FleetAck{}, nil
+	case protocol.MsgWantAdapter:
+		var msg protocol.WantAdapter
+		if err := frame.Decode(&msg); err != nil {
+			return 0, nil, err
+		}
+		return protocol.MsgWantReply, p.node.ServeWant(msg), nil
+	}
+	return 0, nil, errNotServed
+}
+
+func serveEdgePeers(lc fx.Lifecycle, s platform.Settings, keys *peer.Keyring, n *fleet.Node) error {
+	conn, err := net.ListenPacket("udp", net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)))
+	if err != nil {
+		return fmt.Errorf("listen for daemons: %w", err)
+	}
+	server, err := peer.Listen(conn, keys, edgePeers{n})
+	if err != nil {
+		return fmt.Errorf("serve daemons: %w", err)
+	}
+	lc.Append(fx.StopHook(func() {
+		server.Close()
+		_ = conn.Close()
+	}))
+	return nil
+}
+
+// serve runs a server on an address until the daemon stops.
+func serve(lc fx.Lifecycle, what, addr string, server *http.Server) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("listen for %s: %w", what, err)
+	}
+	lc.Append(fx.StartStopHook(
+		func() { go func() { _ = server.Serve(l) }() },
+		func() { _ = server.Close() },
+	))
+	return nil
+}
+
+func serveEdgeMetrics(lc fx.Lifecycle, s platform.Settings, r *metrics.Recorder) error {
+	router := mux.NewRouter()
+	router.Handle("/metrics", r.Handler())
+	return serve(lc, "metrics", net.JoinHostPort(s.IP, strconv.Itoa(s.MetricPort)), &http.Server{Handler: router, ReadHeaderTimeout: edgeHeaderTime})
+}
+
+func serveEdgeReady(lc fx.Lifecycle, s platform.Settings, e *Edge) error {
+	router := mux.NewRouter()
+	router.HandleFunc(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !e.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return serve(lc, "readiness checks", s.ReadyAddr, &http.Server{Handler: router, ReadHeaderTimeout: edgeHeaderTime})
+}
+
+func newEdgeFront(g *gateway.Gateway) *http.Server {
+	return &http.Server{Handler: g, ReadHeaderTimeout: edgeHeaderTime, IdleTimeout: edgeIdle, MaxHeaderBytes: edgeHeaderBytes}
+}
+
+func serveEdgeFront(lc fx.Lifecycle, s platform.Settings, front *http.Server, pool *httpconn.Pool) error {
+	done := make(chan struct{})
+	lc.Append(fx.StartStopHook(
+		func() { go sweep(pool, done) },
+		func() { close(done) },
+	))
+	return serve(lc, "callers", s.FrontAddr, front)
+}
+
+func sweep(pool *httpconn.Pool, done <-chan struct{}) {
+	t := time.NewTicker(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			pool.Sweep()
+		case <-done:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/balance/balance.go
@@ -0,0 +1,290 @@
+// Package balance decides where a request runs: it estimates when each upstream
+// would begin with it, from what this daemon and its peers have in flight there, and
+// picks the best one, asks for a load, or refuses at once.
+package balance
+
+import (
+	"math"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/state/upstreams"
+)
+
+// Ranks is the number of ranks that are told apart; less urgent ones count as the last.
+const Ranks = 4
+
+const (
+	// readPerMS is the prior for the prompt tokens that an engine reads in a
+	// millisecond beside its running requests; pace corrects it for each engine.
+	readPerMS = 15.0
+	// baseFirst is the least time to a first event.
+	baseFirst = 25 * time.Millisecond
+	// waitPerRequest is added for each request beyond the engine's slots.
+	waitPerRequest = 80 * time.Millisecond
+	// memoryWait is added where the memory for running requests is taken.
+	memoryWait = time.Second
+	// farPenalty prefers upstreams of the daemon's own zone.
+	farPenalty = 15 * time.Millisecond
+	// failurePenalty is added in proportion to the recent share of failures.
+	failurePenalty = 1500 * time.Millisecond
+	// peerFresh is how long the figures of a peer count.
+	peerFresh = 2 * time.Second
+	// loadFresh is how long the load in an answer counts.
+	loadFresh = 300 * time.Millisecond
+
+	gain     = 0.15 // share of a new sample in the means
+	minPace  = 0.3
+	maxPace  = 6.0
+	minBench = 400 * time.Millisecond // first suspension after a broken connection
+	maxBench = 3 * time.Second
+)
+
+// Load is what an upstream says in its answers.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Work is what daemons have in flight at one upstream.
+type Work struct {
+	Requests int        `cbor:"1,keyasint"`
+	Reading  [Ranks]int `cbor:"2,keyasint"` // prompt tokens before the first event
+	Memory   int        `cbor:"3,keyasint"` // tokens of all requests in flight
+	ByRank   [Ranks]int `cbor:"4,keyasint"`
+}
+
+func (w *Work) add(o *Work) {
+	w.Requests += o.Requests
+	w.Memory += o.Memory
+	for i := range o.Reading {
+		w.Reading[i] += o.Reading[i]
+		w.ByRank[i] += o.ByRank[i]
+	}
+}
+
+// Request is what the choice depends on.
+type Request struct {
+	Rank      int
+	TokensIn  int
+	TokensOut int
+	Zone      state.Zone
+}
+
+func (r *Request) rank() int { return min(max(r.Rank, 0), Ranks-1) }
+
+type peerWork struct {
+	at    time.Time
+	works map[state.UpstreamID]Work
+}
+
+type health struct {
+	failed    float64 // mean of outcomes, 1 for a failure
+	pace      float64 // mean of actual over estimated time to the first event
+	service   float64 // mean time of a plain request in seconds
+	inRow     int
+	benched   time.Time // not used before
+	progress  time.Time // last bytes from the upstream
+	load      Load
+	loadAt    time.Time
+	loadKnown bool
+}
+
+// Tracker holds what is in flight. It is not safe for concurrent use.
+type Tracker struct {
+	own    map[state.UpstreamID]*Work
+	peers  map[state.DaemonID]peerWork
+	health map[state.UpstreamID]*health
+}
+
+// NewTracker returns a tracker without work.
+func NewTracker() *Tracker {
+	return &Tracker{
+		own:    make(map[state.UpstreamID]*Work),
+		peers:  make(map[state.DaemonID]peerWork),
+		health: make(map[state.UpstreamID]*health),
+	}
+}
+
+// Begin counts a request that is sent to an upstream.
+func (t *Tracker) Begin(id state.UpstreamID, r Request) {
+	w := t.own[id]
+	if w == nil {
+		w = &Work{}
+		t.own[id] = w
+	}
+	w.Requests++
+	w.ByRank[r.rank()]++
+	w.Reading[r.rank()] += r.TokensIn
+	w.Memory += r.TokensIn + r.TokensOut/2
+}
+
+// First notes that a request's prompt has been read.
+func (t *Tracker) First(id state.UpstreamID, r Request) {
+	if w := t.own[id]; w != nil {
+		w.Reading[r.rank()] -= r.TokensIn
+	}
+}
+
+// End ends a request; read tells whether First was called for it.
+func (t *Tracker) End(id state.UpstreamID, r Request, read bool) {
+	w := t.own[id]
+	if w == nil {
+		return
+	}
+	w.Requests--
+	w.ByRank[r.rank()]--
+	w.Memory -= r.TokensIn + r.TokensOut/2
+	if !read {
+		w.Reading[r.rank()] -= r.TokensIn
+	}
+	if w.Requests <= 0 {
+		delete(t.own, id)
+	}
+}
+
+// Own returns a copy of this daemon's work, for its peers.
+func (t *Tracker) Own() map[state.UpstreamID]Work {
+	out := make(map[state.UpstreamID]Work, len(t.own))
+	for id, w := range t.own {
+		out[id] = *w
+	}
+	return out
+}
+
+// Peer takes the work of a peer.
+func (t *Tracker) Peer(now time.Time, id state.DaemonID, works map[state.UpstreamID]Work) {
+	t.peers[id] = peerWork{at: now, works: works}
+}
+
+// Work returns all known work at an upstream.
+func (t *Tracker) Work(now time.Time, id state.UpstreamID) Work {
+	var sum Work
+	if w := t.own[id]; w != nil {
+		sum = *w
+	}
+	for _, p := range t.peers {
+		if now.Sub(p.at) > peerFresh {
+			continue
+		}
+		if w, ok := p.works[id]; ok {
+			sum.add(&w)
+		}
+	}
+	return sum
+}
+
+func (t *Tracker) healthOf(id state.UpstreamID) *health {
+	h := t.health[id]
+	if h == nil {
+		h = &health{pace: 1, service: 0.05}
+		t.health[id] = h
+	}
+	return h
+}
+
+// Forget drops the upstreams that are not listed any more.
+func (t *Tracker) Forget(listed func(state.UpstreamID) bool) {
+	for id := range t.health {
+		if !listed(id) {
+			delete(t.health, id)
+		}
+	}
+}
+
+// Told takes the load that an answer carries.
+func (t *Tracker) Told(now time.Time, id state.UpstreamID, l Load) {
+	h := t.healthOf(id)
+	h.load, h.loadAt, h.loadKnown = l, now, true
+}
+
+// Progress notes bytes from an upstream.
+func (t *Tracker) Progress(now time.Time, id state.UpstreamID) { t.healthOf(id).progress = now }
+
+// LastProgress returns when the last bytes came from an upstream.
+func (t *Tracker) LastProgress(id state.UpstreamID) time.Time { return t.healthOf(id).progress }
+
+// Succeeded notes a good answer.
+func (t *Tracker) Succeeded(now time.Time, id state.UpstreamID) {
+	h := t.healthOf(id)
+	h.failed -= gain * h.failed
+	h.inRow, h.benched, h.progress = 0, time.Time{}, now
+}
+
+// Failed notes an answer that failed. A broken connection also suspends the upstream
+// for a moment, longer with each failure in a row.
+func (t *Tracker) Failed(now time.Time, id state.UpstreamID, broken bool) {
+	h := t.healthOf(id)
+	h.failed += gain * (1 - h.failed)
+	if !broken {
+		return
+	}
+	h.inRow++
+	h.benched = now.Add(min(maxBench, minBench<<min(h.inRow-1, 4)))
+}
+
+// TookFirst corrects the pace of an upstream by a time to the first event.
+func (t *Tracker) TookFirst(id state.UpstreamID, estimated, actual time.Duration) {
+	if estimated <= 0 {
+		return
+	}
+	h := t.healthOf(id)
+	sample := h.pace * float64(actual) / float64(estimated)
+	h.pace += gain * (min(max(sample, minPace), maxPace) - h.pace)
+}
+
+// TookPlain corrects the mean time of plain requests at an upstream.
+func (t *Tracker) TookPlain(id state.UpstreamID, actual time.Duration) {
+	h := t.healthOf(id)
+	h.service += gain * (actual.Seconds() - h.service)
+}
+
+// Benched reports whether an upstream is suspended.
+func (t *Tracker) Benched(now time.Time, id state.UpstreamID) bool {
+	h := t.health[id]
+	return h != nil && now.Before(h.benched)
+}
+
+// EstimateEngine returns when an engine would send the first event of a request.
+func (t *Tracker) EstimateEngine(now time.Time, u *upstreams.Upstream, kvTokens int, r Request) time.Duration {
+	w := t.Work(now, u.ID)
+	h := t.healthOf(u.ID)
+	reading, ahead := r.TokensIn, 0
+	for rank := 0; rank <= r.rank(); rank++ {
+		reading += w.Reading[rank]
+		ahead += w.ByRank[rank]
+	}
+	d := time.Duration(float64(reading) / readPerMS * h.pace * float64(time.Millisecond))
+	d += baseFirst
+	if over := ahead - u.Slots + 1; u.Slots > 0 && over > 0 {
+		d += time.Duration(over) * waitPerRequest
+	}
+	if kvTokens > 0 && w.Memory+r.TokensIn+r.TokensOut/2 > kvTokens {
+		d += memoryWait
+	}
+	return d
+}
+
+// EstimatePlain returns when a plain service's upstream would have answered.
+func (t *Tracker) EstimatePlain(now time.Time, u *upstreams.Upstream) time.Duration {
+	w := t.Work(now, u.ID)
+	h := t.healthOf(u.ID)
+	busy := w.Requests
+	if h.loadKnown && now.Sub(h.loadAt) < loadFresh {
+		busy = max(busy, h.load.Running+h.load.Waiting)
+	}
+	slots := max(u.Slots, 1)
+	rounds := 1 + math.Max(0, float64(busy-slots+1))/float64(slots)
+	rounds += 0.2 * float64(busy) / float64(slots) // prefers idle ones
+	return time.Duration(rounds * h.service * float64(time.Second))
+}
+
+// Penalty is added to an estimate to rank upstreams.
+func (t *Tracker) Penalty(u *upstreams.Upstream, zone state.Zone) time.Duration {
+	p := time.Duration(t.healthOf(u.ID).failed * float64(failurePenalty))
+	if u.Zone != zone {
+		p += farPenalty
+	}
+	return p
+}
--- /dev/null
+++ b/internal/coordination/balance/choose.go
@@ -0,0 +1,149 @@
+package balance
+
+import (
+	"math"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/state/upstreams"
+)
+
+const (
+	// loadCost is what a load adds to the estimate of an engine without the adapter.
+	loadCost = 320 * time.Millisecond
+	// homeStep separates the engines of a rare adapter, so that its requests meet at
+	// the one that probably has a copy, and move on only under load.
+	homeStep = 60 * time.Millisecond
+	maxHome  = 4
+	// replicateAt is by how much the best holder may be worse than an engine without
+	// the adapter before the adapter is loaded there as well.
+	replicateAt = 120 * time.Millisecond
+
+	minRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 4 * time.Second
+)
+
+// Candidate is an upstream that may take a request.
+type Candidate struct {
+	Upstream *upstreams.Upstream
+	Holds    bool          // the adapter, in a version that may serve
+	ReadyIn  time.Duration // until a load in progress is done
+	Loadable bool          // its owner can be asked for a load
+}
+
+// Decision says where a request runs.
+type Decision struct {
+	Upstream   *upstreams.Upstream // nil: refused
+	Load       bool                // the adapter must be loaded first
+	ReadyIn    time.Duration
+	Estimate   time.Duration       // to the first event or the answer
+	Replicate  *upstreams.Upstream // where the adapter is worth another copy
+	RetryAfter time.Duration
+	Reason     string
+}
+
+// Limits of a request, from its arrival.
+type Limits struct {
+	Goal time.Duration // latency objective
+	Left time.Duration // until it is not worth starting
+}
+
+// ChooseEngine picks the engine with the earliest first event. It answers floods:
+// what no engine could begin in time is refused at once, with the time after which
+// there should be room.
+func (t *Tracker) ChooseEngine(now time.Time, r Request, adapter upstreams.Adapter, list []Candidate, kvTokens int, lim Limits, draw float64) Decision {
+	var best, bestOther *Candidate
+	bestCost, otherCost := time.Duration(math.MaxInt64), time.Duration(math.MaxInt64)
+	var bestEstimate, holderCost time.Duration
+	home := homes(adapter, list)
+	for pass := 0; pass < 2 && best == nil; pass++ {
+		for i := range list {
+			c := &list[i]
+			if pass == 0 && t.Benched(now, c.Upstream.ID) || !c.Holds && !c.Loadable {
+				continue
+			}
+			estimate := t.EstimateEngine(now, c.Upstream, kvTokens, r)
+			cost := estimate + t.Penalty(c.Upstream, r.Zone)
+			if c.Holds {
+				estimate = max(estimate, c.ReadyIn+baseFirst)
+				cost = max(cost, c.ReadyIn+baseFirst)
+				if holderCost == 0 || cost < holderCost {
+					holderCost = cost
+				}
+			} else {
+				if cost < otherCost {
+					bestOther, otherCost = c, cost
+				}
+				estimate += loadCost
+				cost += loadCost + homeStep*time.Duration(home[c.Upstream.ID])
+			}
+			if cost < bestCost {
+				best, bestCost, bestEstimate = c, cost, estimate
+			}
+		}
+	}
+	if best == nil {
+		return Decision{RetryAfter: spread(minRetryAfter, draw), Reason: "no engine"}
+	}
+	d := Decision{Upstream: best.Upstream, Load: !best.Holds, ReadyIn: best.ReadyIn, Estimate: bestEstimate}
+	if best.Holds && bestOther != nil && holderCost > otherCost+replicateAt {
+		d.Replicate = bestOther.Upstream
+	}
+	if bestEstimate > lim.Left {
+		wait := min(max(bestEstimate-lim.Goal/2, minRetryAfter), maxRetryAfter)
+		return Decision{Estimate: bestEstimate, RetryAfter: spread(wait, draw), Reason: "no room in time", Replicate: d.Replicate}
+	}
+	return d
+}
+
+// ChoosePlain picks the upstream of a plain service with the earliest answer.
+func (t *Tracker) ChoosePlain(now time.Time, r Request, list []Candidate, lim Limits, draw float64) Decision {
+	var best *Candidate
+	bestCost := time.Duration(math.MaxInt64)
+	var bestEstimate time.Duration
+	for pass := 0; pass < 2 && best == nil; pass++ {
+		for i := range list {
+			c := &list[i]
+			if pass == 0 && t.Benched(now, c.Upstream.ID) {
+				continue
+			}
+			estimate := t.EstimatePlain(now, c.Upstream)
+			if cost := estimate + t.Penalty(c.Upstream, r.Zone); cost < bestCost {
+				best, bestCost, bestEstimate = c, cost, estimate
+			}
+		}
+	}
+	if best == nil {
+		return Decision{RetryAfter: spread(minRetryAfter, draw), Reason: "no upstream"}
+	}
+	if bestEstimate > lim.Left {
+		wait := min(max(bestEstimate-lim.Goal, minRetryAfter), maxRetryAfter)
+		return Decision{Estimate: bestEstimate, RetryAfter: spread(wait, draw), Reason: "no room in time"}
+	}
+	return Decision{Upstream: best.Upstream, Estimate: bestEstimate}
+}
+
+// spread lengthens a time by up to half, so that callers do not return together.
+func spread(d time.Duration, draw float64) time.Duration {
+	return d + time.Duration(draw*0.5*float64(d))
+}
+
+// homes numbers the engines by their rendezvous weight for an adapter, up to maxHome.
+func homes(a upstreams.Adapter, list []Candidate) map[state.UpstreamID]int {
+	key := a.String()
+	weights := make([]uint64, len(list))
+	for i := range list {
+		weights[i] = state.RendezvousWeight(key, string(list[i].Upstream.ID))
+	}
+	out := make(map[state.UpstreamID]int, len(list))
+	for i := range list {
+		place := 0
+		for j := range list {
+			if weights[j] > weights[i] {
+				place++
+			}
+		}
+		out[list[i].Upstream.ID] = min(place, maxHome)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/coordination/holders/holders.go
@@ -0,0 +1,91 @@
+// Package holders decides which daemon gives the orders to an engine.
+package holders
+
+import (
+	"slices"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+const (
+	// SettleTime is how long after its start a daemon claims no engine, so that it
+	// knows its peers.
+	SettleTime = 1500 * time.Millisecond
+	// SilentAfter is how long a daemon of the engine's zone is silent before its
+	// engines are taken over in the zone.
+	SilentAfter = 4 * time.Second
+	// ZoneSilentAfter is how long all daemons of a zone are silent before the
+	// daemons of other zones take over.
+	ZoneSilentAfter = 10 * time.Second
+	// LeaseTime is how long after it was last confirmed a holder gives orders. It
+	// outlasts short outages of the store.
+	LeaseTime = 6 * time.Second
+)
+
+// Daemon is a daemon as another one sees it.
+type Daemon struct {
+	VM     string
+	Zone   state.Zone
+	Silent time.Duration // since its last message; zero for the daemon itself
+}
+
+// Claims reports whether a daemon should make itself the holder of an engine, whose
+// present holder is named or empty. All daemons that see the same peers agree.
+func Claims(self Daemon, engine state.UpstreamID, zone state.Zone, holder string, daemons []Daemon) bool {
+	if holder == self.VM {
+		return false
+	}
+	for _, d := range daemons {
+		if d.VM != holder {
+			continue
+		}
+		limit := SilentAfter
+		if d.Zone != zone {
+			limit = ZoneSilentAfter
+		}
+		if d.Silent < limit {
+			return false
+		}
+	}
+	local := candidates(zone, SilentAfter, daemons)
+	if len(local) == 0 {
+		if len(candidates(zone, ZoneSilentAfter, daemons)) > 0 {
+			return false
+		}
+		local = candidates("", SilentAfter, daemons)
+	}
+	return state.RendezvousOwner(string(engine), local) == self.VM
+}
+
+func candidates(zone state.Zone, silent time.Duration, daemons []Daemon) []string {
+	var names []string
+	for _, d := range daemons {
+		if (zone == "" || d.Zone == zone) && d.Silent < silent {
+			names = append(names, d.VM)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Lease says whether a holder may order. Its times are of a clock that counts while
+// the machine is suspended.
+type Lease struct {
+	Confirmed time.Duration // when the last confirmation was asked for
+	NotBefore time.Duration // end of the wait for orders of the holder before
+}
+
+// Valid reports whether an order may be sent.
+func (l Lease) Valid(now time.Duration) bool {
+	return now >= l.NotBefore && now-l.Confirmed < LeaseTime
+}
+
+// AfterTakeover returns the lease of a holder that replaced another one at a time.
+// The one before may order until its lease lapses; turns must lie apart.
+func AfterTakeover(now, turns time.Duration) Lease {
+	return Lease{Confirmed: now, NotBefore: now + LeaseTime + turns + takeoverMargin}
+}
+
+// takeoverMargin covers orders of the former holder that are still on their way.
+const takeoverMargin = 500 * time.Millisecond
--- /dev/null
+++ b/internal/coordination/residency/residency.go
@@ -0,0 +1,375 @@
+// Package residency decides which adapters one engine holds. Its owner keeps one
+// Ledger per engine; nothing else orders loads there.
+package residency
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/state/upstreams"
+)
+
+const (
+	// maxTransit is how many adapters an engine takes in at the same time.
+	maxTransit = 4
+	// coldLoad and warmLoad are estimates of a load from the weight store and from
+	// the engine's own copy. A request that comes earlier is refused by the engine.
+	coldLoad = 270 * time.Millisecond
+	warmLoad = 40 * time.Millisecond
+	// replaceLoad includes the wait for the runs on the older version.
+	replaceLoad = 1500 * time.Millisecond
+	// reportLag bounds how old the values of a report are.
+	reportLag = 400 * time.Millisecond
+	// checkInterval is how often a ledger with recent orders is compared with a report.
+	checkInterval = 1500 * time.Millisecond
+	// keepUsed protects an adapter after its last use.
+	keepUsed = 400 * time.Millisecond
+	// keepOutdated leaves time to the requests that were sent to an older version.
+	keepOutdated = 200 * time.Millisecond
+	// wantFor is how long a wish is kept.
+	wantFor = 1500 * time.Millisecond
+	// maxWarm bounds the adapters of which the engine is thought to have a copy.
+	maxWarm = 100
+)
+
+// Order is an order to an engine. Expected is the number of orders that the engine
+// has accepted; it rejects an order that comes late, after another one.
+type Order struct {
+	Adapter  upstreams.Adapter
+	Version  int // 0 for the newest
+	Unload   bool
+	Expected int
+	Holder   string
+	Fence    uint64
+}
+
+// Reply is the outcome of an order.
+type Reply uint8
+
+// Outcomes of orders.
+const (
+	ReplyUnknown  Reply = iota // no answer: may be accepted, now or seconds later
+	ReplyAccepted              // in progress
+	ReplyHolds                 // held already, or done at once
+	ReplyConflict              // another order came in between
+	ReplyGone                  // another engine has the address
+)
+
+type phase uint8
+
+const (
+	loading phase = iota
+	resident
+	unloading
+)
+
+type entry struct {
+	version int
+	phase   phase
+	since   time.Time // of the phase
+	readyAt time.Time
+	used    time.Time
+}
+
+type want struct {
+	adapter upstreams.Adapter
+	version int
+	until   time.Time
+}
+
+// Ledger is what the owner of an engine knows of the adapters there. It is not safe
+// for concurrent use.
+//
+// Invariant: the entries, whatever their phase, never exceed the engine's capacity.
+type Ledger struct {
+	capacity  int
+	model     string
+	hasModel  bool
+	loadModel time.Time // last order to load the model
+	synced    bool
+	born      int64
+	accepted  int
+	lastOrder time.Time
+	nextSync  time.Time
+	entries   map[upstreams.Adapter]*entry
+	wants     []want
+	newest    map[upstreams.Adapter]int
+	warm      map[upstreams.Adapter]time.Time
+}
+
+// NewLedger returns the ledger of an engine that serves one model and holds at most
+// capacity adapters. It orders nothing before the first report.
+func NewLedger(model string, capacity int) *Ledger {
+	return &Ledger{
+		capacity: capacity,
+		model:    model,
+		entries:  make(map[upstreams.Adapter]*entry),
+		newest:   make(map[upstreams.Adapter]int),
+		warm:     make(map[upstreams.Adapter]time.Time),
+	}
+}
+
+// SetCapacity changes how many adapters fit.
+func (l *Ledger) SetCapacity(n int) { l.capacity = n }
+
+// NeedsReport says whether a report is due.
+func (l *Ledger) NeedsReport(now time.Time) bool {
+	if !l.synced {
+		return !now.Before(l.nextSync)
+	}
+	return !l.lastOrder.IsZero() && !now.Before(l.nextSync)
+}
+
+// ReportFailed delays the next report.
+func (l *Ledger) ReportFailed(now time.Time) { l.nextSync = now.Add(reportLag) }
+
+// Sync takes a report. The report may be older than the last orders.
+func (l *Ledger) Sync(now time.Time, born int64, accepted int, h upstreams.Holding, pending []upstreams.Adapter) {
+	if l.synced && born != l.born { // the engine started anew, with nothing
+		l.entries = make(map[upstreams.Adapter]*entry)
+	}
+	if !l.synced || born != l.born || now.Sub(l.lastOrder) > reportLag {
+		l.accepted = accepted
+	}
+	_, l.hasModel = h.Models[l.model]
+	for a, version := range h.Adapters {
+		e := l.entries[a]
+		switch {
+		case e == nil:
+			l.entries[a] = &entry{version: version, phase: resident, since: now, readyAt: now, used: now}
+		case e.phase == loading && version >= e.version:
+			e.phase, e.readyAt = resident, now
+		case e.phase == resident:
+			e.version = version
+		}
+	}
+	for _, a := range pending {
+		if l.entries[a] == nil {
+			l.entries[a] = &entry{phase: loading, since: now, readyAt: now.Add(coldLoad), used: now}
+		}
+	}
+	for a, e := range l.entries {
+		if _, held := h.Adapters[a]; held || slices.Contains(pending, a) || now.Sub(e.since) < checkInterval {
+			continue
+		}
+		delete(l.entries, a)
+	}
+	l.synced, l.born = true, born
+	l.nextSync = now.Add(checkInterval)
+	if now.Sub(l.lastOrder) > 2*checkInterval && l.hasModel {
+		l.lastOrder = time.Time{}
+	}
+}
+
+// Announce tells the newest version of an adapter.
+func (l *Ledger) Announce(a upstreams.Adapter, version int) {
+	if version > l.newest[a] {
+		l.newest[a] = version
+	}
+}
+
+// Use notes that a request was sent for an adapter.
+func (l *Ledger) Use(now time.Time, a upstreams.Adapter) {
+	if e := l.entries[a]; e != nil {
+		e.used = now
+	}
+}
+
+// Want asks for an adapter in a version or a newer one. It returns how long the
+// load will take, or false if the engine has no room for it at present.
+func (l *Ledger) Want(now time.Time, a upstreams.Adapter, version int) (time.Duration, bool) {
+	if !l.synced || !l.hasModel {
+		return 0, false
+	}
+	version = max(version, l.newest[a])
+	if e := l.entries[a]; e != nil && e.phase != unloading && e.version >= version {
+		e.used = now
+		return max(0, e.readyAt.Sub(now)), true
+	}
+	if i := slices.IndexFunc(l.wants, func(w want) bool { return w.adapter == a }); i >= 0 {
+		l.wants[i].version = max(l.wants[i].version, version)
+		return l.loadTime(a), true
+	}
+	if len(l.wants) >= maxTransit || l.victim(now) == nil && len(l.entries) >= l.capacity && l.entries[a] == nil {
+		return 0, false
+	}
+	l.wants = append(l.wants, want{adapter: a, version: version, until: now.Add(wantFor)})
+	return l.loadTime(a), true
+}
+
+func (l *Ledger) loadTime(a upstreams.Adapter) time.Duration {
+	if _, ok := l.warm[a]; ok {
+		return warmLoad
+	}
+	return coldLoad
+}
+
+// Next returns the next order, if there is one. Its holder and fence are the
+// caller's to set. The caller reports the outcome with Done before it asks again.
+func (l *Ledger) Next(now time.Time, mayLoadModel bool) (Order, bool) {
+	if !l.synced {
+		return Order{}, false
+	}
+	if !l.hasModel {
+		if !mayLoadModel || now.Sub(l.loadModel) < checkInterval {
+			return Order{}, false
+		}
+		return Order{Adapter: upstreams.Adapter{Model: l.model}, Expected: l.accepted}, true
+	}
+	l.wants = slices.DeleteFunc(l.wants, func(w want) bool { return l.settled(now, w) })
+	if len(l.wants) > 0 && l.inTransit(now) < maxTransit {
+		w := l.wants[0]
+		if l.entries[w.adapter] != nil || len(l.entries) < l.capacity {
+			return Order{Adapter: w.adapter, Version: w.version, Expected: l.accepted}, true
+		}
+		if v := l.victim(now); v != nil {
+			return Order{Adapter: *v, Unload: true, Expected: l.accepted}, true
+		}
+	}
+	for a, e := range l.entries {
+		if e.phase == resident && e.version < l.newest[a] && now.Sub(e.used) > keepOutdated {
+			return Order{Adapter: a, Unload: true, Expected: l.accepted}, true
+		}
+	}
+	return Order{}, false
+}
+
+// settled reports whether a wish is met or too old.
+func (l *Ledger) settled(now time.Time, w want) bool {
+	e := l.entries[w.adapter]
+	return now.After(w.until) || e != nil && e.phase != unloading && e.version >= w.version
+}
+
+// Done takes the outcome of an order.
+func (l *Ledger) Done(now time.Time, o Order, r Reply) {
+	l.lastOrder = now
+	if o.Adapter.Name == "" {
+		l.loadModel = now
+	}
+	switch r {
+	case ReplyAccepted:
+		l.accepted++
+		l.apply(now, o, false)
+		l.soon(now, checkInterval)
+	case ReplyHolds:
+		l.apply(now, o, true)
+		if o.Unload { // a load that holds already is not counted by the engine
+			l.accepted++
+		}
+		l.soon(now, checkInterval)
+	case ReplyUnknown, ReplyConflict, ReplyGone:
+		if r == ReplyUnknown && !o.Unload && o.Adapter.Name != "" && l.entries[o.Adapter] == nil {
+			// It takes a slot until a report shows otherwise.
+			l.entries[o.Adapter] = &entry{version: 0, phase: loading, since: now, readyAt: now.Add(coldLoad), used: now}
+		}
+		l.synced = false
+		l.nextSync = now.Add(reportLag)
+	}
+}
+
+func (l *Ledger) soon(now time.Time, d time.Duration) {
+	if at := now.Add(d); l.nextSync.Before(now) || at.Before(l.nextSync) {
+		l.nextSync = at
+	}
+}
+
+func (l *Ledger) apply(now time.Time, o Order, done bool) {
+	if o.Adapter.Name == "" {
+		return
+	}
+	if o.Unload {
+		if done {
+			delete(l.entries, o.Adapter)
+		} else if e := l.entries[o.Adapter]; e != nil {
+			e.phase, e.since = unloading, now
+		}
+		return
+	}
+	took := l.loadTime(o.Adapter)
+	if l.entries[o.Adapter] != nil {
+		took = replaceLoad
+	}
+	e := &entry{version: max(o.Version, 1), phase: loading, since: now, readyAt: now.Add(took), used: now}
+	if done {
+		e.phase, e.readyAt = resident, now
+	}
+	l.entries[o.Adapter] = e
+	l.keepWarm(now, o.Adapter)
+}
+
+func (l *Ledger) keepWarm(now time.Time, a upstreams.Adapter) {
+	l.warm[a] = now
+	if len(l.warm) <= maxWarm {
+		return
+	}
+	var oldest upstreams.Adapter
+	for b, at := range l.warm {
+		if oldest.Name == "" || at.Before(l.warm[oldest]) {
+			oldest = b
+		}
+	}
+	delete(l.warm, oldest)
+}
+
+func (l *Ledger) inTransit(now time.Time) int {
+	n := 0
+	for _, e := range l.entries {
+		if e.phase == loading && now.Before(e.readyAt) {
+			n++
+		}
+	}
+	return n
+}
+
+// victim returns the adapter to unload for another one: outdated ones first, then
+// the least recently used.
+func (l *Ledger) victim(now time.Time) *upstreams.Adapter {
+	var candidates []upstreams.Adapter
+	for a, e := range l.entries {
+		if e.phase == unloading {
+			return nil // a slot is about to become free
+		}
+		if now.After(e.readyAt) && now.Sub(e.used) > keepUsed {
+			candidates = append(candidates, a)
+		}
+	}
+	if len(candidates) == 0 {
+		return nil
+	}
+	worst := slices.MinFunc(candidates, func(a, b upstreams.Adapter) int {
+		x, y := l.entries[a], l.entries[b]
+		xOld, yOld := x.version < l.newest[a], y.version < l.newest[b]
+		if xOld != yOld {
+			if xOld {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(x.used.Compare(y.used), cmp.Compare(a.Name, b.Name))
+	})
+	return &worst
+}
+
+// Held is an adapter that an engine holds or will hold.
+type Held struct {
+	Adapter upstreams.Adapter `cbor:"1,keyasint"`
+	Version int               `cbor:"2,keyasint"`
+	ReadyIn time.Duration     `cbor:"3,keyasint,omitempty"`
+}
+
+// Held lists what requests may count on.
+func (l *Ledger) Held(now time.Time) []Held {
+	list := make([]Held, 0, len(l.entries))
+	for a, e := range l.entries {
+		if e.phase == unloading || e.version == 0 {
+			continue
+		}
+		list = append(list, Held{Adapter: a, Version: e.version, ReadyIn: max(0, e.readyAt.Sub(now))})
+	}
+	slices.SortFunc(list, func(a, b Held) int { return cmp.Compare(a.Adapter.Name, b.Adapter.Name) })
+	return list
+}
+
+// HasModel reports whether the engine holds its model.
+func (l *Ledger) HasModel() bool { return l.synced && l.hasModel }
--- /dev/null
+++ b/internal/node/fleet/node.go
@@ -0,0 +1,594 @@
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/holders"
+	"github.com/celerydeck/celerydeck/internal/coordination/routes"
+	"github.com/celerydeck/celerydeck/internal/decisionlog"
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/state/upstreams"
+	"github.com/celerydeck/celerydeck/internal/transport/peer"
+)
+
+const (
+	upstreamInterval = 700 * time.Millisecond // an announced leaving is in effect within two seconds
+	recordInterval   = time.Second
+	watchWait        = 2 * time.Second // a silent connection is noticed soon after
+	gossipInterval   = 200 * time.Millisecond
+	gossipTimeout    = 600 * time.Millisecond
+	wantTimeout      = 400 * time.Millisecond
+	minBackoff       = 100 * time.Millisecond
+	maxBackoff       = 800 * time.Millisecond
+	dropAfter        = 3 // unanswered messages after which a connection is replaced
+	memberGoneAfter  = 30 * time.Second
+)
+
+// Options sets up a Node.
+type Options struct {
+	Self    Member
+	View    *View
+	Store   Store
+	Engines Engines
+	Pool    *peer.Pool
+	Pins    *peer.Pins
+	Log     *decisionlog.Log
+	Clock   func() time.Time
+	// BootClock counts while the machine is suspended.
+	BootClock func() time.Duration
+	// Turns is the least time between the orders of two holders.
+	Turns time.Duration
+	// LapseReturn is how long after an outage of the store lapsed entries come back.
+	LapseReturn time.Duration
+	LoadWindow  time.Duration
+	LoadBurst   float64
+}
+
+type member struct {
+	Member
+	heard   time.Time // last message, or when it was first listed
+	failed  int       // unanswered messages in a row
+	sending bool
+	spoke   bool // a message of this run came
+}
+
+// Node follows the store, exchanges state with the peers and orders loads at the
+// engines that the daemon holds. It is safe for concurrent use.
+type Node struct {
+	opts   Options
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	ctx    context.Context
+	start  time.Time
+
+	mu      sync.Mutex
+	members map[string]*member // by VM, without this daemon
+	holders map[state.UpstreamID]Holder
+	workers map[state.UpstreamID]*worker
+	gone    map[state.UpstreamID]time.Time
+	listed  bool // the list of upstreams was read
+	reached bool // the store answered the last list of upstreams
+	known   bool // records were read
+	lapsed  map[state.UpstreamID]time.Time
+	back    time.Time // end of the last outage of the store
+	leaving bool
+	// modelLoads are the times of recent orders to load weights.
+	modelLoads []time.Time
+	lastList   map[state.UpstreamID]upstreams.Upstream
+}
+
+// New returns a node that is not started.
+func New(opts Options) *Node {
+	return &Node{
+		opts:    opts,
+		members: make(map[string]*member),
+		holders: make(map[state.UpstreamID]Holder),
+		workers: make(map[state.UpstreamID]*worker),
+		gone:    make(map[state.UpstreamID]time.Time),
+		lapsed:  make(map[state.UpstreamID]time.Time),
+	}
+}
+
+// Start begins to follow the store and the peers.
+func (n *Node) Start() {
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.start = n.opts.Clock()
+	for _, loop := range []func(){n.followConfig, n.followVersions, n.followUpstreams, n.followRecords, n.gossip} {
+		n.wg.Add(1)
+		go func() {
+			defer n.wg.Done()
+			loop()
+		}()
+	}
+}
+
+// Close stops the node.
+func (n *Node) Close() {
+	n.cancel()
+	n.wg.Wait()
+}
+
+// Ready reports whether the daemon knows enough to serve.
+func (n *Node) Ready() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.listed && n.opts.View.Table() != nil
+}
+
+// SetLeaving tells the peers that this daemon shuts down.
+func (n *Node) SetLeaving() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.leaving = true
+}
+
+// backoff paces the calls of one loop to a store that fails, and logs its loss and return.
+type backoff struct {
+	log   *decisionlog.Log
+	what  string
+	pause time.Duration
+	since time.Time
+}
+
+func (b *backoff) failed(now time.Time, err error) time.Duration {
+	if b.pause == 0 {
+		b.since = now
+		b.log.Event("store lost", slog.String("call", b.what), slog.String("err", err.Error()))
+	}
+	b.pause = min(max(minBackoff, b.pause*2), maxBackoff)
+	return b.pause/2 + time.Duration(rand.Int64N(int64(b.pause)))
+}
+
+func (b *backoff) ok(now time.Time) {
+	if b.pause > 0 {
+		b.log.Event("store regained", slog.String("call", b.what), slog.Duration("after", now.Sub(b.since)))
+	}
+	b.pause = 0
+}
+
+func (n *Node) sleep(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-n.ctx.Done():
+	}
+}
+
+func (n *Node) followConfig() {
+	b := backoff{log: n.opts.Log, what: "configuration"}
+	var at uint64
+	for n.ctx.Err() == nil {
+		c, revision, err := n.nextConfig(at)
+		if err != nil {
+			at = 0 // what was missed is read anew
+			n.sleep(b.failed(n.opts.Clock(), err))
+			continue
+		}
+		b.ok(n.opts.Clock())
+		at = revision
+		if c != nil {
+			n.opts.View.SetConfig(c)
+		}
+	}
+}
+
+// nextConfig reads the configuration, or waits for one after a revision.
+func (n *Node) nextConfig(at uint64) (*routes.Config, uint64, error) {
+	if at == 0 {
+		return n.opts.Store.Config(n.ctx)
+	}
+	return n.opts.Store.WatchConfig(n.ctx, at, watchWait)
+}
+
+func (n *Node) followVersions() {
+	b := backoff{log: n.opts.Log, what: "adapter versions"}
+	var at uint64
+	for n.ctx.Err() == nil {
+		var list []upstreams.Version
+		var revision uint64
+		var err error
+		if at == 0 {
+			list, revision, err = n.opts.Store.AdapterVersions(n.ctx)
+		} else {
+			list, revision, err = n.opts.Store.WatchAdapterVersions(n.ctx, at, watchWait)
+		}
+		if err != nil {
+			at = 0
+			n.sleep(b.failed(n.opts.Clock(), err))
+			continue
+		}
+		b.ok(n.opts.Clock())
+		at = revision
+		for _, v := range list {
+			if n.opts.View.Announce(v.Adapter, v.Version) {
+				n.opts.Log.Event("adapter version announced", slog.String("adapter", v.Adapter.String()), slog.Int("version", v.Version))
+				n.announce(v)
+			}
+		}
+	}
+}
+
+func (n *Node) followUpstreams() {
+	b := backoff{log: n.opts.Log, what: "upstreams"}
+	for n.ctx.Err() == nil {
+		list, unusable, err := n.opts.Store.Upstreams(n.ctx)
+		now := n.opts.Clock()
+		if err != nil {
+			n.noteReached(now, false)
+			n.sleep(b.failed(now, err))
+			continue
+		}
+		b.ok(now)
+		n.noteReached(now, true)
+		if len(unusable) > 0 {
+			n.opts.Log.Event("unusable upstream entries", slog.Any("names", unusable))
+		}
+		n.opts.View.SetUpstreams(n.keepLapsed(now, list))
+		n.mu.Lock()
+		n.listed = true
+		n.mu.Unlock()
+		n.reconcile()
+		n.sleep(upstreamInterval)
+	}
+}
+
+func (n *Node) noteReached(now time.Time, reached bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if reached && !n.reached {
+		n.back = now
+	}
+	n.reached = reached
+}
+
+// keepLapsed adds the upstreams that vanished during an outage of the store and may
+// still come back.
+func (n *Node) keepLapsed(now time.Time, list []upstreams.Upstream) []upstreams.Upstream {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	listed := make(map[state.UpstreamID]upstreams.Upstream, len(list))
+	addrs := make(map[string]bool, len(list))
+	for _, u := range list {
+		listed[u.ID] = u
+		addrs[u.Addr] = true
+	}
+	if now.Sub(n.back) < n.opts.LapseReturn {
+		for id, u := range n.lastList {
+			if _, ok := listed[id]; !ok && !addrs[u.Addr] && !u.Draining {
+				listed[id] = u
+				list = append(list, u)
+			}
+		}
+	}
+	n.lastList = listed
+	return list
+}
+
+func (n *Node) followRecords() {
+	b := backoff{log: n.opts.Log, what: "records"}
+	published := false
+	for n.ctx.Err() == nil {
+		if !published {
+			if err := n.opts.Store.PutMember(n.ctx, n.opts.Self); err != nil {
+				n.sleep(b.failed(n.opts.Clock(), err))
+				continue
+			}
+			published = true
+		}
+		asked := n.opts.BootClock()
+		r, err := n.opts.Store.Records(n.ctx)
+		now := n.opts.Clock()
+		if err != nil {
+			n.sleep(b.failed(now, err))
+			continue
+		}
+		b.ok(now)
+		published = n.takeRecords(now, asked, r)
+		n.reconcile()
+		n.claim()
+		n.sweep()
+		n.sleep(recordInterval)
+	}
+}
+
+// takeRecords updates peers and holders. It reports whether this run is listed.
+func (n *Node) takeRecords(now time.Time, asked time.Duration, r Records) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	listed := false
+	pins := make(map[state.DaemonID]string, len(r.Members))
+	seen := make(map[string]bool, len(r.Members))
+	for _, m := range r.Members {
+		pins[m.ID()] = m.Hash
+		if m.VM == n.opts.Self.VM {
+			listed = m.Run == n.opts.Self.Run
+			continue
+		}
+		seen[m.VM] = true
+		old := n.members[m.VM]
+		if old == nil || old.Run != m.Run {
+			n.members[m.VM] = &member{Member: m, heard: now}
+			n.opts.Log.Event("peer", slog.String("peer", m.VM), slog.String("addr", m.Addr), slog.String("run", m.Run))
+		} else {
+			old.Member = m
+		}
+	}
+	for vm := range n.members {
+		if !seen[vm] {
+			delete(n.members, vm)
+		}
+	}
+	n.opts.Pins.Set(pins)
+	n.opts.View.SetDaemons(len(r.Members))
+	n.holders = r.Holders
+	n.known = true
+	for id, w := range n.workers {
+		h, ok := r.Holders[id]
+		if ok && h.VM == n.opts.Self.VM {
+			w.confirm(asked, h.Revision)
+		}
+	}
+	return listed
+}
+
+// daemons returns this daemon and its peers.
+func (n *Node) daemons(now time.Time) []holders.Daemon {
+	list := []holders.Daemon{{VM: n.opts.Self.VM, Zone: n.opts.Self.Zone}}
+	for _, m := range n.members {
+		list = append(list, holders.Daemon{VM: m.VM, Zone: m.Zone, Silent: now.Sub(m.heard)})
+	}
+	return list
+}
+
+// claim makes this daemon the holder of engines that need one.
+func (n *Node) claim() {
+	now := n.opts.Clock()
+	if now.Sub(n.start) < holders.SettleTime {
+		return
+	}
+	n.mu.Lock()
+	if !n.known || n.leaving {
+		n.mu.Unlock()
+		return
+	}
+	self := holders.Daemon{VM: n.opts.Self.VM, Zone: n.opts.Self.Zone}
+	daemons := n.daemons(now)
+	var wanted []Holder
+	for _, u := range n.engines() {
+		h := n.holders[u.ID]
+		if holders.Claims(self, u.ID, u.Zone, h.VM, daemons) {
+			wanted = append(wanted, Holder{Engine: u.ID, VM: self.VM, From: h.VM, Revision: h.Revision})
+		}
+	}
+	n.mu.Unlock()
+	for _, h := range wanted {
+		asked := n.opts.BootClock()
+		got, err := n.opts.Store.PutHolder(n.ctx, h)
+		if err != nil {
+			n.opts.Log.Event("engine not claimed", slog.String("upstream", string(h.Engine)), slog.String("from", h.From), slog.String("err", err.Error()))
+			continue
+		}
+		n.opts.Log.Event("engine claimed", slog.String("upstream", string(h.Engine)), slog.String("from", h.From), slog.Uint64("fence", got.Revision))
+		lease := holders.Lease{Confirmed: asked}
+		if h.From != "" {
+			lease = holders.AfterTakeover(n.opts.BootClock(), n.opts.Turns)
+		}
+		n.mu.Lock()
+		n.holders[h.Engine] = got
+		n.startWorker(got, lease)
+		n.mu.Unlock()
+	}
+}
+
+// engines returns the listed model engines. The caller holds the lock.
+func (n *Node) engines() []*upstreams.Upstream {
+	table := n.opts.View.Table()
+	if table == nil {
+		return nil
+	}
+	var list []*upstreams.Upstream
+	for _, u := range n.opts.View.Upstreams() {
+		if table.Config.Services[u.Service].Engine != nil {
+			list = append(list, u)
+		}
+	}
+	return list
+}
+
+// reconcile starts and stops the workers of engines.
+func (n *Node) reconcile() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.known {
+		return
+	}
+	boot := n.opts.BootClock()
+	for _, u := range n.engines() {
+		h, ok := n.holders[u.ID]
+		if ok && h.VM == n.opts.Self.VM && n.workers[u.ID] == nil {
+			lease := holders.Lease{Confirmed: boot}
+			if h.From != "" {
+				lease = holders.AfterTakeover(boot, n.opts.Turns)
+			}
+			n.startWorker(h, lease)
+		}
+	}
+	for id, w := range n.workers {
+		h, ok := n.holders[id]
+		if u := n.opts.View.Upstream(id); u != nil && ok && h.VM == n.opts.Self.VM {
+			continue
+		}
+		w.stop()
+		delete(n.workers, id)
+		n.opts.Log.Event("engine released", slog.String("upstream", string(id)))
+	}
+}
+
+// sweep deletes the records of engines and daemons that are gone.
+func (n *Node) sweep() {
+	now := n.opts.Clock()
+	n.mu.Lock()
+	var engines []Holder
+	var daemons []Member
+	for id, h := range n.holders {
+		if n.opts.View.Upstream(id) != nil || h.VM != n.opts.Self.VM {
+			delete(n.gone, id)
+			continue
+		}
+		if n.gone[id].IsZero() {
+			n.gone[id] = now
+		} else if now.Sub(n.gone[id]) > memberGoneAfter {
+			engines = append(engines, h)
+		}
+	}
+	for _, m := range n.members {
+		if now.Sub(m.heard) > memberGoneAfter {
+			daemons = append(daemons, m.Member)
+		}
+	}
+	n.mu.Unlock()
+	for _, h := range engines {
+		if err := n.opts.Store.DeleteHolder(n.ctx, h); err != nil {
+			n.opts.Log.Event("record not deleted", slog.String("upstream", string(h.Engine)), slog.String("err", err.Error()))
+		}
+	}
+	for _, m := range daemons {
+		if err := n.opts.Store.DeleteMember(n.ctx, m); err != nil {
+			n.opts.Log.Event("record not deleted", slog.String("peer", m.VM), slog.String("err", err.Error()))
+		}
+	}
+}
+
+func (n *Node) announce(v upstreams.Version) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, w := range n.workers {
+		w.announce(v)
+	}
+}
+
+func (n *Node) gossip() {
+	for n.ctx.Err() == nil {
+		n.sleep(gossipInterval)
+		n.sendState()
+	}
+}
+
+func (n *Node) sendState() {
+	out := n.opts.View.TakeOutgoing()
+	msg := protocol.FleetState{Works: out.Works, Strikes: out.Strikes, Uses: out.Uses}
+	if t := n.opts.View.Table(); t != nil {
+		msg.ConfigVersion = t.Config.Version
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	msg.Leaving = n.leaving
+	for id, w := range n.workers {
+		w.use(out.Uses[id])
+		state := w.state()
+		n.opts.View.SetHeld(id, state.HasModel, state.Held)
+		msg.Engines = append(msg.Engines, state)
+	}
+	n.opts.View.SetLoadable(n.loadable(n.opts.Clock()))
+	for _, m := range n.members {
+		if m.sending {
+			continue
+		}
+		m.sending = true
+		n.wg.Add(1)
+		go n.tell(m, &msg)
+	}
+}
+
+func (n *Node) tell(m *member, msg *protocol.FleetState) {
+	defer n.wg.Done()
+	ctx, cancel := context.WithTimeout(n.ctx, gossipTimeout)
+	defer cancel()
+	to := peer.Peer{ID: m.ID(), Addr: m.Addr}
+	var ack protocol.FleetAck
+	err := n.opts.Pool.Exchange(ctx, to, protocol.MsgFleet, msg, &ack)
+	n.mu.Lock()
+	m.sending = false
+	drop := false
+	if err == nil {
+		m.failed = 0
+	} else {
+		m.failed++
+		drop = m.failed%dropAfter == 0
+	}
+	n.mu.Unlock()
+	if drop {
+		n.opts.Pool.Drop(to)
+	}
+}
+
+// TakeState takes the state of a peer.
+func (n *Node) TakeState(from state.DaemonID, msg *protocol.FleetState) {
+	n.mu.Lock()
+	now := n.opts.Clock()
+	for _, m := range n.members {
+		if m.ID() == from {
+			m.heard, m.spoke = now, true
+		}
+	}
+	for id, w := range n.workers {
+		w.use(msg.Uses[id])
+	}
+	n.mu.Unlock()
+	n.opts.View.SetPeerWork(from, msg.Works, msg.Strikes)
+	for _, e := range msg.Engines {
+		n.opts.View.SetHeld(e.Upstream, e.HasModel, e.Held)
+	}
+}
+
+// loadable lists the engines whose holders can be asked for loads. The caller holds the lock.
+func (n *Node) loadable(now time.Time) map[state.UpstreamID]bool {
+	list := make(map[state.UpstreamID]bool, len(n.holders))
+	for id, h := range n.holders {
+		if w := n.workers[id]; w != nil {
+			list[id] = w.canOrder()
+			continue
+		}
+		m := n.members[h.VM]
+		list[id] = m != nil && m.spoke && now.Sub(m.heard) < ownerFresh
+	}
+	return list
+}
+
+// Want asks the holder of an engine to load an adapter.
+func (n *Node) Want(ctx context.Context, msg protocol.WantAdapter) protocol.WantReply {
+	n.mu.Lock()
+	w := n.workers[msg.Upstream]
+	m := n.members[n.holders[msg.Upstream].VM]
+	n.mu.Unlock()
+	if w != nil {
+		return w.want(msg)
+	}
+	if m == nil {
+		return protocol.WantReply{Reason: "holder unknown"}
+	}
+	ctx, cancel := context.WithTimeout(ctx, wantTimeout)
+	defer cancel()
+	var reply protocol.WantReply
+	if err := n.opts.Pool.Exchange(ctx, peer.Peer{ID: m.ID(), Addr: m.Addr}, protocol.MsgWantAdapter, msg, &reply); err != nil {
+		return protocol.WantReply{Reason: err.Error()}
+	}
+	return reply
+}
+
+// ServeWant answers a peer that asks for a load at an engine of this daemon.
+func (n *Node) ServeWant(msg protocol.WantAdapter) protocol.WantReply {
+	n.mu.Lock()
+	w := n.workers[msg.Upstream]
+	n.mu.Unlock()
+	if w == nil {
+		return protocol.WantReply{Reason: "not the holder"}
+	}
+	return w.want(msg)
+}
--- /dev/null
+++ b/internal/node/fleet/view.go
@@ -0,0 +1,416 @@
+// Package fleet keeps what a daemon believes of the fleet: the configuration, the
+// upstreams and what they hold, its peers, and which daemon orders loads at which
+// engine. The decisions stand in internal/coordination.
+package fleet
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/balance"
+	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
+	"github.com/celerydeck/celerydeck/internal/coordination/residency"
+	"github.com/celerydeck/celerydeck/internal/coordination/retrybudget"
+	"github.com/celerydeck/celerydeck/internal/coordination/routes"
+	"github.com/celerydeck/celerydeck/internal/decisionlog"
+	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/state/upstreams"
+)
+
+const (
+	// heldFresh is how long an owner's word on an engine goes before the engine's
+	// own entry in the store.
+	heldFresh = 3 * time.Second
+	// ownerFresh is how long after its last message an owner is asked for loads.
+	ownerFresh = 1500 * time.Millisecond
+	// absentFor is how long an engine is not chosen for an adapter that it did not have.
+	absentFor = 700 * time.Millisecond
+	// minDaemons divides shared budgets while the peers are not known yet.
+	minDaemons = 4
+)
+
+// RetryLimits are the limits of retries over all daemons.
+type RetryLimits struct {
+	Ratio  float64
+	Burst  float64
+	Window time.Duration
+}
+
+// ViewOptions sets up a View.
+type ViewOptions struct {
+	Zone    state.Zone
+	Retries RetryLimits
+	// OutdatedFor is how long an older version of an adapter may serve after a newer one was announced.
+	OutdatedFor time.Duration
+	Log         *decisionlog.Log
+	Clock       func() time.Time
+}
+
+type heldBy struct {
+	at       time.Time
+	hasModel bool
+	list     map[upstreams.Adapter]residency.Held
+}
+
+type announced struct {
+	version int
+	at      time.Time
+}
+
+type absence struct {
+	id      state.UpstreamID
+	adapter upstreams.Adapter
+}
+
+// View is safe for concurrent use.
+type View struct {
+	opts  ViewOptions
+	table atomic.Pointer[routes.Table]
+
+	mu         sync.Mutex // guards everything below; not held across I/O
+	ups        map[state.UpstreamID]*upstreams.Upstream
+	byService  map[string][]*upstreams.Upstream
+	held       map[state.UpstreamID]heldBy
+	absent     map[absence]time.Time
+	versions   map[upstreams.Adapter]announced
+	tracker    *balance.Tracker
+	crashes    *quarantine.Table
+	strikes    []quarantine.Strike // not yet told to the peers
+	uses       map[state.UpstreamID][]upstreams.Adapter
+	replicated map[absence]time.Time
+	budgets    map[string]*retrybudget.Budget
+	loadable   map[state.UpstreamID]bool // whose holder can be asked for loads
+	daemons    int
+}
+
+// NewView returns an empty view.
+func NewView(opts ViewOptions) *View {
+	return &View{
+		opts:       opts,
+		ups:        make(map[state.UpstreamID]*upstreams.Upstream),
+		byService:  make(map[string][]*upstreams.Upstream),
+		held:       make(map[state.UpstreamID]heldBy),
+		absent:     make(map[absence]time.Time),
+		versions:   make(map[upstreams.Adapter]announced),
+		tracker:    balance.NewTracker(),
+		crashes:    quarantine.New(),
+		uses:       make(map[state.UpstreamID][]upstreams.Adapter),
+		replicated: make(map[absence]time.Time),
+		budgets:    make(map[string]*retrybudget.Budget),
+	}
+}
+
+// Table returns the configuration in force, or nil before the first one.
+func (v *View) Table() *routes.Table { return v.table.Load() }
+
+// SetConfig puts a configuration in force unless it is older than the current one.
+func (v *View) SetConfig(c *routes.Config) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if t := v.table.Load(); t != nil && t.Config.Version >= c.Version {
+		return false
+	}
+	v.table.Store(routes.NewTable(c))
+	v.opts.Log.Event("configuration in force", slog.Uint64("version", c.Version), slog.Int("routes", len(c.Routes)))
+	return true
+}
+
+// SetUpstreams replaces the list of upstreams.
+func (v *View) SetUpstreams(list []upstreams.Upstream) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.opts.Clock()
+	old := v.ups
+	v.ups = make(map[state.UpstreamID]*upstreams.Upstream, len(list))
+	v.byService = make(map[string][]*upstreams.Upstream)
+	for i := range list {
+		u := &list[i]
+		v.ups[u.ID] = u
+		v.byService[u.Service] = append(v.byService[u.Service], u)
+		if before := old[u.ID]; before == nil || before.Draining != u.Draining || before.Born != u.Born {
+			v.opts.Log.Event("upstream", slog.String("upstream", string(u.ID)), slog.String("addr", u.Addr),
+				slog.String("service", u.Service), slog.Bool("draining", u.Draining))
+		}
+	}
+	for id := range old {
+		if v.ups[id] == nil {
+			v.opts.Log.Event("upstream gone", slog.String("upstream", string(id)))
+			delete(v.held, id)
+		}
+	}
+	for k, at := range v.absent {
+		if now.Sub(at) > absentFor {
+			delete(v.absent, k)
+		}
+	}
+	for k, at := range v.replicated {
+		if now.Sub(at) > absentFor {
+			delete(v.replicated, k)
+		}
+	}
+	v.tracker.Forget(func(id state.UpstreamID) bool { return v.ups[id] != nil })
+}
+
+// Upstreams returns the listed upstreams.
+func (v *View) Upstreams() []*upstreams.Upstream {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := make([]*upstreams.Upstream, 0, len(v.ups))
+	for _, u := range v.ups {
+		out = append(out, u)
+	}
+	return out
+}
+
+// Upstream returns a listed upstream, or nil.
+func (v *View) Upstream(id state.UpstreamID) *upstreams.Upstream {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.ups[id]
+}
+
+// Announce notes the newest version of an adapter.
+func (v *View) Announce(a upstreams.Adapter, version int) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if version <= v.versions[a].version {
+		return false
+	}
+	v.versions[a] = announced{version: version, at: v.opts.Clock()}
+	return true
+}
+
+// Newest returns the newest announced versions of adapters.
+func (v *View) Newest(each func(upstreams.Adapter, int)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for a, n := range v.versions {
+		each(a, n.version)
+	}
+}
+
+// SetHeld takes an owner's word on what its engine holds.
+func (v *View) SetHeld(id state.UpstreamID, hasModel bool, list []residency.Held) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.opts.Clock()
+	h := heldBy{at: now, hasModel: hasModel, list: make(map[upstreams.Adapter]residency.Held, len(list))}
+	for _, item := range list {
+		h.list[item.Adapter] = item
+	}
+	v.held[id] = h
+}
+
+// SetLoadable takes the engines whose holders can be asked for loads.
+func (v *View) SetLoadable(list map[state.UpstreamID]bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.loadable = list
+}
+
+// SetPeerWork takes what a peer has in flight and the crashes that it saw.
+func (v *View) SetPeerWork(id state.DaemonID, works map[state.UpstreamID]balance.Work, strikes []quarantine.Strike) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.opts.Clock()
+	v.tracker.Peer(now, id, works)
+	for _, s := range strikes {
+		v.crashes.Add(now, s)
+	}
+}
+
+// SetDaemons tells among how many daemons shared budgets are divided.
+func (v *View) SetDaemons(n int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.daemons = n
+}
+
+// Outgoing is what the peers are told of this daemon's requests.
+type Outgoing struct {
+	Works   map[state.UpstreamID]balance.Work
+	Strikes []quarantine.Strike
+	Uses    map[state.UpstreamID][]upstreams.Adapter
+}
+
+// TakeOutgoing returns what the peers are to be told, and begins anew.
+func (v *View) TakeOutgoing() Outgoing {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := Outgoing{Works: v.tracker.Own(), Strikes: v.strikes, Uses: v.uses}
+	v.strikes = nil
+	v.uses = make(map[state.UpstreamID][]upstreams.Adapter)
+	return out
+}
+
+// Track runs a function on the tracker of work in flight.
+func (v *View) Track(do func(t *balance.Tracker)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	do(v.tracker)
+}
+
+// Begin counts a request that is sent to an upstream, and the use of an adapter.
+func (v *View) Begin(id state.UpstreamID, r balance.Request, a upstreams.Adapter) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.tracker.Begin(id, r)
+	if a.Name != "" {
+		v.uses[id] = append(v.uses[id], a)
+	}
+}
+
+// Absent notes that an engine did not have an adapter.
+func (v *View) Absent(id state.UpstreamID, a upstreams.Adapter) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.absent[absence{id, a}] = v.opts.Clock()
+}
+
+// Replicate reports whether a copy of an adapter on an engine may be asked for. It
+// says so once in a while for each.
+func (v *View) Replicate(id state.UpstreamID, a upstreams.Adapter) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.opts.Clock()
+	key := absence{"", a}
+	if now.Sub(v.replicated[key]) < absentFor {
+		return false
+	}
+	v.replicated[key] = now
+	return true
+}
+
+// Strike notes that an upstream crashed under a request.
+func (v *View) Strike(s quarantine.Strike) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.crashes.Add(v.opts.Clock(), s)
+	v.strikes = append(v.strikes, s)
+}
+
+// Acquit forgets the crashes of a request that ran to its end.
+func (v *View) Acquit(fingerprint uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.crashes.Clear(fingerprint)
+}
+
+// Quarantined reports whether a request is kept from all upstreams.
+func (v *View) Quarantined(fingerprint uint64) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.crashes.Refused(v.opts.Clock(), fingerprint)
+}
+
+func (v *View) budget(service string, now time.Time) *retrybudget.Budget {
+	b := v.budgets[service]
+	if b == nil {
+		b = retrybudget.New(v.opts.Retries.Ratio, v.opts.Retries.Burst, v.opts.Retries.Window, now)
+		v.budgets[service] = b
+	}
+	return b
+}
+
+// CountRequest counts the first send of a request to a service.
+func (v *View) CountRequest(service string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.opts.Clock()
+	v.budget(service, now).Request(now)
+}
+
+// TakeRetry takes a retry from this daemon's share of the budget.
+func (v *View) TakeRetry(service string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.opts.Clock()
+	return v.budget(service, now).Take(now, max(v.daemons, minDaemons))
+}
+
+// Ask is a request for a place.
+type Ask struct {
+	Service  string
+	Engine   *routes.EngineSpec // nil for a plain service
+	Request  balance.Request
+	Adapter  upstreams.Adapter
+	Limits   balance.Limits
+	Excluded func(state.UpstreamID) bool
+}
+
+// Place is a decision with the version of the adapter that the upstream must have,
+// zero if any will do.
+type Place struct {
+	balance.Decision
+	Version int
+}
+
+// Choose decides where a request runs.
+func (v *View) Choose(ask Ask) Place {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.opts.Clock()
+	ask.Request.Zone = v.opts.Zone
+	newest := v.versions[ask.Adapter]
+	outdatedOK := now.Sub(newest.at) < v.opts.OutdatedFor
+	var list, outdated []balance.Candidate
+	for _, u := range v.byService[ask.Service] {
+		if u.Draining || ask.Excluded(u.ID) {
+			continue
+		}
+		if ask.Engine == nil {
+			list = append(list, balance.Candidate{Upstream: u, Holds: true})
+			continue
+		}
+		c, version := v.candidate(now, u, ask.Adapter)
+		if c.Holds && version < newest.version {
+			if outdatedOK {
+				outdated = append(outdated, c)
+			}
+			c.Holds = false
+			c.Loadable = false // a replacement would wait for the runs on the older version
+		}
+		if c.Holds || c.Loadable {
+			list = append(list, c)
+		}
+	}
+	draw := rand.Float64()
+	if ask.Engine == nil {
+		return Place{Decision: v.tracker.ChoosePlain(now, ask.Request, list, ask.Limits, draw)}
+	}
+	d := v.tracker.ChooseEngine(now, ask.Request, ask.Adapter, list, ask.Engine.KVTokens, ask.Limits, draw)
+	if d.Upstream == nil && len(outdated) > 0 {
+		return Place{Decision: v.tracker.ChooseEngine(now, ask.Request, ask.Adapter, outdated, ask.Engine.KVTokens, ask.Limits, draw)}
+	}
+	return Place{Decision: d, Version: newest.version}
+}
+
+// candidate says what an engine can do for an adapter, and in which version it holds it.
+func (v *View) candidate(now time.Time, u *upstreams.Upstream, a upstreams.Adapter) (balance.Candidate, int) {
+	c := balance.Candidate{Upstream: u}
+	missing := now.Sub(v.absent[absence{u.ID, a}]) < absentFor
+	h, told := v.held[u.ID]
+	if told && now.Sub(h.at) < heldFresh {
+		if !h.hasModel {
+			return c, 0
+		}
+		if a.Name == "" {
+			c.Holds = !missing
+			return c, 0
+		}
+		item, ok := h.list[a]
+		c.Holds = ok && !missing
+		c.ReadyIn = max(0, item.ReadyIn-now.Sub(h.at))
+		c.Loadable = !c.Holds && v.loadable[u.ID]
+		return c, item.Version
+	}
+	if _, ok := u.Holding.Models[a.Model]; !ok {
+		return c, 0
+	}
+	c.Holds = u.Holding.Holds(a) && !missing
+	c.Loadable = a.Name != "" && !c.Holds && v.loadable[u.ID]
+	return c, u.Holding.Adapters[a]
+}
--- /dev/null
+++ b/internal/node/gateway/gateway.go
@@ -0,0 +1,393 @@
+// Package gateway serves callers' requests: it finds the route, has a place chosen,
+// sends the request there and brings the whole answer back.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/balance"
+	"github.com/celerydeck/celerydeck/internal/coordination/routes"
+	"github.com/celerydeck/celerydeck/internal/decisionlog"
+	"github.com/celerydeck/celerydeck/internal/node/fleet"
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/state/upstreams"
+	"github.com/celerydeck/celerydeck/internal/transport/httpconn"
+)
+
+const (
+	defaultBody   = 4 << 20  // bytes, before a configuration names the limit
+	memoryForBody = 48 << 20 // bytes of all bodies that are held at a time
+	// minLeft is the least time worth sending a request for.
+	minLeft = 15 * time.Millisecond
+	// noConfigWait is when to come back while the daemon has no configuration.
+	noConfigWait = 500 * time.Millisecond
+	// leavingWait is when to come back, to another daemon.
+	leavingWait = 10 * time.Millisecond
+)
+
+// Metadata is what a caller says about a request.
+type Metadata struct {
+	RequestID string
+	Deadline  time.Duration // how long the caller waits, zero if not told
+	Adapter   upstreams.Adapter
+	TokensIn  int
+	TokensOut int
+	Prompt    string
+	LastEvent int // resumes after this event, -1 for a new stream
+}
+
+// Send is what the system tells an upstream beside the caller's request.
+type Send struct {
+	Upstream  state.UpstreamID
+	TimeLeft  time.Duration
+	Priority  int // -1 for none
+	Version   int // of the adapter, 0 for any
+	LastEvent int // -1 for none
+}
+
+// Answer is what an upstream says about its answer.
+type Answer struct {
+	RequestID string
+	Signed    bool
+	NotRun    bool // the upstream did not run the request
+	Absent    bool // it is another upstream, or lacks the adapter or its version
+	Load      balance.Load
+	HasLoad   bool
+	KeepAlive time.Duration
+}
+
+// Dialect translates headers between callers, the product and upstreams.
+type Dialect interface {
+	Decode(h http.Header) Metadata
+	Encode(h http.Header, s Send)
+	Answer(status int, h http.Header) Answer
+	RefusalHeaders(h http.Header, wait time.Duration)
+}
+
+// Loader has adapters loaded.
+type Loader interface {
+	Want(ctx context.Context, msg protocol.WantAdapter) protocol.WantReply
+}
+
+// Options sets up a Gateway.
+type Options struct {
+	View    *fleet.View
+	Loader  Loader
+	Pool    *httpconn.Pool
+	Dialect Dialect
+	Log     *decisionlog.Log
+	Metrics Metrics
+	Clock   func() time.Time
+}
+
+// Metrics counts and times requests.
+type Metrics interface {
+	Request(route, outcome string, took time.Duration)
+}
+
+// Gateway is an http.Handler for callers. It is safe for concurrent use.
+type Gateway struct {
+	opts    Options
+	bodies  atomic.Int64 // bytes held
+	active  atomic.Int64
+	leaving atomic.Bool
+	closed  atomic.Bool
+}
+
+// New returns a gateway.
+func New(opts Options) *Gateway { return &Gateway{opts: opts} }
+
+// SetLeaving asks callers to use other connections from now on.
+func (g *Gateway) SetLeaving() { g.leaving.Store(true) }
+
+// RefuseAll refuses requests that come from now on.
+func (g *Gateway) RefuseAll() { g.closed.Store(true) }
+
+// Active returns the number of requests in progress.
+func (g *Gateway) Active() int64 { return g.active.Load() }
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	c := &call{g: g, w: w, r: r, ctx: r.Context(), arrival: g.opts.Clock(), lastEvent: -1}
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if g.closed.Load() {
+		c.refuse("daemon is leaving", leavingWait)
+		return
+	}
+	table := g.opts.View.Table()
+	if table == nil {
+		c.refuse("no configuration", noConfigWait)
+		return
+	}
+	c.meta = g.opts.Dialect.Decode(r.Header)
+	c.route = table.Lookup(r.Host, r.URL.Path)
+	if c.route == nil {
+		c.finish(http.StatusNotFound, "no route")
+		return
+	}
+	if !c.readBody(table.Config.Limits.BodyBytes) {
+		return
+	}
+	defer g.bodies.Add(-int64(len(c.body)))
+	c.plan(table)
+	c.serve()
+}
+
+// call is one request of a caller.
+type call struct {
+	g       *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	ctx     context.Context
+	arrival time.Time
+
+	meta        Metadata
+	route       *routes.Route
+	service     string
+	engine      *routes.EngineSpec
+	body        []byte
+	fingerprint uint64
+	deadline    time.Time
+	request     balance.Request
+
+	sends     int // arrivals at upstreams
+	runs      int // sends after which the request may have run
+	excluded  map[state.UpstreamID]bool
+	loads     int
+	begun     bool // the head of the answer was written
+	lastEvent int  // last event that the caller has, -1 for none
+	estimate  time.Duration
+	upstream  state.UpstreamID // of the last send
+}
+
+// readBody reads the caller's whole body, so that it can be sent again.
+func (c *call) readBody(limit int64) bool {
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	if c.r.ContentLength > limit {
+		c.finish(http.StatusRequestEntityTooLarge, "body too large")
+		return false
+	}
+	if c.g.bodies.Load()+max(c.r.ContentLength, 0) > memoryForBody {
+		c.refuse("memory for bodies is taken", noConfigWait)
+		return false
+	}
+	body, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
+	if err != nil {
+		c.g.opts.Log.Event("request body broke off", slog.String("request", c.meta.RequestID), slog.String("err", err.Error()))
+		panic(http.ErrAbortHandler)
+	}
+	if int64(len(body)) > limit {
+		c.finish(http.StatusRequestEntityTooLarge, "body too large")
+		return false
+	}
+	c.body = body
+	c.g.bodies.Add(int64(len(body)))
+	return true
+}
+
+func (c *call) plan(table *routes.Table) {
+	h := xxhash.New()
+	_, _ = h.WriteString(c.r.Host)
+	_, _ = h.WriteString(c.r.RequestURI)
+	_, _ = h.Write(c.body)
+	c.fingerprint = h.Sum64()
+	c.service = c.route.Pick(float64(xxhash.Sum64String(c.meta.RequestID)>>11) / (1 << 53))
+	c.engine = table.Config.Services[c.service].Engine
+	wait := c.route.Timeout
+	if c.meta.Deadline > 0 && (wait <= 0 || c.meta.Deadline < wait) {
+		wait = c.meta.Deadline
+	}
+	c.deadline = c.arrival.Add(wait)
+	c.lastEvent = c.meta.LastEvent
+	c.request = balance.Request{Rank: c.route.Rank, TokensIn: c.meta.TokensIn, TokensOut: c.meta.TokensOut}
+	c.excluded = make(map[state.UpstreamID]bool)
+}
+
+func (c *call) left() time.Duration { return c.deadline.Sub(c.g.opts.Clock()) }
+
+// abandonment is the pause after which callers give a stream up.
+func (c *call) abandonment() time.Duration {
+	return max(2*time.Second, 4*c.route.Goal, 8*c.route.GapGoal)
+}
+
+// limits returns how late the request may still begin.
+func (c *call) limits() balance.Limits {
+	elapsed := c.g.opts.Clock().Sub(c.arrival)
+	if c.route.Kind != routes.Stream {
+		return balance.Limits{Goal: c.route.Goal, Left: c.left() * 7 / 10}
+	}
+	latest := max(c.route.Goal, c.abandonment()*6/10)
+	return balance.Limits{Goal: c.route.Goal, Left: min(latest-elapsed, c.left()*7/10)}
+}
+
+// serve sends the request until one answer has been brought back whole, or nothing
+// more can be done.
+func (c *call) serve() {
+	if c.g.opts.View.Quarantined(c.fingerprint) {
+		c.refuse("crashes upstreams", c.left())
+		return
+	}
+	for {
+		if c.ctx.Err() != nil {
+			c.done("caller left", 0)
+			return
+		}
+		if c.left() < minLeft {
+			c.giveUp("deadline")
+			return
+		}
+		place := c.g.opts.View.Choose(fleet.Ask{
+			Service: c.service, Engine: c.engine, Request: c.request, Adapter: c.meta.Adapter, Limits: c.limits(),
+			Excluded: func(id state.UpstreamID) bool { return c.excluded[id] },
+		})
+		c.estimate = place.Estimate
+		if place.Replicate != nil && c.g.opts.View.Replicate(place.Replicate.ID, c.meta.Adapter) {
+			go c.g.replicate(place.Replicate.ID, c.meta.Adapter, place.Version)
+		}
+		if place.Upstream == nil {
+			c.giveUpWith(place.Reason, place.RetryAfter)
+			return
+		}
+		if c.sends > 0 && !c.g.opts.View.TakeRetry(c.service) {
+			c.giveUp("retry budget")
+			return
+		}
+		if !c.await(place) {
+			continue
+		}
+		switch c.send(place) {
+		case delivered:
+			return
+		case notRun:
+			if c.sends >= maxSends {
+				c.giveUp("rejected by upstreams")
+				return
+			}
+		case broken:
+			if !c.route.Repeatable() || c.runs >= c.route.Attempts {
+				c.giveUp("upstream broke off")
+				return
+			}
+		}
+	}
+}
+
+// maxSends bounds the upstreams that may reject a request before it is refused.
+const maxSends = 4
+
+// maxLoads bounds the engines that are asked to load an adapter for one request.
+const maxLoads = 4
+
+// await has the adapter loaded if it must be, and waits until it is there.
+func (c *call) await(place fleet.Place) bool {
+	wait := place.ReadyIn
+	if place.Load {
+		reply := c.g.opts.Loader.Want(c.ctx, protocol.WantAdapter{Upstream: place.Upstream.ID, Adapter: c.meta.Adapter, Version: place.Version})
+		c.g.opts.Log.Event("load wanted", slog.String("request", c.meta.RequestID), slog.String("upstream", string(place.Upstream.ID)),
+			slog.String("adapter", c.meta.Adapter.String()), slog.Int("version", place.Version), slog.Bool("ok", reply.OK),
+			slog.Duration("ready_in", reply.ReadyIn), slog.String("reason", reply.Reason))
+		if !reply.OK {
+			c.loads++
+			c.excluded[place.Upstream.ID] = c.loads < maxLoads
+			if c.loads >= maxLoads {
+				clear(c.excluded)
+				c.pause(loadRetry)
+			}
+			return false
+		}
+		wait = reply.ReadyIn
+	}
+	c.pause(min(wait, max(0, c.left()-minLeft)))
+	return true
+}
+
+// loadRetry is the pause after several engines had no room for an adapter.
+const loadRetry = 100 * time.Millisecond
+
+func (c *call) pause(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-c.ctx.Done():
+	}
+}
+
+func (g *Gateway) replicate(id state.UpstreamID, a upstreams.Adapter, version int) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	reply := g.opts.Loader.Want(ctx, protocol.WantAdapter{Upstream: id, Adapter: a, Version: version})
+	g.opts.Log.Event("adapter replicated", slog.String("upstream", string(id)), slog.String("adapter", a.String()),
+		slog.Bool("ok", reply.OK), slog.String("reason", reply.Reason))
+}
+
+// giveUp ends a request that has no good answer, with the truth about whether it ran.
+func (c *call) giveUp(reason string) { c.giveUpWith(reason, retrySoon) }
+
+// retrySoon is when to come back if nothing better is known.
+const retrySoon = 250 * time.Millisecond
+
+func (c *call) giveUpWith(reason string, wait time.Duration) {
+	switch {
+	case c.begun:
+		c.done(reason, -1)
+		panic(http.ErrAbortHandler)
+	case c.runs == 0:
+		c.refuse(reason, wait)
+	case c.left() < minLeft:
+		c.finish(http.StatusGatewayTimeout, reason)
+	default:
+		c.finish(http.StatusBadGateway, reason)
+	}
+}
+
+// refuse answers a request that has not run and will not run.
+func (c *call) refuse(reason string, wait time.Duration) {
+	c.g.opts.Dialect.RefusalHeaders(c.w.Header(), wait)
+	c.finish(http.StatusServiceUnavailable, reason)
+}
+
+// finish answers for the system itself.
+func (c *call) finish(status int, reason string) {
+	c.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	c.w.Header().Set("X-Celerydeck-Reason", reason)
+	c.w.WriteHeader(status)
+	_, _ = io.WriteString(c.w, reason+"\n") // the caller may have left
+	c.done(reason, status)
+}
+
+// done writes the line that explains a request. Status 0 means that no answer was
+// owed, -1 that an answer broke off.
+func (c *call) done(outcome string, status int) {
+	took := c.g.opts.Clock().Sub(c.arrival)
+	name := ""
+	if c.route != nil {
+		name = c.route.Name
+	}
+	c.g.opts.Metrics.Request(name, outcome, took)
+	c.g.opts.Log.Event("request", slog.String("request", c.meta.RequestID), slog.String("route", name),
+		slog.String("adapter", c.meta.Adapter.String()), slog.Int("status", status), slog.String("outcome", outcome),
+		slog.Int("sends", c.sends), slog.Int("runs", c.runs), slog.String("upstream", string(c.upstream)),
+		slog.Duration("took", took), slog.Duration("estimate", c.estimate), slog.Int("last_event", c.lastEvent))
+}
+
+// isCanceled reports whether an error follows from the caller's leaving.
+func (c *call) isCanceled() bool { return errors.Is(c.ctx.Err(), context.Canceled) }
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -31,6 +31,10 @@
 	MsgSuspectAnswer
 	MsgStoreAsk
 	MsgStoreGrant
+	MsgFleet
+	MsgFleetAck
+	MsgWantAdapter
+	MsgWantReply
 )
 
 // Call asks the owner of an upstream to run a request. Exactly one of Model and
--- /dev/null
+++ b/internal/state/upstreams/upstreams.go
@@ -0,0 +1,59 @@
+// Package upstreams describes upstreams as they register themselves.
+package upstreams
+
+import (
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/state"
+)
+
+// Adapter names an adapter of a base model. An empty Name stands for the model itself.
+type Adapter struct {
+	Model string `cbor:"1,keyasint"`
+	Name  string `cbor:"2,keyasint,omitempty"`
+}
+
+// String returns the name of an adapter for logs.
+func (a Adapter) String() string {
+	if a.Name == "" {
+		return a.Model
+	}
+	return a.Model + "/" + a.Name
+}
+
+// Holding is what an upstream holds in its memory.
+type Holding struct {
+	Models   map[string]int  // versions of weights by model
+	Adapters map[Adapter]int // versions by adapter
+}
+
+// Holds reports whether a model, and the adapter of it, are loaded, in any version.
+func (h *Holding) Holds(a Adapter) bool {
+	if _, ok := h.Models[a.Model]; !ok {
+		return false
+	}
+	if a.Name == "" {
+		return true
+	}
+	_, ok := h.Adapters[a]
+	return ok
+}
+
+// Upstream is a registered upstream: one run of an engine or of a plain service.
+type Upstream struct {
+	ID       state.UpstreamID
+	Service  string
+	Addr     string
+	Zone     state.Zone
+	Slots    int
+	Draining bool
+	Leaves   time.Duration // time left until it is gone, zero if not told
+	Born     int64         // start of the run, Unix milliseconds; zero if not told
+	Holding  Holding       // as of its last report
+}
+
+// Version announces a version of an adapter.
+type Version struct {
+	Adapter Adapter
+	Version int
+}
--- a/internal/transport/peer/keyring.go
+++ b/internal/transport/peer/keyring.go
@@ -86,6 +86,9 @@
 // address is an IP number, so the name check replaces the one by host name.
 func (k *Keyring) clientConfig(daemon state.DaemonID) *tls.Config {
 	id := k.identity()
+	if id.Pins != nil {
+		return id.pinnedClientConfig(daemon)
+	}
 	return &tls.Config{
 		Certificates: []tls.Certificate{id.Certificate},
 		RootCAs:      id.Authority,
@@ -97,6 +100,9 @@
 
 // verify checks a chain of certificates of a client against the authority.
 func (id *Identity) verify(chain []*x509.Certificate) error {
+	if id.Pins != nil {
+		return id.Pins.verify(chain[0])
+	}
 	intermediates := x509.NewCertPool()
 	for _, c := range chain[1:] {
 		intermediates.AddCert(c)
--- a/internal/transport/peer/pool.go
+++ b/internal/transport/peer/pool.go
@@ -66,6 +66,18 @@
 	_ = p.transport.Conn.Close()
 }
 
+// Drop closes the connection to a peer, such as one that has gone silent. The next
+// message opens another.
+func (p *Pool) Drop(peer Peer) {
+	p.mu.Lock()
+	c := p.conns[peer]
+	delete(p.conns, peer)
+	p.mu.Unlock()
+	if c != nil {
+		_ = c.conn.CloseWithError(codeShutdown, "silent")
+	}
+}
+
 // Exchange sends a message and decodes the answer into reply.
 func (p *Pool) Exchange(ctx context.Context, peer Peer, kind protocol.MessageKind, msg, reply any) *protocol.Error {
 	step := fmt.Sprintf("exchange message %d", kind)
--- a/internal/transport/peer/tls.go
+++ b/internal/transport/peer/tls.go
@@ -19,10 +19,12 @@
 
 var alpn = []string{fmt.Sprintf("celerydeck/%d", protocol.Version)}
 
-// Identity is the certificate of a daemon and the authority of its peers.
+// Identity is the certificate of a daemon and what it trusts its peers by: their
+// authority, or the hashes of the certificates that they published.
 type Identity struct {
 	Certificate tls.Certificate
 	Authority   *x509.CertPool
+	Pins        *Pins
 }
 
 // LoadIdentity reads an identity from PEM files.
