Load adapters at their home engine; follow the pace of loads

Change: a rejection while loads are in progress is a short pause; wishes queue per engine; rendezvous places weigh more, so that an adapter is loaded again where its copy lies; replicas only when the holder is late; the wait for a load follows measured lateness. Ruled out: fences and late orders (no 412, counts agreed).

--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -13,11 +13,11 @@
 	loadCost = 320 * time.Millisecond
 	// homeStep separates the engines of a rare adapter, so that its requests meet at
 	// the one that probably has a copy, and move on only under load.
-	homeStep = 60 * time.Millisecond
+	homeStep = 150 * time.Millisecond
 	maxHome  = 4
-	// replicateAt is by how much the best holder may be worse than an engine without
-	// the adapter before the adapter is loaded there as well.
-	replicateAt = 120 * time.Millisecond
+	// replicateShare of the latency objective is the estimate at the best holder from
+	// which on another copy is loaded, if that engine would begin in half the time.
+	replicateShare = 0.5
 
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 4 * time.Second
@@ -86,7 +86,7 @@
 		return Decision{RetryAfter: spread(minRetryAfter, draw), Reason: "no engine"}
 	}
 	d := Decision{Upstream: best.Upstream, Load: !best.Holds, ReadyIn: best.ReadyIn, Estimate: bestEstimate}
-	if best.Holds && bestOther != nil && holderCost > otherCost+replicateAt {
+	if best.Holds && bestOther != nil && float64(bestEstimate) > replicateShare*float64(lim.Goal) && otherCost < holderCost/2 {
 		d.Replicate = bestOther.Upstream
 	}
 	if bestEstimate > lim.Left {
--- a/internal/coordination/residency/residency.go
+++ b/internal/coordination/residency/residency.go
@@ -24,11 +24,17 @@
 	// checkInterval is how often a ledger with recent orders is compared with a report.
 	checkInterval = 1500 * time.Millisecond
 	// keepUsed protects an adapter after its last use.
-	keepUsed = 400 * time.Millisecond
+	keepUsed = 700 * time.Millisecond
 	// keepOutdated leaves time to the requests that were sent to an older version.
 	keepOutdated = 200 * time.Millisecond
 	// wantFor is how long a wish is kept.
 	wantFor = 1500 * time.Millisecond
+	// maxWants bounds the wishes that wait for an engine.
+	maxWants = 12
+	// fullPause follows an order that the engine rejected while it takes adapters in.
+	fullPause = 60 * time.Millisecond
+	// maxFull is the number of rejections in a row after which the ledger is taken to be wrong.
+	maxFull = 6
 	// maxWarm bounds the adapters of which the engine is thought to have a copy.
 	maxWarm = 100
 )
@@ -96,6 +102,8 @@
 	wants     []want
 	newest    map[upstreams.Adapter]int
 	warm      map[upstreams.Adapter]time.Time
+	full      int       // rejections in a row while adapters were on their way
+	notBefore time.Time // of the next order
 }
 
 // NewLedger returns the ledger of an engine that serves one model and holds at most
@@ -189,13 +197,31 @@
 	}
 	if i := slices.IndexFunc(l.wants, func(w want) bool { return w.adapter == a }); i >= 0 {
 		l.wants[i].version = max(l.wants[i].version, version)
-		return l.loadTime(a), true
+		return l.queueTime(i) + l.loadTime(a), true
 	}
-	if len(l.wants) >= maxTransit || l.victim(now) == nil && len(l.entries) >= l.capacity && l.entries[a] == nil {
+	if len(l.wants) >= maxWants || l.evictable(now) <= len(l.wants) {
 		return 0, false
 	}
 	l.wants = append(l.wants, want{adapter: a, version: version, until: now.Add(wantFor)})
-	return l.loadTime(a), true
+	return l.queueTime(len(l.wants)-1) + l.loadTime(a), true
+}
+
+// queueTime is how long the wish at a place of the queue waits.
+func (l *Ledger) queueTime(place int) time.Duration {
+	return coldLoad * time.Duration(place/maxTransit)
+}
+
+// evictable is the number of adapters that could be loaded without a wait for runs to end.
+func (l *Ledger) evictable(now time.Time) int {
+	n := l.capacity - len(l.entries)
+	for _, e := range l.entries {
+		if e.phase == unloading || e.phase == resident && now.Sub(e.used) > keepUsed {
+			n++
+		} else if e.phase == loading && now.After(e.readyAt) && now.Sub(e.used) > keepUsed {
+			n++
+		}
+	}
+	return n
 }
 
 func (l *Ledger) loadTime(a upstreams.Adapter) time.Duration {
@@ -208,7 +234,7 @@
 // Next returns the next order, if there is one. Its holder and fence are the
 // caller's to set. The caller reports the outcome with Done before it asks again.
 func (l *Ledger) Next(now time.Time, mayLoadModel bool) (Order, bool) {
-	if !l.synced {
+	if !l.synced || now.Before(l.notBefore) {
 		return Order{}, false
 	}
 	if !l.hasModel {
@@ -247,6 +273,12 @@
 	if o.Adapter.Name == "" {
 		l.loadModel = now
 	}
+	if r == ReplyConflict && l.anyLoading(now) && l.full < maxFull {
+		l.full++
+		l.notBefore = now.Add(fullPause)
+		return
+	}
+	l.full = 0
 	switch r {
 	case ReplyAccepted:
 		l.accepted++
@@ -268,6 +300,17 @@
 	}
 }
 
+// anyLoading reports whether an adapter may still be on its way: the engine then
+// rejects further orders although the count of orders is right.
+func (l *Ledger) anyLoading(now time.Time) bool {
+	for _, e := range l.entries {
+		if e.phase != resident && now.Sub(e.since) < wantFor {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Ledger) soon(now time.Time, d time.Duration) {
 	if at := now.Add(d); l.nextSync.Before(now) || at.Before(l.nextSync) {
 		l.nextSync = at
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	upstreamInterval = 700 * time.Millisecond // an announced leaving is in effect within two seconds
+	upstreamInterval = time.Second // an announced leaving is in effect within two seconds
 	recordInterval   = time.Second
 	watchWait        = 2 * time.Second // a silent connection is noticed soon after
 	gossipInterval   = 200 * time.Millisecond
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -30,6 +30,11 @@
 	absentFor = 700 * time.Millisecond
 	// minDaemons divides shared budgets while the peers are not known yet.
 	minDaemons = 4
+
+	loadPaceGain = 0.3
+	loadPaceKeep = 0.9
+	maxLoadPace  = 3.0
+	lateMargin   = 50 * time.Millisecond // that a late load probably still takes
 )
 
 // RetryLimits are the limits of retries over all daemons.
@@ -82,6 +87,7 @@
 	uses       map[state.UpstreamID][]upstreams.Adapter
 	replicated map[absence]time.Time
 	budgets    map[string]*retrybudget.Budget
+	loadPace   float64                   // actual over estimated time of loads
 	loadable   map[state.UpstreamID]bool // whose holder can be asked for loads
 	daemons    int
 }
@@ -100,6 +106,7 @@
 		uses:       make(map[state.UpstreamID][]upstreams.Adapter),
 		replicated: make(map[absence]time.Time),
 		budgets:    make(map[string]*retrybudget.Budget),
+		loadPace:   1,
 	}
 }
 
@@ -270,6 +277,33 @@
 	v.absent[absence{id, a}] = v.opts.Clock()
 }
 
+// LoadedInTime tells that an adapter was there when it should have been.
+func (v *View) LoadedInTime() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.loadPace = 1 + (v.loadPace-1)*loadPaceKeep
+}
+
+// LoadedLate tells that an adapter was not there yet after a time for which it was
+// estimated to take less. The pace of loads follows: they take longer while many are
+// on their way from the store.
+func (v *View) LoadedLate(estimate, elapsed time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if estimate <= 0 {
+		return
+	}
+	sample := min(maxLoadPace, float64(elapsed+lateMargin)/float64(estimate))
+	v.loadPace += loadPaceGain * max(0, sample-v.loadPace)
+}
+
+// LoadPace returns by how much loads take longer than estimated.
+func (v *View) LoadPace() float64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.loadPace
+}
+
 // Replicate reports whether a copy of an adapter on an engine may be asked for. It
 // says so once in a while for each.
 func (v *View) Replicate(id state.UpstreamID, a upstreams.Adapter) bool {
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log/slog"
 	"net/http"
@@ -163,14 +162,19 @@
 	deadline    time.Time
 	request     balance.Request
 
-	sends     int // arrivals at upstreams
-	runs      int // sends after which the request may have run
-	excluded  map[state.UpstreamID]bool
-	loads     int
-	begun     bool // the head of the answer was written
-	lastEvent int  // last event that the caller has, -1 for none
-	estimate  time.Duration
-	upstream  state.UpstreamID // of the last send
+	sends        int // arrivals at upstreams
+	runs         int // sends after which the request may have run
+	excluded     map[state.UpstreamID]bool
+	loads        int
+	begun        bool // the head of the answer was written
+	lastEvent    int  // last event that the caller has, -1 for none
+	estimate     time.Duration
+	upstream     state.UpstreamID // of the last send
+	loading      state.UpstreamID // where a load was waited for
+	loadFrom     time.Time
+	loadEstimate time.Duration
+	first        time.Duration // from the arrival to the first event
+	waited       time.Duration // for loads
 }
 
 // readBody reads the caller's whole body, so that it can be sent again.
@@ -303,16 +307,24 @@
 			slog.Duration("ready_in", reply.ReadyIn), slog.String("reason", reply.Reason))
 		if !reply.OK {
 			c.loads++
-			c.excluded[place.Upstream.ID] = c.loads < maxLoads
-			if c.loads >= maxLoads {
+			c.excluded[place.Upstream.ID] = true
+			if c.loads%maxLoads == 0 {
 				clear(c.excluded)
 				c.pause(loadRetry)
 			}
 			return false
 		}
 		wait = reply.ReadyIn
+		c.loading = place.Upstream.ID
+	} else if wait > 0 {
+		c.loading = place.Upstream.ID
 	}
+	if wait > 0 {
+		c.loadEstimate, c.loadFrom = wait, c.g.opts.Clock()
+	}
+	wait = time.Duration(float64(wait) * c.g.opts.View.LoadPace())
 	c.pause(min(wait, max(0, c.left()-minLeft)))
+	c.waited += wait
 	return true
 }
 
@@ -386,8 +398,5 @@
 	c.g.opts.Log.Event("request", slog.String("request", c.meta.RequestID), slog.String("route", name),
 		slog.String("adapter", c.meta.Adapter.String()), slog.Int("status", status), slog.String("outcome", outcome),
 		slog.Int("sends", c.sends), slog.Int("runs", c.runs), slog.String("upstream", string(c.upstream)),
-		slog.Duration("took", took), slog.Duration("estimate", c.estimate), slog.Int("last_event", c.lastEvent))
+		slog.Duration("took", took), slog.Duration("first", c.first), slog.Duration("load_wait", c.waited), slog.Duration("estimate", c.estimate), slog.Int("last_event", c.lastEvent))
 }
-
-// isCanceled reports whether an error follows from the caller's leaving.
-func (c *call) isCanceled() bool { return errors.Is(c.ctx.Err(), context.Canceled) }
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -41,6 +41,9 @@
 	// minTry is the least time that an upstream gets before an idempotent request is
 	// sent to another one.
 	minTry = 300 * time.Millisecond
+	// lateLoad is the pause before a request is sent again to an engine whose load
+	// of its adapter takes longer than estimated.
+	lateLoad = 100 * time.Millisecond
 )
 
 // hopByHop are the headers that concern one connection only.
@@ -112,31 +115,41 @@
 		return x.brokeOff("write request", err)
 	}
 	for range maxStale {
-		req := &http.Request{Method: c.r.Method}
-		var timer *time.Timer
-		if d := x.tryFor(); d > 0 {
-			timer = time.AfterFunc(d, func() { _ = x.conn.Close() })
+		if out, mine := x.readAnswer(); mine {
+			return out
 		}
-		resp, err := x.conn.ReadResponse(req)
-		if timer != nil {
-			timer.Stop()
-		}
-		if err != nil {
-			return x.brokeOff("read answer", err)
-		}
-		a := c.g.opts.Dialect.Answer(resp.StatusCode, resp.Header)
-		if a.RequestID != "" && a.RequestID != c.meta.RequestID {
-			c.note("answer to an earlier request skipped", x.u, nil)
-			if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswer)); err != nil || resp.ContentLength < 0 && resp.Close {
-				return x.brokeOff("skip earlier answer", errors.Join(err, errStale))
-			}
-			continue
-		}
-		return x.answer(resp, a)
 	}
 	return x.brokeOff("read answer", errStale)
 }
 
+// readAnswer reads one answer from the connection. It reports false if the answer
+// belongs to an earlier request and another one may follow.
+func (x *exchange) readAnswer() (outcome, bool) {
+	c := x.c
+	var timer *time.Timer
+	if d := x.tryFor(); d > 0 {
+		timer = time.AfterFunc(d, func() { _ = x.conn.Close() })
+	}
+	resp, err := x.conn.ReadResponse(&http.Request{Method: c.r.Method})
+	if timer != nil {
+		timer.Stop()
+	}
+	if err != nil {
+		return x.brokeOff("read answer", err), true
+	}
+	defer resp.Body.Close()
+	a := c.g.opts.Dialect.Answer(resp.StatusCode, resp.Header)
+	if a.RequestID == "" || a.RequestID == c.meta.RequestID {
+		return x.answer(resp, a), true
+	}
+	c.note("answer to an earlier request skipped", x.u, nil)
+	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswer)); err != nil || unframed {
+		return x.brokeOff("skip earlier answer", errors.Join(err, errStale)), true
+	}
+	return broken, false
+}
+
 var errStale = errors.New("gateway: the connection carries answers to other requests")
 
 // tryFor returns how long this upstream gets for the head of its answer, zero for
@@ -235,6 +248,9 @@
 func (x *exchange) answer(resp *http.Response, a Answer) outcome {
 	c := x.c
 	now := c.g.opts.Clock()
+	if c.loading == x.u.ID && !a.NotRun && c.sends == 1 {
+		c.g.opts.View.LoadedInTime()
+	}
 	c.g.opts.View.Track(func(t *balance.Tracker) {
 		t.Progress(now, x.u.ID)
 		if a.HasLoad {
@@ -295,6 +311,11 @@
 		x.release(resp, a)
 	}
 	c.note("rejected by upstream", x.u, errors.New(resp.Status))
+	if c.loading == x.u.ID { // the load takes longer than estimated
+		c.g.opts.View.LoadedLate(c.loadEstimate, c.g.opts.Clock().Sub(c.loadFrom))
+		c.pause(min(lateLoad, c.left()-minLeft))
+		return notRun
+	}
 	if a.Absent {
 		c.g.opts.View.Absent(x.u.ID, c.meta.Adapter)
 	} else {
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -126,6 +126,7 @@
 	x.read = true
 	c := x.c
 	took := now.Sub(x.sent)
+	c.first = now.Sub(c.arrival)
 	c.g.opts.View.Track(func(t *balance.Tracker) {
 		t.First(x.u.ID, c.request)
 		t.Progress(now, x.u.ID)
