--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -28,6 +28,7 @@
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/transport/httpconn"
+	"github.com/celerydeck/celerydeck/internal/transport/idleconn"
 	"github.com/celerydeck/celerydeck/internal/transport/peer"
 	"github.com/celerydeck/celerydeck/platform"
 )
@@ -62,7 +63,7 @@
 	node     *fleet.Node
 	gateway  *gateway.Gateway
 	pool     *httpconn.Pool
-	front    *http.Server
+	front    *idleconn.Listener
 	app      *fx.App
 	leaving  atomic.Bool
 }
@@ -124,7 +125,7 @@
 	Node    *fleet.Node
 	Gateway *gateway.Gateway
 	Pool    *httpconn.Pool
-	Front   *http.Server
+	Front   *idleconn.Listener
 }
 
 // StartEdge starts a daemon.
@@ -155,7 +156,7 @@
 	e.leaving.Store(true)
 	e.gateway.SetLeaving()
 	e.node.SetLeaving()
-	time.AfterFunc(closeIdleAfter, func() { e.front.SetKeepAlivesEnabled(false) })
+	time.AfterFunc(closeIdleAfter, e.front.CloseIdle)
 	time.AfterFunc(refuseAfter, e.gateway.RefuseAll)
 	limit := e.settings.Bounds.Grace - exitMargin
 	for time.Since(begin) < limit && (e.gateway.Active() > 0 || time.Since(begin) < minLeaving) {
@@ -307,11 +308,15 @@
 	if err != nil {
 		return fmt.Errorf("listen for %s: %w", what, err)
 	}
+	serveOn(lc, l, server)
+	return nil
+}
+
+func serveOn(lc fx.Lifecycle, l net.Listener, server *http.Server) {
 	lc.Append(fx.StartStopHook(
 		func() { go func() { _ = server.Serve(l) }() },
 		func() { _ = server.Close() },
 	))
-	return nil
 }
 
 func serveEdgeMetrics(lc fx.Lifecycle, s platform.Settings, r *metrics.Recorder) error {
@@ -330,17 +335,23 @@
 	return serve(lc, "readiness checks", s.ReadyAddr, &http.Server{Handler: router, ReadHeaderTimeout: edgeHeaderTime})
 }
 
-func newEdgeFront(g *gateway.Gateway) *http.Server {
-	return &http.Server{Handler: g, ReadHeaderTimeout: edgeHeaderTime, IdleTimeout: edgeIdle, MaxHeaderBytes: edgeHeaderBytes}
+func newEdgeFront(s platform.Settings) (*idleconn.Listener, error) {
+	l, err := net.Listen("tcp", s.FrontAddr)
+	if err != nil {
+		return nil, fmt.Errorf("listen for callers: %w", err)
+	}
+	return idleconn.Listen(l), nil
 }
 
-func serveEdgeFront(lc fx.Lifecycle, s platform.Settings, front *http.Server, pool *httpconn.Pool) error {
+func serveEdgeFront(lc fx.Lifecycle, l *idleconn.Listener, g *gateway.Gateway, pool *httpconn.Pool) {
 	done := make(chan struct{})
 	lc.Append(fx.StartStopHook(
 		func() { go sweep(pool, done) },
 		func() { close(done) },
 	))
-	return serve(lc, "callers", s.FrontAddr, front)
+	serveOn(lc, l, &http.Server{
+		Handler: g, ConnState: l.State, ReadHeaderTimeout: edgeHeaderTime, IdleTimeout: edgeIdle, MaxHeaderBytes: edgeHeaderBytes,
+	})
 }
 
 func sweep(pool *httpconn.Pool, done <-chan struct{}) {
--- a/internal/coordination/residency/residency.go
+++ b/internal/coordination/residency/residency.go
@@ -33,6 +33,8 @@
 	maxWants = 12
 	// fullPause follows an order that the engine rejected while it takes adapters in.
 	fullPause = 60 * time.Millisecond
+	// maxTries is how often an order without an answer is given before a report is read.
+	maxTries = 5
 	// maxFull is the number of rejections in a row after which the ledger is taken to be wrong.
 	maxFull = 6
 	// maxWarm bounds the adapters of which the engine is thought to have a copy.
@@ -102,6 +104,8 @@
 	wants     []want
 	newest    map[upstreams.Adapter]int
 	warm      map[upstreams.Adapter]time.Time
+	unsure    *Order    // whose outcome is unknown
+	tries     int       // of the unsure order
 	full      int       // rejections in a row while adapters were on their way
 	notBefore time.Time // of the next order
 }
@@ -237,6 +241,9 @@
 	if !l.synced || now.Before(l.notBefore) {
 		return Order{}, false
 	}
+	if l.unsure != nil {
+		return *l.unsure, true
+	}
 	if !l.hasModel {
 		if !mayLoadModel || now.Sub(l.loadModel) < checkInterval {
 			return Order{}, false
@@ -279,6 +286,8 @@
 		return
 	}
 	l.full = 0
+	repeated := l.unsure != nil
+	l.unsure = nil
 	switch r {
 	case ReplyAccepted:
 		l.accepted++
@@ -290,16 +299,33 @@
 			l.accepted++
 		}
 		l.soon(now, checkInterval)
-	case ReplyUnknown, ReplyConflict, ReplyGone:
-		if r == ReplyUnknown && !o.Unload && o.Adapter.Name != "" && l.entries[o.Adapter] == nil {
+	case ReplyUnknown:
+		if !o.Unload && o.Adapter.Name != "" && l.entries[o.Adapter] == nil {
 			// It takes a slot until a report shows otherwise.
 			l.entries[o.Adapter] = &entry{version: 0, phase: loading, since: now, readyAt: now.Add(coldLoad), used: now}
 		}
-		l.synced = false
-		l.nextSync = now.Add(reportLag)
+		if l.tries++; l.tries < maxTries {
+			// Given again, it either is accepted, which voids the first one with its
+			// count of orders, or conflicts because the first one was.
+			l.unsure = &o
+			return
+		}
+		l.distrust(now)
+	case ReplyConflict, ReplyGone:
+		l.distrust(now)
+	}
+	l.tries = 0
+	if repeated && r == ReplyHolds {
+		l.distrust(now) // the first one may have been carried out
 	}
 }
 
+// distrust waits until a report must show all earlier orders.
+func (l *Ledger) distrust(now time.Time) {
+	l.synced = false
+	l.nextSync = now.Add(reportLag)
+}
+
 // anyLoading reports whether an adapter may still be on its way: the engine then
 // rejects further orders although the count of orders is right.
 func (l *Ledger) anyLoading(now time.Time) bool {
--- a/internal/coordination/residency/residency_test.go
+++ b/internal/coordination/residency/residency_test.go
@@ -100,6 +100,25 @@
 	c.Assert(again, qt.Equals, o)
 }
 
+// Answers lost by a third of the orders stalled loads for a second each; the same
+// order with the same count is safe to give again.
+func TestAnOrderWithoutAnswerIsGivenAgain(t *testing.T) {
+	c := qt.New(t)
+	l := synced(1)
+	now := start
+	_, ok := l.Want(now, adapter(1), 0)
+	c.Assert(ok, qt.IsTrue)
+	o, _ := l.Next(now, true)
+	for range maxTries {
+		again, ok := l.Next(now, true)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(again, qt.Equals, o)
+		l.Done(now, o, ReplyUnknown)
+	}
+	_, ok = l.Next(now, true)
+	c.Assert(ok, qt.IsFalse)
+}
+
 func TestAnUnknownOutcomeTakesASlotUntilAReport(t *testing.T) {
 	c := qt.New(t)
 	l := synced(1)
@@ -107,7 +126,9 @@
 	_, ok := l.Want(now, adapter(1), 0)
 	c.Assert(ok, qt.IsTrue)
 	o, _ := l.Next(now, true)
-	l.Done(now, o, ReplyUnknown)
+	for range maxTries {
+		l.Done(now, o, ReplyUnknown)
+	}
 	_, ok = l.Next(now, true)
 	c.Assert(ok, qt.IsFalse)
 	c.Assert(l.NeedsReport(now.Add(reportLag)), qt.IsTrue)
--- a/internal/node/fleet/worker.go
+++ b/internal/node/fleet/worker.go
@@ -214,7 +214,7 @@
 		attrs = append(attrs, slog.String("err", err.Error()))
 	}
 	w.node.opts.Log.Event("order", attrs...)
-	return reply == residency.ReplyAccepted || reply == residency.ReplyHolds
+	return reply != residency.ReplyConflict && reply != residency.ReplyGone
 }
 
 func (w *worker) leaseValid() bool {
