Keep loads at an adapter's first homes; answer a wish when it is ordered

Change: copies go to the first homes only; the holder answers when the load is ordered and learns its pace from requests that came too early; adapters in flight are kept; the watch for the caller ends before the connection is given back.

--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -267,7 +267,7 @@
 func (edgePeers) ServeCall(_ context.Context, _ state.DaemonID, _ *protocol.Call, _ protocol.Sink) {}
 
 // ServeMessage implements peer.Handler.
-func (p edgePeers) ServeMessage(_ context.Context, from state.DaemonID, frame protocol.Frame) (protocol.MessageKind, any, error) {
+func (p edgePeers) ServeMessage(ctx context.Context, from state.DaemonID, frame protocol.Frame) (protocol.MessageKind, any, error) {
 	switch frame.Kind {
 	case protocol.MsgFleet:
 		var msg protocol.FleetState
@@ -281,7 +281,7 @@
 		if err := frame.Decode(&msg); err != nil {
 			return 0, nil, err
 		}
-		return protocol.MsgWantReply, p.node.ServeWant(msg), nil
+		return protocol.MsgWantReply, p.node.ServeWant(ctx, msg), nil
 	}
 	return 0, nil, errNotServed
 }
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -14,7 +14,9 @@
 	// homeStep separates the engines of a rare adapter, so that its requests meet at
 	// the one that probably has a copy, and move on only under load.
 	homeStep = 150 * time.Millisecond
-	maxHome  = 4
+	// spareHomes is how many engines beyond the number of copies may take another
+	// copy. Further ones would drop what others need, in a flood of rare adapters.
+	spareHomes = 2
 	// replicateShare of the latency objective is the estimate at the best holder from
 	// which on another copy is loaded, if that engine would begin in half the time.
 	replicateShare = 0.5
@@ -29,6 +31,8 @@
 	Holds    bool          // the adapter, in a version that may serve
 	ReadyIn  time.Duration // until a load in progress is done
 	Loadable bool          // its owner can be asked for a load
+	Full     bool          // it takes no load at present
+	Queue    time.Duration // until a load would begin
 }
 
 // Decision says where a request runs.
@@ -55,13 +59,16 @@
 	var best, bestOther *Candidate
 	bestCost, otherCost := time.Duration(math.MaxInt64), time.Duration(math.MaxInt64)
 	var bestEstimate, holderCost time.Duration
-	home := homes(adapter, list)
+	home, copies := homes(adapter, list)
 	for pass := 0; pass < 2 && best == nil; pass++ {
 		for i := range list {
 			c := &list[i]
 			if pass == 0 && t.Benched(now, c.Upstream.ID) || !c.Holds && !c.Loadable {
 				continue
 			}
+			if !c.Holds && (c.Full || home[c.Upstream.ID] >= copies+spareHomes) {
+				continue
+			}
 			estimate := t.EstimateEngine(now, c.Upstream, kvTokens, r)
 			cost := estimate + t.Penalty(c.Upstream, r.Zone)
 			if c.Holds {
@@ -74,8 +81,8 @@
 				if cost < otherCost {
 					bestOther, otherCost = c, cost
 				}
-				estimate += loadCost
-				cost += loadCost + homeStep*time.Duration(home[c.Upstream.ID])
+				estimate = max(estimate, loadCost+c.Queue) + baseFirst
+				cost += loadCost + c.Queue + homeStep*time.Duration(home[c.Upstream.ID])
 			}
 			if cost < bestCost {
 				best, bestCost, bestEstimate = c, cost, estimate
@@ -128,14 +135,18 @@
 	return d + time.Duration(draw*0.5*float64(d))
 }
 
-// homes numbers the engines by their rendezvous weight for an adapter, up to maxHome.
-func homes(a upstreams.Adapter, list []Candidate) map[state.UpstreamID]int {
+// homes numbers the engines by their rendezvous weight for an adapter, and counts
+// those that hold it.
+func homes(a upstreams.Adapter, list []Candidate) (places map[state.UpstreamID]int, copies int) {
 	key := a.String()
 	weights := make([]uint64, len(list))
 	for i := range list {
 		weights[i] = state.RendezvousWeight(key, string(list[i].Upstream.ID))
+		if list[i].Holds {
+			copies++
+		}
 	}
-	out := make(map[state.UpstreamID]int, len(list))
+	places = make(map[state.UpstreamID]int, len(list))
 	for i := range list {
 		place := 0
 		for j := range list {
@@ -143,7 +154,7 @@
 				place++
 			}
 		}
-		out[list[i].Upstream.ID] = min(place, maxHome)
+		places[list[i].Upstream.ID] = place
 	}
-	return out
+	return places, copies
 }
--- a/internal/coordination/residency/residency.go
+++ b/internal/coordination/residency/residency.go
@@ -23,12 +23,16 @@
 	reportLag = 400 * time.Millisecond
 	// checkInterval is how often a ledger with recent orders is compared with a report.
 	checkInterval = 1500 * time.Millisecond
-	// keepUsed protects an adapter after its last use.
-	keepUsed = 700 * time.Millisecond
+	// keepUsed protects an adapter after its last request was seen in flight; the
+	// daemons tell several times a second.
+	keepUsed = 500 * time.Millisecond
 	// keepOutdated leaves time to the requests that were sent to an older version.
 	keepOutdated = 200 * time.Millisecond
 	// wantFor is how long a wish is kept.
 	wantFor = 1500 * time.Millisecond
+	// lateLoadStep is added to a load that takes longer than estimated, up to lateLoadLimit.
+	lateLoadStep  = 120 * time.Millisecond
+	lateLoadLimit = 1500 * time.Millisecond
 	// maxWants bounds the wishes that wait for an engine.
 	maxWants = 12
 	// fullPause follows an order that the engine rejected while it takes adapters in.
@@ -37,6 +41,11 @@
 	maxTries = 5
 	// maxFull is the number of rejections in a row after which the ledger is taken to be wrong.
 	maxFull = 6
+	// Loads take longer while many are on their way from the store; the pace rises
+	// with each late one and falls back with each further load.
+	paceGain = 0.3
+	paceKeep = 0.93
+	maxPace  = 3.0
 	// maxWarm bounds the adapters of which the engine is thought to have a copy.
 	maxWarm = 100
 )
@@ -106,6 +115,7 @@
 	warm      map[upstreams.Adapter]time.Time
 	unsure    *Order    // whose outcome is unknown
 	tries     int       // of the unsure order
+	pace      float64   // actual over estimated time of loads from the weight store
 	full      int       // rejections in a row while adapters were on their way
 	notBefore time.Time // of the next order
 }
@@ -116,6 +126,7 @@
 	return &Ledger{
 		capacity: capacity,
 		model:    model,
+		pace:     1,
 		entries:  make(map[upstreams.Adapter]*entry),
 		newest:   make(map[upstreams.Adapter]int),
 		warm:     make(map[upstreams.Adapter]time.Time),
@@ -232,7 +243,7 @@
 	if _, ok := l.warm[a]; ok {
 		return warmLoad
 	}
-	return coldLoad
+	return time.Duration(l.pace * float64(coldLoad))
 }
 
 // Next returns the next order, if there is one. Its holder and fence are the
@@ -356,6 +367,7 @@
 		return
 	}
 	took := l.loadTime(o.Adapter)
+	l.pace = 1 + (l.pace-1)*paceKeep
 	if l.entries[o.Adapter] != nil {
 		took = replaceLoad
 	}
@@ -420,6 +432,45 @@
 	return &worst
 }
 
+// Ordered reports whether an adapter is loaded or on its way in a version, and how
+// long until it is there.
+func (l *Ledger) Ordered(now time.Time, a upstreams.Adapter, version int) (time.Duration, bool) {
+	e := l.entries[a]
+	if e == nil || e.phase == unloading || e.version < max(version, l.newest[a]) {
+		return 0, false
+	}
+	return max(0, e.readyAt.Sub(now)), true
+}
+
+// Waits reports whether a wish for an adapter is still kept.
+func (l *Ledger) Waits(now time.Time, a upstreams.Adapter) bool {
+	return slices.ContainsFunc(l.wants, func(w want) bool { return w.adapter == a && now.Before(w.until) })
+}
+
+// Missing notes that the engine did not have an adapter when a request came for it.
+func (l *Ledger) Missing(now time.Time, a upstreams.Adapter) {
+	e := l.entries[a]
+	if e == nil || now.Before(e.readyAt) {
+		return
+	}
+	if now.Sub(e.since) < lateLoadLimit && e.phase == loading {
+		e.readyAt = now.Add(lateLoadStep)
+		sample := min(maxPace, float64(e.readyAt.Sub(e.since))/float64(coldLoad))
+		l.pace += paceGain * max(0, sample-l.pace)
+		return
+	}
+	l.soon(now, 0)
+}
+
+// Room returns how many more wishes are taken, and how long a new one waits.
+func (l *Ledger) Room(now time.Time) (int, time.Duration) {
+	if !l.synced || !l.hasModel {
+		return 0, 0
+	}
+	room := min(maxWants, l.evictable(now)) - len(l.wants)
+	return max(0, room), l.queueTime(len(l.wants) + l.inTransit(now))
+}
+
 // Held is an adapter that an engine holds or will hold.
 type Held struct {
 	Adapter upstreams.Adapter `cbor:"1,keyasint"`
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -22,7 +22,7 @@
 	watchWait        = 2 * time.Second // a silent connection is noticed soon after
 	gossipInterval   = 200 * time.Millisecond
 	gossipTimeout    = 600 * time.Millisecond
-	wantTimeout      = 400 * time.Millisecond
+	wantTimeout      = 2 * time.Second // the answer comes when the load has been ordered
 	minBackoff       = 100 * time.Millisecond
 	maxBackoff       = 800 * time.Millisecond
 	dropAfter        = 3 // unanswered messages after which a connection is replaced
@@ -482,7 +482,7 @@
 
 func (n *Node) sendState() {
 	out := n.opts.View.TakeOutgoing()
-	msg := protocol.FleetState{Works: out.Works, Strikes: out.Strikes, Uses: out.Uses}
+	msg := protocol.FleetState{Works: out.Works, Strikes: out.Strikes, Uses: out.Uses, Missing: out.Missing}
 	if t := n.opts.View.Table(); t != nil {
 		msg.ConfigVersion = t.Config.Version
 	}
@@ -490,9 +490,9 @@
 	defer n.mu.Unlock()
 	msg.Leaving = n.leaving
 	for id, w := range n.workers {
-		w.use(out.Uses[id])
+		w.use(out.Uses[id], out.Missing[id])
 		state := w.state()
-		n.opts.View.SetHeld(id, state.HasModel, state.Held)
+		n.opts.View.SetHeld(state)
 		msg.Engines = append(msg.Engines, state)
 	}
 	n.opts.View.SetLoadable(n.loadable(n.opts.Clock()))
@@ -538,12 +538,12 @@
 		}
 	}
 	for id, w := range n.workers {
-		w.use(msg.Uses[id])
+		w.use(msg.Uses[id], msg.Missing[id])
 	}
 	n.mu.Unlock()
 	n.opts.View.SetPeerWork(from, msg.Works, msg.Strikes)
 	for _, e := range msg.Engines {
-		n.opts.View.SetHeld(e.Upstream, e.HasModel, e.Held)
+		n.opts.View.SetHeld(e)
 	}
 }
 
@@ -568,7 +568,7 @@
 	m := n.members[n.holders[msg.Upstream].VM]
 	n.mu.Unlock()
 	if w != nil {
-		return w.want(msg)
+		return w.want(ctx, msg)
 	}
 	if m == nil {
 		return protocol.WantReply{Reason: "holder unknown"}
@@ -583,12 +583,12 @@
 }
 
 // ServeWant answers a peer that asks for a load at an engine of this daemon.
-func (n *Node) ServeWant(msg protocol.WantAdapter) protocol.WantReply {
+func (n *Node) ServeWant(ctx context.Context, msg protocol.WantAdapter) protocol.WantReply {
 	n.mu.Lock()
 	w := n.workers[msg.Upstream]
 	n.mu.Unlock()
 	if w == nil {
 		return protocol.WantReply{Reason: "not the holder"}
 	}
-	return w.want(msg)
+	return w.want(ctx, msg)
 }
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -16,6 +16,7 @@
 	"github.com/celerydeck/celerydeck/internal/coordination/retrybudget"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
+	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/state/upstreams"
 )
@@ -30,11 +31,6 @@
 	absentFor = 700 * time.Millisecond
 	// minDaemons divides shared budgets while the peers are not known yet.
 	minDaemons = 4
-
-	loadPaceGain = 0.3
-	loadPaceKeep = 0.9
-	maxLoadPace  = 3.0
-	lateMargin   = 50 * time.Millisecond // that a late load probably still takes
 )
 
 // RetryLimits are the limits of retries over all daemons.
@@ -57,6 +53,8 @@
 type heldBy struct {
 	at       time.Time
 	hasModel bool
+	room     int
+	queue    time.Duration
 	list     map[upstreams.Adapter]residency.Held
 }
 
@@ -84,10 +82,11 @@
 	tracker    *balance.Tracker
 	crashes    *quarantine.Table
 	strikes    []quarantine.Strike // not yet told to the peers
+	inFlight   map[absence]int     // requests by engine and adapter
 	uses       map[state.UpstreamID][]upstreams.Adapter
+	missing    map[state.UpstreamID][]upstreams.Adapter
 	replicated map[absence]time.Time
 	budgets    map[string]*retrybudget.Budget
-	loadPace   float64                   // actual over estimated time of loads
 	loadable   map[state.UpstreamID]bool // whose holder can be asked for loads
 	daemons    int
 }
@@ -103,10 +102,11 @@
 		versions:   make(map[upstreams.Adapter]announced),
 		tracker:    balance.NewTracker(),
 		crashes:    quarantine.New(),
+		inFlight:   make(map[absence]int),
 		uses:       make(map[state.UpstreamID][]upstreams.Adapter),
+		missing:    make(map[state.UpstreamID][]upstreams.Adapter),
 		replicated: make(map[absence]time.Time),
 		budgets:    make(map[string]*retrybudget.Budget),
-		loadPace:   1,
 	}
 }
 
@@ -200,15 +200,15 @@
 }
 
 // SetHeld takes an owner's word on what its engine holds.
-func (v *View) SetHeld(id state.UpstreamID, hasModel bool, list []residency.Held) {
+func (v *View) SetHeld(e protocol.EngineState) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.opts.Clock()
-	h := heldBy{at: now, hasModel: hasModel, list: make(map[upstreams.Adapter]residency.Held, len(list))}
-	for _, item := range list {
+	h := heldBy{at: now, hasModel: e.HasModel, room: e.Room, queue: e.Queue, list: make(map[upstreams.Adapter]residency.Held, len(e.Held))}
+	for _, item := range e.Held {
 		h.list[item.Adapter] = item
 	}
-	v.held[id] = h
+	v.held[e.Upstream] = h
 }
 
 // SetLoadable takes the engines whose holders can be asked for loads.
@@ -241,14 +241,19 @@
 	Works   map[state.UpstreamID]balance.Work
 	Strikes []quarantine.Strike
 	Uses    map[state.UpstreamID][]upstreams.Adapter
+	Missing map[state.UpstreamID][]upstreams.Adapter
 }
 
 // TakeOutgoing returns what the peers are to be told, and begins anew.
 func (v *View) TakeOutgoing() Outgoing {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	out := Outgoing{Works: v.tracker.Own(), Strikes: v.strikes, Uses: v.uses}
+	out := Outgoing{Works: v.tracker.Own(), Strikes: v.strikes, Uses: v.uses, Missing: v.missing}
+	for key := range v.inFlight {
+		out.Uses[key.id] = append(out.Uses[key.id], key.adapter)
+	}
 	v.strikes = nil
+	v.missing = make(map[state.UpstreamID][]upstreams.Adapter)
 	v.uses = make(map[state.UpstreamID][]upstreams.Adapter)
 	return out
 }
@@ -266,42 +271,38 @@
 	defer v.mu.Unlock()
 	v.tracker.Begin(id, r)
 	if a.Name != "" {
-		v.uses[id] = append(v.uses[id], a)
+		v.inFlight[absence{id, a}]++
 	}
 }
 
-// Absent notes that an engine did not have an adapter.
-func (v *View) Absent(id state.UpstreamID, a upstreams.Adapter) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.absent[absence{id, a}] = v.opts.Clock()
-}
-
-// LoadedInTime tells that an adapter was there when it should have been.
-func (v *View) LoadedInTime() {
+// End ends a request that Begin counted; read tells whether its first event came.
+func (v *View) End(id state.UpstreamID, r balance.Request, a upstreams.Adapter, read bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.loadPace = 1 + (v.loadPace-1)*loadPaceKeep
+	v.tracker.End(id, r, read)
+	if a.Name == "" {
+		return
+	}
+	key := absence{id, a}
+	if v.inFlight[key]--; v.inFlight[key] <= 0 {
+		delete(v.inFlight, key)
+		v.uses[id] = append(v.uses[id], a) // told once more
+	}
 }
 
-// LoadedLate tells that an adapter was not there yet after a time for which it was
-// estimated to take less. The pace of loads follows: they take longer while many are
-// on their way from the store.
-func (v *View) LoadedLate(estimate, elapsed time.Duration) {
+// Absent notes that an engine did not have an adapter.
+func (v *View) Absent(id state.UpstreamID, a upstreams.Adapter) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if estimate <= 0 {
-		return
-	}
-	sample := min(maxLoadPace, float64(elapsed+lateMargin)/float64(estimate))
-	v.loadPace += loadPaceGain * max(0, sample-v.loadPace)
+	v.absent[absence{id, a}] = v.opts.Clock()
+	v.missing[id] = append(v.missing[id], a)
 }
 
-// LoadPace returns by how much loads take longer than estimated.
-func (v *View) LoadPace() float64 {
+// Late notes that an engine does not have an adapter yet whose load was waited for.
+func (v *View) Late(id state.UpstreamID, a upstreams.Adapter) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.loadPace
+	v.missing[id] = append(v.missing[id], a)
 }
 
 // Replicate reports whether a copy of an adapter on an engine may be asked for. It
@@ -439,6 +440,8 @@
 		c.Holds = ok && !missing
 		c.ReadyIn = max(0, item.ReadyIn-now.Sub(h.at))
 		c.Loadable = !c.Holds && v.loadable[u.ID]
+		c.Full = h.room <= 0
+		c.Queue = h.queue
 		return c, item.Version
 	}
 	if _, ok := u.Holding.Models[a.Model]; !ok {
--- a/internal/node/fleet/worker.go
+++ b/internal/node/fleet/worker.go
@@ -14,11 +14,8 @@
 	"github.com/celerydeck/celerydeck/internal/state/upstreams"
 )
 
-const (
-	workerTick = 150 * time.Millisecond
-	// wantLatency is the time until a wish has become an order.
-	wantLatency = 10 * time.Millisecond
-)
+// workerTick is how often a worker looks for work that nothing announced.
+const workerTick = 150 * time.Millisecond
 
 // worker gives the orders to one engine, one after the other.
 type worker struct {
@@ -32,6 +29,8 @@
 	ledger *residency.Ledger
 	lease  holders.Lease
 	usable bool
+	// moved is closed and replaced when an order has ended.
+	moved chan struct{}
 }
 
 // startWorker starts the worker of an engine. The caller holds the node's lock.
@@ -40,7 +39,7 @@
 		old.stop()
 	}
 	ctx, cancel := context.WithCancel(n.ctx)
-	w := &worker{node: n, id: h.Engine, fence: h.Revision, cancel: cancel, wake: make(chan struct{}, 1), lease: lease}
+	w := &worker{node: n, id: h.Engine, fence: h.Revision, cancel: cancel, wake: make(chan struct{}, 1), lease: lease, moved: make(chan struct{})}
 	n.workers[h.Engine] = w
 	n.wg.Add(1)
 	go func() {
@@ -81,7 +80,7 @@
 	}
 }
 
-func (w *worker) use(list []upstreams.Adapter) {
+func (w *worker) use(list, missing []upstreams.Adapter) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.ledger == nil {
@@ -91,6 +90,9 @@
 	for _, a := range list {
 		w.ledger.Use(now, a)
 	}
+	for _, a := range missing {
+		w.ledger.Missing(now, a)
+	}
 }
 
 func (w *worker) state() protocol.EngineState {
@@ -99,26 +101,58 @@
 	s := protocol.EngineState{Upstream: w.id}
 	if w.ledger != nil {
 		s.HasModel = w.ledger.HasModel()
-		s.Held = w.ledger.Held(w.node.opts.Clock())
+		now := w.node.opts.Clock()
+		s.Held = w.ledger.Held(now)
+		s.Room, s.Queue = w.ledger.Room(now)
 	}
 	return s
 }
 
-func (w *worker) want(msg protocol.WantAdapter) protocol.WantReply {
+// want takes a wish and answers when the load has been ordered.
+func (w *worker) want(ctx context.Context, msg protocol.WantAdapter) protocol.WantReply {
+	if reply, done := w.enter(msg); done {
+		return reply
+	}
+	w.poke()
+	for {
+		w.mu.Lock()
+		now := w.node.opts.Clock()
+		in, ordered := w.ledger.Ordered(now, msg.Adapter, msg.Version)
+		waits := w.ledger.Waits(now, msg.Adapter)
+		moved := w.moved
+		w.mu.Unlock()
+		if ordered {
+			return protocol.WantReply{OK: true, ReadyIn: in}
+		}
+		if !waits {
+			return protocol.WantReply{Reason: "load was not ordered in time"}
+		}
+		timer := time.NewTimer(workerTick)
+		select {
+		case <-moved:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return protocol.WantReply{Reason: ctx.Err().Error()}
+		}
+		timer.Stop()
+	}
+}
+
+// enter puts a wish into the ledger. It reports true if the answer is known at once.
+func (w *worker) enter(msg protocol.WantAdapter) (protocol.WantReply, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.lease.Valid(w.node.opts.BootClock()) {
-		return protocol.WantReply{Reason: "lease not valid"}
+		return protocol.WantReply{Reason: "lease not valid"}, true
 	}
 	if w.ledger == nil {
-		return protocol.WantReply{Reason: "engine not known yet"}
+		return protocol.WantReply{Reason: "engine not known yet"}, true
 	}
-	in, ok := w.ledger.Want(w.node.opts.Clock(), msg.Adapter, msg.Version)
-	if !ok {
-		return protocol.WantReply{Reason: "no room at the engine"}
+	if _, ok := w.ledger.Want(w.node.opts.Clock(), msg.Adapter, msg.Version); !ok {
+		return protocol.WantReply{Reason: "no room at the engine"}, true
 	}
-	w.poke()
-	return protocol.WantReply{OK: true, ReadyIn: in + wantLatency}
+	return protocol.WantReply{}, false
 }
 
 func (w *worker) run(ctx context.Context) {
@@ -205,6 +239,8 @@
 	reply, err := w.node.opts.Engines.Order(ctx, *u, o)
 	w.mu.Lock()
 	w.ledger.Done(w.node.opts.Clock(), o, reply)
+	close(w.moved)
+	w.moved = make(chan struct{})
 	w.mu.Unlock()
 	attrs := []slog.Attr{
 		slog.String("upstream", string(w.id)), slog.String("adapter", o.Adapter.String()), slog.Bool("unload", o.Unload),
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -162,19 +162,17 @@
 	deadline    time.Time
 	request     balance.Request
 
-	sends        int // arrivals at upstreams
-	runs         int // sends after which the request may have run
-	excluded     map[state.UpstreamID]bool
-	loads        int
-	begun        bool // the head of the answer was written
-	lastEvent    int  // last event that the caller has, -1 for none
-	estimate     time.Duration
-	upstream     state.UpstreamID // of the last send
-	loading      state.UpstreamID // where a load was waited for
-	loadFrom     time.Time
-	loadEstimate time.Duration
-	first        time.Duration // from the arrival to the first event
-	waited       time.Duration // for loads
+	sends     int // arrivals at upstreams
+	runs      int // sends after which the request may have run
+	excluded  map[state.UpstreamID]bool
+	loads     int
+	begun     bool // the head of the answer was written
+	lastEvent int  // last event that the caller has, -1 for none
+	estimate  time.Duration
+	upstream  state.UpstreamID // of the last send
+	loading   state.UpstreamID // where a load was waited for
+	first     time.Duration    // from the arrival to the first event
+	waited    time.Duration    // for loads
 }
 
 // readBody reads the caller's whole body, so that it can be sent again.
@@ -272,6 +270,10 @@
 			return
 		}
 		if !c.await(place) {
+			if c.loads >= maxLoads {
+				c.giveUp("no engine loads the adapter")
+				return
+			}
 			continue
 		}
 		switch c.send(place) {
@@ -308,10 +310,6 @@
 		if !reply.OK {
 			c.loads++
 			c.excluded[place.Upstream.ID] = true
-			if c.loads%maxLoads == 0 {
-				clear(c.excluded)
-				c.pause(loadRetry)
-			}
 			return false
 		}
 		wait = reply.ReadyIn
@@ -319,18 +317,11 @@
 	} else if wait > 0 {
 		c.loading = place.Upstream.ID
 	}
-	if wait > 0 {
-		c.loadEstimate, c.loadFrom = wait, c.g.opts.Clock()
-	}
-	wait = time.Duration(float64(wait) * c.g.opts.View.LoadPace())
 	c.pause(min(wait, max(0, c.left()-minLeft)))
 	c.waited += wait
 	return true
 }
 
-// loadRetry is the pause after several engines had no room for an adapter.
-const loadRetry = 100 * time.Millisecond
-
 func (c *call) pause(d time.Duration) {
 	if d <= 0 {
 		return
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -62,13 +62,14 @@
 
 // exchange is one send of a request to an upstream.
 type exchange struct {
-	c       *call
-	u       *upstreams.Upstream
-	conn    *httpconn.Conn
-	sent    time.Time
-	written chan error   // result of writing a long body, nil for a short one
-	read    bool         // the first event has come
-	lastAt  atomic.Int64 // time of the last event, Unix nanoseconds
+	c        *call
+	u        *upstreams.Upstream
+	conn     *httpconn.Conn
+	sent     time.Time
+	stop     func() bool  // ends the watch for the caller's leaving
+	longBody bool         // is written while the answer is read
+	read     bool         // the first event has come
+	lastAt   atomic.Int64 // time of the last event, Unix nanoseconds
 }
 
 // send sends the request to an upstream and brings its answer back.
@@ -93,10 +94,10 @@
 	x := &exchange{c: c, u: u, conn: conn, sent: c.g.opts.Clock()}
 	view.Begin(u.ID, c.request, c.meta.Adapter)
 	defer func() {
-		view.Track(func(t *balance.Tracker) { t.End(u.ID, c.request, x.read) })
+		view.End(u.ID, c.request, c.meta.Adapter, x.read)
 	}()
-	stop := context.AfterFunc(c.ctx, func() { _ = conn.Close() })
-	defer stop()
+	x.stop = context.AfterFunc(c.ctx, func() { _ = conn.Close() })
+	defer x.stop()
 	out := x.run(place.Version)
 	if out == delivered {
 		return out
@@ -196,13 +197,12 @@
 		_, err := x.conn.Write(head.Bytes())
 		return err
 	}
-	x.written = make(chan error, 1)
+	x.longBody = true
 	go func() {
-		_, err := x.conn.Write(head.Bytes())
-		if err == nil {
-			_, err = x.conn.Write(c.body)
+		// A failed write shows as a failed read of the answer.
+		if _, err := x.conn.Write(head.Bytes()); err == nil {
+			_, _ = x.conn.Write(c.body)
 		}
-		x.written <- err
 	}()
 	return nil
 }
@@ -248,9 +248,6 @@
 func (x *exchange) answer(resp *http.Response, a Answer) outcome {
 	c := x.c
 	now := c.g.opts.Clock()
-	if c.loading == x.u.ID && !a.NotRun && c.sends == 1 {
-		c.g.opts.View.LoadedInTime()
-	}
 	c.g.opts.View.Track(func(t *balance.Tracker) {
 		t.Progress(now, x.u.ID)
 		if a.HasLoad {
@@ -312,7 +309,7 @@
 	}
 	c.note("rejected by upstream", x.u, errors.New(resp.Status))
 	if c.loading == x.u.ID { // the load takes longer than estimated
-		c.g.opts.View.LoadedLate(c.loadEstimate, c.g.opts.Clock().Sub(c.loadFrom))
+		c.g.opts.View.Late(x.u.ID, c.meta.Adapter)
 		c.pause(min(lateLoad, c.left()-minLeft))
 		return notRun
 	}
@@ -336,18 +333,13 @@
 	}
 }
 
-// release gives the connection back if it can carry another request.
+// release gives the connection back if it can carry another request. After a long
+// body it can't: the upstream may have answered before it read all of it.
 func (x *exchange) release(resp *http.Response, a Answer) {
-	whole := true
-	if x.written != nil {
-		select {
-		case err := <-x.written:
-			whole = err == nil
-		default:
-			whole = false
-		}
-	}
-	if !whole || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	// A caller who leaves at this moment must not close the connection of the next request.
+	watched := x.stop()
+	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	if !watched || x.longBody || resp.Close || unframed {
 		_ = x.conn.Close()
 		return
 	}
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -14,7 +14,8 @@
 type FleetState struct {
 	Works   map[state.UpstreamID]balance.Work        `cbor:"1,keyasint,omitempty"`
 	Strikes []quarantine.Strike                      `cbor:"2,keyasint,omitempty"`
-	Uses    map[state.UpstreamID][]upstreams.Adapter `cbor:"3,keyasint,omitempty"` // since the last message
+	Uses    map[state.UpstreamID][]upstreams.Adapter `cbor:"3,keyasint,omitempty"` // in flight, or begun since the last message
+	Missing map[state.UpstreamID][]upstreams.Adapter `cbor:"7,keyasint,omitempty"` // asked for since the last message, and not there
 	Engines []EngineState                            `cbor:"4,keyasint,omitempty"` // that the sender orders loads at
 	// ConfigVersion is the version of the configuration in force at the sender.
 	ConfigVersion uint64 `cbor:"5,keyasint,omitempty"`
@@ -26,6 +27,8 @@
 	Upstream state.UpstreamID `cbor:"1,keyasint"`
 	HasModel bool             `cbor:"2,keyasint"`
 	Held     []residency.Held `cbor:"3,keyasint"`
+	Room     int              `cbor:"4,keyasint"` // loads that may be asked for
+	Queue    time.Duration    `cbor:"5,keyasint"` // until a new one would begin
 }
 
 // FleetAck answers a FleetState.
