Limit the adapters on their way from the weight store without knowing its limit

Change: each daemon keeps a window (additive increase, multiplicative decrease on late loads); urgent loads go first; a wish whose requests gave up is dropped. Ruled out: the limit from the configuration (it does not name one).

--- a/internal/coordination/residency/residency.go
+++ b/internal/coordination/residency/residency.go
@@ -92,7 +92,9 @@
 type want struct {
 	adapter upstreams.Adapter
 	version int
+	rank    int
 	until   time.Time
+	waiters int
 }
 
 // Ledger is what the owner of an engine knows of the adapters there. It is not safe
@@ -199,40 +201,55 @@
 	}
 }
 
-// Want asks for an adapter in a version or a newer one. It returns how long the
-// load will take, or false if the engine has no room for it at present.
-func (l *Ledger) Want(now time.Time, a upstreams.Adapter, version int) (time.Duration, bool) {
+// Want asks for an adapter in a version or a newer one, for a request of a rank. It
+// reports false if the engine has no room for it at present. The caller calls Leave
+// when it does not wait any more, unless Ordered reported true.
+func (l *Ledger) Want(now time.Time, a upstreams.Adapter, version, rank int) bool {
 	if !l.synced || !l.hasModel {
-		return 0, false
+		return false
 	}
 	version = max(version, l.newest[a])
 	if e := l.entries[a]; e != nil && e.phase != unloading && e.version >= version {
 		e.used = now
-		return max(0, e.readyAt.Sub(now)), true
+		return true
 	}
 	if i := slices.IndexFunc(l.wants, func(w want) bool { return w.adapter == a }); i >= 0 {
-		l.wants[i].version = max(l.wants[i].version, version)
-		return l.queueTime(i) + l.loadTime(a), true
+		w := &l.wants[i]
+		w.version, w.rank, w.until = max(w.version, version), min(w.rank, rank), now.Add(wantFor)
+		w.waiters++
+		return true
 	}
 	if len(l.wants) >= maxWants || l.evictable(now) <= len(l.wants) {
-		return 0, false
+		return false
 	}
-	l.wants = append(l.wants, want{adapter: a, version: version, until: now.Add(wantFor)})
-	return l.queueTime(len(l.wants)-1) + l.loadTime(a), true
+	l.wants = append(l.wants, want{adapter: a, version: version, rank: rank, until: now.Add(wantFor), waiters: 1})
+	return true
 }
 
-// queueTime is how long the wish at a place of the queue waits.
-func (l *Ledger) queueTime(place int) time.Duration {
-	return coldLoad * time.Duration(place/maxTransit)
+// Leave withdraws a wish of one request; the last one to leave drops it.
+func (l *Ledger) Leave(a upstreams.Adapter) {
+	for i := range l.wants {
+		if l.wants[i].adapter != a {
+			continue
+		}
+		if l.wants[i].waiters--; l.wants[i].waiters <= 0 {
+			l.wants = slices.Delete(l.wants, i, i+1)
+		}
+		return
+	}
+}
+
+// queueTime is how long a further wish waits behind others, if parallel loads run.
+func (l *Ledger) queueTime(others int, parallel float64) time.Duration {
+	rounds := float64(others) / min(max(1, parallel), maxTransit)
+	return time.Duration(rounds * l.pace * float64(coldLoad))
 }
 
 // evictable is the number of adapters that could be loaded without a wait for runs to end.
 func (l *Ledger) evictable(now time.Time) int {
 	n := l.capacity - len(l.entries)
 	for _, e := range l.entries {
-		if e.phase == unloading || e.phase == resident && now.Sub(e.used) > keepUsed {
-			n++
-		} else if e.phase == loading && now.After(e.readyAt) && now.Sub(e.used) > keepUsed {
+		if e.phase == unloading || now.After(e.readyAt) && now.Sub(e.used) > keepUsed {
 			n++
 		}
 	}
@@ -246,9 +263,21 @@
 	return time.Duration(l.pace * float64(coldLoad))
 }
 
+// Allowed says which loads from the weight store its limits allow at present.
+type Allowed struct {
+	Model bool // the weights of a model
+	Cold  bool // an adapter of which the engine has no copy
+}
+
+// IsCold reports whether an order loads an adapter of which the engine has no copy.
+func (l *Ledger) IsCold(o Order) bool {
+	_, warm := l.warm[o.Adapter]
+	return !o.Unload && o.Adapter.Name != "" && !warm
+}
+
 // Next returns the next order, if there is one. Its holder and fence are the
 // caller's to set. The caller reports the outcome with Done before it asks again.
-func (l *Ledger) Next(now time.Time, mayLoadModel bool) (Order, bool) {
+func (l *Ledger) Next(now time.Time, may Allowed) (Order, bool) {
 	if !l.synced || now.Before(l.notBefore) {
 		return Order{}, false
 	}
@@ -256,14 +285,13 @@
 		return *l.unsure, true
 	}
 	if !l.hasModel {
-		if !mayLoadModel || now.Sub(l.loadModel) < checkInterval {
+		if !may.Model || now.Sub(l.loadModel) < checkInterval {
 			return Order{}, false
 		}
 		return Order{Adapter: upstreams.Adapter{Model: l.model}, Expected: l.accepted}, true
 	}
 	l.wants = slices.DeleteFunc(l.wants, func(w want) bool { return l.settled(now, w) })
-	if len(l.wants) > 0 && l.inTransit(now) < maxTransit {
-		w := l.wants[0]
+	if w := l.first(may.Cold); w != nil && l.inTransit(now) < maxTransit {
 		if l.entries[w.adapter] != nil || len(l.entries) < l.capacity {
 			return Order{Adapter: w.adapter, Version: w.version, Expected: l.accepted}, true
 		}
@@ -279,6 +307,21 @@
 	return Order{}, false
 }
 
+// first returns the most urgent wish, the oldest of its rank, that may be met.
+func (l *Ledger) first(cold bool) *want {
+	var best *want
+	for i := range l.wants {
+		w := &l.wants[i]
+		if _, warm := l.warm[w.adapter]; !warm && !cold {
+			continue
+		}
+		if best == nil || w.rank < best.rank {
+			best = w
+		}
+	}
+	return best
+}
+
 // settled reports whether a wish is met or too old.
 func (l *Ledger) settled(now time.Time, w want) bool {
 	e := l.entries[w.adapter]
@@ -448,27 +491,29 @@
 }
 
 // Missing notes that the engine did not have an adapter when a request came for it.
-func (l *Ledger) Missing(now time.Time, a upstreams.Adapter) {
+// It returns when a load that is late should be done, or zero.
+func (l *Ledger) Missing(now time.Time, a upstreams.Adapter) time.Time {
 	e := l.entries[a]
 	if e == nil || now.Before(e.readyAt) {
-		return
+		return time.Time{}
 	}
 	if now.Sub(e.since) < lateLoadLimit && e.phase == loading {
 		e.readyAt = now.Add(lateLoadStep)
 		sample := min(maxPace, float64(e.readyAt.Sub(e.since))/float64(coldLoad))
 		l.pace += paceGain * max(0, sample-l.pace)
-		return
+		return e.readyAt
 	}
 	l.soon(now, 0)
+	return time.Time{}
 }
 
 // Room returns how many more wishes are taken, and how long a new one waits.
-func (l *Ledger) Room(now time.Time) (int, time.Duration) {
+func (l *Ledger) Room(now time.Time, parallel float64) (int, time.Duration) {
 	if !l.synced || !l.hasModel {
 		return 0, 0
 	}
 	room := min(maxWants, l.evictable(now)) - len(l.wants)
-	return max(0, room), l.queueTime(len(l.wants) + l.inTransit(now))
+	return max(0, room), l.queueTime(len(l.wants)+l.inTransit(now), parallel)
 }
 
 // Held is an adapter that an engine holds or will hold.
--- a/internal/coordination/residency/residency_test.go
+++ b/internal/coordination/residency/residency_test.go
@@ -13,7 +13,10 @@
 
 const model = "m"
 
-var start = time.Unix(1000, 0)
+var (
+	start = time.Unix(1000, 0)
+	all   = Allowed{Model: true, Cold: true}
+)
 
 func adapter(i int) upstreams.Adapter {
 	return upstreams.Adapter{Model: model, Name: fmt.Sprintf("a%d", i)}
@@ -36,9 +39,9 @@
 func TestNothingIsOrderedBeforeTheFirstReport(t *testing.T) {
 	c := qt.New(t)
 	l := NewLedger(model, 2)
-	_, ok := l.Want(start, adapter(1), 0)
+	ok := l.Want(start, adapter(1), 0, 0)
 	c.Assert(ok, qt.IsFalse)
-	_, ok = l.Next(start, true)
+	_, ok = l.Next(start, all)
 	c.Assert(ok, qt.IsFalse)
 	c.Assert(l.NeedsReport(start), qt.IsTrue)
 }
@@ -47,9 +50,9 @@
 	c := qt.New(t)
 	l := NewLedger(model, 2)
 	l.Sync(start, 1, 0, upstreams.Holding{}, nil)
-	_, ok := l.Next(start, false)
+	_, ok := l.Next(start, Allowed{Cold: true})
 	c.Assert(ok, qt.IsFalse, qt.Commentf("the weight store allows no load"))
-	o, ok := l.Next(start, true)
+	o, ok := l.Next(start, all)
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(o.Adapter, qt.Equals, upstreams.Adapter{Model: model})
 }
@@ -59,13 +62,13 @@
 	l := synced(2, adapter(1), adapter(2))
 	now := start.Add(2 * time.Second)
 	l.Use(now.Add(-time.Second), adapter(1))
-	_, ok := l.Want(now, adapter(3), 0)
+	ok := l.Want(now, adapter(3), 0, 0)
 	c.Assert(ok, qt.IsTrue)
-	o, ok := l.Next(now, true)
+	o, ok := l.Next(now, all)
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(o, qt.Equals, Order{Adapter: adapter(2), Unload: true})
 	l.Done(now, o, ReplyHolds)
-	o, ok = l.Next(now, true)
+	o, ok = l.Next(now, all)
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(o, qt.Equals, Order{Adapter: adapter(3), Expected: 1})
 }
@@ -75,7 +78,7 @@
 	l := synced(1, adapter(1))
 	now := start.Add(2 * time.Second)
 	l.Use(now, adapter(1))
-	_, ok := l.Want(now, adapter(2), 0)
+	ok := l.Want(now, adapter(2), 0, 0)
 	c.Assert(ok, qt.IsFalse)
 }
 
@@ -86,16 +89,16 @@
 	l := synced(10)
 	now := start
 	for i := range 2 {
-		_, ok := l.Want(now, adapter(i), 0)
+		ok := l.Want(now, adapter(i), 0, 0)
 		c.Assert(ok, qt.IsTrue)
 	}
-	o, _ := l.Next(now, true)
+	o, _ := l.Next(now, all)
 	l.Done(now, o, ReplyAccepted)
-	o, _ = l.Next(now, true)
+	o, _ = l.Next(now, all)
 	l.Done(now, o, ReplyConflict)
-	_, ok := l.Next(now, true)
+	_, ok := l.Next(now, all)
 	c.Assert(ok, qt.IsFalse)
-	again, ok := l.Next(now.Add(fullPause), true)
+	again, ok := l.Next(now.Add(fullPause), all)
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(again, qt.Equals, o)
 }
@@ -106,30 +109,64 @@
 	c := qt.New(t)
 	l := synced(1)
 	now := start
-	_, ok := l.Want(now, adapter(1), 0)
+	ok := l.Want(now, adapter(1), 0, 0)
 	c.Assert(ok, qt.IsTrue)
-	o, _ := l.Next(now, true)
+	o, _ := l.Next(now, all)
 	for range maxTries {
-		again, ok := l.Next(now, true)
+		again, ok := l.Next(now, all)
 		c.Assert(ok, qt.IsTrue)
 		c.Assert(again, qt.Equals, o)
 		l.Done(now, o, ReplyUnknown)
 	}
-	_, ok = l.Next(now, true)
+	_, ok = l.Next(now, all)
+	c.Assert(ok, qt.IsFalse)
+}
+
+func TestUrgentRequestsAreLoadedForFirst(t *testing.T) {
+	c := qt.New(t)
+	l := synced(4)
+	c.Assert(l.Want(start, adapter(1), 0, 2), qt.IsTrue)
+	c.Assert(l.Want(start, adapter(2), 0, 0), qt.IsTrue)
+	o, ok := l.Next(start, all)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(o.Adapter, qt.Equals, adapter(2))
+}
+
+// Requests that gave up left loads behind that dropped what others needed.
+func TestAWishWithoutWaitersIsDropped(t *testing.T) {
+	c := qt.New(t)
+	l := synced(4)
+	l.Want(start, adapter(1), 0, 0)
+	l.Want(start, adapter(1), 0, 0)
+	l.Leave(adapter(1))
+	c.Assert(l.Waits(start, adapter(1)), qt.IsTrue)
+	l.Leave(adapter(1))
+	_, ok := l.Next(start, all)
 	c.Assert(ok, qt.IsFalse)
 }
 
+func TestOnlyCopiesAreLoadedWhileTheStoreIsBusy(t *testing.T) {
+	c := qt.New(t)
+	l := synced(4)
+	l.Want(start, adapter(1), 0, 0)
+	_, ok := l.Next(start, Allowed{})
+	c.Assert(ok, qt.IsFalse)
+	l.keepWarm(start, adapter(1))
+	_, ok = l.Next(start, Allowed{})
+	c.Assert(ok, qt.IsTrue)
+}
+
 func TestAnUnknownOutcomeTakesASlotUntilAReport(t *testing.T) {
 	c := qt.New(t)
 	l := synced(1)
 	now := start
-	_, ok := l.Want(now, adapter(1), 0)
+	ok := l.Want(now, adapter(1), 0, 0)
 	c.Assert(ok, qt.IsTrue)
-	o, _ := l.Next(now, true)
+	o, _ := l.Next(now, all)
 	for range maxTries {
 		l.Done(now, o, ReplyUnknown)
 	}
-	_, ok = l.Next(now, true)
+	_, ok = l.Next(now, all)
 	c.Assert(ok, qt.IsFalse)
 	c.Assert(l.NeedsReport(now.Add(reportLag)), qt.IsTrue)
 	l.Sync(now.Add(reportLag), 1, 1, holding(adapter(1)), nil)
@@ -149,9 +186,9 @@
 	l := synced(4, adapter(1))
 	l.Announce(adapter(1), 2)
 	l.Use(start, adapter(1))
-	_, ok := l.Next(start, true)
+	_, ok := l.Next(start, all)
 	c.Assert(ok, qt.IsFalse)
-	o, ok := l.Next(start.Add(time.Second), true)
+	o, ok := l.Next(start.Add(time.Second), all)
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(o, qt.Equals, Order{Adapter: adapter(1), Unload: true})
 }
@@ -203,8 +240,8 @@
 				}
 				l.Sync(now, 1, e.accepted, h, nil)
 			}
-			l.Want(now, adapter(rng.IntN(8)), 0)
-			o, ok := l.Next(now, true)
+			l.Want(now, adapter(rng.IntN(8)), 0, 0)
+			o, ok := l.Next(now, all)
 			if !ok {
 				continue
 			}
--- a/internal/node/fleet/loads.go
+++ b/internal/node/fleet/loads.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
+	"sync"
 	"time"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/loadwindow"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
 )
 
@@ -29,3 +31,34 @@
 	defer n.mu.Unlock()
 	n.modelLoads = append(n.modelLoads, now)
 }
+
+// sharedWindow is the window of loads of all engines that a daemon holds.
+type sharedWindow struct {
+	mu     sync.Mutex
+	window *loadwindow.Window
+}
+
+func (s *sharedWindow) free(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.window.Free(now)
+}
+
+func (s *sharedWindow) begin(end time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.window.Begin(end)
+}
+
+func (s *sharedWindow) size() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.window.Size()
+}
+
+// lateLoad narrows the window: a load is late, and still in flight until end.
+func (n *Node) lateLoad(now, end time.Time) {
+	n.window.mu.Lock()
+	defer n.window.mu.Unlock()
+	n.window.window.Late(now, end)
+}
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/holders"
+	"github.com/celerydeck/celerydeck/internal/coordination/loadwindow"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/protocol"
@@ -65,6 +66,7 @@
 	wg     sync.WaitGroup
 	ctx    context.Context
 	start  time.Time
+	window sharedWindow
 
 	mu      sync.Mutex
 	members map[string]*member // by VM, without this daemon
@@ -86,6 +88,7 @@
 func New(opts Options) *Node {
 	return &Node{
 		opts:    opts,
+		window:  sharedWindow{window: loadwindow.New()},
 		members: make(map[string]*member),
 		holders: make(map[state.UpstreamID]Holder),
 		workers: make(map[state.UpstreamID]*worker),
--- a/internal/node/fleet/worker.go
+++ b/internal/node/fleet/worker.go
@@ -15,7 +15,7 @@
 )
 
 // workerTick is how often a worker looks for work that nothing announced.
-const workerTick = 150 * time.Millisecond
+const workerTick = 50 * time.Millisecond
 
 // worker gives the orders to one engine, one after the other.
 type worker struct {
@@ -91,7 +91,9 @@
 		w.ledger.Use(now, a)
 	}
 	for _, a := range missing {
-		w.ledger.Missing(now, a)
+		if end := w.ledger.Missing(now, a); !end.IsZero() {
+			w.node.lateLoad(now, end)
+		}
 	}
 }
 
@@ -103,7 +105,7 @@
 		s.HasModel = w.ledger.HasModel()
 		now := w.node.opts.Clock()
 		s.Held = w.ledger.Held(now)
-		s.Room, s.Queue = w.ledger.Room(now)
+		s.Room, s.Queue = w.ledger.Room(now, w.node.window.size())
 	}
 	return s
 }
@@ -113,6 +115,11 @@
 	if reply, done := w.enter(msg); done {
 		return reply
 	}
+	defer func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.ledger.Leave(msg.Adapter)
+	}()
 	w.poke()
 	for {
 		w.mu.Lock()
@@ -149,7 +156,7 @@
 	if w.ledger == nil {
 		return protocol.WantReply{Reason: "engine not known yet"}, true
 	}
-	if _, ok := w.ledger.Want(w.node.opts.Clock(), msg.Adapter, msg.Version); !ok {
+	if !w.ledger.Want(w.node.opts.Clock(), msg.Adapter, msg.Version, msg.Rank) {
 		return protocol.WantReply{Reason: "no room at the engine"}, true
 	}
 	return protocol.WantReply{}, false
@@ -222,9 +229,10 @@
 
 func (w *worker) order(ctx context.Context, u *upstreams.Upstream, spec *routes.EngineSpec) bool {
 	now := w.node.opts.Clock()
-	mayLoad := w.node.mayLoadModel(now, spec)
+	may := residency.Allowed{Model: w.node.mayLoadModel(now, spec), Cold: w.node.window.free(now)}
 	w.mu.Lock()
-	o, ok := w.ledger.Next(now, mayLoad)
+	o, ok := w.ledger.Next(now, may)
+	cold := ok && w.ledger.IsCold(o)
 	w.mu.Unlock()
 	if !ok {
 		return false
@@ -238,7 +246,11 @@
 	}
 	reply, err := w.node.opts.Engines.Order(ctx, *u, o)
 	w.mu.Lock()
-	w.ledger.Done(w.node.opts.Clock(), o, reply)
+	now = w.node.opts.Clock()
+	w.ledger.Done(now, o, reply)
+	if in, ordered := w.ledger.Ordered(now, o.Adapter, 0); cold && ordered {
+		w.node.window.begin(now.Add(in))
+	}
 	close(w.moved)
 	w.moved = make(chan struct{})
 	w.mu.Unlock()
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -303,7 +303,11 @@
 func (c *call) await(place fleet.Place) bool {
 	wait := place.ReadyIn
 	if place.Load {
-		reply := c.g.opts.Loader.Want(c.ctx, protocol.WantAdapter{Upstream: place.Upstream.ID, Adapter: c.meta.Adapter, Version: place.Version})
+		ctx, cancel := context.WithTimeout(c.ctx, c.limits().Left)
+		reply := c.g.opts.Loader.Want(ctx, protocol.WantAdapter{
+			Upstream: place.Upstream.ID, Adapter: c.meta.Adapter, Version: place.Version, Rank: c.route.Rank,
+		})
+		cancel()
 		c.g.opts.Log.Event("load wanted", slog.String("request", c.meta.RequestID), slog.String("upstream", string(place.Upstream.ID)),
 			slog.String("adapter", c.meta.Adapter.String()), slog.Int("version", place.Version), slog.Bool("ok", reply.OK),
 			slog.Duration("ready_in", reply.ReadyIn), slog.String("reason", reply.Reason))
@@ -337,7 +341,7 @@
 func (g *Gateway) replicate(id state.UpstreamID, a upstreams.Adapter, version int) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	reply := g.opts.Loader.Want(ctx, protocol.WantAdapter{Upstream: id, Adapter: a, Version: version})
+	reply := g.opts.Loader.Want(ctx, protocol.WantAdapter{Upstream: id, Adapter: a, Version: version, Rank: balance.Ranks})
 	g.opts.Log.Event("adapter replicated", slog.String("upstream", string(id)), slog.String("adapter", a.String()),
 		slog.Bool("ok", reply.OK), slog.String("reason", reply.Reason))
 }
--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -166,12 +166,19 @@
 	return r
 }
 
-func (w *world) do(path, body string) (*http.Response, string, error) {
+// answer is what a caller sees beside the body.
+type answer struct {
+	StatusCode int
+	Header     http.Header
+	Close      bool
+}
+
+func (w *world) do(path, body string) (answer, string, error) {
 	resp, err := http.DefaultClient.Do(w.request(path, body))
 	w.Assert(err, qt.IsNil)
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
-	return resp, string(text), err
+	return answer{resp.StatusCode, resp.Header, resp.Close}, string(text), err
 }
 
 func TestTheRequestArrivesUnchangedAndTheAnswerReturnsWhole(t *testing.T) {
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -39,6 +39,7 @@
 	Upstream state.UpstreamID  `cbor:"1,keyasint"`
 	Adapter  upstreams.Adapter `cbor:"2,keyasint"`
 	Version  int               `cbor:"3,keyasint,omitempty"`
+	Rank     int               `cbor:"4,keyasint,omitempty"` // of the request that waits
 }
 
 // WantReply answers a WantAdapter.
