Stand-ins of the users' store and engines; the daemon on them; fewer calls to the store

The daemon with the real adapter runs against the stand-ins: loads by one holder per engine, lost answers of orders, new versions, configuration over an outage and a forgotten history, draining. Watches last 8 s; what a silent connection hides is learned from a peer's gossip or when the next list times out.

--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -163,6 +163,11 @@
 		time.Sleep(leavingPoll)
 	}
 	e.log.Event("stopped", slog.Int64("active", e.gateway.Active()), slog.Duration("after", time.Since(begin)))
+	e.Stop()
+}
+
+// Stop ends the daemon at once.
+func (e *Edge) Stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), exitMargin/2)
 	defer cancel()
 	if err := e.app.Stop(ctx); err != nil {
--- /dev/null
+++ b/internal/app/edge_test.go
@@ -0,0 +1,245 @@
+package app
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/celerydeck/celerydeck/internal/decisionlog"
+	"github.com/celerydeck/celerydeck/internal/standin/modelengine"
+	"github.com/celerydeck/celerydeck/internal/standin/objectstore"
+	"github.com/celerydeck/celerydeck/platform"
+)
+
+const edgeSlots = 4
+
+type edgeWorld struct {
+	*qt.C
+	store   *objectstore.Store
+	engines []*modelengine.Engine
+	edges   []*Edge
+	addr    string // of the store
+}
+
+func newEdgeWorld(t *testing.T, daemons, engines int) *edgeWorld {
+	w := &edgeWorld{C: qt.New(t), store: objectstore.New()}
+	server := httptest.NewServer(w.store)
+	t.Cleanup(server.Close)
+	w.addr = server.Listener.Addr().String()
+	w.configure(1, "/llm/")
+	for i := range engines {
+		id := fmt.Sprintf("i-%d", i)
+		e := modelengine.New(id, "base", edgeSlots, 50*time.Millisecond, 5, 5*time.Millisecond)
+		s := httptest.NewServer(e)
+		t.Cleanup(s.Close)
+		w.engines = append(w.engines, e)
+		w.register(id, s.Listener.Addr().String(), "ready")
+	}
+	w.store.Put("servers", "foreign", map[string]any{"state": 7, "note": "of another writer"})
+	for i := range daemons {
+		w.edges = append(w.edges, w.start(t, fmt.Sprintf("vm-%d", i)))
+	}
+	for _, e := range w.edges {
+		w.eventually("daemon ready", e.Ready)
+	}
+	return w
+}
+
+func (w *edgeWorld) register(id, addr, state string) {
+	w.store.Put("servers", id, map[string]any{
+		"service": "llm", "address": addr, "zone": "z1", "version": "v1", "slots": 8, "state": state, "born": 1, "seq": 1,
+		"models": []any{map[string]any{"name": "base", "version": 1, "adapters": []string{}}},
+	})
+}
+
+func (w *edgeWorld) configure(version int, prefix string) {
+	w.store.Put("config", "main", map[string]any{
+		"version": version,
+		"routes": []any{map[string]any{
+			"name": "r", "host": "127.0.0.1", "path_prefix": prefix, "kind": "stream", "timeout_ms": 5000, "goal_ms": 2000,
+			"priority": 0, "service": "llm", "attempts": 2, "resumable": true, "gap_aim_ms": 250,
+		}},
+		"services": []any{map[string]any{"name": "llm", "max_conns": 100, "backend": map[string]any{
+			"slots": 8, "kv_capacity": 100000, "weights_mb": 1000, "lora_slots": edgeSlots, "loads_per_s": 2,
+			"models": []any{map[string]any{"name": "base", "weights_mb": 500, "lora_mb": 10, "load_time_s": 1}},
+		}}},
+		"limits": map[string]any{"header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+}
+
+// start runs a daemon on free ports of this machine.
+func (w *edgeWorld) start(t *testing.T, vm string) *Edge {
+	front, ready, first := freePort(w.C), freePort(w.C), freePorts(w.C, 3)
+	text := fmt.Sprintf("node_name=%s\nip=127.0.0.1\nzone=z1\nlisten.front=127.0.0.1:%d\nlisten.ready=127.0.0.1:%d\nport_range=%d,%d\n"+
+		"provider.address=%s\nbounds.lease_ms=300\nfuture.key=ignored\n", vm, front, ready, first, first+10, w.addr)
+	settings, err := platform.ParseSettings([]byte(text))
+	w.Assert(err, qt.IsNil)
+	log := decisionlog.New(io.Discard, vm)
+	e, err := StartEdge(settings, log)
+	w.Assert(err, qt.IsNil)
+	t.Cleanup(func() {
+		e.Stop()
+		log.Close()
+	})
+	return e
+}
+
+func freePort(c *qt.C) int {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+// freePorts returns the first of n ports in a row that are free for TCP and UDP.
+func freePorts(c *qt.C, n int) int {
+	for range 100 {
+		first := freePort(c)
+		free := true
+		for port := first; port < first+n && free; port++ {
+			addr := fmt.Sprintf("127.0.0.1:%d", port)
+			l, err := net.Listen("tcp", addr)
+			p, errUDP := net.ListenPacket("udp", addr)
+			free = err == nil && errUDP == nil
+			if err == nil {
+				_ = l.Close()
+			}
+			if errUDP == nil {
+				_ = p.Close()
+			}
+		}
+		if free {
+			return first
+		}
+	}
+	c.Fatal("no free ports")
+	return 0
+}
+
+func (w *edgeWorld) eventually(what string, done func() bool) {
+	w.Helper()
+	end := time.Now().Add(20 * time.Second)
+	for !done() {
+		if time.Now().After(end) {
+			w.Fatalf("not within 20 s: %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (w *edgeWorld) ask(e *Edge, path, adapter string) (int, string) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+e.settings.FrontAddr+path, strings.NewReader("prompt"))
+	w.Assert(err, qt.IsNil)
+	r.Header.Set("X-Request-Id", "q-"+adapter)
+	r.Header.Set("X-Model", "base/"+adapter)
+	r.Header.Set("X-Token-Count", "100,20")
+	r.Header.Set("X-Deadline-Ms", "4000")
+	resp, err := http.DefaultClient.Do(r)
+	w.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	w.Assert(err, qt.IsNil)
+	return resp.StatusCode, string(text)
+}
+
+// served asks until the request is served, as the fleet may still be claiming engines.
+func (w *edgeWorld) served(e *Edge, path, adapter string) {
+	w.Helper()
+	w.eventually("request for "+adapter+" served", func() bool {
+		status, text := w.ask(e, path, adapter)
+		if status == http.StatusOK {
+			w.Assert(strings.Count(text, "data: "+adapter), qt.Equals, 5)
+		}
+		return status == http.StatusOK
+	})
+}
+
+func TestAdaptersAreLoadedOnceAndServedByEveryDaemon(t *testing.T) {
+	w := newEdgeWorld(t, 2, 2)
+	for i := range 12 {
+		w.served(w.edges[i%2], "/llm/x", fmt.Sprintf("a%d", i))
+	}
+	for i, e := range w.engines {
+		w.Assert(e.Overfull(), qt.IsFalse, qt.Commentf("engine %d", i))
+		holders := map[string]bool{}
+		for _, o := range e.Orders() {
+			holders[o.Owner] = true
+		}
+		w.Assert(len(holders) <= 1, qt.IsTrue, qt.Commentf("orders of %v", holders))
+	}
+}
+
+func TestLostAnswersOfOrdersDoNotOverfillAnEngine(t *testing.T) {
+	w := newEdgeWorld(t, 1, 1)
+	w.served(w.edges[0], "/llm/x", "a0")
+	for i := range 10 {
+		w.engines[0].LoseAnswers(i % 3)
+		w.served(w.edges[0], "/llm/x", fmt.Sprintf("b%d", i))
+	}
+	w.Assert(w.engines[0].Overfull(), qt.IsFalse)
+}
+
+func TestANewVersionOfAnAdapterIsServed(t *testing.T) {
+	w := newEdgeWorld(t, 1, 2)
+	w.served(w.edges[0], "/llm/x", "a1")
+	for _, e := range w.engines {
+		e.Announce("a1", 2)
+	}
+	w.store.Put("versions", "base.a1", map[string]any{"model": "base", "adapter": "a1", "version": 2})
+	w.eventually("version 2 runs", func() bool {
+		w.ask(w.edges[0], "/llm/x", "a1")
+		for _, e := range w.engines {
+			for _, r := range e.Runs() {
+				if r.Version == 2 {
+					return true
+				}
+			}
+		}
+		return false
+	})
+}
+
+func TestAConfigurationComesIntoForceAndStaysWhileTheStoreIsAway(t *testing.T) {
+	w := newEdgeWorld(t, 2, 1)
+	w.served(w.edges[0], "/llm/x", "a1")
+	w.configure(5, "/new/")
+	w.eventually("new route", func() bool {
+		status, _ := w.ask(w.edges[1], "/new/x", "a1")
+		return status == http.StatusOK
+	})
+	w.store.SetFault(objectstore.FaultBusy)
+	time.Sleep(1500 * time.Millisecond)
+	status, _ := w.ask(w.edges[1], "/new/x", "a1")
+	w.Assert(status, qt.Equals, http.StatusOK)
+	w.store.SetFault(objectstore.FaultNone)
+	w.store.Compact()
+	w.configure(9, "/newer/")
+	for _, e := range w.edges {
+		w.eventually("route after the outage", func() bool {
+			status, _ := w.ask(e, "/newer/x", "a1")
+			return status == http.StatusOK
+		})
+	}
+}
+
+func TestADrainingEngineGetsNoNewRequests(t *testing.T) {
+	w := newEdgeWorld(t, 1, 2)
+	w.served(w.edges[0], "/llm/x", "a1")
+	for id := range w.engines {
+		if len(w.engines[id].Runs()) > 0 {
+			w.register(fmt.Sprintf("i-%d", id), "127.0.0.1:1", "draining")
+			before := len(w.engines[id].Runs())
+			time.Sleep(1500 * time.Millisecond)
+			w.served(w.edges[0], "/llm/x", "a1")
+			w.Assert(len(w.engines[id].Runs()), qt.Equals, before)
+			return
+		}
+	}
+}
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -18,16 +18,18 @@
 )
 
 const (
-	upstreamInterval = time.Second // an announced leaving is in effect within two seconds
-	recordInterval   = time.Second
-	watchWait        = 2 * time.Second // a silent connection is noticed soon after
-	gossipInterval   = 200 * time.Millisecond
-	gossipTimeout    = 600 * time.Millisecond
-	wantTimeout      = 2 * time.Second // the answer comes when the load has been ordered
-	minBackoff       = 100 * time.Millisecond
-	maxBackoff       = 800 * time.Millisecond
-	dropAfter        = 3 // unanswered messages after which a connection is replaced
-	memberGoneAfter  = 30 * time.Second
+	upstreamInterval = 1200 * time.Millisecond // an announced leaving is in effect within two seconds
+	recordInterval   = 1500 * time.Millisecond
+	// watchWait is long, since each call is paid for. What a watch on a connection that
+	// went silent misses is learned from the peers, or when the next list times out.
+	watchWait       = 8 * time.Second
+	gossipInterval  = 200 * time.Millisecond
+	gossipTimeout   = 600 * time.Millisecond
+	wantTimeout     = 2 * time.Second // the answer comes when the load has been ordered
+	minBackoff      = 100 * time.Millisecond
+	maxBackoff      = 800 * time.Millisecond
+	dropAfter       = 3 // unanswered messages after which a connection is replaced
+	memberGoneAfter = 30 * time.Second
 )
 
 // Options sets up a Node.
@@ -73,14 +75,15 @@
 	holders map[state.UpstreamID]Holder
 	workers map[state.UpstreamID]*worker
 	gone    map[state.UpstreamID]time.Time
-	listed  bool // the list of upstreams was read
-	reached bool // the store answered the last list of upstreams
-	known   bool // records were read
-	lapsed  map[state.UpstreamID]time.Time
+	listed  bool      // the list of upstreams was read
+	reached bool      // the store answered the last list of upstreams
+	known   bool      // records were read
 	back    time.Time // end of the last outage of the store
 	leaving bool
 	// modelLoads are the times of recent orders to load weights.
 	modelLoads []time.Time
+	versionsAt uint64 // revision of the store of the last announcement
+	rereads    map[string]context.CancelFunc
 	lastList   map[state.UpstreamID]upstreams.Upstream
 }
 
@@ -93,7 +96,7 @@
 		holders: make(map[state.UpstreamID]Holder),
 		workers: make(map[state.UpstreamID]*worker),
 		gone:    make(map[state.UpstreamID]time.Time),
-		lapsed:  make(map[state.UpstreamID]time.Time),
+		rereads: make(map[string]context.CancelFunc),
 	}
 }
 
@@ -163,58 +166,83 @@
 	}
 }
 
-func (n *Node) followConfig() {
-	b := backoff{log: n.opts.Log, what: "configuration"}
+// What the watches follow.
+const (
+	watchConfig   = "configuration"
+	watchVersions = "adapter versions"
+)
+
+// follow calls next with the revision to go on from, zero to read anew, until the
+// node is closed. Reread makes it read anew.
+func (n *Node) follow(what string, next func(ctx context.Context, at uint64) (uint64, error)) {
+	b := backoff{log: n.opts.Log, what: what}
 	var at uint64
 	for n.ctx.Err() == nil {
-		c, revision, err := n.nextConfig(at)
-		if err != nil {
+		ctx, cancel := context.WithCancel(n.ctx)
+		n.mu.Lock()
+		n.rereads[what] = cancel
+		n.mu.Unlock()
+		revision, err := next(ctx, at)
+		reread := ctx.Err() != nil
+		cancel()
+		switch {
+		case reread:
+			at = 0
+		case err != nil:
 			at = 0 // what was missed is read anew
 			n.sleep(b.failed(n.opts.Clock(), err))
-			continue
-		}
-		b.ok(n.opts.Clock())
-		at = revision
-		if c != nil {
-			n.opts.View.SetConfig(c)
+		default:
+			b.ok(n.opts.Clock())
+			at = revision
 		}
 	}
 }
 
-// nextConfig reads the configuration, or waits for one after a revision.
-func (n *Node) nextConfig(at uint64) (*routes.Config, uint64, error) {
-	if at == 0 {
-		return n.opts.Store.Config(n.ctx)
+// reread makes a watch read anew, as it may have missed changes. The caller holds the lock.
+func (n *Node) reread(what, reason string) {
+	if cancel := n.rereads[what]; cancel != nil {
+		n.opts.Log.Event("reading anew", slog.String("call", what), slog.String("reason", reason))
+		cancel()
+		delete(n.rereads, what)
 	}
-	return n.opts.Store.WatchConfig(n.ctx, at, watchWait)
+}
+
+func (n *Node) followConfig() {
+	n.follow(watchConfig, func(ctx context.Context, at uint64) (uint64, error) {
+		read := n.opts.Store.Config
+		if at > 0 {
+			read = func(ctx context.Context) (*routes.Config, uint64, error) {
+				return n.opts.Store.WatchConfig(ctx, at, watchWait)
+			}
+		}
+		c, revision, err := read(ctx)
+		if err == nil && c != nil {
+			n.opts.View.SetConfig(c)
+		}
+		return revision, err
+	})
 }
 
 func (n *Node) followVersions() {
-	b := backoff{log: n.opts.Log, what: "adapter versions"}
-	var at uint64
-	for n.ctx.Err() == nil {
-		var list []upstreams.Version
-		var revision uint64
-		var err error
-		if at == 0 {
-			list, revision, err = n.opts.Store.AdapterVersions(n.ctx)
-		} else {
-			list, revision, err = n.opts.Store.WatchAdapterVersions(n.ctx, at, watchWait)
+	n.follow(watchVersions, func(ctx context.Context, at uint64) (uint64, error) {
+		read := n.opts.Store.AdapterVersions
+		if at > 0 {
+			read = func(ctx context.Context) ([]upstreams.Version, uint64, error) {
+				return n.opts.Store.WatchAdapterVersions(ctx, at, watchWait)
+			}
 		}
+		list, revision, err := read(ctx)
 		if err != nil {
-			at = 0
-			n.sleep(b.failed(n.opts.Clock(), err))
-			continue
+			return 0, err
 		}
-		b.ok(n.opts.Clock())
-		at = revision
 		for _, v := range list {
 			if n.opts.View.Announce(v.Adapter, v.Version) {
 				n.opts.Log.Event("adapter version announced", slog.String("adapter", v.Adapter.String()), slog.Int("version", v.Version))
-				n.announce(v)
+				n.announce(v, revision)
 			}
 		}
-	}
+		return revision, nil
+	})
 }
 
 func (n *Node) followUpstreams() {
@@ -246,6 +274,8 @@
 	defer n.mu.Unlock()
 	if reached && !n.reached {
 		n.back = now
+		n.reread(watchConfig, "store regained")
+		n.reread(watchVersions, "store regained")
 	}
 	n.reached = reached
 }
@@ -468,9 +498,10 @@
 	}
 }
 
-func (n *Node) announce(v upstreams.Version) {
+func (n *Node) announce(v upstreams.Version, revision uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.versionsAt = max(n.versionsAt, revision)
 	for _, w := range n.workers {
 		w.announce(v)
 	}
@@ -491,7 +522,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	msg.Leaving = n.leaving
+	msg.Leaving, msg.VersionsAt = n.leaving, n.versionsAt
 	for id, w := range n.workers {
 		w.use(out.Uses[id], out.Missing[id])
 		state := w.state()
@@ -543,6 +574,13 @@
 	for id, w := range n.workers {
 		w.use(msg.Uses[id], msg.Missing[id])
 	}
+	if t := n.opts.View.Table(); t != nil && msg.ConfigVersion > t.Config.Version {
+		n.reread(watchConfig, "a peer has a newer one")
+	}
+	if msg.VersionsAt > n.versionsAt {
+		n.versionsAt = msg.VersionsAt // read once for each announcement
+		n.reread(watchVersions, "a peer has newer ones")
+	}
 	n.mu.Unlock()
 	n.opts.View.SetPeerWork(from, msg.Works, msg.Strikes)
 	for _, e := range msg.Engines {
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -167,7 +167,8 @@
 	excluded  map[state.UpstreamID]bool
 	loads     int
 	begun     bool // the head of the answer was written
-	lastEvent int  // last event that the caller has, -1 for none
+	lastWrite time.Time
+	lastEvent int // last event that the caller has, -1 for none
 	estimate  time.Duration
 	upstream  state.UpstreamID // of the last send
 	loading   state.UpstreamID // where a load was waited for
@@ -227,12 +228,20 @@
 	return max(2*time.Second, 4*c.route.Goal, 8*c.route.GapGoal)
 }
 
+// pauseLeft is the time until the caller gives up a stream that has paused.
+func (c *call) pauseLeft() time.Duration {
+	return c.abandonment()*9/10 - c.g.opts.Clock().Sub(c.lastWrite)
+}
+
 // limits returns how late the request may still begin.
 func (c *call) limits() balance.Limits {
 	elapsed := c.g.opts.Clock().Sub(c.arrival)
 	if c.route.Kind != routes.Stream {
 		return balance.Limits{Goal: c.route.Goal, Left: c.left() * 7 / 10}
 	}
+	if c.begun { // a stream that goes on is late after a pause, not after its first event
+		return balance.Limits{Goal: c.route.Goal, Left: min(c.pauseLeft(), c.left()*7/10)}
+	}
 	latest := max(c.route.Goal, c.abandonment()*6/10)
 	return balance.Limits{Goal: c.route.Goal, Left: min(latest-elapsed, c.left()*7/10)}
 }
@@ -261,6 +270,11 @@
 		if place.Replicate != nil && c.g.opts.View.Replicate(place.Replicate.ID, c.meta.Adapter) {
 			go c.g.replicate(place.Replicate.ID, c.meta.Adapter, place.Version)
 		}
+		if place.Upstream == nil && c.begun && c.pauseLeft() > resumeRetry {
+			clear(c.excluded)
+			c.pause(resumeRetry)
+			continue
+		}
 		if place.Upstream == nil {
 			c.giveUpWith(place.Reason, place.RetryAfter)
 			return
@@ -296,6 +310,9 @@
 // maxSends bounds the upstreams that may reject a request before it is refused.
 const maxSends = 4
 
+// resumeRetry is the pause before a place for a broken stream is looked for again.
+const resumeRetry = 60 * time.Millisecond
+
 // maxLoads bounds the engines that are asked to load an adapter for one request.
 const maxLoads = 4
 
--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -316,6 +316,27 @@
 	w.Assert(text, qt.Equals, "id: 1\ndata: one\n\nid: 2\ndata: two\n\n")
 }
 
+// After a crash all other engines were suspended for a moment, and a stream was cut
+// off that could have gone on.
+func TestABrokenStreamWaitsForAnUpstream(t *testing.T) {
+	var sends atomic.Int32
+	u := serveUpstream(t, "a", func(_ int, r *http.Request, w net.Conn) {
+		streamHead(r, w)
+		if sends.Add(1) == 1 {
+			chunk(w, "id: 1\ndata: one\n\n")
+			time.Sleep(10 * time.Millisecond)
+			_ = w.Close()
+			return
+		}
+		chunk(w, "id: 2\ndata: two\n\n")
+		_, _ = io.WriteString(w, "0\r\n\r\n")
+	})
+	w := newWorld(t, u)
+	_, text, err := w.do("/stream/", "x")
+	w.Assert(err, qt.IsNil)
+	w.Assert(text, qt.Equals, "id: 1\ndata: one\n\nid: 2\ndata: two\n\n")
+}
+
 func TestABrokenStreamThatMayNotResumeDoesNotLookComplete(t *testing.T) {
 	u := serveUpstream(t, "a", func(_ int, r *http.Request, w net.Conn) {
 		streamHead(r, w)
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -98,6 +98,7 @@
 			c.done("caller left", 0)
 			return delivered
 		}
+		c.lastWrite = now
 		if e.id >= 0 {
 			c.lastEvent = e.id
 		}
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -20,6 +20,8 @@
 	// ConfigVersion is the version of the configuration in force at the sender.
 	ConfigVersion uint64 `cbor:"5,keyasint,omitempty"`
 	Leaving       bool   `cbor:"6,keyasint,omitempty"`
+	// VersionsAt is the store's revision of the last announced version of an adapter.
+	VersionsAt uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // EngineState is what an engine holds, as its owner knows it.
