--- a/internal/standin/objectstore/objectstore.go
+++ b/internal/standin/objectstore/objectstore.go
@@ -19,9 +19,9 @@
 
 // Faults.
 const (
-	FaultNone  Fault = iota
-	FaultBusy        // answers 503, nothing is done
-	FaultMute        // takes calls and never answers
+	FaultNone Fault = iota
+	FaultBusy       // answers 503, nothing is done
+	FaultMute       // takes calls and never answers
 	FaultLost       // does writes and drops the connection
 )
 
