Watch for two seconds at a time again

While the store drops its history a watch hears nothing until its wait ends; with 8 s an old configuration stayed for 6 s. Ruled out: gossip (all daemons were deaf at the same time), the version check. Test: TestADeafWatchHidesAChangeOnlyBriefly fails with a wait of 8 s.

--- a/internal/app/edge_test.go
+++ b/internal/app/edge_test.go
@@ -243,3 +243,19 @@
 		}
 	}
 }
+
+// While the store dropped its history, watches heard nothing until they ended; with a
+// wait of 8 s an old configuration stayed in force for 6 s.
+func TestADeafWatchHidesAChangeOnlyBriefly(t *testing.T) {
+	w := newEdgeWorld(t, 1, 1)
+	w.served(w.edges[0], "/llm/x", "a1")
+	w.store.SetDeaf(true)
+	w.configure(5, "/new/")
+	w.store.Compact()
+	begin := time.Now()
+	w.eventually("new route", func() bool {
+		status, _ := w.ask(w.edges[0], "/new/x", "a1")
+		return status == http.StatusOK
+	})
+	w.Assert(time.Since(begin) < 4*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(begin)))
+}
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -20,9 +20,9 @@
 const (
 	upstreamInterval = 1200 * time.Millisecond // an announced leaving is in effect within two seconds
 	recordInterval   = 1500 * time.Millisecond
-	// watchWait is long, since each call is paid for. What a watch on a connection that
-	// went silent misses is learned from the peers, or when the next list times out.
-	watchWait       = 8 * time.Second
+	// watchWait bounds how long a watch that has gone deaf hides a change: its connection
+	// may be silent, or the store may have dropped the history under it.
+	watchWait = 2 * time.Second
 	gossipInterval  = 200 * time.Millisecond
 	gossipTimeout   = 600 * time.Millisecond
 	wantTimeout     = 2 * time.Second // the answer comes when the load has been ordered
--- a/internal/standin/objectstore/objectstore.go
+++ b/internal/standin/objectstore/objectstore.go
@@ -60,6 +60,7 @@
 	oldest   uint64 // revision before the first event that is kept
 	changed  chan struct{}
 	fault    Fault
+	deaf     bool // watches hear nothing
 	calls    int
 }
 
@@ -107,6 +108,13 @@
 	s.unset(kind, name)
 }
 
+// SetDeaf makes watches hear nothing until they end.
+func (s *Store) SetDeaf(deaf bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf = deaf
+}
+
 // Compact forgets the history.
 func (s *Store) Compact() {
 	s.mu.Lock()
@@ -207,14 +215,14 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		if after < s.oldest {
+		if after < s.oldest && !s.deaf {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
 		}
 		events := []event{}
 		for _, e := range s.events {
-			if e.kind == kind && e.revision > after {
+			if e.kind == kind && e.revision > after && !s.deaf {
 				events = append(events, e)
 			}
 		}
@@ -227,6 +235,13 @@
 		select {
 		case <-changed:
 		case <-timer.C:
+			s.mu.Lock()
+			expired := after < s.oldest
+			s.mu.Unlock()
+			if expired {
+				w.WriteHeader(http.StatusGone)
+				return
+			}
 			reply(w, http.StatusOK, map[string]any{"events": events, "store_revision": revision})
 			return
 		case <-r.Context().Done():
