Loads for requests that can be on time first; steadier holders

In a flood of rare adapters the order of arrival made all late. Change: a cut-off zone keeps its engines for 10 s whatever the store does; no claims in the 2 s after the store is back; daemons away claim nothing; leases of 10 s; engines whose holder has no lease take no loads; wishes that can still be on time go first, and late requests have a lower priority at the engine within their rank.

--- a/internal/coordination/holders/holders.go
+++ b/internal/coordination/holders/holders.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// SettleTime is how long after its start a daemon claims no engine, so that it
-	// knows its peers.
-	SettleTime = 1500 * time.Millisecond
+	// SettleTime is how long after its start, or its return to the store, a daemon
+	// claims no engine, so that it has heard its peers.
+	SettleTime = 2 * time.Second
 	// SilentAfter is how long a daemon of the engine's zone is silent before its
 	// engines are taken over in the zone.
 	SilentAfter = 4 * time.Second
@@ -19,8 +19,9 @@
 	// daemons of other zones take over.
 	ZoneSilentAfter = 10 * time.Second
 	// LeaseTime is how long after it was last confirmed a holder gives orders. It
-	// outlasts short outages of the store.
-	LeaseTime = 6 * time.Second
+	// outlasts most outages of the store, which are more frequent than VMs that are
+	// lost for good: a restarted daemon goes on with its VM's engines at once.
+	LeaseTime = 10 * time.Second
 )
 
 // Daemon is a daemon as another one sees it.
@@ -28,6 +29,7 @@
 	VM     string
 	Zone   state.Zone
 	Silent time.Duration // since its last message; zero for the daemon itself
+	Away   bool          // it does not reach the store, so it can't claim anything
 }
 
 // Claims reports whether a daemon should make itself the holder of an engine, whose
@@ -48,20 +50,23 @@
 			return false
 		}
 	}
-	local := candidates(zone, SilentAfter, daemons)
-	if len(local) == 0 {
-		if len(candidates(zone, ZoneSilentAfter, daemons)) > 0 {
-			return false
-		}
-		local = candidates("", SilentAfter, daemons)
+	if zoneAlive(zone, daemons) {
+		return state.RendezvousOwner(string(engine), claimants(zone, daemons)) == self.VM
 	}
-	return state.RendezvousOwner(string(engine), local) == self.VM
+	return state.RendezvousOwner(string(engine), claimants("", daemons)) == self.VM
+}
+
+// zoneAlive reports whether the daemons of a zone may still act for it: a zone that
+// is cut off from the others keeps its engines for a while.
+func zoneAlive(zone state.Zone, daemons []Daemon) bool {
+	return slices.ContainsFunc(daemons, func(d Daemon) bool { return d.Zone == zone && d.Silent < ZoneSilentAfter })
 }
 
-func candidates(zone state.Zone, silent time.Duration, daemons []Daemon) []string {
+// claimants returns the daemons of a zone, or of all, that can claim an engine now.
+func claimants(zone state.Zone, daemons []Daemon) []string {
 	var names []string
 	for _, d := range daemons {
-		if (zone == "" || d.Zone == zone) && d.Silent < silent {
+		if (zone == "" || d.Zone == zone) && d.Silent < SilentAfter && !d.Away {
 			names = append(names, d.VM)
 		}
 	}
--- a/internal/coordination/holders/holders_test.go
+++ b/internal/coordination/holders/holders_test.go
@@ -59,6 +59,33 @@
 	c.Assert(claimers("a1", daemons), qt.DeepEquals, []string{"b1"})
 }
 
+// A daemon that was cut off from the store kept new engines of its zone unclaimed.
+func TestADaemonAwayFromTheStoreClaimsNothing(t *testing.T) {
+	c := qt.New(t)
+	daemons := fleet()
+	before := claimers("", daemons)
+	for i := range daemons {
+		if daemons[i].VM == before[0] {
+			daemons[i].Away = true
+		}
+	}
+	after := claimers("", daemons)
+	c.Assert(after, qt.HasLen, 1)
+	c.Assert(after[0], qt.Not(qt.Equals), before[0])
+	c.Assert(claimers(before[0], daemons), qt.HasLen, 0, qt.Commentf("it keeps what it holds"))
+}
+
+// During an outage of the store all daemons were away; a zone that was cut off at the
+// same time lost its engines to others after four seconds.
+func TestACutOffZoneKeepsItsEnginesWhileTheStoreIsAway(t *testing.T) {
+	c := qt.New(t)
+	daemons := fleet()
+	for i := range daemons[:2] {
+		daemons[i].Silent, daemons[i].Away = SilentAfter+time.Second, true
+	}
+	c.Assert(claimers("a1", daemons), qt.HasLen, 0)
+}
+
 func TestLeasesOfTwoHoldersNeverOverlap(t *testing.T) {
 	c := qt.New(t)
 	const turns = 3 * time.Second
--- a/internal/coordination/residency/residency.go
+++ b/internal/coordination/residency/residency.go
@@ -93,6 +93,7 @@
 	adapter upstreams.Adapter
 	version int
 	rank    int
+	due     time.Time // the load must be done for the request to be on time
 	until   time.Time
 	waiters int
 }
@@ -201,10 +202,10 @@
 	}
 }
 
-// Want asks for an adapter in a version or a newer one, for a request of a rank. It
-// reports false if the engine has no room for it at present. The caller calls Leave
+// Want asks for an adapter in a version or a newer one, for a request of a rank that
+// is on time if the load is done within slack. It reports false if the engine has no room for it at present. The caller calls Leave
 // when it does not wait any more, unless Ordered reported true.
-func (l *Ledger) Want(now time.Time, a upstreams.Adapter, version, rank int) bool {
+func (l *Ledger) Want(now time.Time, a upstreams.Adapter, version, rank int, slack time.Duration) bool {
 	if !l.synced || !l.hasModel {
 		return false
 	}
@@ -216,13 +217,16 @@
 	if i := slices.IndexFunc(l.wants, func(w want) bool { return w.adapter == a }); i >= 0 {
 		w := &l.wants[i]
 		w.version, w.rank, w.until = max(w.version, version), min(w.rank, rank), now.Add(wantFor)
+		if due := now.Add(slack); due.After(w.due) {
+			w.due = due
+		}
 		w.waiters++
 		return true
 	}
 	if len(l.wants) >= maxWants || l.evictable(now) <= len(l.wants) {
 		return false
 	}
-	l.wants = append(l.wants, want{adapter: a, version: version, rank: rank, until: now.Add(wantFor), waiters: 1})
+	l.wants = append(l.wants, want{adapter: a, version: version, rank: rank, due: now.Add(slack), until: now.Add(wantFor), waiters: 1})
 	return true
 }
 
@@ -291,7 +295,7 @@
 		return Order{Adapter: upstreams.Adapter{Model: l.model}, Expected: l.accepted}, true
 	}
 	l.wants = slices.DeleteFunc(l.wants, func(w want) bool { return l.settled(now, w) })
-	if w := l.first(may.Cold); w != nil && l.inTransit(now) < maxTransit {
+	if w := l.first(now, may.Cold); w != nil && l.inTransit(now) < maxTransit {
 		if l.entries[w.adapter] != nil || len(l.entries) < l.capacity {
 			return Order{Adapter: w.adapter, Version: w.version, Expected: l.accepted}, true
 		}
@@ -307,16 +311,20 @@
 	return Order{}, false
 }
 
-// first returns the most urgent wish, the oldest of its rank, that may be met.
-func (l *Ledger) first(cold bool) *want {
+// first returns the wish to meet next: one whose request can still be on time before
+// one whose request is late anyway, then the more urgent, then the older one. In a
+// flood of rare adapters the order of arrival would make all of them late.
+func (l *Ledger) first(now time.Time, cold bool) *want {
 	var best *want
+	bestOnTime := false
 	for i := range l.wants {
 		w := &l.wants[i]
 		if _, warm := l.warm[w.adapter]; !warm && !cold {
 			continue
 		}
-		if best == nil || w.rank < best.rank {
-			best = w
+		onTime := !now.Add(l.loadTime(w.adapter)).After(w.due)
+		if best == nil || onTime && !bestOnTime || onTime == bestOnTime && w.rank < best.rank {
+			best, bestOnTime = w, onTime
 		}
 	}
 	return best
--- a/internal/coordination/residency/residency_test.go
+++ b/internal/coordination/residency/residency_test.go
@@ -39,7 +39,7 @@
 func TestNothingIsOrderedBeforeTheFirstReport(t *testing.T) {
 	c := qt.New(t)
 	l := NewLedger(model, 2)
-	ok := l.Want(start, adapter(1), 0, 0)
+	ok := l.Want(start, adapter(1), 0, 0, time.Second)
 	c.Assert(ok, qt.IsFalse)
 	_, ok = l.Next(start, all)
 	c.Assert(ok, qt.IsFalse)
@@ -62,7 +62,7 @@
 	l := synced(2, adapter(1), adapter(2))
 	now := start.Add(2 * time.Second)
 	l.Use(now.Add(-time.Second), adapter(1))
-	ok := l.Want(now, adapter(3), 0, 0)
+	ok := l.Want(now, adapter(3), 0, 0, time.Second)
 	c.Assert(ok, qt.IsTrue)
 	o, ok := l.Next(now, all)
 	c.Assert(ok, qt.IsTrue)
@@ -78,7 +78,7 @@
 	l := synced(1, adapter(1))
 	now := start.Add(2 * time.Second)
 	l.Use(now, adapter(1))
-	ok := l.Want(now, adapter(2), 0, 0)
+	ok := l.Want(now, adapter(2), 0, 0, time.Second)
 	c.Assert(ok, qt.IsFalse)
 }
 
@@ -89,7 +89,7 @@
 	l := synced(10)
 	now := start
 	for i := range 2 {
-		ok := l.Want(now, adapter(i), 0, 0)
+		ok := l.Want(now, adapter(i), 0, 0, time.Second)
 		c.Assert(ok, qt.IsTrue)
 	}
 	o, _ := l.Next(now, all)
@@ -109,7 +109,7 @@
 	c := qt.New(t)
 	l := synced(1)
 	now := start
-	ok := l.Want(now, adapter(1), 0, 0)
+	ok := l.Want(now, adapter(1), 0, 0, time.Second)
 	c.Assert(ok, qt.IsTrue)
 	o, _ := l.Next(now, all)
 	for range maxTries {
@@ -125,19 +125,33 @@
 func TestUrgentRequestsAreLoadedForFirst(t *testing.T) {
 	c := qt.New(t)
 	l := synced(4)
-	c.Assert(l.Want(start, adapter(1), 0, 2), qt.IsTrue)
-	c.Assert(l.Want(start, adapter(2), 0, 0), qt.IsTrue)
+	c.Assert(l.Want(start, adapter(1), 0, 2, time.Second), qt.IsTrue)
+	c.Assert(l.Want(start, adapter(2), 0, 0, time.Second), qt.IsTrue)
 	o, ok := l.Next(start, all)
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(o.Adapter, qt.Equals, adapter(2))
 }
 
+func TestRequestsThatCanBeOnTimeAreLoadedForFirst(t *testing.T) {
+	c := qt.New(t)
+	l := synced(4)
+	l.Want(start, adapter(1), 0, 0, coldLoad/2) // late anyway
+	l.Want(start, adapter(2), 0, 1, 2*coldLoad)
+	o, ok := l.Next(start, all)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(o.Adapter, qt.Equals, adapter(2))
+	l.Done(start, o, ReplyAccepted)
+	o, ok = l.Next(start, all)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(o.Adapter, qt.Equals, adapter(1))
+}
+
 // Requests that gave up left loads behind that dropped what others needed.
 func TestAWishWithoutWaitersIsDropped(t *testing.T) {
 	c := qt.New(t)
 	l := synced(4)
-	l.Want(start, adapter(1), 0, 0)
-	l.Want(start, adapter(1), 0, 0)
+	l.Want(start, adapter(1), 0, 0, time.Second)
+	l.Want(start, adapter(1), 0, 0, time.Second)
 	l.Leave(adapter(1))
 	c.Assert(l.Waits(start, adapter(1)), qt.IsTrue)
 	l.Leave(adapter(1))
@@ -148,7 +162,7 @@
 func TestOnlyCopiesAreLoadedWhileTheStoreIsBusy(t *testing.T) {
 	c := qt.New(t)
 	l := synced(4)
-	l.Want(start, adapter(1), 0, 0)
+	l.Want(start, adapter(1), 0, 0, time.Second)
 	_, ok := l.Next(start, Allowed{})
 	c.Assert(ok, qt.IsFalse)
 	l.keepWarm(start, adapter(1))
@@ -160,7 +174,7 @@
 	c := qt.New(t)
 	l := synced(1)
 	now := start
-	ok := l.Want(now, adapter(1), 0, 0)
+	ok := l.Want(now, adapter(1), 0, 0, time.Second)
 	c.Assert(ok, qt.IsTrue)
 	o, _ := l.Next(now, all)
 	for range maxTries {
@@ -240,7 +254,7 @@
 				}
 				l.Sync(now, 1, e.accepted, h, nil)
 			}
-			l.Want(now, adapter(rng.IntN(8)), 0, 0)
+			l.Want(now, adapter(rng.IntN(8)), 0, 0, time.Second)
 			o, ok := l.Next(now, all)
 			if !ok {
 				continue
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -22,7 +22,7 @@
 	recordInterval   = 1500 * time.Millisecond
 	// watchWait bounds how long a watch that has gone deaf hides a change: its connection
 	// may be silent, or the store may have dropped the history under it.
-	watchWait = 2 * time.Second
+	watchWait       = 2 * time.Second
 	gossipInterval  = 200 * time.Millisecond
 	gossipTimeout   = 600 * time.Millisecond
 	wantTimeout     = 2 * time.Second // the answer comes when the load has been ordered
@@ -58,6 +58,7 @@
 	failed  int       // unanswered messages in a row
 	sending bool
 	spoke   bool // a message of this run came
+	away    bool // it does not reach the store
 }
 
 // Node follows the store, exchanges state with the peers and orders loads at the
@@ -67,7 +68,6 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 	ctx    context.Context
-	start  time.Time
 	window sharedWindow
 
 	mu      sync.Mutex
@@ -103,7 +103,6 @@
 // Start begins to follow the store and the peers.
 func (n *Node) Start() {
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.start = n.opts.Clock()
 	for _, loop := range []func(){n.followConfig, n.followVersions, n.followUpstreams, n.followRecords, n.gossip} {
 		n.wg.Add(1)
 		go func() {
@@ -364,7 +363,7 @@
 	for id, w := range n.workers {
 		h, ok := r.Holders[id]
 		if ok && h.VM == n.opts.Self.VM {
-			w.confirm(asked, h.Revision)
+			w.confirm(asked, h)
 		}
 	}
 	return listed
@@ -374,7 +373,7 @@
 func (n *Node) daemons(now time.Time) []holders.Daemon {
 	list := []holders.Daemon{{VM: n.opts.Self.VM, Zone: n.opts.Self.Zone}}
 	for _, m := range n.members {
-		list = append(list, holders.Daemon{VM: m.VM, Zone: m.Zone, Silent: now.Sub(m.heard)})
+		list = append(list, holders.Daemon{VM: m.VM, Zone: m.Zone, Silent: now.Sub(m.heard), Away: m.away})
 	}
 	return list
 }
@@ -382,11 +381,8 @@
 // claim makes this daemon the holder of engines that need one.
 func (n *Node) claim() {
 	now := n.opts.Clock()
-	if now.Sub(n.start) < holders.SettleTime {
-		return
-	}
 	n.mu.Lock()
-	if !n.known || n.leaving {
+	if !n.known || n.leaving || !n.reached || now.Sub(n.back) < holders.SettleTime {
 		n.mu.Unlock()
 		return
 	}
@@ -395,8 +391,12 @@
 	var wanted []Holder
 	for _, u := range n.engines() {
 		h := n.holders[u.ID]
-		if holders.Claims(self, u.ID, u.Zone, h.VM, daemons) {
+		switch w := n.workers[u.ID]; {
+		case holders.Claims(self, u.ID, u.Zone, h.VM, daemons):
 			wanted = append(wanted, Holder{Engine: u.ID, VM: self.VM, From: h.VM, Revision: h.Revision})
+		case w != nil && h.From != "" && w.canOrder():
+			// The takeover is over: a restart need not wait again.
+			wanted = append(wanted, Holder{Engine: u.ID, VM: self.VM, Revision: h.Revision})
 		}
 	}
 	n.mu.Unlock()
@@ -414,7 +414,11 @@
 		}
 		n.mu.Lock()
 		n.holders[h.Engine] = got
-		n.startWorker(got, lease)
+		if w := n.workers[h.Engine]; w != nil && h.From == "" {
+			w.confirm(asked, got)
+		} else {
+			n.startWorker(got, lease)
+		}
 		n.mu.Unlock()
 	}
 }
@@ -522,7 +526,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	msg.Leaving, msg.VersionsAt = n.leaving, n.versionsAt
+	msg.Leaving, msg.VersionsAt, msg.StoreAway = n.leaving, n.versionsAt, !n.reached
 	for id, w := range n.workers {
 		w.use(out.Uses[id], out.Missing[id])
 		state := w.state()
@@ -568,7 +572,7 @@
 	now := n.opts.Clock()
 	for _, m := range n.members {
 		if m.ID() == from {
-			m.heard, m.spoke = now, true
+			m.heard, m.spoke, m.away = now, true, msg.StoreAway
 		}
 	}
 	for id, w := range n.workers {
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -53,6 +53,7 @@
 type heldBy struct {
 	at       time.Time
 	hasModel bool
+	canOrder bool
 	room     int
 	queue    time.Duration
 	list     map[upstreams.Adapter]residency.Held
@@ -204,7 +205,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.opts.Clock()
-	h := heldBy{at: now, hasModel: e.HasModel, room: e.Room, queue: e.Queue, list: make(map[upstreams.Adapter]residency.Held, len(e.Held))}
+	h := heldBy{at: now, hasModel: e.HasModel, canOrder: e.CanOrder, room: e.Room, queue: e.Queue, list: make(map[upstreams.Adapter]residency.Held, len(e.Held))}
 	for _, item := range e.Held {
 		h.list[item.Adapter] = item
 	}
@@ -439,7 +440,7 @@
 		item, ok := h.list[a]
 		c.Holds = ok && !missing
 		c.ReadyIn = max(0, item.ReadyIn-now.Sub(h.at))
-		c.Loadable = !c.Holds && v.loadable[u.ID]
+		c.Loadable = !c.Holds && h.canOrder && v.loadable[u.ID]
 		c.Full = h.room <= 0
 		c.Queue = h.queue
 		return c, item.Version
--- a/internal/node/fleet/worker.go
+++ b/internal/node/fleet/worker.go
@@ -57,13 +57,16 @@
 	}
 }
 
-// confirm extends the lease: the store named this daemon as holder after asked.
-func (w *worker) confirm(asked time.Duration, fence uint64) {
+// confirm extends the lease: the store named this daemon as holder after asked. A
+// record that is newer was written by this daemon itself.
+func (w *worker) confirm(asked time.Duration, h Holder) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if fence == w.fence {
-		w.lease.Confirmed = max(w.lease.Confirmed, asked)
+	if h.Revision < w.fence || h.Revision > w.fence && h.From != "" {
+		return
 	}
+	w.fence = h.Revision
+	w.lease.Confirmed = max(w.lease.Confirmed, asked)
 }
 
 func (w *worker) canOrder() bool {
@@ -100,7 +103,7 @@
 func (w *worker) state() protocol.EngineState {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	s := protocol.EngineState{Upstream: w.id}
+	s := protocol.EngineState{Upstream: w.id, CanOrder: w.usable && w.lease.Valid(w.node.opts.BootClock())}
 	if w.ledger != nil {
 		s.HasModel = w.ledger.HasModel()
 		now := w.node.opts.Clock()
@@ -156,7 +159,7 @@
 	if w.ledger == nil {
 		return protocol.WantReply{Reason: "engine not known yet"}, true
 	}
-	if !w.ledger.Want(w.node.opts.Clock(), msg.Adapter, msg.Version, msg.Rank) {
+	if !w.ledger.Want(w.node.opts.Clock(), msg.Adapter, msg.Version, msg.Rank, msg.Slack) {
 		return protocol.WantReply{Reason: "no room at the engine"}, true
 	}
 	return protocol.WantReply{}, false
@@ -237,10 +240,11 @@
 	if !ok {
 		return false
 	}
-	o.Holder, o.Fence = w.node.opts.Self.VM, w.fence
-	if !w.leaseValid() {
+	fence, valid := w.leaseValid()
+	if !valid {
 		return false
 	}
+	o.Holder, o.Fence = w.node.opts.Self.VM, fence
 	if o.Adapter.Name == "" {
 		w.node.countModelLoad(now)
 	}
@@ -265,8 +269,9 @@
 	return reply != residency.ReplyConflict && reply != residency.ReplyGone
 }
 
-func (w *worker) leaseValid() bool {
+// leaseValid returns the fencing token, and whether an order may be sent.
+func (w *worker) leaseValid() (uint64, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.lease.Valid(w.node.opts.BootClock())
+	return w.fence, w.lease.Valid(w.node.opts.BootClock())
 }
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -228,6 +228,14 @@
 	return max(2*time.Second, 4*c.route.Goal, 8*c.route.GapGoal)
 }
 
+// goalLeft is the time until the request is late, negative if it is.
+func (c *call) goalLeft() time.Duration {
+	return c.route.Goal - c.g.opts.Clock().Sub(c.arrival)
+}
+
+// firstAfterLoad is about how long after a load the first event comes.
+const firstAfterLoad = 100 * time.Millisecond
+
 // pauseLeft is the time until the caller gives up a stream that has paused.
 func (c *call) pauseLeft() time.Duration {
 	return c.abandonment()*9/10 - c.g.opts.Clock().Sub(c.lastWrite)
@@ -322,7 +330,7 @@
 	if place.Load {
 		ctx, cancel := context.WithTimeout(c.ctx, c.limits().Left)
 		reply := c.g.opts.Loader.Want(ctx, protocol.WantAdapter{
-			Upstream: place.Upstream.ID, Adapter: c.meta.Adapter, Version: place.Version, Rank: c.route.Rank,
+			Upstream: place.Upstream.ID, Adapter: c.meta.Adapter, Version: place.Version, Rank: c.route.Rank, Slack: c.goalLeft() - firstAfterLoad,
 		})
 		cancel()
 		c.g.opts.Log.Event("load wanted", slog.String("request", c.meta.RequestID), slog.String("upstream", string(place.Upstream.ID)),
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -174,7 +174,7 @@
 	stripHopByHop(h)
 	s := Send{Upstream: x.u.ID, TimeLeft: c.left(), Priority: -1, LastEvent: -1}
 	if c.engine != nil {
-		s.Priority = min(c.route.Rank, 9)
+		s.Priority = c.priority()
 		s.Version = version
 	}
 	if c.route.Kind == routes.Stream {
@@ -207,6 +207,19 @@
 	return nil
 }
 
+// priority returns the priority at a model engine. Among requests of one rank, those
+// that can still be on time go before those that are late anyway.
+func (c *call) priority() int {
+	p := 2 * c.route.Rank
+	if c.goalLeft() < 0 && !c.begun {
+		p++
+	}
+	return min(p, maxPriority)
+}
+
+// maxPriority is the least urgent priority of engines.
+const maxPriority = 9
+
 // brokeOff ends an exchange without a whole answer.
 func (x *exchange) brokeOff(step string, err error) outcome {
 	c := x.c
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -22,6 +22,8 @@
 	Leaving       bool   `cbor:"6,keyasint,omitempty"`
 	// VersionsAt is the store's revision of the last announced version of an adapter.
 	VersionsAt uint64 `cbor:"8,keyasint,omitempty"`
+	// StoreAway says that the sender does not reach the store.
+	StoreAway bool `cbor:"9,keyasint,omitempty"`
 }
 
 // EngineState is what an engine holds, as its owner knows it.
@@ -29,6 +31,7 @@
 	Upstream state.UpstreamID `cbor:"1,keyasint"`
 	HasModel bool             `cbor:"2,keyasint"`
 	Held     []residency.Held `cbor:"3,keyasint"`
+	CanOrder bool             `cbor:"6,keyasint"` // the sender's lease holds
 	Room     int              `cbor:"4,keyasint"` // loads that may be asked for
 	Queue    time.Duration    `cbor:"5,keyasint"` // until a new one would begin
 }
@@ -42,6 +45,7 @@
 	Adapter  upstreams.Adapter `cbor:"2,keyasint"`
 	Version  int               `cbor:"3,keyasint,omitempty"`
 	Rank     int               `cbor:"4,keyasint,omitempty"` // of the request that waits
+	Slack    time.Duration     `cbor:"5,keyasint,omitempty"` // within which the load must be done for it to be on time
 }
 
 // WantReply answers a WantAdapter.
