--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -16,7 +16,7 @@
 	homeStep = 150 * time.Millisecond
 	// spareHomes is how many engines beyond the number of copies may take another
 	// copy. Further ones would drop what others need, in a flood of rare adapters.
-	spareHomes = 2
+	spareHomes = 1
 	// replicateShare of the latency objective is the estimate at the best holder from
 	// which on another copy is loaded, if that engine would begin in half the time.
 	replicateShare = 0.5
