--- /dev/null
+++ b/internal/decisionlog/decisionlog_test.go
@@ -0,0 +1,87 @@
+package decisionlog
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+type safeBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *safeBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *safeBuffer) lines() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Split(strings.TrimSpace(b.buf.String()), "\n")
+}
+
+func TestALineIsOneObject(t *testing.T) {
+	c := qt.New(t)
+	var out safeBuffer
+	l := New(&out, "vm-1")
+	l.Event("request", slog.String("request", "q\n1"), slog.Int("sends", 2))
+	l.Close()
+	var line map[string]any
+	c.Assert(json.Unmarshal([]byte(out.lines()[0]), &line), qt.IsNil)
+	c.Assert(line["msg"], qt.Equals, "request")
+	c.Assert(line["vm"], qt.Equals, "vm-1")
+	c.Assert(line["request"], qt.Equals, "q\n1")
+}
+
+// stuck never returns from a write.
+type stuck struct{}
+
+func (stuck) Write([]byte) (int, error) { select {} }
+
+func TestAWriterThatNeverReturnsStopsNothing(t *testing.T) {
+	c := qt.New(t)
+	l := New(stuck{}, "vm")
+	begin := time.Now()
+	for range 10 * queueLines {
+		l.Event("x")
+	}
+	l.Close()
+	c.Assert(time.Since(begin) < 5*time.Second, qt.IsTrue)
+	c.Assert(l.Dropped() > 0, qt.IsTrue)
+}
+
+// broken is a closed standard output.
+type broken struct{}
+
+func (broken) Write([]byte) (int, error) { return 0, errors.New("test: broken pipe") }
+
+func TestAClosedOutputStopsNothing(t *testing.T) {
+	l := New(broken{}, "vm")
+	l.Event("x")
+	l.Event("y")
+	l.Close()
+}
+
+func TestAFloodIsBoundedAndCounted(t *testing.T) {
+	c := qt.New(t)
+	var out safeBuffer
+	l := New(&out, "vm")
+	const flood = 5000
+	for range flood {
+		l.Event("refused")
+	}
+	l.Close()
+	written := len(out.lines())
+	c.Assert(written <= burstLines+linesPerSecond, qt.IsTrue)
+	c.Assert(int64(written)+l.Dropped() >= flood, qt.IsTrue)
+}
