Relays pass state between daemons; one daemon of each zone reads the store

Cause: every daemon told every other its state and read the store for itself, both of which grow with the square or the number of daemons; each call of the store is paid for. Change: a daemon tells one relay of its zone, relays tell each other, holders are relays (the strongest three of a zone); lists and configuration pass with the state, and a daemon reads for itself once they are older than 1.5 s. Tests: relays package, TestSilentRelaysAreStillCalled, TestAConfigurationComesIntoForce...

--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -180,7 +180,7 @@
 	_, _ = rand.Read(run[:])
 	return fleet.Member{
 		VM: s.VM, Run: hex.EncodeToString(run[:]), Zone: state.Zone(s.Zone),
-		Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)),
+		Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), CPU: s.CPU,
 	}
 }
 
@@ -275,12 +275,11 @@
 func (p edgePeers) ServeMessage(ctx context.Context, from state.DaemonID, frame protocol.Frame) (protocol.MessageKind, any, error) {
 	switch frame.Kind {
 	case protocol.MsgFleet:
-		var msg protocol.FleetState
+		var msg protocol.FleetPush
 		if err := frame.Decode(&msg); err != nil {
 			return 0, nil, err
 		}
-		p.node.TakeState(from, &msg)
-		return protocol.MsgFleetAck, protocol.FleetAck{}, nil
+		return protocol.MsgFleetReply, p.node.TakePush(from, &msg), nil
 	case protocol.MsgWantAdapter:
 		var msg protocol.WantAdapter
 		if err := frame.Decode(&msg); err != nil {
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -55,7 +55,8 @@
 	ByRank   [Ranks]int `cbor:"4,keyasint"`
 }
 
-func (w *Work) add(o *Work) {
+// Add adds the work of others.
+func (w *Work) Add(o *Work) {
 	w.Requests += o.Requests
 	w.Memory += o.Memory
 	for i := range o.Reading {
@@ -169,7 +170,7 @@
 			continue
 		}
 		if w, ok := p.works[id]; ok {
-			sum.add(&w)
+			sum.Add(&w)
 		}
 	}
 	return sum
--- a/internal/coordination/holders/holders.go
+++ b/internal/coordination/holders/holders.go
@@ -22,6 +22,8 @@
 	// outlasts most outages of the store, which are more frequent than VMs that are
 	// lost for good: a restarted daemon goes on with its VM's engines at once.
 	LeaseTime = 10 * time.Second
+	// ConfirmEvery is how often a holder asks the store whether it still is the holder.
+	ConfirmEvery = 3 * time.Second
 )
 
 // Daemon is a daemon as another one sees it.
@@ -29,7 +31,7 @@
 	VM     string
 	Zone   state.Zone
 	Silent time.Duration // since its last message; zero for the daemon itself
-	Away   bool          // it does not reach the store, so it can't claim anything
+	Away   bool          // it can't claim anything: it does not reach the store, or is no relay
 }
 
 // Claims reports whether a daemon should make itself the holder of an engine, whose
--- /dev/null
+++ b/internal/node/fleet/gossip.go
@@ -0,0 +1,388 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/balance"
+	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
+	"github.com/celerydeck/celerydeck/internal/coordination/relays"
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/state/upstreams"
+	"github.com/celerydeck/celerydeck/internal/transport/peer"
+)
+
+const (
+	gossipInterval = 200 * time.Millisecond
+	gossipTimeout  = 600 * time.Millisecond
+	// dropAfter is the number of unanswered messages after which a connection is
+	// replaced and another relay is used.
+	dropAfter = 2
+	// stateFresh is how long the state of a daemon counts.
+	stateFresh = 2 * time.Second
+	// strikeFor is how long a crash is told on.
+	strikeFor = 2 * time.Second
+	// relayTotals names the work that a relay tells as one sum.
+	relayTotals = state.DaemonID("relay")
+)
+
+type timedStrike struct {
+	quarantine.Strike
+	at time.Time
+}
+
+// pendingDemand is what the holder of engines has not been told yet.
+type pendingDemand struct {
+	inUse, missing map[state.UpstreamID][]upstreams.Adapter
+}
+
+func (p *pendingDemand) add(id state.UpstreamID, inUse, missing []upstreams.Adapter) {
+	addNew(p.inUse, id, inUse)
+	addNew(p.missing, id, missing)
+}
+
+func addNew(to map[state.UpstreamID][]upstreams.Adapter, id state.UpstreamID, list []upstreams.Adapter) {
+	for _, a := range list {
+		if !slices.Contains(to[id], a) {
+			to[id] = append(to[id], a)
+		}
+	}
+}
+
+func (n *Node) gossip() {
+	for n.ctx.Err() == nil {
+		n.sleep(gossipInterval)
+		n.tell()
+	}
+}
+
+// tell sends this daemon's state to its relay, or as a relay to the others.
+func (n *Node) tell() {
+	out := n.opts.View.TakeOutgoing()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.opts.Clock()
+	for _, s := range out.Strikes {
+		n.strikes = append(n.strikes, timedStrike{s, now})
+	}
+	n.strikes = slices.DeleteFunc(n.strikes, func(s timedStrike) bool { return now.Sub(s.at) > strikeFor })
+	n.takeDemand(protocol.Demand{InUse: out.Uses, Missing: out.Missing})
+	own := n.ownState(out.Works)
+	for _, e := range own.Engines {
+		n.opts.View.SetHeld(e)
+	}
+	n.opts.View.SetLoadable(n.loadable(now))
+	view := n.relayView(now)
+	isRelay := slices.Contains(relays.Of(n.opts.Self.Zone, view), n.opts.Self.VM)
+	for _, vm := range relays.Targets(n.opts.Self.VM, n.opts.Self.Zone, view) {
+		m := n.members[vm]
+		if m == nil || m.calling {
+			continue
+		}
+		push := &protocol.FleetPush{States: []protocol.DaemonState{own}, Strikes: n.recentStrikes(), Known: n.knownNow(now), Relay: isRelay}
+		if isRelay {
+			push.States = append(push.States, n.toldStates(now)...)
+			push.Demand = n.demandOf(vm)
+		} else {
+			push.Demand = n.allDemand()
+		}
+		push.Newer = n.newer(m.known)
+		m.calling = true
+		n.wg.Add(1)
+		go n.call(m, push)
+	}
+}
+
+// ownState returns this daemon's state. The caller holds the lock.
+func (n *Node) ownState(works map[state.UpstreamID]balance.Work) protocol.DaemonState {
+	n.seq++
+	s := protocol.DaemonState{
+		VM: n.opts.Self.VM, Run: n.opts.Self.Run, Seq: n.seq, Works: works, StoreAway: !n.reached, Leaving: n.leaving,
+	}
+	for _, w := range n.workers {
+		s.Engines = append(s.Engines, w.state())
+	}
+	return s
+}
+
+// toldStates returns the states that daemons told this one. The caller holds the lock.
+func (n *Node) toldStates(now time.Time) []protocol.DaemonState {
+	var list []protocol.DaemonState
+	for _, m := range n.members {
+		if now.Sub(m.direct) < stateFresh && m.state.Run == m.Run {
+			list = append(list, m.state)
+		}
+	}
+	return list
+}
+
+func (n *Node) recentStrikes() []quarantine.Strike {
+	var list []quarantine.Strike
+	for _, s := range n.strikes {
+		list = append(list, s.Strike)
+	}
+	return list
+}
+
+func (n *Node) knownNow(now time.Time) protocol.Known {
+	k := n.known
+	k.StoreAge = now.Sub(n.storeAt)
+	return k
+}
+
+// takeDemand hands demand to the workers of this daemon, and keeps what is for other
+// holders. The caller holds the lock.
+func (n *Node) takeDemand(d protocol.Demand) {
+	ids := make(map[state.UpstreamID]bool, len(d.InUse)+len(d.Missing))
+	for id := range d.InUse {
+		ids[id] = true
+	}
+	for id := range d.Missing {
+		ids[id] = true
+	}
+	for id := range ids {
+		if w := n.workers[id]; w != nil {
+			w.use(d.InUse[id], d.Missing[id])
+			continue
+		}
+		vm := n.holders[id].VM
+		if vm == "" || vm == n.opts.Self.VM {
+			continue
+		}
+		p := n.demand[vm]
+		if p == nil {
+			p = &pendingDemand{inUse: make(map[state.UpstreamID][]upstreams.Adapter), missing: make(map[state.UpstreamID][]upstreams.Adapter)}
+			n.demand[vm] = p
+		}
+		p.add(id, d.InUse[id], d.Missing[id])
+	}
+}
+
+// demandOf takes what a holder has not been told. The caller holds the lock.
+func (n *Node) demandOf(vm string) protocol.Demand {
+	p := n.demand[vm]
+	if p == nil {
+		return protocol.Demand{}
+	}
+	delete(n.demand, vm)
+	return protocol.Demand{InUse: p.inUse, Missing: p.missing}
+}
+
+// allDemand takes what no holder has been told. The caller holds the lock.
+func (n *Node) allDemand() protocol.Demand {
+	d := protocol.Demand{InUse: make(map[state.UpstreamID][]upstreams.Adapter), Missing: make(map[state.UpstreamID][]upstreams.Adapter)}
+	for vm, p := range n.demand {
+		for id, list := range p.inUse {
+			addNew(d.InUse, id, list)
+		}
+		for id, list := range p.missing {
+			addNew(d.Missing, id, list)
+		}
+		delete(n.demand, vm)
+	}
+	return d
+}
+
+// call sends a push to a peer and takes its answer.
+func (n *Node) call(m *member, push *protocol.FleetPush) {
+	defer n.wg.Done()
+	ctx, cancel := context.WithTimeout(n.ctx, gossipTimeout)
+	defer cancel()
+	n.mu.Lock()
+	to := peer.Peer{ID: m.ID(), Addr: m.Addr}
+	n.mu.Unlock()
+	var reply protocol.FleetReply
+	err := n.opts.Pool.Exchange(ctx, to, protocol.MsgFleet, push, &reply)
+	n.mu.Lock()
+	m.calling = false
+	if err != nil {
+		m.failed++
+		drop := m.failed%dropAfter == 0
+		if drop { // another relay is tried; this one counts as silent until it speaks
+			m.heard = n.opts.Clock().Add(-relays.SilentAfter)
+			m.failed = 0
+		}
+		n.mu.Unlock()
+		if drop {
+			n.opts.Pool.Drop(to)
+		}
+		return
+	}
+	m.failed = 0
+	n.mu.Unlock()
+	n.takeReply(m, push.Relay, &reply)
+}
+
+// TakePush takes what a peer tells and returns what it needs to know.
+func (n *Node) TakePush(from state.DaemonID, push *protocol.FleetPush) *protocol.FleetReply {
+	now := n.opts.Clock()
+	n.takeNewer(now, push.Known, &push.Newer)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	caller := ""
+	for _, m := range n.members {
+		if m.ID() == from {
+			caller = m.VM
+			m.direct, m.known = now, push.Known
+			if push.Relay {
+				m.direct = time.Time{} // it tells the other relays itself
+			}
+		}
+	}
+	n.takeStates(now, push.States)
+	n.takeDemand(push.Demand)
+	n.takeStrikes(now, push.Strikes)
+	n.takeKnown(now, push.Known)
+	reply := &protocol.FleetReply{Strikes: n.recentStrikes(), Known: n.knownNow(now), Demand: n.demandOf(caller)}
+	if push.Relay {
+		reply.States = append(n.toldStates(now), n.ownState(n.opts.View.OwnWork()))
+	} else {
+		reply.Totals, reply.Engines, reply.Ages = n.digest(now, caller)
+	}
+	reply.Newer = n.newer(push.Known)
+	return reply
+}
+
+// digest sums up the fleet for a daemon that is no relay. The caller holds the lock.
+func (n *Node) digest(now time.Time, caller string) (map[state.UpstreamID]balance.Work, []protocol.EngineState, map[string]time.Duration) {
+	own := n.ownState(n.opts.View.OwnWork())
+	totals := make(map[state.UpstreamID]balance.Work)
+	engines := slices.Clone(own.Engines)
+	ages := map[string]time.Duration{n.opts.Self.VM: 0}
+	addWork(totals, own.Works)
+	for _, m := range n.members {
+		if m.spoke {
+			ages[m.VM] = now.Sub(m.heard)
+		}
+		if m.VM == caller || now.Sub(m.heard) > stateFresh {
+			continue
+		}
+		addWork(totals, m.state.Works)
+		engines = append(engines, m.state.Engines...)
+	}
+	return totals, engines, ages
+}
+
+func addWork(totals, works map[state.UpstreamID]balance.Work) {
+	for id, w := range works {
+		sum := totals[id]
+		sum.Add(&w)
+		totals[id] = sum
+	}
+}
+
+// newer returns what a peer knows in an older state. The caller holds the lock.
+func (n *Node) newer(known protocol.Known) protocol.Newer {
+	var out protocol.Newer
+	if t := n.opts.View.Table(); t != nil && t.Config.Version > known.Config {
+		out.Config = t.Config
+	}
+	if n.known.Versions > known.Versions {
+		for a, version := range n.versions {
+			out.Versions = append(out.Versions, upstreams.Version{Adapter: a, Version: version})
+		}
+	}
+	if n.known.Upstreams > known.Upstreams {
+		out.Upstreams = n.list
+	}
+	if n.known.Records > known.Records {
+		out.Members = append(out.Members, n.opts.Self)
+		for _, m := range n.members {
+			out.Members = append(out.Members, m.Member)
+		}
+		for _, h := range n.holders {
+			out.Holders = append(out.Holders, h)
+		}
+	}
+	return out
+}
+
+// takeNewer takes what a peer read from the store.
+func (n *Node) takeNewer(now time.Time, known protocol.Known, newer *protocol.Newer) {
+	if newer.Config != nil {
+		n.takeConfig(newer.Config)
+	}
+	if newer.Members != nil {
+		r := Records{Revision: known.Records, Members: newer.Members, Holders: make(map[state.UpstreamID]Holder, len(newer.Holders))}
+		for _, h := range newer.Holders {
+			r.Holders[h.Engine] = h
+		}
+		n.takeRecords(now, r)
+	}
+	if newer.Upstreams != nil {
+		n.takeUpstreams(now, now.Add(-known.StoreAge), known.Upstreams, newer.Upstreams)
+	}
+	n.takeVersions(newer.Versions)
+}
+
+// takeReply takes the answer of a relay.
+func (n *Node) takeReply(m *member, asRelay bool, reply *protocol.FleetReply) {
+	now := n.opts.Clock()
+	n.takeNewer(now, reply.Known, &reply.Newer)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m.heard, m.spoke, m.known = now, true, reply.Known
+	n.takeStates(now, reply.States)
+	n.takeDemand(reply.Demand)
+	n.takeStrikes(now, reply.Strikes)
+	n.takeKnown(now, reply.Known)
+	if asRelay {
+		return
+	}
+	n.opts.View.SetPeerWork(relayTotals, reply.Totals)
+	for _, e := range reply.Engines {
+		n.opts.View.SetHeld(e)
+	}
+	for vm, age := range reply.Ages {
+		if m := n.members[vm]; m != nil {
+			m.spoke = true
+			if at := now.Add(-age); at.After(m.heard) {
+				m.heard = at
+			}
+		}
+	}
+}
+
+// takeStates takes the states of daemons. The caller holds the lock.
+func (n *Node) takeStates(now time.Time, list []protocol.DaemonState) {
+	for _, s := range list {
+		m := n.members[s.VM]
+		if m == nil || m.Run != s.Run || m.state.Run == s.Run && m.state.Seq >= s.Seq {
+			continue
+		}
+		m.state, m.heard, m.spoke = s, now, true
+		n.opts.View.SetPeerWork(m.ID(), s.Works)
+		for _, e := range s.Engines {
+			n.opts.View.SetHeld(e)
+		}
+	}
+}
+
+// takeStrikes takes crashes that peers saw. The caller holds the lock.
+func (n *Node) takeStrikes(now time.Time, list []quarantine.Strike) {
+	for _, s := range list {
+		if slices.ContainsFunc(n.strikes, func(t timedStrike) bool { return t.Strike == s }) {
+			continue
+		}
+		n.strikes = append(n.strikes, timedStrike{s, now})
+		n.opts.View.PeerStrike(s)
+	}
+}
+
+// takeKnown notes that a peer knows something newer. The caller holds the lock.
+func (n *Node) takeKnown(now time.Time, k protocol.Known) {
+	if k.Config > n.known.Config {
+		n.reread(watchConfig, "a peer has a newer one")
+	}
+	if k.Versions > n.known.Versions {
+		n.reread(watchVersions, "a peer has newer ones")
+	}
+	// The age counts only for a list that this daemon has, too.
+	if k.Upstreams <= n.known.Upstreams {
+		if at := now.Add(-k.StoreAge); at.After(n.storeAt) {
+			n.storeAt = at
+		}
+	}
+}
--- a/internal/node/fleet/store.go
+++ b/internal/node/fleet/store.go
@@ -7,6 +7,7 @@
 
 	"github.com/celerydeck/celerydeck/internal/coordination/residency"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
+	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/state/upstreams"
 )
@@ -17,33 +18,24 @@
 	ErrNotFound = errors.New("fleet: no such record")
 )
 
-// Member is a run of a daemon as it makes itself known to its peers.
-type Member struct {
-	VM   string     `json:"vm"`
-	Run  string     `json:"run"` // new at each start
-	Addr string     `json:"addr"`
-	Zone state.Zone `json:"zone"`
-	Hash string     `json:"hash"` // of its certificate
-
-	Revision uint64 `json:"-"`
-}
-
-// ID returns the name of the run among peers.
-func (m *Member) ID() state.DaemonID { return state.DaemonID(m.VM + "/" + m.Run) }
-
-// Holder says which VM gives orders to an engine. Its revision is the fencing token.
-type Holder struct {
-	Engine state.UpstreamID `json:"engine"`
-	VM     string           `json:"vm"`
-	From   string           `json:"from,omitempty"` // the VM from which it was taken over
-
-	Revision uint64 `json:"-"`
-}
+// Member and Holder are the records of daemons and of engines.
+type (
+	Member = protocol.Member
+	Holder = protocol.Holder
+)
 
 // Records are all members and holders.
 type Records struct {
-	Members []Member
-	Holders map[state.UpstreamID]Holder
+	Revision uint64 // of the store
+	Members  []Member
+	Holders  map[state.UpstreamID]Holder
+}
+
+// UpstreamList is a list of upstreams at a revision of the store.
+type UpstreamList struct {
+	Revision  uint64
+	Upstreams []upstreams.Upstream
+	Unusable  []string // names of entries that can't be used, such as those of another writer
 }
 
 // Store is the platform's store in the product's terms.
@@ -52,7 +44,7 @@
 	WatchConfig(ctx context.Context, after uint64, wait time.Duration) (*routes.Config, uint64, error)
 	AdapterVersions(ctx context.Context) ([]upstreams.Version, uint64, error)
 	WatchAdapterVersions(ctx context.Context, after uint64, wait time.Duration) ([]upstreams.Version, uint64, error)
-	Upstreams(ctx context.Context) (list []upstreams.Upstream, unusable []string, err error)
+	Upstreams(ctx context.Context) (UpstreamList, error)
 	Records(ctx context.Context) (Records, error)
 	PutMember(ctx context.Context, m Member) error
 	// PutHolder creates a record, or replaces the one with the record's revision.
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -127,15 +127,17 @@
 }
 
 // SetUpstreams replaces the list of upstreams.
-func (v *View) SetUpstreams(list []upstreams.Upstream) {
+func (v *View) SetUpstreams(now time.Time, list []upstreams.Upstream) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	now := v.opts.Clock()
 	old := v.ups
 	v.ups = make(map[state.UpstreamID]*upstreams.Upstream, len(list))
 	v.byService = make(map[string][]*upstreams.Upstream)
 	for i := range list {
 		u := &list[i]
+		if before := old[u.ID]; u.Holding.Adapters == nil && before != nil && before.Born == u.Born {
+			u.Holding.Adapters = before.Holding.Adapters // a peer's list does not tell them
+		}
 		v.ups[u.ID] = u
 		v.byService[u.Service] = append(v.byService[u.Service], u)
 		if before := old[u.ID]; before == nil || before.Draining != u.Draining || before.Born != u.Born {
@@ -219,15 +221,25 @@
 	v.loadable = list
 }
 
-// SetPeerWork takes what a peer has in flight and the crashes that it saw.
-func (v *View) SetPeerWork(id state.DaemonID, works map[state.UpstreamID]balance.Work, strikes []quarantine.Strike) {
+// SetPeerWork takes what a peer has in flight.
+func (v *View) SetPeerWork(id state.DaemonID, works map[state.UpstreamID]balance.Work) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	now := v.opts.Clock()
-	v.tracker.Peer(now, id, works)
-	for _, s := range strikes {
-		v.crashes.Add(now, s)
-	}
+	v.tracker.Peer(v.opts.Clock(), id, works)
+}
+
+// OwnWork returns what this daemon has in flight.
+func (v *View) OwnWork() map[state.UpstreamID]balance.Work {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.tracker.Own()
+}
+
+// PeerStrike notes a crash that a peer saw.
+func (v *View) PeerStrike(s quarantine.Strike) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.crashes.Add(v.opts.Clock(), s)
 }
 
 // SetDaemons tells among how many daemons shared budgets are divided.
--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -153,7 +153,7 @@
 			})
 		}
 	}
-	view.SetUpstreams(ups)
+	view.SetUpstreams(time.Now(), ups)
 	return w
 }
 
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -6,40 +6,111 @@
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
 	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
 	"github.com/celerydeck/celerydeck/internal/coordination/residency"
+	"github.com/celerydeck/celerydeck/internal/coordination/routes"
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/state/upstreams"
 )
 
-// FleetState is what a daemon tells its peers several times a second.
-type FleetState struct {
-	Works   map[state.UpstreamID]balance.Work        `cbor:"1,keyasint,omitempty"`
-	Strikes []quarantine.Strike                      `cbor:"2,keyasint,omitempty"`
-	Uses    map[state.UpstreamID][]upstreams.Adapter `cbor:"3,keyasint,omitempty"` // in flight, or begun since the last message
-	Missing map[state.UpstreamID][]upstreams.Adapter `cbor:"7,keyasint,omitempty"` // asked for since the last message, and not there
-	Engines []EngineState                            `cbor:"4,keyasint,omitempty"` // that the sender orders loads at
-	// ConfigVersion is the version of the configuration in force at the sender.
-	ConfigVersion uint64 `cbor:"5,keyasint,omitempty"`
-	Leaving       bool   `cbor:"6,keyasint,omitempty"`
-	// VersionsAt is the store's revision of the last announced version of an adapter.
-	VersionsAt uint64 `cbor:"8,keyasint,omitempty"`
-	// StoreAway says that the sender does not reach the store.
-	StoreAway bool `cbor:"9,keyasint,omitempty"`
-}
-
-// EngineState is what an engine holds, as its owner knows it.
+// DaemonState is what a daemon tells of itself.
+type DaemonState struct {
+	VM      string                            `cbor:"1,keyasint"`
+	Run     string                            `cbor:"2,keyasint"`
+	Seq     uint64                            `cbor:"3,keyasint"` // grows within a run
+	Works   map[state.UpstreamID]balance.Work `cbor:"4,keyasint,omitempty"`
+	Engines []EngineState                     `cbor:"5,keyasint,omitempty"` // that it orders loads at
+	// StoreAway says that the daemon does not reach the store.
+	StoreAway bool `cbor:"6,keyasint,omitempty"`
+	Leaving   bool `cbor:"7,keyasint,omitempty"`
+}
+
+// EngineState is what an engine holds, as its holder knows it.
 type EngineState struct {
 	Upstream state.UpstreamID `cbor:"1,keyasint"`
 	HasModel bool             `cbor:"2,keyasint"`
 	Held     []residency.Held `cbor:"3,keyasint"`
-	CanOrder bool             `cbor:"6,keyasint"` // the sender's lease holds
 	Room     int              `cbor:"4,keyasint"` // loads that may be asked for
 	Queue    time.Duration    `cbor:"5,keyasint"` // until a new one would begin
+	CanOrder bool             `cbor:"6,keyasint"` // the sender's lease holds
+}
+
+// Demand is what requests tell the holders of engines.
+type Demand struct {
+	// InUse lists adapters with requests in flight, or that ended since the last message.
+	InUse map[state.UpstreamID][]upstreams.Adapter `cbor:"1,keyasint,omitempty"`
+	// Missing lists adapters that requests came for and that were not there.
+	Missing map[state.UpstreamID][]upstreams.Adapter `cbor:"2,keyasint,omitempty"`
 }
 
-// FleetAck answers a FleetState.
-type FleetAck struct{}
+// Known tells how new a daemon's copies of the store's objects are.
+type Known struct {
+	Config    uint64 `cbor:"1,keyasint"` // version of the configuration
+	Versions  uint64 `cbor:"2,keyasint"` // sum of the announced versions of all adapters, which only grow
+	Upstreams uint64 `cbor:"3,keyasint"` // revision of the store of the list of upstreams
+	Records   uint64 `cbor:"4,keyasint"` // revision of the store of the list of records
+	// StoreAge is the time since the list of upstreams was read, by whatever daemon.
+	StoreAge time.Duration `cbor:"5,keyasint"`
+}
+
+// FleetPush is what a daemon tells a relay several times a second.
+type FleetPush struct {
+	// States holds the sender's own state; from a relay also those that daemons told it.
+	States  []DaemonState       `cbor:"1,keyasint"`
+	Demand  Demand              `cbor:"2,keyasint"`
+	Strikes []quarantine.Strike `cbor:"3,keyasint,omitempty"`
+	Known   Known               `cbor:"4,keyasint"`
+	Relay   bool                `cbor:"5,keyasint,omitempty"`
+	Newer   Newer               `cbor:"6,keyasint"`
+}
+
+// FleetReply answers a FleetPush.
+type FleetReply struct {
+	States  []DaemonState       `cbor:"1,keyasint,omitempty"` // to a relay, as in FleetPush
+	Demand  Demand              `cbor:"2,keyasint"`           // for engines that the sender of the push holds
+	Strikes []quarantine.Strike `cbor:"3,keyasint,omitempty"`
+	Known   Known               `cbor:"4,keyasint"`
+	// Totals is the work of all daemons but the sender of the push, unless that is a relay.
+	Totals  map[state.UpstreamID]balance.Work `cbor:"5,keyasint,omitempty"`
+	Engines []EngineState                     `cbor:"6,keyasint,omitempty"`
+	// Ages is the time since each VM was heard.
+	Ages map[string]time.Duration `cbor:"7,keyasint,omitempty"`
+
+	Newer Newer `cbor:"8,keyasint"`
+}
+
+// Newer holds what the receiver knows in an older state only.
+type Newer struct {
+	Config    *routes.Config       `cbor:"1,keyasint,omitempty"`
+	Versions  []upstreams.Version  `cbor:"2,keyasint,omitempty"`
+	Upstreams []upstreams.Upstream `cbor:"3,keyasint,omitempty"`
+	Members   []Member             `cbor:"4,keyasint,omitempty"`
+	Holders   []Holder             `cbor:"5,keyasint,omitempty"`
+}
+
+// Member is a run of a daemon as it makes itself known to its peers.
+type Member struct {
+	VM   string     `cbor:"1,keyasint" json:"vm"`
+	Run  string     `cbor:"2,keyasint" json:"run"` // new at each start
+	Addr string     `cbor:"3,keyasint" json:"addr"`
+	Zone state.Zone `cbor:"4,keyasint" json:"zone"`
+	Hash string     `cbor:"5,keyasint" json:"hash"` // of its certificate
+	CPU  float64    `cbor:"6,keyasint" json:"cpu"`  // share of a core
+
+	Revision uint64 `cbor:"7,keyasint" json:"-"`
+}
+
+// ID returns the name of the run among peers.
+func (m *Member) ID() state.DaemonID { return state.DaemonID(m.VM + "/" + m.Run) }
+
+// Holder says which VM gives orders to an engine. Its revision is the fencing token.
+type Holder struct {
+	Engine state.UpstreamID `cbor:"1,keyasint" json:"engine"`
+	VM     string           `cbor:"2,keyasint" json:"vm"`
+	From   string           `cbor:"3,keyasint,omitempty" json:"from,omitempty"` // the VM from which it was taken over
+
+	Revision uint64 `cbor:"4,keyasint" json:"-"`
+}
 
-// WantAdapter asks the owner of an engine to load an adapter.
+// WantAdapter asks the holder of an engine to load an adapter.
 type WantAdapter struct {
 	Upstream state.UpstreamID  `cbor:"1,keyasint"`
 	Adapter  upstreams.Adapter `cbor:"2,keyasint"`
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -32,7 +32,7 @@
 	MsgStoreAsk
 	MsgStoreGrant
 	MsgFleet
-	MsgFleetAck
+	MsgFleetReply
 	MsgWantAdapter
 	MsgWantReply
 )
--- a/internal/state/upstreams/upstreams.go
+++ b/internal/state/upstreams/upstreams.go
@@ -24,7 +24,7 @@
 // Holding is what an upstream holds in its memory.
 type Holding struct {
 	Models   map[string]int  // versions of weights by model
-	Adapters map[Adapter]int // versions by adapter
+	Adapters map[Adapter]int `cbor:"-"` // versions by adapter; not passed between daemons
 }
 
 // Holds reports whether a model, and the adapter of it, are loaded, in any version.
