--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -272,3 +272,13 @@
 	t.Setenv("CELERYDECK_CLI_CALLER_KEY", "")
 	qt.Assert(t, run(t, cli.Shell{}, "ticket", "booking").code, qt.Equals, cli.ExitUsage)
 }
+
+func TestExplainRequestFromLogs(t *testing.T) {
+	log := `{"time":"2026-01-01T00:00:03Z","level":"INFO","msg":"request","vm":"vm-1","request":"q1","outcome":"retry budget"}`
+	got := run(t, cli.Shell{Stdin: strings.NewReader(log)}, "explain", "--request", "q1")
+	qt.Assert(t, got.code, qt.Equals, 0)
+	qt.Assert(t, got.out, qt.Contains, "cause: retry budget: another try would have gone beyond this daemon's share of retries")
+	got = run(t, cli.Shell{}, "explain", "--request", "q1", "--logs", "/nonexistent")
+	qt.Assert(t, got.code, qt.Not(qt.Equals), 0)
+	qt.Assert(t, got.err, qt.Contains, "read log")
+}
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -14,11 +14,17 @@
 	Model    string `arg:"positional" help:"service/adapter, service/adapter@version or a plain service"`
 	Rank     string `arg:"--rank" help:"rank of the request [default: that of the service]"`
 	Upstream string `arg:"--upstream" help:"explain an upstream instead"`
+	// Request and Logs need no daemon.
+	Request string   `arg:"--request" help:"explain a request by its id from daemons' logs instead"`
+	Logs    []string `arg:"--logs,separate" help:"file with logs of daemons, with --request; - for standard input [default: -]"`
 }
 
 func (c *explainCmd) run(ctx context.Context, e *env) error {
+	if c.Request != "" {
+		return c.explainRequest(e)
+	}
 	if (c.Model == "") == (c.Upstream == "") {
-		return usageError("name either a model or --upstream")
+		return usageError("name a model, --upstream or --request")
 	}
 	x, err := e.client.Explain(ctx, protocol.ExplainQuery{Model: c.Model, Rank: c.Rank, Upstream: state.UpstreamID(c.Upstream)})
 	if err != nil {
--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -34,7 +34,7 @@
 	c := qt.New(t)
 	var out safeBuffer
 	l := New(&out, "vm-1")
-	l.Event("request", slog.String("request", "q\n1"), slog.Int("sends", 2))
+	l.Request(End{Request: "q\n1", Outcome: "answered", Answered: true}, slog.Int("sends", 2))
 	l.Close()
 	var line map[string]any
 	c.Assert(json.Unmarshal([]byte(out.lines()[0]), &line), qt.IsNil)
@@ -78,10 +78,45 @@
 	l := New(&out, "vm")
 	const flood = 5000
 	for range flood {
-		l.Event("refused")
+		l.Event("x")
 	}
 	l.Close()
 	written := len(out.lines())
-	c.Assert(written <= burstLines+linesPerSecond, qt.IsTrue)
+	c.Assert(written <= (burstSeconds+1)*eventsPerSecond, qt.IsTrue)
 	c.Assert(int64(written)+l.Dropped() >= flood, qt.IsTrue)
 }
+
+// At the worst load each refusal leaves its reason, summed if need be, and a flood of
+// answers does not hide it.
+func TestAFloodOfRefusalsIsSummedWithItsReasons(t *testing.T) {
+	c := qt.New(t)
+	var out safeBuffer
+	l := New(&out, "vm")
+	const flood = 3000
+	for i := range flood {
+		l.Request(End{Request: "a", Route: "r", Outcome: "answered", Answered: true})
+		reason := "no room in time"
+		if i%3 == 0 {
+			reason = "retry budget"
+		}
+		l.Request(End{Request: "q", Route: "r", Outcome: reason})
+	}
+	l.Close()
+	counts := map[string]int{}
+	for _, text := range out.lines() {
+		var line struct {
+			Msg, Outcome, Requests string
+			Count                  int
+		}
+		c.Assert(json.Unmarshal([]byte(text), &line), qt.IsNil)
+		switch line.Msg {
+		case "request":
+			counts[line.Outcome]++
+		case "requests summed":
+			counts[line.Outcome] += line.Count
+			c.Assert(strings.Fields(line.Requests), qt.HasLen, idsPerSum)
+		}
+	}
+	c.Assert(l.Dropped(), qt.Equals, int64(0))
+	c.Assert(counts, qt.DeepEquals, map[string]int{"answered": flood, "no room in time": flood * 2 / 3, "retry budget": flood / 3})
+}
--- /dev/null
+++ b/internal/decisionlog/trace.go
@@ -0,0 +1,195 @@
+package decisionlog
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	maxLine = 1 << 20 // bytes
+	// before and after bound the lines about a request's upstreams and adapter around
+	// the request itself.
+	before = 3 * time.Second
+	after  = 500 * time.Millisecond
+)
+
+// Line is a line of a daemon's log.
+type Line struct {
+	Time  time.Time
+	VM    string
+	Event string
+	Attrs map[string]any
+}
+
+// Text returns the attributes in the order of their keys.
+func (l *Line) Text() string {
+	var parts []string
+	for _, key := range slices.Sorted(maps.Keys(l.Attrs)) {
+		if value := l.Attrs[key]; value != "" && value != nil {
+			parts = append(parts, fmt.Sprintf("%s=%v", key, value))
+		}
+	}
+	return strings.Join(parts, " ")
+}
+
+func (l *Line) text(key string) string {
+	s, _ := l.Attrs[key].(string)
+	return s
+}
+
+// Story is what the logs tell about a request.
+type Story struct {
+	Request string
+	Lines   []Line // in order of time, over all daemons
+	Cause   string
+	// Summed says that the request's end stands in a sum only.
+	Summed bool
+}
+
+// ReadLines reads the lines of logs. Text around a line's JSON object is skipped, as
+// the tools that collect logs add some.
+func ReadLines(r io.Reader) ([]Line, error) {
+	var lines []Line
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		text := scanner.Text()
+		start := strings.IndexByte(text, '{')
+		if start < 0 {
+			continue
+		}
+		var attrs map[string]any
+		if json.Unmarshal([]byte(text[start:]), &attrs) != nil {
+			continue
+		}
+		l := Line{Attrs: attrs}
+		l.Event, l.VM = l.text("msg"), l.text("vm")
+		at, err := time.Parse(time.RFC3339Nano, l.text("time"))
+		if err != nil || l.Event == "" {
+			continue
+		}
+		l.Time = at
+		for _, key := range []string{"time", "msg", "vm", "level"} {
+			delete(l.Attrs, key)
+		}
+		lines = append(lines, l)
+	}
+	return lines, scanner.Err()
+}
+
+// Trace picks the lines that explain a request.
+func Trace(lines []Line, request string) Story {
+	s := Story{Request: request}
+	peers, adapters := map[string]bool{}, map[string]bool{}
+	var first, last time.Time
+	var end *Line
+	for i := range lines {
+		l := &lines[i]
+		if l.Event == "requests summed" && slices.Contains(strings.Fields(l.text("requests")), request) {
+			s.Summed = true
+			end = l
+		}
+		if l.text(KeyRequest) != request {
+			continue
+		}
+		if l.Event == "request" {
+			end = l
+		}
+		for _, key := range []string{"upstream", "peer"} {
+			if name := l.text(key); name != "" {
+				peers[name] = true
+			}
+		}
+		if name := l.text("adapter"); name != "" {
+			adapters[name] = true
+		}
+		if first.IsZero() || l.Time.Before(first) {
+			first = l.Time
+		}
+		if l.Time.After(last) {
+			last = l.Time
+		}
+	}
+	for i := range lines {
+		l := &lines[i]
+		about := l.text(KeyRequest) == "" && (peers[l.text("upstream")] || adapters[l.text("adapter")])
+		near := l.Time.After(first.Add(-before)) && l.Time.Before(last.Add(after))
+		if l.text(KeyRequest) == request || l == end || about && near {
+			s.Lines = append(s.Lines, *l)
+		}
+	}
+	slices.SortStableFunc(s.Lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	s.Cause = cause(end, s.Lines)
+	return s
+}
+
+// cause names the cause of a request's end.
+func cause(end *Line, lines []Line) string {
+	if end == nil {
+		return "no line tells how the request ended: it never reached a daemon whose log is here, or its line was dropped"
+	}
+	outcome := end.text("outcome")
+	text := Causes[outcome]
+	if text == "" {
+		return outcome
+	}
+	var steps []string
+	for _, l := range lines {
+		if l.Event == "step" {
+			steps = append(steps, fmt.Sprintf("%s at %s (%s)", l.text("step"), l.text("peer"), l.text(KeyErr)))
+		}
+		if l.Event == "upstream gone" || l.Event == "upstream crashed under a request" {
+			steps = append(steps, l.Event+": "+l.text("upstream"))
+		}
+	}
+	if len(steps) > 0 {
+		text += "; " + strings.Join(steps, "; ")
+	}
+	return outcome + ": " + text
+}
+
+// Outcomes of requests.
+const (
+	Answered        = "answered"
+	NoRoute         = "no route"
+	NoConfiguration = "no configuration"
+	NoEngine        = "no engine"
+	NoUpstream      = "no upstream"
+	NoRoom          = "no room in time"
+	NoLoad          = "no engine loads the adapter"
+	RetryBudget     = "retry budget"
+	Rejected        = "rejected by upstreams"
+	BrokeOff        = "upstream broke off"
+	Deadline        = "deadline"
+	CallerLeft      = "caller left"
+	Quarantined     = "crashes upstreams"
+	DaemonLeaving   = "daemon is leaving"
+	BodyTooLarge    = "body too large"
+	BodyMemory      = "memory for bodies is taken"
+)
+
+// Causes explains the outcomes of requests.
+var Causes = map[string]string{
+	Answered:        "an upstream's whole answer was passed on",
+	NoRoute:         "no route of the configuration in force has the host and a prefix of the path",
+	NoConfiguration: "the daemon had not read a configuration yet; the request did not run",
+	NoEngine:        "no engine held the adapter, and none could be asked to load it; the request did not run",
+	NoUpstream:      "no upstream of the service was listed; the request did not run",
+	NoRoom:          "no upstream could have begun in time; the request did not run",
+	NoLoad:          "the holders of the adapter's engines did not order the load in time; the request did not run",
+	RetryBudget:     "another try would have gone beyond this daemon's share of retries",
+	Rejected:        "several upstreams said that they did not run it",
+	BrokeOff:        "the connection to the upstream broke and the request may have run",
+	Deadline:        "the caller's deadline or the route's timeout came first",
+	CallerLeft:      "the caller closed its connection",
+	Quarantined:     "two upstreams crashed while they ran this request",
+	DaemonLeaving:   "the daemon was shutting down; the request did not run",
+	BodyTooLarge:    "the body is longer than the configuration allows",
+	BodyMemory:      "the daemon held too many bodies at that moment; the request did not run",
+}
--- a/internal/node/fleet/store.go
+++ b/internal/node/fleet/store.go
@@ -18,11 +18,11 @@
 	ErrNotFound = errors.New("fleet: no such record")
 )
 
-// Member and Holder are the records of daemons and of engines.
-type (
-	Member = protocol.Member
-	Holder = protocol.Holder
-)
+// Member is the record of a daemon.
+type Member = protocol.Member
+
+// Holder is the record of an engine.
+type Holder = protocol.Holder
 
 // Records are all members and holders.
 type Records struct {
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -75,6 +75,7 @@
 	table atomic.Pointer[routes.Table]
 
 	mu         sync.Mutex // guards everything below; not held across I/O
+	listAt     time.Time  // when the list of upstreams came
 	ups        map[state.UpstreamID]*upstreams.Upstream
 	byService  map[string][]*upstreams.Upstream
 	held       map[state.UpstreamID]heldBy
@@ -131,6 +132,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	old := v.ups
+	v.listAt = now
 	v.ups = make(map[state.UpstreamID]*upstreams.Upstream, len(list))
 	v.byService = make(map[string][]*upstreams.Upstream)
 	for i := range list {
@@ -394,6 +396,10 @@
 type Place struct {
 	balance.Decision
 	Version int
+	// ListAge is the age of the list of upstreams, and HeldAge of the holder's word on
+	// what the upstream holds, zero if there was none.
+	ListAge time.Duration
+	HeldAge time.Duration
 }
 
 // Choose decides where a request runs.
@@ -427,13 +433,25 @@
 	}
 	draw := rand.Float64()
 	if ask.Engine == nil {
-		return Place{Decision: v.tracker.ChoosePlain(now, ask.Request, list, ask.Limits, draw)}
+		return v.place(now, v.tracker.ChoosePlain(now, ask.Request, list, ask.Limits, draw), 0)
 	}
 	d := v.tracker.ChooseEngine(now, ask.Request, ask.Adapter, list, ask.Engine.KVTokens, ask.Limits, draw)
 	if d.Upstream == nil && len(outdated) > 0 {
-		return Place{Decision: v.tracker.ChooseEngine(now, ask.Request, ask.Adapter, outdated, ask.Engine.KVTokens, ask.Limits, draw)}
+		d = v.tracker.ChooseEngine(now, ask.Request, ask.Adapter, outdated, ask.Engine.KVTokens, ask.Limits, draw)
+		return v.place(now, d, 0)
 	}
-	return Place{Decision: d, Version: newest.version}
+	return v.place(now, d, newest.version)
+}
+
+// place adds to a decision how old its inputs are.
+func (v *View) place(now time.Time, d balance.Decision, version int) Place {
+	p := Place{Decision: d, Version: version, ListAge: now.Sub(v.listAt)}
+	if d.Upstream != nil {
+		if h, ok := v.held[d.Upstream.ID]; ok {
+			p.HeldAge = now.Sub(h.at)
+		}
+	}
+	return p
 }
 
 // candidate says what an engine can do for an adapter, and in which version it holds it.
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -123,18 +123,18 @@
 		w.Header().Set("Connection", "close")
 	}
 	if g.closed.Load() {
-		c.refuse("daemon is leaving", leavingWait)
+		c.refuse(decisionlog.DaemonLeaving, leavingWait)
 		return
 	}
 	table := g.opts.View.Table()
 	if table == nil {
-		c.refuse("no configuration", noConfigWait)
+		c.refuse(decisionlog.NoConfiguration, noConfigWait)
 		return
 	}
 	c.meta = g.opts.Dialect.Decode(r.Header)
 	c.route = table.Lookup(r.Host, r.URL.Path)
 	if c.route == nil {
-		c.finish(http.StatusNotFound, "no route")
+		c.finish(http.StatusNotFound, decisionlog.NoRoute)
 		return
 	}
 	if !c.readBody(table.Config.Limits.BodyBytes) {
@@ -168,8 +168,9 @@
 	loads     int
 	begun     bool // the head of the answer was written
 	lastWrite time.Time
-	lastEvent int // last event that the caller has, -1 for none
-	estimate  time.Duration
+	lastEvent int              // last event that the caller has, -1 for none
+	facts     fleet.Place      // the last choice of an upstream
+	config    uint64           // version of the configuration
 	upstream  state.UpstreamID // of the last send
 	loading   state.UpstreamID // where a load was waited for
 	first     time.Duration    // from the arrival to the first event
@@ -182,11 +183,11 @@
 		limit = defaultBody
 	}
 	if c.r.ContentLength > limit {
-		c.finish(http.StatusRequestEntityTooLarge, "body too large")
+		c.finish(http.StatusRequestEntityTooLarge, decisionlog.BodyTooLarge)
 		return false
 	}
 	if c.g.bodies.Load()+max(c.r.ContentLength, 0) > memoryForBody {
-		c.refuse("memory for bodies is taken", noConfigWait)
+		c.refuse(decisionlog.BodyMemory, noConfigWait)
 		return false
 	}
 	body, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
@@ -195,7 +196,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if int64(len(body)) > limit {
-		c.finish(http.StatusRequestEntityTooLarge, "body too large")
+		c.finish(http.StatusRequestEntityTooLarge, decisionlog.BodyTooLarge)
 		return false
 	}
 	c.body = body
@@ -216,6 +217,7 @@
 		wait = c.meta.Deadline
 	}
 	c.deadline = c.arrival.Add(wait)
+	c.config = table.Config.Version
 	c.lastEvent = c.meta.LastEvent
 	c.request = balance.Request{Rank: c.route.Rank, TokensIn: c.meta.TokensIn, TokensOut: c.meta.TokensOut}
 	c.excluded = make(map[state.UpstreamID]bool)
@@ -258,23 +260,23 @@
 // more can be done.
 func (c *call) serve() {
 	if c.g.opts.View.Quarantined(c.fingerprint) {
-		c.refuse("crashes upstreams", c.left())
+		c.refuse(decisionlog.Quarantined, c.left())
 		return
 	}
 	for {
 		if c.ctx.Err() != nil {
-			c.done("caller left", 0)
+			c.done(decisionlog.CallerLeft, 0)
 			return
 		}
 		if c.left() < minLeft {
-			c.giveUp("deadline")
+			c.giveUp(decisionlog.Deadline)
 			return
 		}
 		place := c.g.opts.View.Choose(fleet.Ask{
 			Service: c.service, Engine: c.engine, Request: c.request, Adapter: c.meta.Adapter, Limits: c.limits(),
 			Excluded: func(id state.UpstreamID) bool { return c.excluded[id] },
 		})
-		c.estimate = place.Estimate
+		c.facts = place
 		if place.Replicate != nil && c.g.opts.View.Replicate(place.Replicate.ID, c.meta.Adapter) {
 			go c.g.replicate(place.Replicate.ID, c.meta.Adapter, place.Version)
 		}
@@ -288,12 +290,12 @@
 			return
 		}
 		if c.sends > 0 && !c.g.opts.View.TakeRetry(c.service) {
-			c.giveUp("retry budget")
+			c.giveUp(decisionlog.RetryBudget)
 			return
 		}
 		if !c.await(place) {
 			if c.loads >= maxLoads {
-				c.giveUp("no engine loads the adapter")
+				c.giveUp(decisionlog.NoLoad)
 				return
 			}
 			continue
@@ -303,12 +305,12 @@
 			return
 		case notRun:
 			if c.sends >= maxSends {
-				c.giveUp("rejected by upstreams")
+				c.giveUp(decisionlog.Rejected)
 				return
 			}
 		case broken:
 			if !c.route.Repeatable() || c.runs >= c.route.Attempts {
-				c.giveUp("upstream broke off")
+				c.giveUp(decisionlog.BrokeOff)
 				return
 			}
 		}
@@ -415,8 +417,12 @@
 		name = c.route.Name
 	}
 	c.g.opts.Metrics.Request(name, outcome, took)
-	c.g.opts.Log.Event("request", slog.String("request", c.meta.RequestID), slog.String("route", name),
-		slog.String("adapter", c.meta.Adapter.String()), slog.Int("status", status), slog.String("outcome", outcome),
+	c.g.opts.Log.Request(
+		decisionlog.End{Request: c.meta.RequestID, Route: name, Outcome: outcome, Answered: status >= 200 && status < 300},
+		slog.String("service", c.service), slog.String("adapter", c.meta.Adapter.String()), slog.Int("status", status),
 		slog.Int("sends", c.sends), slog.Int("runs", c.runs), slog.String("upstream", string(c.upstream)),
-		slog.Duration("took", took), slog.Duration("first", c.first), slog.Duration("load_wait", c.waited), slog.Duration("estimate", c.estimate), slog.Int("last_event", c.lastEvent))
+		slog.Duration("took", took), slog.Duration("first", c.first), slog.Duration("load_wait", c.waited),
+		slog.Duration("estimate", c.facts.Estimate), slog.Uint64("config", c.config), slog.Duration("list_age", c.facts.ListAge),
+		slog.Duration("held_age", c.facts.HeldAge), slog.Int("last_event", c.lastEvent), slog.Int("tokens", c.meta.TokensIn),
+	)
 }
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -17,6 +17,7 @@
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
 	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
+	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/node/fleet"
 	"github.com/celerydeck/celerydeck/internal/state/upstreams"
 	"github.com/celerydeck/celerydeck/internal/transport/httpconn"
@@ -103,7 +104,7 @@
 		return out
 	}
 	if c.ctx.Err() != nil {
-		c.done("caller left", 0)
+		c.done(decisionlog.CallerLeft, 0)
 		return delivered
 	}
 	return out
@@ -161,7 +162,7 @@
 		return 0
 	}
 	if c.route.Kind == routes.Stream {
-		return max(3*c.estimate, c.route.Goal*2)
+		return max(3*c.facts.Estimate, c.route.Goal*2)
 	}
 	return max(minTry, 2*c.route.Goal)
 }
@@ -301,7 +302,7 @@
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	c.w.WriteHeader(resp.StatusCode)
 	_, _ = c.w.Write(body) // the caller may have left
-	c.done("answered", resp.StatusCode)
+	c.done(decisionlog.Answered, resp.StatusCode)
 	return delivered
 }
 
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
+	"github.com/celerydeck/celerydeck/internal/decisionlog"
 )
 
 const (
@@ -95,7 +96,7 @@
 		}
 		if _, err := c.w.Write(e.raw); err != nil {
 			_ = x.conn.Close()
-			c.done("caller left", 0)
+			c.done(decisionlog.CallerLeft, 0)
 			return delivered
 		}
 		c.lastWrite = now
@@ -105,7 +106,7 @@
 		if reader.Buffered() == 0 {
 			if err := flush.Flush(); err != nil {
 				_ = x.conn.Close()
-				c.done("caller left", 0)
+				c.done(decisionlog.CallerLeft, 0)
 				return delivered
 			}
 		}
@@ -119,7 +120,7 @@
 	now := c.g.opts.Clock()
 	c.g.opts.View.Track(func(t *balance.Tracker) { t.Succeeded(now, x.u.ID) })
 	c.g.opts.View.Acquit(c.fingerprint)
-	c.done("answered", resp.StatusCode)
+	c.done(decisionlog.Answered, resp.StatusCode)
 	return delivered
 }
 
@@ -131,7 +132,7 @@
 	c.g.opts.View.Track(func(t *balance.Tracker) {
 		t.First(x.u.ID, c.request)
 		t.Progress(now, x.u.ID)
-		t.TookFirst(x.u.ID, c.estimate, took)
+		t.TookFirst(x.u.ID, c.facts.Estimate, took)
 	})
 }
 
