--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -59,10 +59,8 @@
 type Edge struct {
 	settings platform.Settings
 	log      *decisionlog.Log
-	view     *fleet.View
-	node     *fleet.Node
+	node     atomic.Pointer[fleet.Node] // set when all parts are made
 	gateway  *gateway.Gateway
-	pool     *httpconn.Pool
 	front    *idleconn.Listener
 	app      *fx.App
 	leaving  atomic.Bool
@@ -121,10 +119,8 @@
 
 type edgeParts struct {
 	fx.In
-	View    *fleet.View
 	Node    *fleet.Node
 	Gateway *gateway.Gateway
-	Pool    *httpconn.Pool
 	Front   *idleconn.Listener
 }
 
@@ -139,15 +135,19 @@
 		fx.Populate(&parts),
 		fx.Invoke(serveEdgePeers, serveEdgeMetrics, serveEdgeReady, serveEdgeFront),
 	)
-	e.view, e.node, e.gateway, e.pool, e.front = parts.View, parts.Node, parts.Gateway, parts.Pool, parts.Front
 	if err := e.app.Err(); err != nil {
 		return nil, err
 	}
+	e.gateway, e.front = parts.Gateway, parts.Front
+	e.node.Store(parts.Node)
 	return e, e.app.Start(context.Background())
 }
 
 // Ready reports whether the daemon takes new connections.
-func (e *Edge) Ready() bool { return !e.leaving.Load() && e.node != nil && e.node.Ready() }
+func (e *Edge) Ready() bool {
+	n := e.node.Load()
+	return n != nil && !e.leaving.Load() && n.Ready()
+}
 
 // Shutdown lets requests in progress end, as long as the platform's grace allows, and stops.
 func (e *Edge) Shutdown() {
@@ -155,7 +155,7 @@
 	e.log.Event("leaving", slog.Int64("active", e.gateway.Active()))
 	e.leaving.Store(true)
 	e.gateway.SetLeaving()
-	e.node.SetLeaving()
+	e.node.Load().SetLeaving()
 	time.AfterFunc(closeIdleAfter, e.front.CloseIdle)
 	time.AfterFunc(refuseAfter, e.gateway.RefuseAll)
 	limit := e.settings.Bounds.Grace - exitMargin
@@ -200,12 +200,18 @@
 	Hash string `name:"certificate-hash"`
 }
 
-func newEdgeKeys(self fleet.Member, pins *peer.Pins) (edgeKeys, error) {
+func newEdgeKeys(self fleet.Member, pins *peer.Pins, log *decisionlog.Log, e *Edge) (edgeKeys, error) {
 	id, hash, err := peer.NewPinnedIdentity(self.ID(), pins, time.Now())
 	if err != nil {
 		return edgeKeys{}, fmt.Errorf("make identity: %w", err)
 	}
-	return edgeKeys{Keys: peer.NewKeyring(id, nil), Hash: hash}, nil
+	refused := func(r peer.Refusal) {
+		log.Event("peer refused", slog.String("reason", string(r)))
+		if n := e.node.Load(); n != nil {
+			n.ReadRecords()
+		}
+	}
+	return edgeKeys{Keys: peer.NewKeyring(id, refused), Hash: hash}, nil
 }
 
 func newEdgePeerPool(lc fx.Lifecycle, s platform.Settings, keys *peer.Keyring) (*peer.Pool, error) {
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -44,6 +44,8 @@
 	Replicate  *upstreams.Upstream // where the adapter is worth another copy
 	RetryAfter time.Duration
 	Reason     string
+	Candidates int // upstreams that hold the adapter or could load it
+	Full       int // of them, those that take no load at present
 }
 
 // Limits of a request, from its arrival.
@@ -60,12 +62,16 @@
 	bestCost, otherCost := time.Duration(math.MaxInt64), time.Duration(math.MaxInt64)
 	var bestEstimate, holderCost time.Duration
 	home, copies := homes(adapter, list)
+	full := 0
 	for pass := 0; pass < 2 && best == nil; pass++ {
 		for i := range list {
 			c := &list[i]
 			if pass == 0 && t.Benched(now, c.Upstream.ID) || !c.Holds && !c.Loadable {
 				continue
 			}
+			if pass == 0 && c.Full && !c.Holds {
+				full++
+			}
 			if !c.Holds && (c.Full || home[c.Upstream.ID] >= copies+spareHomes) {
 				continue
 			}
@@ -90,15 +96,15 @@
 		}
 	}
 	if best == nil {
-		return Decision{RetryAfter: spread(minRetryAfter, draw), Reason: "no engine"}
+		return Decision{RetryAfter: spread(minRetryAfter, draw), Reason: "no engine", Candidates: len(list), Full: full}
 	}
-	d := Decision{Upstream: best.Upstream, Load: !best.Holds, ReadyIn: best.ReadyIn, Estimate: bestEstimate}
+	d := Decision{Upstream: best.Upstream, Load: !best.Holds, ReadyIn: best.ReadyIn, Estimate: bestEstimate, Candidates: len(list), Full: full}
 	if best.Holds && bestOther != nil && float64(bestEstimate) > replicateShare*float64(lim.Goal) && otherCost < holderCost/2 {
 		d.Replicate = bestOther.Upstream
 	}
 	if bestEstimate > lim.Left {
 		wait := min(max(bestEstimate-lim.Goal/2, minRetryAfter), maxRetryAfter)
-		return Decision{Estimate: bestEstimate, RetryAfter: spread(wait, draw), Reason: "no room in time", Replicate: d.Replicate}
+		return Decision{Estimate: bestEstimate, RetryAfter: spread(wait, draw), Reason: "no room in time", Replicate: d.Replicate, Candidates: len(list), Full: full}
 	}
 	return d
 }
--- a/internal/node/fleet/claims.go
+++ b/internal/node/fleet/claims.go
@@ -66,8 +66,11 @@
 	for _, u := range n.engines() {
 		h, ok := n.holders[u.ID]
 		if ok && h.VM == n.opts.Self.VM && n.workers[u.ID] == nil {
-			// The records may be a peer's; the first confirmation of the daemon's own counts.
+			// A peer's word on the records is no confirmation.
 			lease := holders.Lease{Confirmed: boot - holders.LeaseTime}
+			if n.ownRecords[u.ID] == h {
+				lease.Confirmed = n.ownAsked
+			}
 			if h.From != "" {
 				lease = holders.AfterTakeover(boot, n.opts.Turns)
 			}
--- a/internal/node/fleet/follow.go
+++ b/internal/node/fleet/follow.go
@@ -20,6 +20,7 @@
 	// leaving is so in effect everywhere within two seconds.
 	upstreamInterval = time.Second
 	recordInterval   = 1500 * time.Millisecond
+	minRecordPause   = 300 * time.Millisecond
 	staleAfter       = 1500 * time.Millisecond
 	followCheck      = 150 * time.Millisecond
 	// watchWait bounds how long a watch that has gone deaf hides a change: its connection
@@ -257,6 +258,7 @@
 func (n *Node) followRecords() {
 	b := backoff{log: n.opts.Log, what: "records"}
 	var last time.Time
+	asked := false
 	for n.ctx.Err() == nil {
 		if !n.published {
 			if err := n.opts.Store.PutMember(n.ctx, n.opts.Self); err != nil {
@@ -266,9 +268,9 @@
 			}
 			n.published = true
 		}
-		if now := n.opts.Clock(); n.recordsDue(now, last) {
+		if now := n.opts.Clock(); asked || n.recordsDue(now, last) {
 			last = now
-			asked := n.opts.BootClock()
+			begin := n.opts.BootClock()
 			r, err := n.opts.Store.Records(n.ctx)
 			now = n.opts.Clock()
 			n.noteReached(now, err == nil)
@@ -279,15 +281,29 @@
 			}
 			b.ok(now)
 			n.takeRecords(now, r)
-			n.published = n.confirmLeases(asked, r)
+			n.published = n.confirmLeases(begin, r)
 		}
 		n.reconcile()
 		n.claim()
 		n.sweep()
-		n.sleep(recordInterval)
+		asked = n.recordsPause()
 	}
 }
 
+// recordsPause waits for the next turn. It reports whether the records were asked for.
+func (n *Node) recordsPause() bool {
+	n.sleep(minRecordPause)
+	t := time.NewTimer(recordInterval - minRecordPause)
+	defer t.Stop()
+	select {
+	case <-n.recordsNow:
+		return true
+	case <-t.C:
+	case <-n.ctx.Done():
+	}
+	return false
+}
+
 // recordsDue says whether the records are to be read: to follow them, or to confirm leases.
 func (n *Node) recordsDue(now, last time.Time) bool {
 	if n.follows() {
@@ -336,6 +352,7 @@
 func (n *Node) confirmLeases(asked time.Duration, r Records) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.ownRecords, n.ownAsked = r.Holders, asked
 	for id, w := range n.workers {
 		if h, ok := r.Holders[id]; ok && h.VM == n.opts.Self.VM {
 			w.confirm(asked, h)
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -77,9 +77,13 @@
 	leaving   bool
 	seq       uint64
 	published bool
-	rereads   map[string]context.CancelFunc
-	demand    map[string]*pendingDemand // not yet told, by holder
-	strikes   []timedStrike
+	// The last records that this daemon read itself, and when it asked for them.
+	ownRecords map[state.UpstreamID]Holder
+	ownAsked   time.Duration
+	recordsNow chan struct{} // asks for the records at once
+	rereads    map[string]context.CancelFunc
+	demand     map[string]*pendingDemand // not yet told, by holder
+	strikes    []timedStrike
 	// modelLoads are the times of recent orders to load weights.
 	modelLoads []time.Time
 }
@@ -97,6 +101,8 @@
 		versions: make(map[upstreams.Adapter]int),
 		rereads:  make(map[string]context.CancelFunc),
 		demand:   make(map[string]*pendingDemand),
+
+		recordsNow: make(chan struct{}, 1),
 	}
 }
 
@@ -132,6 +138,15 @@
 	n.leaving = true
 }
 
+// ReadRecords asks for the records soon: a peer showed a certificate that they do not
+// name, so it has probably started anew.
+func (n *Node) ReadRecords() {
+	select {
+	case n.recordsNow <- struct{}{}:
+	default:
+	}
+}
+
 // relayView returns this daemon and its peers for the choice of relays. The caller
 // holds the lock.
 func (n *Node) relayView(now time.Time) []relays.Daemon {
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -423,6 +423,7 @@
 		slog.Int("sends", c.sends), slog.Int("runs", c.runs), slog.String("upstream", string(c.upstream)),
 		slog.Duration("took", took), slog.Duration("first", c.first), slog.Duration("load_wait", c.waited),
 		slog.Duration("estimate", c.facts.Estimate), slog.Uint64("config", c.config), slog.Duration("list_age", c.facts.ListAge),
-		slog.Duration("held_age", c.facts.HeldAge), slog.Int("last_event", c.lastEvent), slog.Int("tokens", c.meta.TokensIn),
+		slog.Duration("held_age", c.facts.HeldAge),
+		slog.Int("candidates", c.facts.Candidates), slog.Int("full", c.facts.Full), slog.Int("last_event", c.lastEvent), slog.Int("tokens", c.meta.TokensIn),
 	)
 }
