--- a/internal/node/gateway/release_test.go
+++ b/internal/node/gateway/release_test.go
@@ -22,14 +22,14 @@
 	defer l.Close()
 	pool := httpconn.NewPool()
 	u := &upstreams.Upstream{ID: "a", Addr: l.Addr().String()}
-	conn, err := pool.Get(context.Background(), u.Addr)
+	conn, err := pool.Get(context.Background(), u.Addr, false)
 	c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
 	x := &exchange{c: &call{g: New(Options{Pool: pool})}, u: u, conn: conn}
 	x.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	cancel()
 	x.release(&http.Response{ContentLength: 0}, Answer{KeepAlive: time.Minute})
-	other, err := pool.Get(context.Background(), u.Addr)
+	other, err := pool.Get(context.Background(), u.Addr, false)
 	c.Assert(err, qt.IsNil)
 	c.Assert(other.Reused, qt.IsFalse)
 }
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -78,7 +78,7 @@
 	u := place.Upstream
 	view := c.g.opts.View
 	c.upstream = u.ID
-	conn, err := c.g.opts.Pool.Get(c.ctx, u.Addr)
+	conn, err := c.g.opts.Pool.Get(c.ctx, u.Addr, !c.route.Repeatable())
 	if err != nil {
 		if c.ctx.Err() != nil {
 			return delivered
@@ -245,7 +245,7 @@
 	time.Sleep(crashCheckIn)
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckIn*5)
 	defer cancel()
-	conn, err := g.opts.Pool.Get(ctx, u.Addr)
+	conn, err := g.opts.Pool.Get(ctx, u.Addr, true)
 	if err == nil {
 		g.opts.Pool.Put(u.Addr, conn, 0)
 		return
--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -18,9 +18,12 @@
 	dialTimeout = 400 * time.Millisecond // a connection within a region takes a few milliseconds
 	readBuffer  = 4 << 10                // bytes
 	// maxIdle bounds how long an unused connection is kept where the upstream names no limit.
-	maxIdle = 4 * time.Second
+	maxIdle = 12 * time.Second
 	// idleShare of the upstream's limit is used, so that both ends don't meet at the end of it.
-	idleShare    = 0.6
+	idleShare = 0.85
+	// surelyShare of that is used for requests that must not repeat: a connection that
+	// the upstream has dropped without notice shows only when the request is lost.
+	surelyShare  = 0.25
 	maxIdleConns = 64 // per upstream
 	// keepAliveIdle and keepAliveEvery find connections whose other end has vanished.
 	keepAliveIdle  = time.Second
@@ -75,10 +78,11 @@
 	}
 }
 
-// Get returns an idle connection that is still usable, or opens one.
-func (p *Pool) Get(ctx context.Context, addr string) (*Conn, error) {
+// Get returns an idle connection that is still usable, or opens one. Surely asks for
+// one that was used a moment ago, or a new one.
+func (p *Pool) Get(ctx context.Context, addr string, surely bool) (*Conn, error) {
 	now := time.Now()
-	for c := p.pop(addr); c != nil; c = p.pop(addr) {
+	for c := p.pop(addr, now, surely); c != nil; c = p.pop(addr, now, surely) {
 		if now.Sub(c.idleAt) < c.limit && c.quiet() {
 			c.Reused = true
 			return c, nil
@@ -135,7 +139,8 @@
 	}
 }
 
-func (p *Pool) pop(addr string) *Conn {
+// pop takes the connection that was used last.
+func (p *Pool) pop(addr string, now time.Time, surely bool) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
@@ -143,6 +148,9 @@
 		return nil
 	}
 	c := list[len(list)-1]
+	if surely && float64(now.Sub(c.idleAt)) > surelyShare*float64(c.limit) {
+		return nil
+	}
 	p.idle[addr] = list[:len(list)-1]
 	return c
 }
