--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -38,6 +38,9 @@
 	maxPace  = 6.0
 	minBench = 400 * time.Millisecond // first suspension after a broken connection
 	maxBench = 3 * time.Second
+	// probeFor is how long a suspended upstream is kept from others while one request
+	// finds out whether it is back.
+	probeFor = 400 * time.Millisecond
 )
 
 // Load is what an upstream says in its answers.
@@ -247,6 +250,14 @@
 	return h != nil && now.Before(h.benched)
 }
 
+// chosen notes that a request goes to an upstream. If that was suspended, the request
+// is a probe, and no other follows before its outcome.
+func (t *Tracker) chosen(now time.Time, id state.UpstreamID) {
+	if h := t.healthOf(id); h.inRow > 0 {
+		h.benched = now.Add(probeFor)
+	}
+}
+
 // EstimateEngine returns when an engine would send the first event of a request.
 func (t *Tracker) EstimateEngine(now time.Time, u *upstreams.Upstream, kvTokens int, r Request) time.Duration {
 	w := t.Work(now, u.ID)
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -111,6 +111,26 @@
 	c.Assert(choose(tr, request, engines(1, 0)).Upstream.ID, qt.Equals, state.UpstreamID("e0"))
 }
 
+// Answers a zone cut: after each suspension all requests met the same dead upstream
+// again and lost their time to it.
+func TestOneRequestProbesASuspendedUpstream(t *testing.T) {
+	c := qt.New(t)
+	tr := NewTracker()
+	list := engines(2)
+	for i := range list {
+		list[i].Upstream.Slots = 6
+	}
+	list[1].Upstream.Zone = "z2" // the other one is preferred
+	tr.Failed(now, "e0", true)
+	later := now.Add(minBench)
+	pick := func() state.UpstreamID { return tr.ChoosePlain(later, request, list, limits, 0).Upstream.ID }
+	tr.healthOf("e0").failed = 0 // its penalty has faded
+	c.Assert(pick(), qt.Equals, state.UpstreamID("e0"))
+	c.Assert(pick(), qt.Equals, state.UpstreamID("e1"))
+	tr.Succeeded(later, "e0")
+	c.Assert(pick(), qt.Equals, state.UpstreamID("e0"))
+}
+
 func TestWorkOfPeersCountsWhileItIsFresh(t *testing.T) {
 	c := qt.New(t)
 	tr := NewTracker()
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -106,6 +106,7 @@
 		wait := min(max(bestEstimate-lim.Goal/2, minRetryAfter), maxRetryAfter)
 		return Decision{Estimate: bestEstimate, RetryAfter: spread(wait, draw), Reason: "no room in time", Replicate: d.Replicate, Candidates: len(list), Full: full}
 	}
+	t.chosen(now, d.Upstream.ID)
 	return d
 }
 
@@ -133,6 +134,7 @@
 		wait := min(max(bestEstimate-lim.Goal, minRetryAfter), maxRetryAfter)
 		return Decision{Estimate: bestEstimate, RetryAfter: spread(wait, draw), Reason: "no room in time"}
 	}
+	t.chosen(now, best.Upstream.ID)
 	return Decision{Upstream: best.Upstream, Estimate: bestEstimate}
 }
 
--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	dialTimeout = 400 * time.Millisecond // a connection within a region takes a few milliseconds
+	dialTimeout = 200 * time.Millisecond // a connection within a region takes a few milliseconds
 	readBuffer  = 4 << 10                // bytes
 	// maxIdle bounds how long an unused connection is kept where the upstream names no limit.
 	maxIdle = 12 * time.Second
