--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -17,6 +17,8 @@
 	// spareHomes is how many engines beyond the number of copies may take another
 	// copy. Further ones would drop what others need, in a flood of rare adapters.
 	spareHomes = 1
+	// idleSpareHomes holds for engines at which a load would begin at once.
+	idleSpareHomes = 2
 	// replicateShare of the latency objective is the estimate at the best holder from
 	// which on another copy is loaded, if that engine would begin in half the time.
 	replicateShare = 0.5
@@ -72,7 +74,7 @@
 			if pass == 0 && c.Full && !c.Holds {
 				full++
 			}
-			if !c.Holds && (c.Full || home[c.Upstream.ID] >= copies+spareHomes) {
+			if !c.Holds && (c.Full || home[c.Upstream.ID] >= copies+spare(c)) {
 				continue
 			}
 			estimate := t.EstimateEngine(now, c.Upstream, kvTokens, r)
@@ -110,6 +112,14 @@
 	return d
 }
 
+// spare returns how many homes beyond the number of copies count for an engine.
+func spare(c *Candidate) int {
+	if c.Queue == 0 {
+		return idleSpareHomes
+	}
+	return spareHomes
+}
+
 // ChoosePlain picks the upstream of a plain service with the earliest answer.
 func (t *Tracker) ChoosePlain(now time.Time, r Request, list []Candidate, lim Limits, draw float64) Decision {
 	var best *Candidate
