--- a/internal/coordination/loadwindow/loadwindow.go
+++ b/internal/coordination/loadwindow/loadwindow.go
@@ -6,7 +6,7 @@
 import "time"
 
 const (
-	initial  = 2.0
+	initial  = 2.0 // or one for each engine
 	smallest = 1.0
 	largest  = 32.0
 	increase = 0.2 // for each load that was there in time, divided by the window
@@ -32,6 +32,14 @@
 // New returns a window that has not learned anything.
 func New() *Window { return &Window{size: initial} }
 
+// Engines tells how many engines the daemon orders loads at. Before the first late load
+// each of them may take one in.
+func (w *Window) Engines(n int) {
+	if w.decreased.IsZero() {
+		w.size = max(w.size, float64(n))
+	}
+}
+
 // Size returns the number of loads that may be in flight.
 func (w *Window) Size() float64 { return w.size }
 
--- a/internal/node/fleet/gossip.go
+++ b/internal/node/fleet/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
@@ -76,15 +77,19 @@
 	n.opts.View.SetLoadable(n.loadable(now))
 	view := n.relayView(now)
 	isRelay := slices.Contains(relays.Of(n.opts.Self.Zone, view), n.opts.Self.VM)
-	for _, vm := range relays.Targets(n.opts.Self.VM, n.opts.Self.Zone, view) {
+	targets := relays.TargetsOf(n.opts.Self.VM, n.opts.Self.Zone, view)
+	if n.seq%n.otherZonesEvery() != 0 && isRelay {
+		targets.Other = nil
+	}
+	for _, vm := range append(targets.Zone, targets.Other...) {
 		m := n.members[vm]
 		if m == nil || m.calling {
 			continue
 		}
 		push := &protocol.FleetPush{States: []protocol.DaemonState{own}, Strikes: n.recentStrikes(), Known: n.knownNow(now), Relay: isRelay}
 		if isRelay {
-			push.States = append(push.States, n.toldStates(now)...)
-			push.Demand = n.demandOf(vm)
+			push.States = append(push.States, n.statesFor(now, m.Zone)...)
+			push.Demand = n.demandFor(m)
 		} else {
 			push.Demand = n.allDemand()
 		}
@@ -95,6 +100,15 @@
 	}
 }
 
+// otherZonesEvery returns how many rounds lie between two messages to other zones,
+// whose bytes are paid for. The caller holds the lock.
+func (n *Node) otherZonesEvery() uint64 {
+	if n.isSmall() {
+		return 1
+	}
+	return 2
+}
+
 // ownState returns this daemon's state. The caller holds the lock.
 func (n *Node) ownState(works map[state.UpstreamID]balance.Work) protocol.DaemonState {
 	n.seq++
@@ -107,11 +121,25 @@
 	return s
 }
 
-// toldStates returns the states that daemons told this one. The caller holds the lock.
-func (n *Node) toldStates(now time.Time) []protocol.DaemonState {
+// isSmall reports whether the relays of all zones talk to each other. The caller holds
+// the lock.
+func (n *Node) isSmall() bool { return len(n.members) < relays.SmallFleet }
+
+// statesFor returns what a relay tells a relay of a zone: to another zone, all of the
+// own zone; to the own zone, what daemons and leads of other zones told this one. In a
+// small fleet it is what daemons told that are no relays. The caller holds the lock.
+func (n *Node) statesFor(now time.Time, zone state.Zone) []protocol.DaemonState {
 	var list []protocol.DaemonState
 	for _, m := range n.members {
-		if now.Sub(m.direct) < stateFresh && m.state.Run == m.Run {
+		if m.state.Run != m.Run {
+			continue
+		}
+		told := now.Sub(m.direct) < stateFresh
+		own := m.Zone == n.opts.Self.Zone && now.Sub(m.heard) < stateFresh
+		if n.isSmall() {
+			own = told
+		}
+		if zone == n.opts.Self.Zone && told || zone != n.opts.Self.Zone && own {
 			list = append(list, m.state)
 		}
 	}
@@ -160,6 +188,35 @@
 	}
 }
 
+// demandFor takes what a relay is to pass on: to a relay of the own zone for itself,
+// to a lead of another zone for all holders there. The caller holds the lock.
+func (n *Node) demandFor(to *member) protocol.Demand {
+	d := n.demandOf(to.VM)
+	if to.Zone == n.opts.Self.Zone || n.isSmall() {
+		return d
+	}
+	for vm := range n.demand {
+		if m := n.members[vm]; m != nil && m.Zone == to.Zone {
+			more := n.demandOf(vm)
+			merge(&d, more)
+		}
+	}
+	return d
+}
+
+func merge(d *protocol.Demand, more protocol.Demand) {
+	if d.InUse == nil {
+		*d = more
+		return
+	}
+	for id, list := range more.InUse {
+		addNew(d.InUse, id, list)
+	}
+	for id, list := range more.Missing {
+		addNew(d.Missing, id, list)
+	}
+}
+
 // demandOf takes what a holder has not been told. The caller holds the lock.
 func (n *Node) demandOf(vm string) protocol.Demand {
 	p := n.demand[vm]
@@ -172,15 +229,9 @@
 
 // allDemand takes what no holder has been told. The caller holds the lock.
 func (n *Node) allDemand() protocol.Demand {
-	d := protocol.Demand{InUse: make(map[state.UpstreamID][]upstreams.Adapter), Missing: make(map[state.UpstreamID][]upstreams.Adapter)}
-	for vm, p := range n.demand {
-		for id, list := range p.inUse {
-			addNew(d.InUse, id, list)
-		}
-		for id, list := range p.missing {
-			addNew(d.Missing, id, list)
-		}
-		delete(n.demand, vm)
+	var d protocol.Demand
+	for vm := range n.demand {
+		merge(&d, n.demandOf(vm))
 	}
 	return d
 }
@@ -221,30 +272,49 @@
 	n.takeNewer(now, push.Known, &push.Newer)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	caller := ""
-	for _, m := range n.members {
-		if m.ID() == from {
-			caller = m.VM
-			m.direct, m.known = now, push.Known
-			if push.Relay {
-				m.direct = time.Time{} // it tells the other relays itself
-			}
-		}
+	caller := n.memberOf(from)
+	if caller == nil {
+		return &protocol.FleetReply{Known: n.knownNow(now)}
 	}
+	caller.known = push.Known
+	n.noteTold(now, caller, push.Relay, push.States)
 	n.takeStates(now, push.States)
 	n.takeDemand(push.Demand)
 	n.takeStrikes(now, push.Strikes)
 	n.takeKnown(now, push.Known)
-	reply := &protocol.FleetReply{Strikes: n.recentStrikes(), Known: n.knownNow(now), Demand: n.demandOf(caller)}
+	reply := &protocol.FleetReply{Strikes: n.recentStrikes(), Known: n.knownNow(now), Demand: n.demandFor(caller)}
 	if push.Relay {
-		reply.States = append(n.toldStates(now), n.ownState(n.opts.View.OwnWork()))
+		reply.States = append(n.statesFor(now, caller.Zone), n.ownState(n.opts.View.OwnWork()))
 	} else {
-		reply.Totals, reply.Engines, reply.Ages = n.digest(now, caller)
+		reply.Totals, reply.Engines, reply.Ages = n.digest(now, caller.VM)
 	}
 	reply.Newer = n.newer(push.Known)
 	return reply
 }
 
+// memberOf returns the peer with an identity, or nil. The caller holds the lock.
+func (n *Node) memberOf(id state.DaemonID) *member {
+	vm, _, _ := strings.Cut(string(id), "/")
+	if m := n.members[vm]; m != nil && m.ID() == id {
+		return m
+	}
+	return nil
+}
+
+// noteTold notes whose states a peer told, to pass them on: its own if it is no relay,
+// and those of another zone. The caller holds the lock.
+func (n *Node) noteTold(now time.Time, from *member, isRelay bool, states []protocol.DaemonState) {
+	if !isRelay {
+		from.direct = now
+		return
+	}
+	for _, s := range states {
+		if m := n.members[s.VM]; m != nil && from.Zone != n.opts.Self.Zone && !n.isSmall() {
+			m.direct = now
+		}
+	}
+}
+
 // digest sums up the fleet for a daemon that is no relay. The caller holds the lock.
 func (n *Node) digest(now time.Time, caller string) (map[state.UpstreamID]balance.Work, []protocol.EngineState, map[string]time.Duration) {
 	own := n.ownState(n.opts.View.OwnWork())
@@ -324,6 +394,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	m.heard, m.spoke, m.known = now, true, reply.Known
+	n.noteTold(now, m, true, reply.States)
 	n.takeStates(now, reply.States)
 	n.takeDemand(reply.Demand)
 	n.takeStrikes(now, reply.Strikes)
--- a/internal/node/fleet/loads.go
+++ b/internal/node/fleet/loads.go
@@ -44,6 +44,12 @@
 	return s.window.Free(now)
 }
 
+func (s *sharedWindow) engines(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.window.Engines(n)
+}
+
 func (s *sharedWindow) begin(end time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/node/fleet/worker.go
+++ b/internal/node/fleet/worker.go
@@ -41,6 +41,7 @@
 	ctx, cancel := context.WithCancel(n.ctx)
 	w := &worker{node: n, id: h.Engine, fence: h.Revision, cancel: cancel, wake: make(chan struct{}, 1), lease: lease, moved: make(chan struct{})}
 	n.workers[h.Engine] = w
+	n.window.engines(len(n.workers))
 	n.wg.Add(1)
 	go func() {
 		defer n.wg.Done()
