--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -24,10 +24,12 @@
 	"github.com/celerydeck/celerydeck/deckconfig"
 	"github.com/celerydeck/celerydeck/internal/app"
 	"github.com/celerydeck/celerydeck/internal/cli"
+	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/metrics"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/report"
 	"github.com/celerydeck/celerydeck/internal/transport/admin"
+	"github.com/celerydeck/celerydeck/platform"
 )
 
 func read(t *testing.T, name string) string {
@@ -220,6 +222,7 @@
 	}
 	variables = append(variables, cli.Variables()...)
 	variables = append(variables, testVariables(t)...)
+	variables = append(variables, platform.SettingsEnv)
 	err := filepath.WalkDir(".", func(path string, d fs.DirEntry, err error) error {
 		if err != nil || d.IsDir() || filepath.Ext(path) != ".md" {
 			return err
@@ -262,3 +265,50 @@
 	lines := find(page, "`celerydeck ([a-z-][^`]*)`")
 	return append(lines, find(page, `(?m)^    celerydeck ([a-z-].*)$`)...)
 }
+
+// logSources are the packages that write decision lines.
+var logSources = []string{"../internal/node/gateway/*.go", "../internal/node/fleet/*.go", "../internal/app/edge.go", "../internal/decisionlog/decisionlog.go"}
+
+func logSource(t *testing.T) string {
+	t.Helper()
+	var all strings.Builder
+	for _, pattern := range logSources {
+		paths, err := filepath.Glob(pattern)
+		qt.Assert(t, err, qt.IsNil)
+		for _, path := range paths {
+			if !strings.HasSuffix(path, "_test.go") {
+				all.WriteString(read(t, path))
+			}
+		}
+	}
+	return all.String()
+}
+
+// firstColumn returns the code spans in the first column of tables.
+func firstColumn(text string) []string {
+	var names []string
+	for _, cell := range find(text, "(?m)^\\| (`[^|]+) \\|") {
+		names = append(names, find(cell, "`([^`]+)`")...)
+	}
+	return names
+}
+
+func TestOperationsPageListsEveryEventAndKey(t *testing.T) {
+	page, source := section(read(t, "OPERATIONS.md"), "## Lines"), logSource(t)
+	events, keys, _ := strings.Cut(page, "| Key |")
+	written := find(source, `(?:\.Event|\.logErr|\.write)\("([^"]+)"`)
+	same(t, "log event", firstColumn(events), written)
+	known := find(source, `slog\.[A-Z]\w*\("([a-z_]+)"`)
+	known = append(known, decisionlog.KeyRequest, decisionlog.KeyErr)
+	same(t, "log key", firstColumn(keys), known)
+}
+
+func TestOperationsPageListsEveryOutcome(t *testing.T) {
+	documented := firstColumn(section(read(t, "OPERATIONS.md"), "## Outcomes"))
+	same(t, "outcome", documented, slices.Collect(maps.Keys(decisionlog.Causes)))
+	reasons := find(read(t, "../internal/coordination/balance/choose.go"), `Reason: "([^"]+)"`)
+	qt.Assert(t, len(reasons) > 0, qt.IsTrue)
+	for _, reason := range reasons {
+		qt.Check(t, decisionlog.Causes[reason], qt.Not(qt.Equals), "", qt.Commentf("reason %q", reason))
+	}
+}
--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -243,6 +243,7 @@
 		Self: self, View: p.View, Store: platform.NewStore(p.Settings.StoreAddr), Engines: platform.NewEngines(),
 		Pool: p.Pool, Pins: p.Pins, Log: p.Log, Clock: time.Now, BootClock: bootClock,
 		Turns: b.Lease, LapseReturn: b.LapseReturn, LoadWindow: b.LoadWindow, LoadBurst: b.LoadBurst,
+		FirstStart: p.Settings.FirstStart,
 	})
 	lc.Append(fx.StartStopHook(n.Start, n.Close))
 	return n
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -68,6 +68,10 @@
 		qt.Assert(t, g.Serve(t.Context(), call(i), "", discard{}) == nil, qt.IsTrue)
 		r.Dispatched(call(i).Class(), time.Second, 0, 3)
 	}
+	routes := r.Routes()
+	for i := range 500 {
+		routes.Request(fmt.Sprintf("route-%d", i), "answered", time.Millisecond)
+	}
 	r.Loaded(time.Second, false)
 	r.SetOwned(2)
 	r.SetRevision(7)
@@ -78,6 +82,8 @@
 	qt.Assert(t, strings.Count(text, "celerydeck_wait_seconds_count{"), qt.Equals, 11)
 	qt.Assert(t, text, qt.Contains, `celerydeck_wait_seconds_count{customer="other",rank="other",service="other"} 4990`)
 	qt.Assert(t, text, qt.Contains, `celerydeck_wait_seconds_count{customer="club-3.x_y",rank="rank-0",service="advice"} 1`)
+	qt.Assert(t, strings.Count(text, "celerydeck_route_seconds_count{"), qt.Equals, 65)
+	qt.Assert(t, text, qt.Contains, `celerydeck_route_requests_total{outcome="answered",route="other"} 436`)
 	qt.Assert(t, len(r.Classes(c.now, ranks)) <= 20, qt.IsTrue)
 	for _, name := range metrics.Names() {
 		qt.Check(t, strings.Contains(text, "# TYPE "+name+" "), qt.IsTrue, qt.Commentf(name))
--- a/internal/node/fleet/follow.go
+++ b/internal/node/fleet/follow.go
@@ -23,6 +23,10 @@
 	minRecordPause   = 300 * time.Millisecond
 	staleAfter       = 1500 * time.Millisecond
 	followCheck      = 150 * time.Millisecond
+	// In a large fleet, and when all daemons start for the first time, a daemon waits
+	// startPatience for what its lead has read, and settleStart for the others' records.
+	startPatience = time.Second
+	settleStart   = 400 * time.Millisecond
 	// watchWait bounds how long a watch that has gone deaf hides a change: its connection
 	// may be silent, or the store may have dropped the history under it.
 	watchWait  = 2 * time.Second
@@ -69,7 +73,11 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.opts.Clock()
-	if n.known.Upstreams == 0 || now.Sub(n.storeAt) > staleAfter {
+	patient := now.Sub(n.started) < startPatience && (n.opts.FirstStart || !n.isSmall())
+	switch {
+	case patient && n.known.Records == 0:
+		return false
+	case n.known.Upstreams == 0 && !patient, now.Sub(n.storeAt) > staleAfter && !patient:
 		return true
 	}
 	first := relays.Of(n.opts.Self.Zone, n.relayView(now))
@@ -267,6 +275,9 @@
 				continue
 			}
 			n.published = true
+			if n.opts.FirstStart && n.opts.Clock().Sub(n.started) < startPatience {
+				n.sleep(settleStart)
+			}
 		}
 		if now := n.opts.Clock(); asked || n.recordsDue(now, last) {
 			last = now
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -39,6 +39,8 @@
 	LapseReturn time.Duration
 	LoadWindow  time.Duration
 	LoadBurst   float64
+	// FirstStart says that all daemons start for the first time, at about this moment.
+	FirstStart bool
 }
 
 // member is a peer as this daemon knows it.
@@ -62,6 +64,8 @@
 	ctx    context.Context
 	window sharedWindow
 
+	started time.Time
+
 	mu        sync.Mutex         // not held across I/O; taken before the locks of workers and of the view
 	members   map[string]*member // by VM, without this daemon
 	holders   map[state.UpstreamID]Holder
@@ -109,6 +113,7 @@
 // Start begins to follow the store and the peers.
 func (n *Node) Start() {
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.started = n.opts.Clock()
 	for _, loop := range []func(){n.followConfig, n.followVersions, n.followUpstreams, n.followRecords, n.gossip} {
 		n.wg.Add(1)
 		go func() {
