Keep a stalled stream unless another upstream takes it over

Change: the watch looks for a place first; it is a goroutine of its own that wakes only when a pause is long, instead of a timer that each event resets. Tests: TestAStalledStreamWithoutAnotherPlaceIsKept, TestAStalledStreamIsResumedElsewhere.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -256,6 +256,13 @@
 	return balance.Limits{Goal: c.route.Goal, Left: min(latest-elapsed, c.left()*7/10)}
 }
 
+func (c *call) ask() fleet.Ask {
+	return fleet.Ask{
+		Service: c.service, Engine: c.engine, Request: c.request, Adapter: c.meta.Adapter, Limits: c.limits(),
+		Excluded: func(id state.UpstreamID) bool { return c.excluded[id] },
+	}
+}
+
 // serve sends the request until one answer has been brought back whole, or nothing
 // more can be done.
 func (c *call) serve() {
@@ -272,10 +279,7 @@
 			c.giveUp(decisionlog.Deadline)
 			return
 		}
-		place := c.g.opts.View.Choose(fleet.Ask{
-			Service: c.service, Engine: c.engine, Request: c.request, Adapter: c.meta.Adapter, Limits: c.limits(),
-			Excluded: func(id state.UpstreamID) bool { return c.excluded[id] },
-		})
+		place := c.g.opts.View.Choose(c.ask())
 		c.facts = place
 		if place.Replicate != nil && c.g.opts.View.Replicate(place.Replicate.ID, c.meta.Adapter) {
 			go c.g.replicate(place.Replicate.ID, c.meta.Adapter, place.Version)
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -5,12 +5,15 @@
 	"bytes"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
+	"github.com/celerydeck/celerydeck/internal/node/fleet"
+	"github.com/celerydeck/celerydeck/internal/state"
 )
 
 const (
@@ -18,8 +21,10 @@
 	maxEvent    = 1 << 20 // bytes
 	// stallAfter is the pause in a stream after which it is resumed elsewhere if
 	// nothing else comes from its upstream either, and stallLimit if something does.
-	stallAfter = 800 * time.Millisecond
+	stallAfter = time.Second
 	stallLimit = 1600 * time.Millisecond
+	// stallCheck is the pause before a stalled stream without another place is looked at again.
+	stallCheck = 200 * time.Millisecond
 )
 
 // event is one event of a stream with the bytes as they came.
@@ -65,8 +70,7 @@
 	c := x.c
 	flush := http.NewResponseController(c.w)
 	last := c.g.opts.Clock()
-	watch := x.watchdog()
-	defer watch.Stop()
+	defer x.watch()()
 	reader := bufio.NewReaderSize(resp.Body, eventBuffer)
 	for {
 		e, err := readEvent(reader)
@@ -85,7 +89,6 @@
 		}
 		last = now
 		x.lastAt.Store(now.UnixNano())
-		watch.Reset(stallAfter)
 		if e.id >= 0 && e.id <= c.lastEvent {
 			continue // the caller has it
 		}
@@ -136,24 +139,56 @@
 	})
 }
 
-// watchdog closes the connection of a resumable stream that has stalled.
-func (x *exchange) watchdog() *time.Timer {
+// watch closes the connection of a resumable stream that has stalled, if another
+// upstream would take it over. It returns a function that ends the watch.
+func (x *exchange) watch() (stop func()) {
 	c := x.c
 	if !c.route.Repeatable() || c.runs+1 >= c.route.Attempts {
-		t := time.NewTimer(time.Hour)
-		return t
+		return func() {}
 	}
-	var t *time.Timer
 	x.lastAt.Store(c.g.opts.Clock().UnixNano())
-	t = time.AfterFunc(stallAfter, func() {
-		now := c.g.opts.Clock()
-		var progress time.Time
-		c.g.opts.View.Track(func(t *balance.Tracker) { progress = t.LastProgress(x.u.ID) })
-		if now.Sub(progress) < stallAfter && now.UnixNano()-x.lastAt.Load() < int64(stallLimit) {
-			t.Reset(stallLimit - stallAfter)
-			return
+	ask := c.ask()
+	excluded := maps.Clone(c.excluded) // the caller's goroutine may change its own
+	ask.Excluded = func(id state.UpstreamID) bool { return id == x.u.ID || excluded[id] }
+	done := make(chan struct{})
+	go func() {
+		t := time.NewTimer(stallAfter)
+		defer t.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-t.C:
+			}
+			wait := x.stalled(ask)
+			if wait == 0 {
+				_ = x.conn.Close()
+				return
+			}
+			t.Reset(wait)
 		}
-		_ = x.conn.Close()
-	})
-	return t
+	}()
+	return func() { close(done) }
+}
+
+// stalled returns the time after which the stream is to be looked at again, zero if it
+// is to be resumed elsewhere. Silence alone is no reason to end an answer.
+func (x *exchange) stalled(ask fleet.Ask) time.Duration {
+	c := x.c
+	now := c.g.opts.Clock()
+	pause := now.Sub(time.Unix(0, x.lastAt.Load()))
+	if pause < stallAfter {
+		return stallAfter - pause
+	}
+	var progress time.Time
+	c.g.opts.View.Track(func(t *balance.Tracker) { progress = t.LastProgress(x.u.ID) })
+	if now.Sub(progress) < stallAfter && pause < stallLimit {
+		return stallLimit - pause
+	}
+	ask.Limits = balance.Limits{Goal: c.route.Goal, Left: c.abandonment()*9/10 - pause}
+	if c.g.opts.View.Choose(ask).Upstream == nil {
+		return stallCheck
+	}
+	c.note("stream stalled", x.u, nil)
+	return 0
 }
