Count rounds of gossip apart from states; keep a stream that began until its deadline

A stalled stream was moved where a load was needed, or without budget, and cut. Lines say when a peer is lost and regained, with the error of the last call.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -296,7 +296,7 @@
 func TestOperationsPageListsEveryEventAndKey(t *testing.T) {
 	page, source := section(read(t, "OPERATIONS.md"), "## Lines"), logSource(t)
 	events, keys, _ := strings.Cut(page, "| Key |")
-	written := find(source, `(?:\.Event|\.logErr|\.write)\("([^"]+)"`)
+	written := find(source, `(?:\.Event\(|\.logErr\(|\.write\(|event :?= )"([^"]+)"`)
 	same(t, "log event", firstColumn(events), written)
 	known := find(source, `slog\.[A-Z]\w*\("([a-z_]+)"`)
 	known = append(known, decisionlog.KeyRequest, decisionlog.KeyErr)
--- a/internal/node/fleet/gossip.go
+++ b/internal/node/fleet/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"slices"
 	"strings"
 	"time"
@@ -70,6 +71,7 @@
 	}
 	n.strikes = slices.DeleteFunc(n.strikes, func(s timedStrike) bool { return now.Sub(s.at) > strikeFor })
 	n.takeDemand(protocol.Demand{InUse: out.Uses, Missing: out.Missing})
+	n.noteSilence(now)
 	own := n.ownState(out.Works)
 	for _, e := range own.Engines {
 		n.opts.View.SetHeld(e)
@@ -78,7 +80,8 @@
 	view := n.relayView(now)
 	isRelay := slices.Contains(relays.Of(n.opts.Self.Zone, view), n.opts.Self.VM)
 	targets := relays.TargetsOf(n.opts.Self.VM, n.opts.Self.Zone, view)
-	if n.seq%n.otherZonesEvery() != 0 && isRelay {
+	n.rounds++
+	if n.rounds%n.otherZonesEvery() != 0 && isRelay {
 		targets.Other = nil
 	}
 	for _, vm := range append(targets.Zone, targets.Other...) {
@@ -100,6 +103,21 @@
 	}
 }
 
+// noteSilence tells which peers have been lost and regained. The caller holds the lock.
+func (n *Node) noteSilence(now time.Time) {
+	for _, m := range n.members {
+		silent := now.Sub(m.heard)
+		if lost := silent >= relays.SilentAfter; lost != m.lost {
+			m.lost = lost
+			event := "peer regained"
+			if lost {
+				event = "peer lost"
+			}
+			n.opts.Log.Event(event, slog.String("peer", m.VM), slog.String("err", m.lastErr))
+		}
+	}
+}
+
 // otherZonesEvery returns how many rounds lie between two messages to other zones,
 // whose bytes are paid for. The caller holds the lock.
 func (n *Node) otherZonesEvery() uint64 {
@@ -250,6 +268,7 @@
 	m.calling = false
 	if err != nil {
 		m.failed++
+		m.lastErr = err.Error()
 		drop := m.failed%dropAfter == 0
 		if drop { // another relay is tried; this one counts as silent until it speaks
 			m.heard = n.opts.Clock().Add(-relays.SilentAfter)
@@ -261,7 +280,7 @@
 		}
 		return
 	}
-	m.failed = 0
+	m.failed, m.lastErr = 0, ""
 	n.mu.Unlock()
 	n.takeReply(m, push.Relay, &reply)
 }
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -51,6 +51,8 @@
 	spoke   bool      // it has spoken in this run
 	failed  int       // unanswered messages in a row
 	calling bool
+	lost    bool   // it is silent, and a line said so
+	lastErr string // of the last call that failed
 	state   protocol.DaemonState
 	known   protocol.Known // what it knew when it spoke to this daemon last
 }
@@ -79,7 +81,8 @@
 	reached   bool      // the last call of the store was answered
 	back      time.Time // end of the last outage of the store
 	leaving   bool
-	seq       uint64
+	seq       uint64 // of the last own state that was told
+	rounds    uint64 // of gossip
 	published bool
 	// The last records that this daemon read itself, and when it asked for them.
 	ownRecords map[state.UpstreamID]Holder
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -166,7 +166,8 @@
 	runs      int // sends after which the request may have run
 	excluded  map[state.UpstreamID]bool
 	loads     int
-	begun     bool // the head of the answer was written
+	reserved  atomic.Bool // the next retry was taken from the budget already
+	begun     bool        // the head of the answer was written
 	lastWrite time.Time
 	lastEvent int              // last event that the caller has, -1 for none
 	facts     fleet.Place      // the last choice of an upstream
@@ -250,7 +251,7 @@
 		return balance.Limits{Goal: c.route.Goal, Left: c.left() * 7 / 10}
 	}
 	if c.begun { // a stream that goes on is late after a pause, not after its first event
-		return balance.Limits{Goal: c.route.Goal, Left: min(c.pauseLeft(), c.left()*7/10)}
+		return balance.Limits{Goal: c.route.Goal, Left: min(max(c.pauseLeft(), c.route.Goal), c.left()*7/10)}
 	}
 	latest := max(c.route.Goal, c.abandonment()*6/10)
 	return balance.Limits{Goal: c.route.Goal, Left: min(latest-elapsed, c.left()*7/10)}
@@ -284,7 +285,7 @@
 		if place.Replicate != nil && c.g.opts.View.Replicate(place.Replicate.ID, c.meta.Adapter) {
 			go c.g.replicate(place.Replicate.ID, c.meta.Adapter, place.Version)
 		}
-		if place.Upstream == nil && c.begun && c.pauseLeft() > resumeRetry {
+		if place.Upstream == nil && c.begun {
 			clear(c.excluded)
 			c.pause(resumeRetry)
 			continue
@@ -293,12 +294,16 @@
 			c.giveUpWith(place.Reason, place.RetryAfter)
 			return
 		}
-		if c.sends > 0 && !c.g.opts.View.TakeRetry(c.service) {
+		if c.sends > 0 && !c.reserved.Swap(false) && !c.g.opts.View.TakeRetry(c.service) {
+			if c.begun {
+				c.pause(resumeRetry)
+				continue
+			}
 			c.giveUp(decisionlog.RetryBudget)
 			return
 		}
 		if !c.await(place) {
-			if c.loads >= maxLoads {
+			if c.loads >= maxLoads && !c.begun {
 				c.giveUp(decisionlog.NoLoad)
 				return
 			}
@@ -324,8 +329,9 @@
 // maxSends bounds the upstreams that may reject a request before it is refused.
 const maxSends = 4
 
-// resumeRetry is the pause before a place for a broken stream is looked for again.
-const resumeRetry = 60 * time.Millisecond
+// resumeRetry is the pause before a place for a broken stream is looked for again, up
+// to the deadline: the caller decides when it has waited for long enough.
+const resumeRetry = 100 * time.Millisecond
 
 // maxLoads bounds the engines that are asked to load an adapter for one request.
 const maxLoads = 4
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -186,9 +186,10 @@
 		return stallLimit - pause
 	}
 	ask.Limits = balance.Limits{Goal: c.route.Goal, Left: c.abandonment()*9/10 - pause}
-	if c.g.opts.View.Choose(ask).Upstream == nil {
+	if place := c.g.opts.View.Choose(ask); place.Upstream == nil || place.Load || !c.g.opts.View.TakeRetry(c.service) {
 		return stallCheck
 	}
+	c.reserved.Store(true)
 	c.note("stream stalled", x.u, nil)
 	return 0
 }
