--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -40,7 +40,7 @@
 	// needs two failed checks, a second apart, before it sends callers elsewhere.
 	closeIdleAfter = 2500 * time.Millisecond
 	// refuseAfter is when a leaving daemon refuses requests on connections that are
-	// left; they could not end within the grace.
+	// left, if they might not end within the grace.
 	refuseAfter = 3 * time.Second
 	// minLeaving is how long a leaving daemon answers at least.
 	minLeaving = 4 * time.Second
@@ -157,8 +157,8 @@
 	e.gateway.SetLeaving()
 	e.node.Load().SetLeaving()
 	time.AfterFunc(closeIdleAfter, e.front.CloseIdle)
-	time.AfterFunc(refuseAfter, e.gateway.RefuseAll)
 	limit := e.settings.Bounds.Grace - exitMargin
+	time.AfterFunc(refuseAfter, func() { e.gateway.RefuseLong(begin.Add(limit)) })
 	for time.Since(begin) < limit && (e.gateway.Active() > 0 || time.Since(begin) < minLeaving) {
 		time.Sleep(leavingPoll)
 	}
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -99,7 +99,7 @@
 	bodies  atomic.Int64 // bytes held
 	active  atomic.Int64
 	leaving atomic.Bool
-	closed  atomic.Bool
+	endBy   atomic.Int64 // Unix nanoseconds; zero while all requests are taken
 }
 
 // New returns a gateway.
@@ -108,8 +108,9 @@
 // SetLeaving asks callers to use other connections from now on.
 func (g *Gateway) SetLeaving() { g.leaving.Store(true) }
 
-// RefuseAll refuses requests that come from now on.
-func (g *Gateway) RefuseAll() { g.closed.Store(true) }
+// RefuseLong refuses requests that come from now on and may not end by a time: all
+// streams, and others whose deadline is later.
+func (g *Gateway) RefuseLong(endBy time.Time) { g.endBy.Store(endBy.UnixNano()) }
 
 // Active returns the number of requests in progress.
 func (g *Gateway) Active() int64 { return g.active.Load() }
@@ -122,10 +123,6 @@
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if g.closed.Load() {
-		c.refuse(decisionlog.DaemonLeaving, leavingWait)
-		return
-	}
 	table := g.opts.View.Table()
 	if table == nil {
 		c.refuse(decisionlog.NoConfiguration, noConfigWait)
@@ -142,6 +139,10 @@
 	}
 	defer g.bodies.Add(-int64(len(c.body)))
 	c.plan(table)
+	if by := g.endBy.Load(); by != 0 && (c.route.Kind == routes.Stream || c.deadline.UnixNano() > by) {
+		c.refuse(decisionlog.DaemonLeaving, leavingWait)
+		return
+	}
 	c.serve()
 }
 
--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -480,10 +480,15 @@
 	resp, text, _ := w.do("/plain/", "")
 	w.Assert(text, qt.Equals, "answer")
 	w.Assert(resp.Close, qt.IsTrue)
-	w.gate.RefuseAll()
-	resp, _, _ = w.do("/plain/", "")
+	w.gate.RefuseLong(time.Now().Add(time.Minute))
+	_, text, _ = w.do("/plain/", "")
+	w.Assert(text, qt.Equals, "answer", qt.Commentf("it ends in time"))
+	resp, _, _ = w.do("/stream/", "")
 	w.Assert(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
-	w.Assert(u.arrivals(), qt.Equals, 1)
+	w.gate.RefuseLong(time.Now().Add(time.Second))
+	resp, _, _ = w.do("/plain/", "")
+	w.Assert(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("its deadline is later"))
+	w.Assert(u.arrivals(), qt.Equals, 2)
 }
 
 func TestATooLongBodyIsRejectedUnread(t *testing.T) {
