Cancel a waiting request when its adapter's version is superseded

Ruled out: a late watch (the announcement came within 50 ms). Test: TestARequestThatWaitsDoesNotBeginOnASupersededVersion.

--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -29,6 +29,8 @@
 	ownerFresh = 1500 * time.Millisecond
 	// absentFor is how long an engine is not chosen for an adapter that it did not have.
 	absentFor = 700 * time.Millisecond
+	// replicateEvery is the least time between two further copies of an adapter.
+	replicateEvery = 700 * time.Millisecond
 	// minDaemons divides shared budgets while the peers are not known yet.
 	minDaemons = 4
 )
@@ -87,7 +89,7 @@
 	inFlight   map[absence]int     // requests by engine and adapter
 	uses       map[state.UpstreamID][]upstreams.Adapter
 	missing    map[state.UpstreamID][]upstreams.Adapter
-	replicated map[absence]time.Time
+	replicated map[upstreams.Adapter]time.Time // when another copy was asked for
 	budgets    map[string]*retrybudget.Budget
 	loadable   map[state.UpstreamID]bool // whose holder can be asked for loads
 	daemons    int
@@ -107,7 +109,7 @@
 		inFlight:   make(map[absence]int),
 		uses:       make(map[state.UpstreamID][]upstreams.Adapter),
 		missing:    make(map[state.UpstreamID][]upstreams.Adapter),
-		replicated: make(map[absence]time.Time),
+		replicated: make(map[upstreams.Adapter]time.Time),
 		budgets:    make(map[string]*retrybudget.Budget),
 	}
 }
@@ -159,7 +161,7 @@
 		}
 	}
 	for k, at := range v.replicated {
-		if now.Sub(at) > absentFor {
+		if now.Sub(at) > replicateEvery {
 			delete(v.replicated, k)
 		}
 	}
@@ -204,6 +206,15 @@
 	}
 }
 
+// Superseded reports whether a request that was sent for a version of an adapter, zero
+// for any, must not begin any more: a newer version was announced too long ago.
+func (v *View) Superseded(a upstreams.Adapter, version int) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	newest := v.versions[a]
+	return newest.version > version && v.opts.Clock().Sub(newest.at) >= v.opts.OutdatedFor
+}
+
 // SetHeld takes an owner's word on what its engine holds.
 func (v *View) SetHeld(e protocol.EngineState) {
 	v.mu.Lock()
@@ -320,17 +331,16 @@
 	v.missing[id] = append(v.missing[id], a)
 }
 
-// Replicate reports whether a copy of an adapter on an engine may be asked for. It
-// says so once in a while for each.
-func (v *View) Replicate(id state.UpstreamID, a upstreams.Adapter) bool {
+// Replicate reports whether another copy of an adapter may be asked for now. It says
+// so once in a while for each.
+func (v *View) Replicate(a upstreams.Adapter) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.opts.Clock()
-	key := absence{"", a}
-	if now.Sub(v.replicated[key]) < absentFor {
+	if now.Sub(v.replicated[a]) < replicateEvery {
 		return false
 	}
-	v.replicated[key] = now
+	v.replicated[a] = now
 	return true
 }
 
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -283,7 +283,7 @@
 		}
 		place := c.g.opts.View.Choose(c.ask())
 		c.facts = place
-		if place.Replicate != nil && c.g.opts.View.Replicate(place.Replicate.ID, c.meta.Adapter) {
+		if place.Replicate != nil && c.g.opts.View.Replicate(c.meta.Adapter) {
 			go c.g.replicate(place.Replicate.ID, c.meta.Adapter, place.Version)
 		}
 		if place.Upstream == nil && c.begun {
--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -120,7 +120,7 @@
 	c := qt.New(t)
 	log := decisionlog.New(io.Discard, "vm")
 	t.Cleanup(log.Close)
-	view := fleet.NewView(fleet.ViewOptions{Zone: "z", Retries: fleet.RetryLimits{Ratio: 0.2, Burst: 100, Window: 10 * time.Second}, Log: log, Clock: time.Now})
+	view := fleet.NewView(fleet.ViewOptions{Zone: "z", OutdatedFor: 400 * time.Millisecond, Retries: fleet.RetryLimits{Ratio: 0.2, Burst: 100, Window: 10 * time.Second}, Log: log, Clock: time.Now})
 	w := &world{C: c, view: view}
 	w.gate = gateway.New(gateway.Options{
 		View: view, Loader: noLoads{}, Pool: httpconn.NewPool(), Dialect: platform.Dialect{}, Log: log, Metrics: noMetrics{}, Clock: time.Now,
@@ -149,7 +149,7 @@
 		for _, service := range []string{"app", "llm"} {
 			ups = append(ups, upstreams.Upstream{
 				ID: u.id + state.UpstreamID("-"+service), Service: service, Addr: u.addr, Zone: "z", Slots: 8,
-				Holding: upstreams.Holding{Models: map[string]int{model: 1}},
+				Holding: upstreams.Holding{Models: map[string]int{model: 1}, Adapters: map[upstreams.Adapter]int{{Model: model, Name: "a1"}: 1}},
 			})
 		}
 	}
@@ -386,6 +386,30 @@
 	w.Assert(u.arrivals(), qt.Equals, 1)
 }
 
+// A request of the least urgent kind waited seven seconds at its engine and began on a
+// version of its adapter that was replaced meanwhile.
+func TestARequestThatWaitsDoesNotBeginOnASupersededVersion(t *testing.T) {
+	closed := make(chan struct{})
+	u := serveUpstream(t, "a", func(_ int, _ *http.Request, w net.Conn) {
+		_, _ = w.Read(make([]byte, 1)) // waits until the connection is closed
+		close(closed)
+	})
+	w := newWorld(t, u)
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		w.view.Announce(upstreams.Adapter{Model: model, Name: "a1"}, 2)
+	}()
+	r := w.request("/fixed/", "x")
+	r.Header.Set("X-Model", model+"/a1")
+	begin := time.Now()
+	resp, err := http.DefaultClient.Do(r)
+	w.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	w.Assert(resp.StatusCode, qt.Equals, http.StatusBadGateway, qt.Commentf("it may have run"))
+	<-closed
+	w.Assert(time.Since(begin) < 1500*time.Millisecond, qt.IsTrue)
+}
+
 func TestTheUpstreamIsLeftWhenTheCallerLeaves(t *testing.T) {
 	left := make(chan struct{})
 	u := serveUpstream(t, "a", func(_ int, r *http.Request, w net.Conn) {
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -42,6 +42,8 @@
 	// minTry is the least time that an upstream gets before an idempotent request is
 	// sent to another one.
 	minTry = 300 * time.Millisecond
+	// versionCheck is how often a request that has not begun is checked for a newer version of its adapter.
+	versionCheck = 300 * time.Millisecond
 	// lateLoad is the pause before a request is sent again to an engine whose load
 	// of its adapter takes longer than estimated.
 	lateLoad = 100 * time.Millisecond
@@ -67,10 +69,11 @@
 	u        *upstreams.Upstream
 	conn     *httpconn.Conn
 	sent     time.Time
-	stop     func() bool  // ends the watch for the caller's leaving
-	longBody bool         // is written while the answer is read
-	read     bool         // the first event has come
-	lastAt   atomic.Int64 // time of the last event, Unix nanoseconds
+	stop     func() bool   // ends the watch for the caller's leaving
+	longBody bool          // is written while the answer is read
+	read     bool          // the first event has come
+	begun    chan struct{} // closed with the first event, nil without an adapter
+	lastAt   atomic.Int64  // time of the last event, Unix nanoseconds
 }
 
 // send sends the request to an upstream and brings its answer back.
@@ -112,6 +115,11 @@
 
 func (x *exchange) run(version int) outcome {
 	c := x.c
+	if c.meta.Adapter.Name != "" {
+		x.begun = make(chan struct{})
+		defer x.hasBegun()
+		go x.guardVersion(version, x.begun)
+	}
 	_ = x.conn.SetDeadline(c.deadline.Add(endSlack)) // a closed connection fails the write
 	if err := x.write(version); err != nil {
 		return x.brokeOff("write request", err)
@@ -167,6 +175,33 @@
 	return max(minTry, 2*c.route.Goal)
 }
 
+// guardVersion closes the connection of a request that still waits at its engine when
+// a newer version of its adapter must be in effect: it would begin on the older one.
+func (x *exchange) guardVersion(version int, begun <-chan struct{}) {
+	tick := time.NewTicker(versionCheck)
+	defer tick.Stop()
+	for {
+		select {
+		case <-begun:
+			return
+		case <-tick.C:
+		}
+		if x.c.g.opts.View.Superseded(x.c.meta.Adapter, version) {
+			x.c.note("adapter version superseded", x.u, nil)
+			_ = x.conn.Close()
+			return
+		}
+	}
+}
+
+// hasBegun ends the guard of the version. Only the goroutine of the exchange calls it.
+func (x *exchange) hasBegun() {
+	if x.begun != nil {
+		close(x.begun)
+		x.begun = nil
+	}
+}
+
 // write sends the request. A long body is written while the answer is read, since
 // an upstream may answer before it has read all of it.
 func (x *exchange) write(version int) error {
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -129,6 +129,7 @@
 
 func (x *exchange) first(now time.Time) {
 	x.read = true
+	x.hasBegun()
 	c := x.c
 	took := now.Sub(x.sent)
 	c.first = now.Sub(c.arrival)
