Log the shared prompt parts of a request under which an upstream crashed

The lines of the incident could not tell whether the broken requests share a part of their prompts: the line of a crash held a hash of the whole content only, without the request's id, its adapter, its prompt parts, the boot of the upstream, or how far the response had come. They stand there now. The gateway's metadata hold the shared parts, all but the last one, instead of the prompt's text, which nothing used. No decision changes.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -42,8 +42,10 @@
 	Adapter   upstreams.Adapter
 	TokensIn  int
 	TokensOut int
-	Prompt    string
-	LastEvent int // last event that the caller has received; -1 for a new stream
+	// SharedParts identifies the parts of the prompt, in order, that other requests may share:
+	// all but the last one.
+	SharedParts []uint64
+	LastEvent   int // last event that the caller has received; -1 for a new stream
 }
 
 // UpstreamMetadata is what the gateway adds to the headers of a request to an upstream.
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -91,6 +91,7 @@
 	stopCallerWatch   func() bool   // after its call, the connection stays open when the caller leaves
 	stopResponseWatch func()        // see watchResponse
 	bodyInBackground  bool          // the body is written while the response is read
+	hadHead           bool          // the response head was received
 	hadFirstEvent     bool          // a first event was received
 	started           chan struct{} // closed with the first event; nil without an adapter
 	pauseSampledAt    time.Time     // see pauseSampleInterval
@@ -368,14 +369,29 @@
 	})
 	c.logStep(step, x.u, err)
 	if !deadlinePassed {
-		go c.g.checkCrash(x.u, c.fingerprint)
+		go c.g.checkCrash(brokenRun{
+			upstream: x.u, fingerprint: c.fingerprint, requestID: c.meta.RequestID, adapter: c.meta.Adapter, sharedParts: c.meta.SharedParts,
+			hadHead: x.hadHead, hadFirstEvent: x.hadFirstEvent,
+		})
 	}
 	return broken
 }
 
-// checkCrash records a crash if an upstream crashed while it ran a request. A connection to a
-// crashed upstream is refused, as its port is closed.
-func (g *Gateway) checkCrash(u *upstreams.Upstream, fingerprint uint64) {
+// brokenRun is a run of a request that broke off.
+type brokenRun struct {
+	upstream      *upstreams.Upstream
+	fingerprint   uint64
+	requestID     string
+	adapter       upstreams.Adapter
+	sharedParts   []uint64
+	hadHead       bool // the response head was received
+	hadFirstEvent bool // a first event was received
+}
+
+// checkCrash records a crash if the upstream crashed while it ran the request. A connection to
+// a crashed upstream is refused, as its port is closed.
+func (g *Gateway) checkCrash(b brokenRun) {
+	u := b.upstream
 	time.Sleep(crashCheckDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckDelay*5)
 	defer cancel()
@@ -388,14 +404,26 @@
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		return
 	}
-	g.opts.Log.Event("upstream crashed under a request", slog.String("upstream", string(u.ID)), slog.Uint64("fingerprint", fingerprint))
-	g.opts.View.RecordCrash(quarantine.Crash{Fingerprint: fingerprint, Upstream: u.ID})
+	g.opts.Log.Event("upstream crashed under a request", slog.String("upstream", string(u.ID)), slog.Int64("boot", u.StartTime),
+		slog.Uint64("fingerprint", b.fingerprint), slog.String("request", b.requestID), slog.String("adapter", b.adapter.String()),
+		slog.String("parts", formatParts(b.sharedParts)), slog.Bool("had_head", b.hadHead), slog.Bool("had_event", b.hadFirstEvent))
+	g.opts.View.RecordCrash(quarantine.Crash{Fingerprint: b.fingerprint, Upstream: u.ID})
+}
+
+// formatParts returns the IDs of prompt parts in hexadecimal, separated by commas.
+func formatParts(parts []uint64) string {
+	text := make([]string, len(parts))
+	for i, id := range parts {
+		text[i] = strconv.FormatUint(id, 16)
+	}
+	return strings.Join(text, ",")
 }
 
 // handleResponse handles the response to the request, whose headers have been read: it forwards
 // the response, or decides that the request may be sent to another upstream.
 func (x *exchange) handleResponse(resp *http.Response, a ResponseMetadata) outcome {
 	c := x.c
+	x.hadHead = true
 	now := c.g.opts.Clock()
 	c.g.opts.View.WithTracker(func(t *balance.Tracker) { t.RecordProgress(now, x.u.ID) })
 	if a.HasLoad {
