--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -1,74 +1,433 @@
-// Package quarantine detects requests that crash upstreams, so that they are refused
-// before they crash further ones. A request is identified by a fingerprint of its
-// content, which stays the same when the caller resends it.
+// Package quarantine detects requests that crash upstreams, so that they are refused before
+// they crash further ones.
+//
+// A request is known by its traits: its content, which stays the same when the caller resends
+// it, and the parts of its prompt that other requests share. When an upstream crashes, the crash
+// counts against the traits of the runs that had only just begun there, and of those that had not
+// begun. A run that gets past its beginning proves its traits innocent. A trait with enough
+// crashes is refused.
+//
+// Most requests that break in a crash only ran beside the one that caused it. So prompt parts are
+// refused in the order of the crashes that they explain, and a crash that a refused part explains
+// counts against nothing else.
 package quarantine
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/state"
 )
 
 const (
-	// crashLimit is the number of different upstreams that a request must have crashed
-	// before it is refused.
-	crashLimit = 2
-	recordTTL  = 2 * time.Minute // time from the last crash until a record expires
-	maxRecords = 4096
+	// contentCrashLimit is the number of crashes after which a content is refused.
+	contentCrashLimit = 2
+	// partCrashLimit is the number of crashes after which a prompt part is refused. It is
+	// higher than contentCrashLimit, as a refused part stops more requests.
+	partCrashLimit = 3
+	// ConfirmDelay is the time from the first crash that counts against a prompt part until the
+	// part may be refused. Meanwhile the peers report runs that got past their beginning.
+	ConfirmDelay = time.Second
+	// survivalTTL is how long crashes do not count against a prompt part after a run got past
+	// its beginning: many upstreams may crash at once for another reason.
+	survivalTTL = 10 * time.Second
+	// suspicionTTL is the time after its last crash in which further crashes add to a record
+	// that does not suffice for a refusal.
+	suspicionTTL = 2 * time.Minute
+	// refusalTTL is how long a trait is refused after its last crash. Later requests are sent
+	// again, and one further crash renews the refusal.
+	refusalTTL = 10 * time.Minute
+	recordTTL  = time.Hour // time from the last crash until a record may be evicted
+
+	maxRecords          = 4096
+	maxSurvivals        = 16384
+	maxCrashesPerRecord = 256
+	maxRepeatedCrashes  = 256
 )
 
-// Crash records that an upstream crashed while a request ran on it.
+// Kind says what a trait identifies.
+type Kind uint8
+
+// Kinds of traits.
+const (
+	Content    Kind = iota // method, path and body of a request
+	PromptPart             // a part of the prompt that other requests may share
+)
+
+// String returns the name of a kind for logs.
+func (k Kind) String() string {
+	if k == PromptPart {
+		return "prompt part"
+	}
+	return "content"
+}
+
+// Trait is what requests that crash upstreams may have in common.
+type Trait struct {
+	Kind Kind   `cbor:"1,keyasint"`
+	ID   uint64 `cbor:"2,keyasint"`
+}
+
+// Crash records that an upstream crashed at the beginning of a run with a trait, or before it.
 type Crash struct {
-	Fingerprint uint64           `cbor:"1,keyasint"`
-	Upstream    state.UpstreamID `cbor:"2,keyasint"`
+	ID       uint64           `cbor:"1,keyasint"` // of the trait
+	Upstream state.UpstreamID `cbor:"2,keyasint"`
+	Boot     int64            `cbor:"3,keyasint,omitempty"` // start of the upstream, Unix milliseconds
+	Kind     Kind             `cbor:"4,keyasint,omitempty"` // of the trait
+}
+
+// Trait returns the trait that the crash counts against.
+func (c Crash) Trait() Trait { return Trait{Kind: c.Kind, ID: c.ID} }
+
+// boot is one run of an upstream. It ends with at most one crash.
+type boot struct {
+	upstream state.UpstreamID
+	start    int64
 }
 
-// crashRecord holds the upstreams that crashed while one request ran on them.
-type crashRecord struct {
-	upstreams map[state.UpstreamID]bool
+// record holds the crashes that count against one trait.
+type record struct {
+	crashes   map[boot]time.Time // when each crash was recorded
 	lastCrash time.Time
 }
 
-// Table holds the crashes of requests by fingerprint. It is not safe for concurrent
-// use.
-type Table struct{ records map[uint64]*crashRecord }
+// unexplained returns the number of crashes that no refused prompt part explains, and when the
+// first of them was recorded.
+func (r *record) unexplained(explained map[boot]bool) (count int, first time.Time) {
+	for b, at := range r.crashes {
+		if explained[b] {
+			continue
+		}
+		if count++; first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
+	return count, first
+}
+
+// survival is when the last runs with a trait got past their beginning.
+type survival struct {
+	own    time.Time // at this daemon
+	atPeer time.Time // when a peer last reported one
+}
+
+// Change is the begin or the end of a refusal.
+type Change struct {
+	Trait   Trait
+	Refused bool
+	Crashes int // that count against the trait
+}
+
+// Table holds the crashes that count against traits, and the traits that are refused because of
+// them. It is not safe for concurrent use.
+type Table struct {
+	records   map[Trait]*record
+	survivals map[Trait]survival // of prompt parts
+
+	refused     map[Trait]bool
+	changes     []Change  // of refused, see Changes
+	isStale     bool      // a crash or a survival was recorded after refused was computed
+	nextRefusal time.Time // when a trait may be added to refused without a further crash; zero for never
+}
 
 // New returns an empty table.
-func New() *Table { return &Table{records: make(map[uint64]*crashRecord)} }
+func New() *Table {
+	return &Table{records: make(map[Trait]*record), survivals: make(map[Trait]survival), refused: make(map[Trait]bool)}
+}
 
-// RecordCrash records a crash that this daemon or a peer observed. Several crashes of
-// the same upstream under one request count once. If the table is full, RecordCrash
-// evicts records first.
-func (t *Table) RecordCrash(now time.Time, c Crash) {
-	r := t.records[c.Fingerprint]
+// RecordCrash records a crash that this daemon or a peer observed. It reports whether the crash
+// is new and counts. If the table is full, RecordCrash evicts records first.
+func (t *Table) RecordCrash(now time.Time, c Crash) bool { return t.recordCrash(now, now, c) }
+
+// RecordRepeatedCrash records a crash that a peer reports again, see RepeatedCrashes. The peers
+// have had ConfirmDelay to object.
+func (t *Table) RecordRepeatedCrash(now time.Time, c Crash) bool {
+	return t.recordCrash(now, now.Add(-ConfirmDelay), c)
+}
+
+func (t *Table) recordCrash(now, recordedAt time.Time, c Crash) bool {
+	trait := c.Trait()
+	if s := t.survivals[trait]; isRecent(now, s.own, survivalTTL) || isRecent(now, s.atPeer, survivalTTL) {
+		return false
+	}
+	r := t.records[trait]
+	if r != nil && now.Sub(r.lastCrash) >= suspicionTTL && len(r.crashes) < crashLimit(trait.Kind) {
+		r = nil
+	}
 	if r == nil {
 		if len(t.records) >= maxRecords {
 			t.evict(now)
 		}
-		r = &crashRecord{upstreams: make(map[state.UpstreamID]bool)}
-		t.records[c.Fingerprint] = r
+		r = &record{crashes: make(map[boot]time.Time)}
+		t.records[trait] = r
+	}
+	b := boot{c.Upstream, c.Boot}
+	if _, ok := r.crashes[b]; ok || len(r.crashes) >= maxCrashesPerRecord {
+		return false
 	}
-	r.upstreams[c.Upstream] = true
+	r.crashes[b] = recordedAt
 	r.lastCrash = now
+	t.isStale = true
+	return true
+}
+
+// RecordSurvival records that a run of this daemon with a trait got past its beginning, which
+// removes the crashes that count against the trait. It reports whether there were any.
+func (t *Table) RecordSurvival(now time.Time, trait Trait) bool {
+	if trait.Kind == PromptPart {
+		s := t.survival(now, trait)
+		s.own = now
+		t.survivals[trait] = s
+	}
+	return t.clear(trait)
+}
+
+// RecordPeerSurvival records a survival that a peer reports. It reports whether the survival is
+// new, so that it is to be reported to further peers.
+func (t *Table) RecordPeerSurvival(now time.Time, trait Trait) bool {
+	s := t.survival(now, trait)
+	isNew := !isRecent(now, s.atPeer, survivalTTL/2)
+	s.atPeer = now
+	t.survivals[trait] = s
+	return t.clear(trait) || isNew
+}
+
+// Survived reports whether a run of this daemon with a trait has recently got past its beginning.
+func (t *Table) Survived(now time.Time, trait Trait) bool {
+	return isRecent(now, t.survivals[trait].own, survivalTTL)
+}
+
+// survival returns the survival of a trait, and makes room for it if there is none.
+func (t *Table) survival(now time.Time, trait Trait) survival {
+	s, ok := t.survivals[trait]
+	if !ok && len(t.survivals) >= maxSurvivals {
+		t.expireSurvivals(now)
+	}
+	return s
+}
+
+// clear removes the crashes that count against a trait, and reports whether there were any.
+func (t *Table) clear(trait Trait) bool {
+	if t.records[trait] == nil {
+		return false
+	}
+	delete(t.records, trait)
+	t.isStale = true
+	if t.refused[trait] {
+		delete(t.refused, trait)
+		t.changes = append(t.changes, Change{Trait: trait})
+	}
+	return true
+}
+
+func isRecent(now, at time.Time, ttl time.Duration) bool { return !at.IsZero() && now.Sub(at) < ttl }
+
+// Changes returns and removes the changes of the refused traits.
+func (t *Table) Changes() []Change {
+	list := t.changes
+	t.changes = nil
+	return list
+}
+
+// RefusalTime returns how long a request with the given traits must not be sent to any upstream,
+// zero if it may be sent now.
+func (t *Table) RefusalTime(now time.Time, traits []Trait) time.Duration {
+	var longest time.Duration
+	for _, trait := range traits {
+		r := t.records[trait]
+		if r == nil {
+			continue
+		}
+		t.update(now)
+		if t.refused[trait] {
+			longest = max(longest, refusalTTL-now.Sub(r.lastCrash))
+		}
+	}
+	return longest
 }
 
-// RecordCompletion removes the crashes of a request that completed.
-func (t *Table) RecordCompletion(fingerprint uint64) { delete(t.records, fingerprint) }
+// Refused returns the refused traits, ordered by kind and ID.
+func (t *Table) Refused(now time.Time) []Trait {
+	t.update(now)
+	var list []Trait
+	for trait := range t.refused {
+		if now.Sub(t.records[trait].lastCrash) < refusalTTL {
+			list = append(list, trait)
+		}
+	}
+	slices.SortFunc(list, compareTraits)
+	return list
+}
+
+// RepeatedCrashes returns crashes that are reported to the peers again and again, so that daemons
+// that were cut off or have started learn of them: those of refused traits, and of prompt parts
+// with at least two crashes that no refused part explains. It omits crashes that were recorded
+// less than ConfirmDelay ago.
+func (t *Table) RepeatedCrashes(now time.Time) []Crash {
+	t.update(now)
+	explained := t.explained()
+	var list []Crash
+	for trait, r := range t.records {
+		if age := now.Sub(r.lastCrash); age >= refusalTTL {
+			continue
+		}
+		if count, _ := r.unexplained(explained); !t.refused[trait] && (trait.Kind == Content || count < 2) {
+			continue
+		}
+		for b, at := range r.crashes {
+			if now.Sub(at) >= ConfirmDelay {
+				list = append(list, Crash{ID: trait.ID, Kind: trait.Kind, Upstream: b.upstream, Boot: b.start})
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b Crash) int {
+		return cmp.Or(-cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.ID, b.ID), cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Boot, b.Boot))
+	})
+	return list[:min(len(list), maxRepeatedCrashes)]
+}
 
-// Refused reports whether a request must not be sent to any upstream.
-func (t *Table) Refused(now time.Time, fingerprint uint64) bool {
-	r := t.records[fingerprint]
-	return r != nil && len(r.upstreams) >= crashLimit && now.Sub(r.lastCrash) < recordTTL
+func compareTraits(a, b Trait) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.ID, b.ID))
 }
 
-// evict removes the expired records, or all records if none has expired.
+// crashLimit returns the number of crashes after which a trait is refused.
+func crashLimit(k Kind) int {
+	if k == PromptPart {
+		return partCrashLimit
+	}
+	return contentCrashLimit
+}
+
+// explained returns the crashes that count against refused prompt parts.
+func (t *Table) explained() map[boot]bool {
+	explained := make(map[boot]bool)
+	for trait := range t.refused {
+		if trait.Kind == PromptPart {
+			for b := range t.records[trait].crashes {
+				explained[b] = true
+			}
+		}
+	}
+	return explained
+}
+
+// update computes the refused traits anew if a crash or a survival was recorded or a ConfirmDelay
+// has passed since the last time.
+func (t *Table) update(now time.Time) {
+	if !t.isStale && (t.nextRefusal.IsZero() || now.Before(t.nextRefusal)) {
+		return
+	}
+	t.isStale, t.nextRefusal = false, time.Time{}
+	previous := t.refused
+	t.refused = make(map[Trait]bool)
+	defer func() { t.recordChanges(previous) }()
+	explained := make(map[boot]bool)
+	for {
+		parts, first := t.mostCrashing(explained)
+		if len(parts) == 0 {
+			break
+		}
+		if due := first.Add(ConfirmDelay); now.Before(due) {
+			t.nextRefusal = due
+			break
+		}
+		for _, trait := range parts {
+			t.refused[trait] = true
+			for b := range t.records[trait].crashes {
+				explained[b] = true
+			}
+		}
+	}
+	for trait, r := range t.records {
+		if trait.Kind != Content {
+			continue
+		}
+		if count, _ := r.unexplained(explained); count >= contentCrashLimit {
+			t.refused[trait] = true
+		}
+	}
+}
+
+// recordChanges adds the differences between the previous and the present refused traits to
+// changes.
+func (t *Table) recordChanges(previous map[Trait]bool) {
+	for trait := range t.refused {
+		if !previous[trait] {
+			t.changes = append(t.changes, Change{Trait: trait, Refused: true, Crashes: len(t.records[trait].crashes)})
+		}
+	}
+	for trait := range previous {
+		if !t.refused[trait] {
+			t.changes = append(t.changes, Change{Trait: trait})
+		}
+	}
+}
+
+// mostCrashing returns the prompt parts with the most unexplained crashes, if these suffice for a
+// refusal, and when the first of the crashes was recorded. Parts with equally many crashes occur
+// together, so that nothing tells which of them is the cause.
+func (t *Table) mostCrashing(explained map[boot]bool) (parts []Trait, first time.Time) {
+	most := partCrashLimit
+	for trait, r := range t.records {
+		if trait.Kind != PromptPart || t.refused[trait] {
+			continue
+		}
+		count, at := r.unexplained(explained)
+		switch {
+		case count < most:
+			continue
+		case count > most:
+			parts, first, most = nil, time.Time{}, count
+		}
+		parts = append(parts, trait)
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
+	return parts, first
+}
+
+// evict removes the expired records, and if none has expired the quarter of the records with the
+// oldest last crash, those of refused traits last.
 func (t *Table) evict(now time.Time) {
-	for f, r := range t.records {
+	t.update(now)
+	list := make([]Trait, 0, len(t.records))
+	for trait, r := range t.records {
 		if now.Sub(r.lastCrash) >= recordTTL {
-			delete(t.records, f)
+			delete(t.records, trait)
+			delete(t.refused, trait)
+			continue
+		}
+		list = append(list, trait)
+	}
+	if len(t.records) < maxRecords {
+		return
+	}
+	slices.SortFunc(list, func(a, b Trait) int {
+		if t.refused[a] != t.refused[b] {
+			if t.refused[a] {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(t.records[a].lastCrash.Compare(t.records[b].lastCrash), compareTraits(a, b))
+	})
+	for _, trait := range list[:maxRecords/4] {
+		delete(t.records, trait)
+		delete(t.refused, trait)
+	}
+	t.isStale = true
+}
+
+// expireSurvivals removes the expired survivals, or all if none has expired.
+func (t *Table) expireSurvivals(now time.Time) {
+	for trait, s := range t.survivals {
+		if !isRecent(now, s.own, survivalTTL) && !isRecent(now, s.atPeer, survivalTTL) {
+			delete(t.survivals, trait)
 		}
 	}
-	if len(t.records) >= maxRecords {
-		clear(t.records)
+	if len(t.survivals) >= maxSurvivals {
+		clear(t.survivals)
 	}
 }
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -9,26 +11,143 @@
 	"github.com/celerydeck/celerydeck/internal/state"
 )
 
+var start = time.Unix(1000, 0)
+
+func part(id uint64) Trait { return Trait{PromptPart, id} }
+
+func crash(trait Trait, upstream string) Crash {
+	return Crash{ID: trait.ID, Kind: trait.Kind, Upstream: state.UpstreamID(upstream)}
+}
+
+func (t *Table) isRefused(now time.Time, trait Trait) bool {
+	return t.RefusalTime(now, []Trait{trait}) > 0
+}
+
 func TestARequestThatCrashedTwoUpstreamsIsRefused(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(0, 0)
 	table := New()
-	table.RecordCrash(now, Crash{Fingerprint: 7, Upstream: "a"})
-	table.RecordCrash(now, Crash{Fingerprint: 7, Upstream: "a"}) // another report of the same crash
-	c.Assert(table.Refused(now, 7), qt.IsFalse)
-	table.RecordCrash(now, Crash{Fingerprint: 7, Upstream: "b"})
-	c.Assert(table.Refused(now, 7), qt.IsTrue)
-	c.Assert(table.Refused(now, 8), qt.IsFalse)
-	c.Assert(table.Refused(now.Add(recordTTL), 7), qt.IsFalse)
-	table.RecordCompletion(7)
-	c.Assert(table.Refused(now, 7), qt.IsFalse)
+	seven, eight := Trait{Content, 7}, Trait{Content, 8}
+	table.RecordCrash(now, crash(seven, "a"))
+	table.RecordCrash(now, crash(seven, "a")) // another report of the same crash
+	c.Assert(table.isRefused(now, seven), qt.IsFalse)
+	table.RecordCrash(now, crash(seven, "b"))
+	c.Assert(table.isRefused(now, seven), qt.IsTrue)
+	c.Assert(table.isRefused(now, eight), qt.IsFalse)
+	c.Assert(table.isRefused(now.Add(refusalTTL), seven), qt.IsFalse)
+	table.RecordSurvival(now, seven)
+	c.Assert(table.isRefused(now, seven), qt.IsFalse)
 }
 
 func TestTableSizeIsBounded(t *testing.T) {
 	c := qt.New(t)
 	table := New()
 	for i := range uint64(3 * maxRecords) {
-		table.RecordCrash(time.Unix(0, 0), Crash{Fingerprint: i, Upstream: state.UpstreamID("a")})
+		table.RecordCrash(start, Crash{ID: i, Upstream: state.UpstreamID("a")})
+		table.RecordSurvival(start, part(i))
 	}
 	c.Assert(len(table.records) <= maxRecords, qt.IsTrue)
+	for i := range uint64(3 * maxSurvivals) {
+		table.RecordSurvival(start, part(i))
+	}
+	c.Assert(len(table.survivals) <= maxSurvivals, qt.IsTrue)
+}
+
+func TestAFullTableKeepsItsRefusals(t *testing.T) {
+	c := qt.New(t)
+	table := New()
+	for i := range partCrashLimit {
+		table.RecordCrash(start, crash(part(1), fmt.Sprint(i)))
+	}
+	now := start.Add(ConfirmDelay)
+	for i := range uint64(3 * maxRecords) {
+		table.RecordCrash(now, crash(Trait{Content, i}, "a"))
+	}
+	c.Assert(table.isRefused(now, part(1)), qt.IsTrue)
+}
+
+// TestAPartThatCrashesIsRefusedAndThoseBesideItAreNot replays a part in every crash while the
+// requests that ran beside it, with parts and contents of their own, break in two or three
+// crashes each.
+func TestAPartThatCrashesIsRefusedAndThoseBesideItAreNot(t *testing.T) {
+	for seed := range uint64(200) {
+		c := qt.New(t)
+		random := rand.New(rand.NewPCG(seed, 1))
+		table := New()
+		now := start
+		for i := range 5 {
+			upstream := fmt.Sprint(i)
+			table.RecordCrash(now, crash(part(1), upstream))
+			for range 20 { // 10 sessions and contents are under way, in some of the first four crashes
+				if id := 10 + random.Uint64N(10); i < 4 && random.IntN(2) == 0 {
+					if r := table.records[part(id)]; r == nil || len(r.crashes) < 3 {
+						table.RecordCrash(now, crash(part(id), upstream))
+						table.RecordCrash(now, crash(Trait{Content, id}, upstream))
+					}
+				}
+			}
+			now = now.Add(250 * time.Millisecond)
+		}
+		now = start.Add(2 * time.Second)
+		c.Assert(table.Refused(now), qt.DeepEquals, []Trait{part(1)}, qt.Commentf("seed %d", seed))
+	}
+}
+
+func TestAPopularPartIsNotRefusedWhileUpstreamsCrashForAnotherReason(t *testing.T) {
+	c := qt.New(t)
+	table := New()
+	for i := range 10 {
+		table.RecordCrash(start, crash(part(1), fmt.Sprint(i)))
+	}
+	c.Assert(table.isRefused(start.Add(ConfirmDelay-1), part(1)), qt.IsFalse)
+	c.Assert(table.RecordPeerSurvival(start.Add(ConfirmDelay/2), part(1)), qt.IsTrue)
+	c.Assert(table.isRefused(start.Add(ConfirmDelay), part(1)), qt.IsFalse)
+	for i := range 10 {
+		table.RecordCrash(start.Add(survivalTTL/2), crash(part(1), fmt.Sprint("later", i)))
+	}
+	c.Assert(table.isRefused(start.Add(survivalTTL), part(1)), qt.IsFalse)
+}
+
+func TestASurvivalEndsARefusal(t *testing.T) {
+	c := qt.New(t)
+	table := New()
+	for i := range partCrashLimit {
+		table.RecordCrash(start, crash(part(1), fmt.Sprint(i)))
+	}
+	now := start.Add(ConfirmDelay)
+	c.Assert(table.isRefused(now, part(1)), qt.IsTrue)
+	c.Assert(table.Changes(), qt.DeepEquals, []Change{{Trait: part(1), Refused: true, Crashes: partCrashLimit}})
+	c.Assert(table.RecordSurvival(now, part(1)), qt.IsTrue)
+	c.Assert(table.isRefused(now, part(1)), qt.IsFalse)
+	c.Assert(table.Changes(), qt.DeepEquals, []Change{{Trait: part(1)}})
+}
+
+func TestOneCrashRenewsAnExpiredRefusal(t *testing.T) {
+	c := qt.New(t)
+	table := New()
+	for i := range partCrashLimit {
+		table.RecordCrash(start, crash(part(1), fmt.Sprint(i)))
+	}
+	now := start.Add(refusalTTL)
+	c.Assert(table.isRefused(now, part(1)), qt.IsFalse)
+	table.RecordCrash(now, crash(part(1), "again"))
+	c.Assert(table.isRefused(now, part(1)), qt.IsTrue)
+}
+
+// TestADaemonThatWasCutOffRefusesAtOnce guards against daemons that learn what their peers refuse
+// only through crashes of their own.
+func TestADaemonThatWasCutOffRefusesAtOnce(t *testing.T) {
+	c := qt.New(t)
+	table, other := New(), New()
+	for i := range partCrashLimit {
+		table.RecordCrash(start, crash(part(1), fmt.Sprint(i)))
+		table.RecordCrash(start, crash(Trait{Content, 5}, fmt.Sprint(i))) // explained by the part
+	}
+	now := start.Add(time.Minute)
+	repeated := table.RepeatedCrashes(now)
+	c.Assert(repeated, qt.HasLen, partCrashLimit)
+	for _, r := range repeated {
+		other.RecordRepeatedCrash(now, r)
+	}
+	c.Assert(other.Refused(now), qt.DeepEquals, []Trait{part(1)})
 }
--- a/internal/decisionlog/trace.go
+++ b/internal/decisionlog/trace.go
@@ -257,7 +257,7 @@
 	UpstreamDisconnected: "the connection to the upstream broke and the request may have run",
 	Deadline:             "the caller's deadline or the route's timeout came first",
 	CallerLeft:           "the caller closed its connection",
-	Quarantined:          "two upstreams crashed while they ran this request",
+	Quarantined:          "upstreams crashed while they began to run this request, or requests with one of its prompt parts",
 	DaemonLeaving:        "the daemon was shutting down; the request did not run",
 	BodyTooLarge:         "the body is longer than the configuration allows",
 	BodyMemoryExhausted:  "the daemon held too many bodies at that moment; the request did not run",
--- a/internal/node/fleet/gossip.go
+++ b/internal/node/fleet/gossip.go
@@ -25,8 +25,11 @@
 	maxUnansweredMessages = 2
 	// daemonStateTTL is how long a daemon's state is relayed and summed up after it was received.
 	daemonStateTTL = 2 * time.Second
-	// crashReportTTL is how long a daemon includes a crash in its messages.
+	// crashReportTTL is how long a daemon includes a crash or a survival in its messages.
 	crashReportTTL = 2 * time.Second
+	// crashRepeatInterval is the minimum time between two messages to a peer that repeat older
+	// crashes.
+	crashRepeatInterval = time.Second
 	// relayTotalsID stands in place of a daemon's ID for the sum of the requests in flight of
 	// all other daemons, as a relay reports it.
 	relayTotalsID = state.DaemonID("relay")
@@ -39,6 +42,13 @@
 	at time.Time
 }
 
+// survivalReport is a trait whose survival this daemon or a peer observed, and when this daemon
+// learned of it.
+type survivalReport struct {
+	quarantine.Trait
+	at time.Time
+}
+
 // pendingDemand is the demand for adapters that is not yet sent to one lease holder: by
 // engine, the adapters in use and the adapters that requests found missing.
 type pendingDemand struct {
@@ -85,7 +95,7 @@
 
 // roundMessages returns the messages of a round of gossip, and marks their peers as having a
 // call in flight; peers with an earlier call in flight get no message. It also
-//   - records new crashes and drops crash reports older than crashReportTTL,
+//   - records new crashes and survivals, and drops those older than crashReportTTL,
 //   - passes the demand for adapters to workers or queues it for other lease holders, and
 //     drains the queued demand that the messages contain,
 //   - logs peers that became silent or returned,
@@ -98,6 +108,10 @@
 		n.crashes = append(n.crashes, crashReport{s, now})
 	}
 	n.crashes = slices.DeleteFunc(n.crashes, func(s crashReport) bool { return now.Sub(s.at) > crashReportTTL })
+	for _, trait := range out.Survivals {
+		n.survivals = append(n.survivals, survivalReport{trait, now})
+	}
+	n.survivals = slices.DeleteFunc(n.survivals, func(s survivalReport) bool { return now.Sub(s.at) > crashReportTTL })
 	n.applyDemand(protocol.Demand{InUse: out.InUse, Missing: out.Missing})
 	n.updateLostPeers(now)
 	own := n.ownState(out.InFlight)
@@ -119,7 +133,8 @@
 		if m == nil || m.callInFlight {
 			continue
 		}
-		push := &protocol.FleetPush{States: []protocol.DaemonState{own}, Crashes: n.recentCrashes(), Revisions: n.currentRevisions(now)}
+		push := &protocol.FleetPush{States: []protocol.DaemonState{own}, Crashes: n.recentCrashes(), Survivals: n.recentSurvivals(), Revisions: n.currentRevisions(now)}
+		push.RepeatedCrashes = n.repeatedCrashesFor(now, m)
 		if isRelay {
 			push.States = append(push.States, n.relayedStates(now, m.Zone)...)
 			push.Demand = n.drainDemandFor(m)
@@ -213,6 +228,25 @@
 	return list
 }
 
+// recentSurvivals returns the traits to include in messages as survivals. The caller holds the lock.
+func (n *Node) recentSurvivals() []quarantine.Trait {
+	var list []quarantine.Trait
+	for _, s := range n.survivals {
+		list = append(list, s.Trait)
+	}
+	return list
+}
+
+// repeatedCrashesFor returns the older crashes to include in a message to a peer. The caller holds
+// the lock.
+func (n *Node) repeatedCrashesFor(now time.Time, to *member) []quarantine.Crash {
+	if now.Sub(to.crashesRepeatedAt) < crashRepeatInterval {
+		return nil
+	}
+	to.crashesRepeatedAt = now
+	return n.opts.View.RepeatedCrashes()
+}
+
 // currentRevisions returns the revisions of this daemon's copies of the store's objects, with
 // the age of the list of upstreams. The caller holds the lock.
 func (n *Node) currentRevisions(now time.Time) protocol.StoreRevisions {
--- a/internal/node/fleet/gossip_test.go
+++ b/internal/node/fleet/gossip_test.go
@@ -107,14 +107,13 @@
 		s.rounds(3)
 		from := s.nodes["z1-01"]
 		from.opts.View.WithTracker(func(t *balance.Tracker) { t.Begin(s.now, "e0", balance.Request{TokensIn: 70}) })
-		from.opts.View.RecordCrash(quarantine.Crash{Fingerprint: 7, Upstream: "e0"})
-		from.opts.View.RecordCrash(quarantine.Crash{Fingerprint: 7, Upstream: "e1"})
+		from.opts.View.RecordCrashes([]quarantine.Crash{{ID: 7, Upstream: "e0"}, {ID: 7, Upstream: "e1"}})
 		s.rounds(6)
 		for vm, n := range s.nodes {
 			n.opts.View.WithTracker(func(t *balance.Tracker) {
 				s.Check(t.InFlight(s.now, "e0").PrefillTokens[0], qt.Equals, 70, qt.Commentf("%s of %d per zone", vm, each))
 			})
-			s.Check(n.opts.View.IsQuarantined(7), qt.IsTrue, qt.Commentf("%s of %d per zone", vm, each))
+			s.Check(n.opts.View.QuarantineTime([]quarantine.Trait{{ID: 7}}) > 0, qt.IsTrue, qt.Commentf("%s of %d per zone", vm, each))
 		}
 	}
 }
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -61,10 +61,12 @@
 	contacted    bool      // a message of this incarnation of the peer was received
 	failures     int       // consecutive unanswered messages
 	callInFlight bool
-	lost         bool   // silent, and logged as lost
-	lastErr      string // of the last failed call
-	state        protocol.DaemonState
-	revisions    protocol.StoreRevisions // as of its last message to this daemon
+	// crashesRepeatedAt is when a message to the peer last repeated older crashes.
+	crashesRepeatedAt time.Time
+	lost              bool   // silent, and logged as lost
+	lastErr           string // of the last failed call
+	state             protocol.DaemonState
+	revisions         protocol.StoreRevisions // as of its last message to this daemon
 }
 
 // Node reads the store, exchanges state with the peers and orders loads at the engines
@@ -101,6 +103,7 @@
 	watchCancels     map[string]context.CancelFunc
 	demand           map[string]*pendingDemand // by VM of the lease holder
 	crashes          []crashReport
+	survivals        []survivalReport
 	// modelLoads are the times of recent orders to load model weights.
 	modelLoads []time.Time
 }
--- a/internal/node/fleet/push.go
+++ b/internal/node/fleet/push.go
@@ -31,9 +31,12 @@
 	isRelay := slices.Contains(relays.Of(caller.Zone, n.relayView(now)), caller.VM)
 	n.markDirect(now, caller, isRelay, push.States)
 	n.applyDemand(push.Demand)
-	n.applyCrashes(now, push.Crashes)
+	n.applyCrashes(now, push.Crashes, push.Survivals, push.RepeatedCrashes)
 	n.applyRevisions(now, push.Revisions)
-	reply := &protocol.FleetReply{Crashes: n.recentCrashes(), Revisions: n.currentRevisions(now), Demand: n.drainDemandFor(caller)}
+	reply := &protocol.FleetReply{
+		Crashes: n.recentCrashes(), Survivals: n.recentSurvivals(), RepeatedCrashes: n.repeatedCrashesFor(now, caller),
+		Revisions: n.currentRevisions(now), Demand: n.drainDemandFor(caller),
+	}
 	if isRelay {
 		reply.States = append(n.relayedStates(now, caller.Zone), n.ownState(n.opts.View.OwnInFlight()))
 	} else {
@@ -155,7 +158,7 @@
 	n.markDirect(now, m, true, reply.States)
 	n.applyStates(now, reply.States)
 	n.applyDemand(reply.Demand)
-	n.applyCrashes(now, reply.Crashes)
+	n.applyCrashes(now, reply.Crashes, reply.Survivals, reply.RepeatedCrashes)
 	n.applyRevisions(now, reply.Revisions)
 	if reply.MessageAges == nil { // a reply to a relay contains states, not a digest
 		return
@@ -190,15 +193,21 @@
 	}
 }
 
-// applyCrashes records crashes that peers observed, and queues them to be gossiped further. The
-// caller holds the lock.
-func (n *Node) applyCrashes(now time.Time, list []quarantine.Crash) {
-	for _, s := range list {
-		if slices.ContainsFunc(n.crashes, func(t crashReport) bool { return t.Crash == s }) {
-			continue
+// applyCrashes records the crashes and survivals that peers report, and queues the new ones to be
+// gossiped further. The caller holds the lock.
+func (n *Node) applyCrashes(now time.Time, crashes []quarantine.Crash, survivals []quarantine.Trait, repeated []quarantine.Crash) {
+	for _, c := range crashes {
+		if n.opts.View.RecordPeerCrash(c) {
+			n.crashes = append(n.crashes, crashReport{c, now})
 		}
-		n.crashes = append(n.crashes, crashReport{s, now})
-		n.opts.View.RecordPeerCrash(s)
+	}
+	for _, trait := range survivals {
+		if n.opts.View.RecordPeerSurvival(trait) {
+			n.survivals = append(n.survivals, survivalReport{trait, now})
+		}
+	}
+	for _, c := range repeated {
+		n.opts.View.RecordRepeatedCrash(c)
 	}
 }
 
--- /dev/null
+++ b/internal/node/fleet/quarantine.go
@@ -0,0 +1,100 @@
+package fleet
+
+import (
+	"log/slog"
+	"strconv"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
+)
+
+// RecordCrashes records crashes of upstreams under requests of this daemon, and queues the new
+// ones for the peers.
+func (v *View) RecordCrashes(list []quarantine.Crash) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.opts.Clock()
+	for _, c := range list {
+		if v.crashes.RecordCrash(now, c) {
+			v.newCrashes = append(v.newCrashes, c)
+		}
+	}
+}
+
+// RecordPeerCrash records a crash that a peer observed. It reports whether the crash is new. If a
+// run of this daemon shows that the trait is innocent, it queues that for the peers instead.
+func (v *View) RecordPeerCrash(c quarantine.Crash) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.opts.Clock()
+	if v.crashes.Survived(now, c.Trait()) {
+		v.newSurvivals[c.Trait()] = true
+		return false
+	}
+	return v.crashes.RecordCrash(now, c)
+}
+
+// RecordRepeatedCrash records a crash that a peer reports again and again.
+func (v *View) RecordRepeatedCrash(c quarantine.Crash) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.opts.Clock()
+	if v.crashes.Survived(now, c.Trait()) {
+		v.newSurvivals[c.Trait()] = true
+		return
+	}
+	v.crashes.RecordRepeatedCrash(now, c)
+}
+
+// RepeatedCrashes returns the crashes that are reported to the peers again and again.
+func (v *View) RepeatedCrashes() []quarantine.Crash {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.crashes.RepeatedCrashes(v.opts.Clock())
+}
+
+// RecordSurvival records that a run of a request with the given traits got past its beginning.
+func (v *View) RecordSurvival(traits []quarantine.Trait) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.opts.Clock()
+	for _, trait := range traits {
+		if v.crashes.RecordSurvival(now, trait) {
+			v.newSurvivals[trait] = true
+		}
+	}
+	v.logQuarantineChanges()
+}
+
+// RecordPeerSurvival records that a run of a peer got past its beginning. It reports whether that
+// is new here.
+func (v *View) RecordPeerSurvival(trait quarantine.Trait) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	isNew := v.crashes.RecordPeerSurvival(v.opts.Clock(), trait)
+	v.logQuarantineChanges()
+	return isNew
+}
+
+// QuarantineTime returns how long a request with the given traits must not be sent to any
+// upstream, because upstreams crashed under requests with one of them. It is zero if the request
+// may be sent.
+func (v *View) QuarantineTime(traits []quarantine.Trait) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	wait := v.crashes.RefusalTime(v.opts.Clock(), traits)
+	v.logQuarantineChanges()
+	return wait
+}
+
+// logQuarantineChanges logs the traits that are refused from now on or no longer. The caller holds
+// the lock.
+func (v *View) logQuarantineChanges() {
+	for _, c := range v.crashes.Changes() {
+		event := "quarantine ended"
+		if c.Refused {
+			event = "quarantined"
+		}
+		v.opts.Log.Event(event, slog.String("kind", c.Trait.Kind.String()), slog.String("id", strconv.FormatUint(c.Trait.ID, 16)), slog.Int("crashes", c.Crashes))
+	}
+}
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -5,6 +5,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -100,6 +102,7 @@
 	tracker         *balance.Tracker
 	crashes         *quarantine.Table
 	newCrashes      []quarantine.Crash                       // not yet sent to the peers
+	newSurvivals    map[quarantine.Trait]bool                // not yet sent to the peers
 	adapterRequests map[engineAdapter]int                    // requests in flight
 	newlyUsed       map[state.UpstreamID][]upstreams.Adapter // not yet sent to the lease holders
 	newlyMissing    map[state.UpstreamID][]upstreams.Adapter // not yet sent to the lease holders
@@ -125,6 +128,7 @@
 		newestVersions:  make(map[upstreams.Adapter]announcedVersion),
 		tracker:         balance.NewTracker(),
 		crashes:         quarantine.New(),
+		newSurvivals:    make(map[quarantine.Trait]bool),
 		adapterRequests: make(map[engineAdapter]int),
 		newlyUsed:       make(map[state.UpstreamID][]upstreams.Adapter),
 		newlyMissing:    make(map[state.UpstreamID][]upstreams.Adapter),
@@ -289,13 +293,6 @@
 	return v.tracker.OwnInFlight(v.opts.Clock())
 }
 
-// RecordPeerCrash records a crash of an upstream that a peer observed.
-func (v *View) RecordPeerCrash(s quarantine.Crash) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.crashes.RecordCrash(v.opts.Clock(), s)
-}
-
 // SetDaemonCount sets the number of daemons that share the budgets.
 func (v *View) SetDaemonCount(n int) {
 	v.mu.Lock()
@@ -307,19 +304,20 @@
 // upstreams that they crashed and, by engine, the adapters in use and the adapters that
 // requests found missing.
 type Outgoing struct {
-	InFlight map[state.UpstreamID]balance.InFlight
-	Crashes  []quarantine.Crash
-	InUse    map[state.UpstreamID][]upstreams.Adapter
-	Missing  map[state.UpstreamID][]upstreams.Adapter
+	InFlight  map[state.UpstreamID]balance.InFlight
+	Crashes   []quarantine.Crash
+	Survivals []quarantine.Trait // of which peers may have recorded crashes
+	InUse     map[state.UpstreamID][]upstreams.Adapter
+	Missing   map[state.UpstreamID][]upstreams.Adapter
 }
 
 // DrainOutgoing returns the requests in flight and the adapters in use. It returns and removes
-// the crashes, the ended uses and the missing adapters that are not yet reported to the
+// the crashes, the survivals, the ended uses and the missing adapters that are not yet reported to the
 // peers. It also applies modelRequestsDecay, and is called once per round of gossip.
 func (v *View) DrainOutgoing() Outgoing {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	out := Outgoing{InFlight: v.tracker.OwnInFlight(v.opts.Clock()), Crashes: v.newCrashes, InUse: v.newlyUsed, Missing: v.newlyMissing}
+	out := Outgoing{InFlight: v.tracker.OwnInFlight(v.opts.Clock()), Crashes: v.newCrashes, Survivals: slices.Collect(maps.Keys(v.newSurvivals)), InUse: v.newlyUsed, Missing: v.newlyMissing}
 	for key := range v.adapterRequests {
 		out.InUse[key.engine] = append(out.InUse[key.engine], key.adapter)
 	}
@@ -327,6 +325,7 @@
 		v.modelRequests[model] = n * modelRequestsDecay
 	}
 	v.newCrashes = nil
+	clear(v.newSurvivals)
 	v.newlyMissing = make(map[state.UpstreamID][]upstreams.Adapter)
 	v.newlyUsed = make(map[state.UpstreamID][]upstreams.Adapter)
 	return out
@@ -466,29 +465,6 @@
 	return true
 }
 
-// RecordCrash records that an upstream crashed while it ran a request of this daemon.
-func (v *View) RecordCrash(s quarantine.Crash) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.crashes.RecordCrash(v.opts.Clock(), s)
-	v.newCrashes = append(v.newCrashes, s)
-}
-
-// ClearCrashes forgets the crashes during a request that has completed since.
-func (v *View) ClearCrashes(fingerprint uint64) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.crashes.RecordCompletion(fingerprint)
-}
-
-// IsQuarantined reports whether a request must not be sent to any upstream because it has
-// crashed several upstreams.
-func (v *View) IsQuarantined(fingerprint uint64) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.crashes.Refused(v.opts.Clock(), fingerprint)
-}
-
 // retryBudget returns the retry budget of a service.
 func (v *View) retryBudget(service string, now time.Time) *retrybudget.Budget {
 	b := v.retryBudgets[service]
--- a/internal/node/gateway/crashingpart_test.go
+++ b/internal/node/gateway/crashingpart_test.go
@@ -14,6 +14,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/balance"
+	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
 	"github.com/celerydeck/celerydeck/internal/state"
 )
 
@@ -131,3 +133,28 @@
 		}
 	}
 }
+
+// TestARequestThatWaitsAtItsUpstreamIsWithdrawnWhenItIsQuarantined guards against crashes under
+// requests that were sent before their prompt part was known to crash upstreams.
+func TestARequestThatWaitsAtItsUpstreamIsWithdrawnWhenItIsQuarantined(t *testing.T) {
+	closed := make(chan struct{})
+	u := serveUpstream(t, "e1", func(_ int, _ *http.Request, conn net.Conn) {
+		_, _ = conn.Read(make([]byte, 1)) // until the connection is closed
+		close(closed)
+	})
+	w := newFixture(t, u)
+	time.AfterFunc(200*time.Millisecond, func() {
+		for i := range 3 {
+			w.view.RecordRepeatedCrash(quarantine.Crash{Kind: quarantine.PromptPart, ID: 0x91bd3f06, Upstream: state.UpstreamID(fmt.Sprint(i))})
+		}
+	})
+	w.Assert(w.send("/stream/", "5c1e07a2:800,"+crashingPart+":410,9:250", 1), qt.Equals, http.StatusBadGateway)
+	select {
+	case <-closed:
+	case <-time.After(time.Second):
+		t.Fatal("the connection to the upstream is open after 1 s")
+	}
+	w.view.WithTracker(func(tr *balance.Tracker) {
+		w.Check(tr.IsEjected(time.Now(), "e1-llm"), qt.IsFalse) // it has not failed
+	})
+}
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
+	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/node/fleet"
@@ -163,14 +164,14 @@
 	ctx     context.Context
 	arrival time.Time
 
-	meta        Metadata
-	route       *routes.Route
-	service     string
-	engine      *routes.EngineSpec
-	body        []byte
-	fingerprint uint64
-	deadline    time.Time
-	request     balance.Request
+	meta     Metadata
+	route    *routes.Route
+	service  string
+	engine   *routes.EngineSpec
+	body     []byte
+	traits   []quarantine.Trait
+	deadline time.Time
+	request  balance.Request
 
 	sends           int                       // attempts that got a connection to an upstream
 	runs            int                       // attempts in which the request may have run
@@ -230,14 +231,17 @@
 	return true
 }
 
-// prepare chooses the service and its engine specification, and computes the fingerprint and
-// the description of the request for the balancer.
+// prepare chooses the service and its engine specification, and computes the traits and the
+// description of the request for the balancer.
 func (c *call) prepare(table *routes.Table) {
 	h := xxhash.New()
 	_, _ = h.WriteString(c.r.Host)
 	_, _ = h.WriteString(c.r.RequestURI)
 	_, _ = h.Write(c.body)
-	c.fingerprint = h.Sum64()
+	c.traits = append(c.traits, quarantine.Trait{Kind: quarantine.Content, ID: h.Sum64()})
+	for _, id := range c.meta.SharedParts {
+		c.traits = append(c.traits, quarantine.Trait{Kind: quarantine.PromptPart, ID: id})
+	}
 	c.service = c.route.Pick(float64(xxhash.Sum64String(c.meta.RequestID)>>11) / (1 << 53))
 	c.engine = table.Config.Services[c.service].Engine
 	c.configVersion = table.Config.Version
@@ -296,10 +300,6 @@
 // attempt is possible, or the caller has left. It also starts replications and notices of use
 // that the choice of an upstream asks for.
 func (c *call) serve() {
-	if c.g.opts.View.IsQuarantined(c.fingerprint) {
-		c.refuse(decisionlog.Quarantined, c.timeLeft())
-		return
-	}
 	defer c.g.opts.View.WithTracker(func(t *balance.Tracker) { t.Withdraw(c.request) })
 	for {
 		if c.ctx.Err() != nil {
@@ -310,6 +310,11 @@
 			c.fail(decisionlog.Deadline)
 			return
 		}
+		// The request may have waited since the last check, or may itself have crashed an upstream.
+		if wait := c.g.opts.View.QuarantineTime(c.traits); wait > 0 {
+			c.failWithRetryAfter(decisionlog.Quarantined, wait)
+			return
+		}
 		placement := c.g.opts.View.Choose(c.placementRequest())
 		c.placement = placement
 		if placement.ReplicateTo != nil && c.g.opts.View.AllowReplication(c.meta.Adapter) {
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -60,9 +60,12 @@
 	// headCheckInterval is the interval at which another upstream is sought once the response
 	// takes longer than the attempt timeout.
 	headCheckInterval = 200 * time.Millisecond
-	// versionCheckInterval is the interval at which a request that has not started is
-	// checked for a newer version of its adapter.
-	versionCheckInterval = 300 * time.Millisecond
+	// startCheckInterval is the interval at which a request that has not started is checked
+	// for a newer version of its adapter and for a quarantine.
+	startCheckInterval = 300 * time.Millisecond
+	// survivalTime is the time after the first event after which a run counts as past its
+	// beginning, where a request that crashes its upstream would have done so.
+	survivalTime = 500 * time.Millisecond
 	// overdueLoadPause is the pause before a request is sent again to an engine whose load
 	// of the adapter takes longer than estimated.
 	overdueLoadPause = 100 * time.Millisecond
@@ -93,7 +96,10 @@
 	bodyInBackground  bool          // the body is written while the response is read
 	hadHead           bool          // the response head was received
 	hadFirstEvent     bool          // a first event was received
-	started           chan struct{} // closed with the first event; nil without an adapter
+	firstEventAt      time.Time     // zero without a first event
+	hasSurvived       bool          // the run got past its beginning, see recordSurvival
+	wasWithdrawn      atomic.Bool   // guardStart has closed the connection because of a quarantine
+	started           chan struct{} // closed with the first event; nil if there is nothing to guard
 	pauseSampledAt    time.Time     // see pauseSampleInterval
 	lastEventAt       atomic.Int64  // when an event was last received, in Unix nanoseconds
 }
@@ -141,10 +147,10 @@
 // run writes the request and reads responses up to the response that belongs to the request.
 func (x *exchange) run(version int) outcome {
 	c := x.c
-	if c.meta.Adapter.Name != "" {
+	if c.meta.Adapter.Name != "" || len(c.meta.SharedParts) > 0 {
 		x.started = make(chan struct{})
-		defer x.stopVersionGuard()
-		go x.guardVersion(version, x.started)
+		defer x.stopStartGuard()
+		go x.guardStart(version, x.started)
 	}
 	_ = x.conn.SetDeadline(c.deadline.Add(deadlineSlack)) // a closed connection fails the write
 	if err := x.write(version); err != nil {
@@ -270,10 +276,12 @@
 	return true
 }
 
-// guardVersion closes the connection of a request when its adapter version is superseded before
-// the request has started at its engine. The request would otherwise run on the older version.
-func (x *exchange) guardVersion(version int, started <-chan struct{}) {
-	tick := time.NewTicker(versionCheckInterval)
+// guardStart closes the connection of a request that must no longer start: its adapter version
+// was superseded, so that it would run on the older version, or it was quarantined since it was
+// sent, so that it would crash its upstream.
+func (x *exchange) guardStart(version int, started <-chan struct{}) {
+	view := x.c.g.opts.View
+	tick := time.NewTicker(startCheckInterval)
 	defer tick.Stop()
 	for {
 		select {
@@ -281,16 +289,22 @@
 			return
 		case <-tick.C:
 		}
-		if x.c.g.opts.View.IsSuperseded(x.c.meta.Adapter, version) {
+		switch {
+		case x.c.meta.Adapter.Name != "" && view.IsSuperseded(x.c.meta.Adapter, version):
 			x.c.logStep("adapter version superseded", x.u, nil)
-			_ = x.conn.Close()
-			return
+		case view.QuarantineTime(x.c.traits) > 0:
+			x.wasWithdrawn.Store(true)
+			x.c.logStep("quarantined while waiting", x.u, nil)
+		default:
+			continue
 		}
+		_ = x.conn.Close()
+		return
 	}
 }
 
-// stopVersionGuard stops guardVersion. Only the goroutine of the exchange calls it.
-func (x *exchange) stopVersionGuard() {
+// stopStartGuard stops guardStart. Only the goroutine of the exchange calls it.
+func (x *exchange) stopStartGuard() {
 	if x.started != nil {
 		close(x.started)
 		x.started = nil
@@ -353,12 +367,13 @@
 
 // abort ends an attempt without a complete response, in which the request may have run. Unless
 // the caller has left, it excludes the upstream and records a failure. If the deadline has not
-// passed, it also starts a check whether the upstream has crashed.
+// passed and the run was not past its beginning, it also starts a check whether the upstream has
+// crashed.
 func (x *exchange) abort(step string, err error) outcome {
 	c := x.c
 	_ = x.conn.Close()
 	c.runs++
-	if c.ctx.Err() != nil {
+	if c.ctx.Err() != nil || x.wasWithdrawn.Load() {
 		return broken
 	}
 	c.excluded[x.u.ID] = true
@@ -368,19 +383,28 @@
 		t.RecordFailure(c.g.opts.Clock(), x.u.ID, !deadlinePassed && !errors.Is(err, errStaleResponse))
 	})
 	c.logStep(step, x.u, err)
-	if !deadlinePassed {
+	if !deadlinePassed && !x.hasSurvived {
 		go c.g.checkCrash(brokenRun{
-			upstream: x.u, fingerprint: c.fingerprint, requestID: c.meta.RequestID, adapter: c.meta.Adapter, sharedParts: c.meta.SharedParts,
+			upstream: x.u, traits: c.traits, requestID: c.meta.RequestID, adapter: c.meta.Adapter, sharedParts: c.meta.SharedParts,
 			hadHead: x.hadHead, hadFirstEvent: x.hadFirstEvent,
 		})
 	}
 	return broken
 }
 
-// brokenRun is a run of a request that broke off.
+// recordSurvival records that the run got past its beginning: it is no cause of a crash.
+func (x *exchange) recordSurvival() {
+	if x.hasSurvived {
+		return
+	}
+	x.hasSurvived = true
+	x.c.g.opts.View.RecordSurvival(x.c.traits)
+}
+
+// brokenRun is a run of a request that broke off before it was past its beginning.
 type brokenRun struct {
 	upstream      *upstreams.Upstream
-	fingerprint   uint64
+	traits        []quarantine.Trait
 	requestID     string
 	adapter       upstreams.Adapter
 	sharedParts   []uint64
@@ -389,7 +413,8 @@
 }
 
 // checkCrash records a crash if the upstream crashed while it ran the request. A connection to
-// a crashed upstream is refused, as its port is closed.
+// a crashed upstream is refused, as its port is closed. The port of an upstream that leaves is
+// closed, too.
 func (g *Gateway) checkCrash(b brokenRun) {
 	u := b.upstream
 	time.Sleep(crashCheckDelay)
@@ -404,10 +429,17 @@
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		return
 	}
+	if listed := g.opts.View.Upstream(u.ID); listed == nil || listed.Draining {
+		return
+	}
 	g.opts.Log.Event("upstream crashed under a request", slog.String("upstream", string(u.ID)), slog.Int64("boot", u.StartTime),
-		slog.Uint64("fingerprint", b.fingerprint), slog.String("request", b.requestID), slog.String("adapter", b.adapter.String()),
+		slog.Uint64("fingerprint", b.traits[0].ID), slog.String("request", b.requestID), slog.String("adapter", b.adapter.String()),
 		slog.String("parts", formatParts(b.sharedParts)), slog.Bool("had_head", b.hadHead), slog.Bool("had_event", b.hadFirstEvent))
-	g.opts.View.RecordCrash(quarantine.Crash{Fingerprint: b.fingerprint, Upstream: u.ID})
+	crashes := make([]quarantine.Crash, len(b.traits))
+	for i, trait := range b.traits {
+		crashes[i] = quarantine.Crash{ID: trait.ID, Kind: trait.Kind, Upstream: u.ID, Boot: u.StartTime}
+	}
+	g.opts.View.RecordCrashes(crashes)
 }
 
 // formatParts returns the IDs of prompt parts in hexadecimal, separated by commas.
@@ -461,6 +493,9 @@
 		took := c.g.opts.Clock().Sub(x.sentAt)
 		c.g.opts.View.WithTracker(func(t *balance.Tracker) { t.RecordSuccess(now, x.u.ID); t.ObserveServiceTime(x.u.ID, took) })
 	}
+	if success && !isUnframed(resp) {
+		x.recordSurvival()
+	}
 	if c.responseStarted {
 		return broken
 	}
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -94,6 +94,9 @@
 			c.g.opts.View.WithTracker(func(t *balance.Tracker) { t.RecordProgress(now, x.u.ID) })
 		}
 		last = now
+		if now.Sub(x.firstEventAt) >= survivalTime {
+			x.recordSurvival()
+		}
 		x.lastEventAt.Store(now.UnixNano())
 		if e.id >= 0 && e.id <= c.lastEvent {
 			continue // the caller already has this event
@@ -133,7 +136,10 @@
 			t.ObserveStreamTime(now.Sub(c.arrival) - c.firstEventDelay)
 		}
 	})
-	c.g.opts.View.ClearCrashes(c.fingerprint)
+	// A body that ends with its connection looks the same if the upstream crashed in it.
+	if x.hadFirstEvent && !isUnframed(resp) {
+		x.recordSurvival()
+	}
 	c.logOutcome(decisionlog.Answered, resp.StatusCode)
 	return delivered
 }
@@ -161,10 +167,10 @@
 	c.g.opts.View.WithTracker(func(t *balance.Tracker) { t.ObservePause(now, x.u, pause, c.route.GapGoal) })
 }
 
-// recordFirstEvent records the first event of the attempt and stops the version guard.
+// recordFirstEvent records the first event of the attempt and stops the start guard.
 func (x *exchange) recordFirstEvent(now time.Time) {
-	x.hadFirstEvent = true
-	x.stopVersionGuard()
+	x.hadFirstEvent, x.firstEventAt = true, now
+	x.stopStartGuard()
 	c := x.c
 	took := now.Sub(x.sentAt)
 	c.firstEventDelay = now.Sub(c.arrival)
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -63,6 +63,11 @@
 	Crashes   []quarantine.Crash `cbor:"3,keyasint,omitempty"`
 	Revisions StoreRevisions     `cbor:"4,keyasint"`
 	Update    StoreUpdate        `cbor:"5,keyasint"`
+	// Survivals are traits of requests that got past the beginning of their run, of which
+	// peers may have recorded crashes.
+	Survivals []quarantine.Trait `cbor:"6,keyasint,omitempty"`
+	// RepeatedCrashes are older crashes, for peers that were cut off or have started.
+	RepeatedCrashes []quarantine.Crash `cbor:"7,keyasint,omitempty"`
 }
 
 // FleetReply answers a FleetPush.
@@ -78,7 +83,9 @@
 	// MessageAges is the time since the last message of each VM.
 	MessageAges map[string]time.Duration `cbor:"7,keyasint,omitempty"`
 
-	Update StoreUpdate `cbor:"8,keyasint"`
+	Update          StoreUpdate        `cbor:"8,keyasint"`
+	Survivals       []quarantine.Trait `cbor:"9,keyasint,omitempty"`  // as in FleetPush
+	RepeatedCrashes []quarantine.Crash `cbor:"10,keyasint,omitempty"` // as in FleetPush
 }
 
 // StoreUpdate contains the objects of the object store of which its receiver has no copy
