Our own interface: refuse requests that share a message under which upstreams crash

Calls now carry hashes of all messages but the last. The owner that sees a crash reports those of the requests that ran, the daemons count them in the table that the users' platform's path uses, and entries refuse requests with a refused message (422, refused_fingerprint). Completed requests clear their messages fleet-wide; peers object in their reply to the report. The exchange of tables repeats the crashes for daemons that were cut off or have started.

--- a/internal/node/entry/suspects.go
+++ b/internal/node/entry/suspects.go
@@ -12,9 +12,9 @@
 type Suspects interface {
 	// Admit waits until a request may run and reports whether the request must run alone.
 	// If so, the caller holds a permit to run alone until it calls Release.
-	Admit(ctx context.Context, f suspects.Fingerprint) (bool, *protocol.Error)
+	Admit(ctx context.Context, f suspects.Fingerprint, sharedMessages []uint64) (bool, *protocol.Error)
 	// Completed records that a request ran to completion without a crash.
-	Completed(ctx context.Context, f suspects.Fingerprint, alone bool)
+	Completed(ctx context.Context, f suspects.Fingerprint, sharedMessages []uint64, alone bool)
 	// Release gives the permit to run alone back.
 	Release(ctx context.Context, f suspects.Fingerprint)
 }
@@ -24,7 +24,15 @@
 	if s.g.opts.Suspects == nil || s.call.Fingerprint == 0 {
 		return false, nil
 	}
-	return s.g.opts.Suspects.Admit(ctx, suspects.Fingerprint(s.call.Fingerprint))
+	return s.g.opts.Suspects.Admit(ctx, suspects.Fingerprint(s.call.Fingerprint), s.sharedMessages())
+}
+
+// sharedMessages returns the messages of a completion that other requests may share.
+func (s *session) sharedMessages() []uint64 {
+	if s.call.Model == nil {
+		return nil
+	}
+	return s.call.Model.SharedMessages
 }
 
 // reportEnd reports the end of an attempt to Suspects. A complete answer counts as a run
@@ -36,7 +44,7 @@
 	f := suspects.Fingerprint(s.call.Fingerprint)
 	ctx = context.WithoutCancel(ctx)
 	if complete {
-		s.g.opts.Suspects.Completed(ctx, f, alone)
+		s.g.opts.Suspects.Completed(ctx, f, s.sharedMessages(), alone)
 	}
 	if alone {
 		s.g.opts.Suspects.Release(ctx, f)
--- a/internal/node/owner/crash.go
+++ b/internal/node/owner/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/suspects"
@@ -15,12 +16,12 @@
 	crashProbeTimeout  = 500 * time.Millisecond
 )
 
-// CrashReporter receives the fingerprints of the requests that ran on an upstream when
-// it crashed.
+// CrashReporter receives the fingerprints and the shared messages of the requests that ran on
+// an upstream when it crashed.
 type CrashReporter interface {
 	// ReportCrash announces a crash to the other daemons. It returns when the other daemons
 	// have confirmed the announcement, or after a bounded time.
-	ReportCrash(ctx context.Context, id suspects.CrashID, running []suspects.Fingerprint)
+	ReportCrash(ctx context.Context, id suspects.CrashID, running []suspects.Fingerprint, sharedMessages []uint64)
 }
 
 // crashCheck determines whether an upstream has crashed since a boot. It runs once for each
@@ -28,8 +29,10 @@
 type crashCheck struct {
 	boot    state.BootID
 	running []suspects.Fingerprint // of the requests that ran when the check began
-	done    chan struct{}
-	crashed bool // valid after done is closed
+	// sharedMessages are the messages of these requests, without duplicates.
+	sharedMessages []uint64
+	done           chan struct{}
+	crashed        bool // valid after done is closed
 }
 
 // classifyCrash returns the error of a completion, with the kind KindUpstreamCrashed if the
@@ -68,7 +71,12 @@
 		if p.dispatched && p.call.Fingerprint != 0 {
 			check.running = append(check.running, suspects.Fingerprint(p.call.Fingerprint))
 		}
+		if p.dispatched && p.call.Model != nil {
+			check.sharedMessages = append(check.sharedMessages, p.call.Model.SharedMessages...)
+		}
 	}
+	slices.Sort(check.sharedMessages)
+	check.sharedMessages = slices.Compact(check.sharedMessages)
 	w.latestCheck = check
 	return check, true
 }
@@ -103,7 +111,7 @@
 	}
 	if check.crashed {
 		id := suspects.CrashID{Upstream: w.u.ID, Boot: check.boot}
-		w.m.opts.Crashes.ReportCrash(w.m.ctx, id, check.running)
+		w.m.opts.Crashes.ReportCrash(w.m.ctx, id, check.running, check.sharedMessages)
 		w.report() // the core must see the new boot before it dispatches again
 	}
 }
--- /dev/null
+++ b/internal/node/suspects/messages.go
@@ -0,0 +1,97 @@
+package suspects
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
+	core "github.com/celerydeck/celerydeck/internal/coordination/suspects"
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/statelog"
+)
+
+// messageTraits returns the traits of a request with the given shared messages.
+func messageTraits(messages []uint64) []quarantine.Trait {
+	traits := make([]quarantine.Trait, len(messages))
+	for i, id := range messages {
+		traits[i] = quarantine.Trait{Kind: quarantine.PromptPart, ID: id}
+	}
+	return traits
+}
+
+// refusesMessage reports whether requests with one of the messages are refused.
+func (n *Node) refusesMessage(messages []uint64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	isRefused := n.messages.RefusalTime(n.opts.Clock(), messageTraits(messages)) > 0
+	for _, c := range n.messages.Changes() {
+		statelog.Info("Shared message", "daemon", n.opts.Self, "message", strconv.FormatUint(c.Trait.ID, 16), "refused", c.Refused, "crashes", c.Crashes)
+	}
+	return isRefused
+}
+
+// recordMessageCrashes records a crash under requests with the given messages, and returns what is
+// new for the other daemons. The caller holds mu.
+func (n *Node) recordMessageCrashes(id core.CrashID, messages []uint64) []quarantine.Crash {
+	now := n.opts.Clock()
+	var list []quarantine.Crash
+	for _, trait := range messageTraits(messages) {
+		c := quarantine.Crash{ID: trait.ID, Kind: trait.Kind, Upstream: id.Upstream, Boot: int64(xxhash.Sum64String(string(id.Boot)))}
+		if n.messages.RecordCrash(now, c) {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// recordSurvivals records that a request with the given messages completed, and returns those
+// messages that crashes counted against. The caller holds mu.
+func (n *Node) recordSurvivals(messages []uint64) []quarantine.Trait {
+	now := n.opts.Clock()
+	var list []quarantine.Trait
+	for _, trait := range messageTraits(messages) {
+		if n.messages.RecordSurvival(now, trait) {
+			list = append(list, trait)
+		}
+	}
+	return list
+}
+
+// recordPeerSurvivals records survivals that a peer reports, and returns the new ones. The caller
+// holds mu.
+func (n *Node) recordPeerSurvivals(survivals []quarantine.Trait) []quarantine.Trait {
+	now := n.opts.Clock()
+	var list []quarantine.Trait
+	for _, trait := range survivals {
+		if n.messages.RecordPeerSurvival(now, trait) {
+			list = append(list, trait)
+		}
+	}
+	return list
+}
+
+// mergeMessageCrashes records the survivals, and with the given method the crashes, that a peer
+// reports. It returns the messages in these crashes with which requests have recently completed
+// here. The caller holds mu.
+func (n *Node) mergeMessageCrashes(msg protocol.Suspects, record func(time.Time, quarantine.Crash) bool) []quarantine.Trait {
+	n.recordPeerSurvivals(msg.Survivals)
+	now := n.opts.Clock()
+	var survivals []quarantine.Trait
+	for _, c := range msg.MessageCrashes {
+		if n.messages.Survived(now, c.Trait()) {
+			survivals = append(survivals, c.Trait())
+			continue
+		}
+		record(now, c)
+	}
+	return survivals
+}
+
+// messageRefusal returns the error of a request that shares a refused message.
+func messageRefusal(f core.Fingerprint) *protocol.Error {
+	err := refusal(f)
+	err.Message = "requests that share a message with this one have crashed upstreams"
+	return err
+}
--- a/internal/node/suspects/node.go
+++ b/internal/node/suspects/node.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
 	core "github.com/celerydeck/celerydeck/internal/coordination/suspects"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
@@ -67,8 +68,10 @@
 	mu      sync.Mutex // guards the fields below; never held across I/O
 	table   *core.Table
 	tracker *core.Tracker
-	unsaved map[core.Fingerprint]bool // refused fingerprints that save has yet to write
-	loaded  bool                      // load has read the refused fingerprints
+	// messages holds the crashes that count against shared messages.
+	messages *quarantine.Table
+	unsaved  map[core.Fingerprint]bool // refused fingerprints that save has yet to write
+	loaded   bool                      // load has read the refused fingerprints
 }
 
 // New returns a node with an empty table. The node exchanges entries with peers at regular
@@ -82,7 +85,9 @@
 		stop:    stop,
 		table:   table,
 		tracker: core.NewTracker(table),
-		unsaved: make(map[core.Fingerprint]bool),
+
+		messages: quarantine.New(),
+		unsaved:  make(map[core.Fingerprint]bool),
 	}
 }
 
@@ -113,10 +118,13 @@
 
 // Admit waits until a request with a fingerprint may run, and reports whether the request
 // must run alone. If so, this daemon holds the permit for the fingerprint, and the caller
-// must call Release after the run. Admit fails if the fingerprint is refused, if the
-// tracker can't be reached, or if ctx ends first.
-func (n *Node) Admit(ctx context.Context, f core.Fingerprint) (bool, *protocol.Error) {
+// must call Release after the run. Admit fails if the fingerprint or a shared message is
+// refused, if the tracker can't be reached, or if ctx ends first.
+func (n *Node) Admit(ctx context.Context, f core.Fingerprint, sharedMessages []uint64) (bool, *protocol.Error) {
 	for {
+		if n.refusesMessage(sharedMessages) {
+			return false, messageRefusal(f)
+		}
 		switch n.Verdict(f) {
 		case core.Clean:
 			return false, nil
@@ -153,38 +161,47 @@
 // upstream. Before it returns, it sends the changed entries to the other daemons, so that
 // each daemon recognizes a request that its caller resends. It saves refused fingerprints
 // in the background.
-func (n *Node) ReportCrash(ctx context.Context, id core.CrashID, running []core.Fingerprint) {
+func (n *Node) ReportCrash(ctx context.Context, id core.CrashID, running []core.Fingerprint, sharedMessages []uint64) {
 	n.mu.Lock()
 	changed := n.table.RecordCrash(n.opts.Clock(), id, running)
 	n.markRefused(changed)
+	crashes := n.recordMessageCrashes(id, sharedMessages)
 	n.mu.Unlock()
 	statelog.Info("Upstream crashed", "upstream", id.Upstream, "boot", id.Boot, "suspects", len(changed))
-	n.broadcast(ctx, changed)
+	n.broadcast(ctx, protocol.Suspects{Entries: changed, MessageCrashes: crashes})
 	n.wg.Go(n.save)
 }
 
-// Completed records that a request completed. If this clears a suspect, Completed sends
-// the changed entry to the other daemons.
-func (n *Node) Completed(ctx context.Context, f core.Fingerprint, alone bool) {
+// Completed records that a request completed. If this clears a suspect or a shared message,
+// Completed tells the other daemons.
+func (n *Node) Completed(ctx context.Context, f core.Fingerprint, sharedMessages []uint64, alone bool) {
 	n.mu.Lock()
 	entry, cleared := n.table.RecordCompletion(n.opts.Clock(), f, alone)
+	msg := protocol.Suspects{Survivals: n.recordSurvivals(sharedMessages)}
 	n.mu.Unlock()
 	if cleared {
-		n.broadcast(ctx, []core.Entry{entry})
+		msg.Entries = []core.Entry{entry}
 	}
+	n.broadcast(ctx, msg)
 }
 
-// HandleSuspects merges the entries in a message of a peer into the table. If the message
-// has no entries, it replies with all entries of the table, provided that the digests of
-// the two tables differ.
+// HandleSuspects merges the entries and the crashes in a message of a peer into the tables, and
+// replies with those of the shared messages with which requests have recently completed here. If
+// the message has neither entries nor crashes, it replies with all entries of the table, provided
+// that the digests of the two tables differ, and with the crashes of refused and suspect messages.
 func (n *Node) HandleSuspects(msg protocol.Suspects) protocol.Suspects {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.markRefused(n.table.Merge(msg.Entries))
-	reply := protocol.Suspects{Digest: digest(n.table.Entries())}
-	if len(msg.Entries) == 0 && msg.Digest != reply.Digest {
+	now := n.opts.Clock()
+	reply := protocol.Suspects{Digest: digest(n.table.Entries()), Survivals: n.mergeMessageCrashes(msg, n.messages.RecordCrash)}
+	if len(msg.Entries)+len(msg.MessageCrashes)+len(msg.Survivals) > 0 {
+		return reply
+	}
+	if msg.Digest != reply.Digest {
 		reply.Entries = n.table.Entries()
 	}
+	reply.MessageCrashes = n.messages.RepeatedCrashes(now)
 	return reply
 }
 
@@ -237,25 +254,38 @@
 	return peer.Peer{}, true
 }
 
-// broadcast sends entries to all peers and waits for their replies, but not longer than
-// broadcastTimeout.
-func (n *Node) broadcast(ctx context.Context, entries []core.Entry) {
-	if len(entries) == 0 {
-		return
+// broadcast sends entries, crashes and survivals to all peers and waits for their replies, but
+// not longer than broadcastTimeout. It passes on the survivals that the replies report.
+func (n *Node) broadcast(ctx context.Context, msg protocol.Suspects) {
+	if survivals := n.exchangeWithAll(ctx, msg); len(survivals) > 0 {
+		n.exchangeWithAll(ctx, protocol.Suspects{Survivals: survivals})
+	}
+}
+
+// exchangeWithAll sends a message to all peers, and returns the survivals that the replies report
+// and that are new here.
+func (n *Node) exchangeWithAll(ctx context.Context, msg protocol.Suspects) []quarantine.Trait {
+	if len(msg.Entries)+len(msg.MessageCrashes)+len(msg.Survivals) == 0 {
+		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), broadcastTimeout)
 	defer cancel()
+	var survivals []quarantine.Trait // guarded by n.mu
 	var wg sync.WaitGroup
 	for _, p := range n.opts.Members.AllPeers() {
 		wg.Go(func() {
 			var reply protocol.Suspects
-			err := n.opts.Peers.Exchange(ctx, p, protocol.MsgSuspects, protocol.Suspects{Entries: entries}, &reply)
+			err := n.opts.Peers.Exchange(ctx, p, protocol.MsgSuspects, msg, &reply)
 			if err != nil {
 				klog.V(1).InfoS("Peer did not take suspects", "peer", p.ID, "err", err)
 			}
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			survivals = append(survivals, n.recordPeerSurvivals(reply.Survivals)...)
 		})
 	}
 	wg.Wait()
+	return survivals
 }
 
 // gossip runs load, save and synchronize periodically. It repeats reads and writes of the
@@ -302,6 +332,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.markRefused(n.table.Merge(reply.Entries))
+	n.mergeMessageCrashes(reply, n.messages.RecordRepeatedCrash)
 	return true
 }
 
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
 	"github.com/celerydeck/celerydeck/internal/coordination/suspects"
 	"github.com/celerydeck/celerydeck/internal/state"
 )
@@ -79,6 +80,8 @@
 	PromptTokens     uint32           `cbor:"6,keyasint"` // estimated prompt tokens
 	FirstMessageHash uint64           `cbor:"7,keyasint"` // hash of the conversation's first message
 	WeightsLocation  string           `cbor:"8,keyasint"` // where engines fetch the adapter's weights
+	// SharedMessages are hashes of the messages that other requests may share: all but the last.
+	SharedMessages []uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // PlainCall is an HTTP request to a plain service.
@@ -202,11 +205,16 @@
 	Snapshot []byte   `cbor:"4,keyasint,omitempty"` // compressed objects
 }
 
-// Suspects contains entries of the table of requests that crashed upstreams. A message
-// without entries only compares the digests of two daemons' tables.
+// Suspects contains entries of the table of requests that crashed upstreams, and crashes that
+// count against shared messages. A message without either compares the digests of two daemons'
+// tables; the reply then also repeats the crashes of refused and suspect messages.
 type Suspects struct {
 	Digest  uint64           `cbor:"1,keyasint"`
 	Entries []suspects.Entry `cbor:"2,keyasint,omitempty"`
+	// MessageCrashes are crashes that count against shared messages.
+	MessageCrashes []quarantine.Crash `cbor:"3,keyasint,omitempty"`
+	// Survivals are shared messages that requests completed with.
+	Survivals []quarantine.Trait `cbor:"4,keyasint,omitempty"`
 }
 
 // PermitRequest asks the daemon that tracks a fingerprint for a permit to run a request,
--- a/internal/transport/callers/request.go
+++ b/internal/transport/callers/request.go
@@ -195,6 +195,7 @@
 		PromptTokens:     uint32(req.promptLen() / bytesPerToken),
 		FirstMessageHash: req.firstMessageHash(),
 		WeightsLocation:  version.Source,
+		SharedMessages:   req.sharedMessages(),
 	}
 	call.Fingerprint = req.fingerprint(ref)
 	return call, req, service, nil
@@ -245,3 +246,18 @@
 	const prefixBytes = 256
 	return xxhash.Sum64(req.Prompt[:min(len(req.Prompt), prefixBytes)])
 }
+
+// maxSharedMessages is the number of messages of a conversation, from the first, by which
+// requests that crash upstreams are recognized.
+const maxSharedMessages = 64
+
+// sharedMessages returns cryptographic hashes of the messages that other requests may share. The
+// last message is the caller's own.
+func (req completionRequest) sharedMessages() []uint64 {
+	var list []uint64
+	for i := 0; i < len(req.Messages)-1 && i < maxSharedMessages; i++ {
+		sum := sha256.Sum256(req.Messages[i])
+		list = append(list, binary.BigEndian.Uint64(sum[:]))
+	}
+	return list
+}
