Decode and log the request limits that engines name

Nothing read them: no line of a daemon showed a limit, so that its lines could not tell an unread limit from one that each daemon keeps for itself. No decision changes.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -67,7 +67,12 @@
 	Load      balance.ReportedLoad
 	HasLoad   bool
 	LoadErr   error // the upstream reported a malformed load
-	KeepAlive time.Duration
+	// RateLimit is how many requests per second the upstream accepts from all daemons together,
+	// valid if HasRateLimit.
+	RateLimit    float64
+	HasRateLimit bool
+	RateLimitErr error // the upstream named a malformed limit
+	KeepAlive    time.Duration
 }
 
 // HeaderCodec decodes metadata from headers, and encodes metadata and refusals in headers.
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -464,6 +464,12 @@
 	if a.LoadErr != nil {
 		c.g.opts.Log.Event("malformed load report", slog.String("request", c.meta.RequestID), slog.String("upstream", string(x.u.ID)), slog.String("err", a.LoadErr.Error()))
 	}
+	if a.RateLimitErr != nil {
+		c.g.opts.Log.Event("malformed request limit", slog.String("request", c.meta.RequestID), slog.String("upstream", string(x.u.ID)), slog.String("err", a.RateLimitErr.Error()))
+	}
+	if a.HasRateLimit {
+		c.g.opts.Log.Event("request limit named", slog.String("request", c.meta.RequestID), slog.String("upstream", string(x.u.ID)), slog.Float64("limit", a.RateLimit))
+	}
 	if a.NotRun {
 		return x.handleRejection(resp, a)
 	}
