--- a/internal/coordination/balance/ratelimit_test.go
+++ b/internal/coordination/balance/ratelimit_test.go
@@ -75,7 +75,9 @@
 	return float64(most)
 }
 
-func allowed(perSecond float64) float64 { return limitFactor*perSecond*limitWindow.Seconds() + limitBurst }
+func allowed(perSecond float64) float64 {
+	return limitFactor*perSecond*limitWindow.Seconds() + limitBurst
+}
 
 // TestTheSharesOfALimitDoNotExceedIt replays limits below the demand that rise and fall, at daemons
 // that cannot reach each other, and ends with the limit.
