Crashes: count refused connections only, and bound the reports in a message

What could be seen: an upstream that resets connections beyond its limit, or behind a broken link that resets them, counted as crashed, so that requests that ran there collect crashes although no upstream ended. Any error but a timeout counted as a closed port; a refused connection does now.

A message repeats each crash for 2 s, and in a storm of crashes one crash counts against every request that had not begun: the reports are bounded to 256 a message, prompt parts before contents, by TestReportsOfManyCrashesAreBounded.

--- a/internal/node/fleet/gossip.go
+++ b/internal/node/fleet/gossip.go
@@ -27,6 +27,8 @@
 	daemonStateTTL = 2 * time.Second
 	// crashReportTTL is how long a daemon includes a crash or a survival in its messages.
 	crashReportTTL = 2 * time.Second
+	// maxCrashReports is the maximum number of crashes, and of survivals, in a message.
+	maxCrashReports = 256
 	// crashRepeatInterval is the minimum time between two messages to a peer that repeat older
 	// crashes.
 	crashRepeatInterval = time.Second
@@ -107,11 +109,10 @@
 	for _, s := range out.Crashes {
 		n.crashes = append(n.crashes, crashReport{s, now})
 	}
-	n.crashes = slices.DeleteFunc(n.crashes, func(s crashReport) bool { return now.Sub(s.at) > crashReportTTL })
 	for _, trait := range out.Survivals {
 		n.survivals = append(n.survivals, survivalReport{trait, now})
 	}
-	n.survivals = slices.DeleteFunc(n.survivals, func(s survivalReport) bool { return now.Sub(s.at) > crashReportTTL })
+	n.expireCrashReports(now)
 	n.applyDemand(protocol.Demand{InUse: out.InUse, Missing: out.Missing})
 	n.updateLostPeers(now)
 	own := n.ownState(out.InFlight)
@@ -148,6 +149,25 @@
 	return list
 }
 
+// expireCrashReports drops the crashes and survivals that are older than crashReportTTL, and those
+// beyond maxCrashReports: crashes of contents before those of prompt parts, older ones first. The
+// caller holds the lock.
+func (n *Node) expireCrashReports(now time.Time) {
+	n.crashes = slices.DeleteFunc(n.crashes, func(s crashReport) bool { return now.Sub(s.at) > crashReportTTL })
+	n.survivals = slices.DeleteFunc(n.survivals, func(s survivalReport) bool { return now.Sub(s.at) > crashReportTTL })
+	if excess := len(n.crashes) - maxCrashReports; excess > 0 {
+		n.crashes = slices.DeleteFunc(n.crashes, func(s crashReport) bool {
+			if excess <= 0 || s.Kind != quarantine.Content {
+				return false
+			}
+			excess--
+			return true
+		})
+	}
+	n.crashes = n.crashes[max(0, len(n.crashes)-maxCrashReports):]
+	n.survivals = n.survivals[max(0, len(n.survivals)-maxCrashReports):]
+}
+
 // updateLostPeers marks and logs the peers that became silent and the lost peers that are
 // heard from again. The caller holds the lock.
 func (n *Node) updateLostPeers(now time.Time) {
@@ -223,7 +243,7 @@
 // recentCrashes returns the crashes to include in messages. The caller holds the lock.
 func (n *Node) recentCrashes() []quarantine.Crash {
 	var list []quarantine.Crash
-	for _, s := range n.crashes {
+	for _, s := range n.crashes[max(0, len(n.crashes)-maxCrashReports):] {
 		list = append(list, s.Crash)
 	}
 	return list
@@ -232,7 +252,7 @@
 // recentSurvivals returns the traits to include in messages as survivals. The caller holds the lock.
 func (n *Node) recentSurvivals() []quarantine.Trait {
 	var list []quarantine.Trait
-	for _, s := range n.survivals {
+	for _, s := range n.survivals[max(0, len(n.survivals)-maxCrashReports):] {
 		list = append(list, s.Trait)
 	}
 	return list
--- a/internal/node/fleet/quarantine_test.go
+++ b/internal/node/fleet/quarantine_test.go
@@ -98,3 +98,24 @@
 		s.Check(len(n.crashes)+len(n.survivals), qt.Equals, 0, qt.Commentf(vm))
 	}
 }
+
+// TestReportsOfManyCrashesAreBounded guards against messages that grow with the requests that break
+// in a storm of crashes, and against prompt parts that are left out for contents.
+func TestReportsOfManyCrashesAreBounded(t *testing.T) {
+	s := newSim(t, 3, 2)
+	s.rounds(3)
+	s.crash("z0-00", "e1")
+	for id := range uint64(3 * maxCrashReports) {
+		s.nodes["z0-00"].opts.View.RecordCrashes([]quarantine.Crash{{ID: 100 + id, Upstream: "e1"}})
+	}
+	s.crash("z0-00", "e2")
+	s.crash("z0-00", "e3")
+	s.rounds(15) // 3 s
+	s.Check(s.refusing(crashingPart), qt.Equals, 6)
+	s.nodes["z0-00"].opts.View.RecordCrashes([]quarantine.Crash{{ID: 1, Upstream: "e9"}})
+	for id := range uint64(3 * maxCrashReports) {
+		s.nodes["z0-00"].opts.View.RecordCrashes([]quarantine.Crash{{ID: 5000 + id, Upstream: "e9"}})
+	}
+	s.rounds(1)
+	s.Check(len(s.nodes["z0-00"].crashes) <= maxCrashReports, qt.IsTrue)
+}
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -7,13 +7,13 @@
 	"io"
 	"log/slog"
 	"maps"
-	"net"
 	"net/http"
 	"net/textproto"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
@@ -425,8 +425,7 @@
 		g.opts.Pool.Put(u.Addr, conn, 0)
 		return
 	}
-	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
+	if !errors.Is(err, syscall.ECONNREFUSED) { // cut off, or out of connections
 		return
 	}
 	if listed := g.opts.View.Upstream(u.ID); listed == nil || listed.Draining {
