A daemon that does not know its peers yet takes a quarter of a request limit

A restarted daemon serves before it has read the records of its peers; its share of a limit was then the whole limit. It assumes four daemons, as it does for retries.

--- a/internal/node/fleet/ratelimit_test.go
+++ b/internal/node/fleet/ratelimit_test.go
@@ -1,13 +1,36 @@
 package fleet
 
 import (
+	"io"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
+	"github.com/celerydeck/celerydeck/internal/decisionlog"
+	"github.com/celerydeck/celerydeck/internal/state/upstreams"
 )
 
+// TestADaemonThatDoesNotKnowItsPeersTakesNoWholeLimit guards against a daemon that has just started
+// and sends all that an upstream accepts from all daemons.
+func TestADaemonThatDoesNotKnowItsPeersTakesNoWholeLimit(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	log := decisionlog.New(io.Discard, "vm")
+	t.Cleanup(log.Close)
+	view := NewView(ViewOptions{Log: log, Clock: func() time.Time { return now }})
+	view.SetRateLimit("e0", balance.RateLimit{PerSecond: 10})
+	sent := 0
+	for range 400 { // 4 s
+		now = now.Add(10 * time.Millisecond)
+		if view.Admit(&upstreams.Upstream{ID: "e0"}, balance.Request{}, upstreams.Adapter{}) == 0 {
+			sent++
+		}
+	}
+	c.Assert(sent <= 40/minDaemonCount+1, qt.IsTrue, qt.Commentf("%d", sent))
+}
+
 // TestALimitThatOneDaemonIsToldReachesAllDaemons guards against daemons of a large fleet that each
 // have to send a request to learn of a limit, or of its end.
 func TestALimitThatOneDaemonIsToldReachesAllDaemons(t *testing.T) {
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -119,7 +119,7 @@
 
 // NewView returns an empty view.
 func NewView(opts ViewOptions) *View {
-	return &View{
+	v := &View{
 		opts:            opts,
 		byID:            make(map[state.UpstreamID]*upstreams.Upstream),
 		byService:       make(map[string][]*upstreams.Upstream),
@@ -138,6 +138,8 @@
 		retryBudgets:    make(map[string]*retrybudget.Budget),
 		noticePending:   make(chan struct{}, 1),
 	}
+	v.tracker.SetDaemonCount(minDaemonCount)
+	return v
 }
 
 // Table returns the configuration in force, or nil if there is none yet.
@@ -313,8 +315,8 @@
 }
 
 // DrainOutgoing returns the requests in flight and the adapters in use. It returns and removes
-// the crashes, the survivals, the ended uses and the missing adapters that are not yet reported to the
-// peers. It also applies modelRequestsDecay, and is called once per round of gossip.
+// the crashes, the survivals, the ended uses and the missing adapters that are not yet reported
+// to the peers. It also applies modelRequestsDecay, and is called once per round of gossip.
 func (v *View) DrainOutgoing() Outgoing {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -466,7 +466,7 @@
 	if a.RateLimitErr != nil {
 		c.g.opts.Log.Event("malformed request limit", slog.String("request", c.meta.RequestID), slog.String("upstream", string(x.u.ID)), slog.String("err", a.RateLimitErr.Error()))
 	}
-	// Responses that others than the upstream itself may give name no limit.
+	// Only a response of the upstream itself shows that its limit has ended.
 	if a.HasRateLimit || a.Signed && a.RateLimitErr == nil {
 		c.g.opts.View.SetRateLimit(x.u.ID, balance.RateLimit{PerSecond: a.RateLimit, Ended: !a.HasRateLimit})
 	}
