status, handover: show what is quarantined

Cause: the refusal of a prompt part or a shared message stood in a log line only; an operator who takes over could not see which requests are refused. Golden files: the advice of fingerprint_refused now covers requests that share a message. Result: TestEdgeHandoverListsWarningsAndConfiguration checks the warning.

--- a/internal/app/reporters.go
+++ b/internal/app/reporters.go
@@ -11,7 +11,8 @@
 	"github.com/celerydeck/celerydeck/internal/state"
 )
 
-// suspectReporter reports the request fingerprints that this daemon refuses or suspects.
+// suspectReporter reports the request fingerprints that this daemon refuses or suspects, and the
+// shared messages that it refuses.
 type suspectReporter struct{ node *suspectsnode.Node }
 
 // Conditions implements operator.Reporter.
@@ -33,6 +34,12 @@
 		}
 		list = append(list, c)
 	}
+	for _, id := range r.node.RefusedMessages() {
+		list = append(list, protocol.Condition{
+			Kind: protocol.ConditionFingerprintRefused, Severity: protocol.SeverityWatch,
+			Subject: fmt.Sprintf("message %016x", id), Detail: "requests with this message are refused: upstreams crashed under several of them",
+		})
+	}
 	return list
 }
 
--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -77,7 +77,8 @@
 //   - the list of upstreams is stale;
 //   - a daemon is silent;
 //   - a service has no upstream that takes requests;
-//   - no daemon may order loads at an engine.
+//   - no daemon may order loads at an engine;
+//   - requests are quarantined.
 func edgeWarnings(r *protocol.FleetReport) []string {
 	var warnings []string
 	if r.ConfigVersion == 0 {
@@ -106,6 +107,9 @@
 			warnings = append(warnings, fmt.Sprintf("no daemon may order loads at engine %s; lease holder %q", u.ID, u.LeaseHolder))
 		}
 	}
+	for _, q := range r.Quarantined {
+		warnings = append(warnings, fmt.Sprintf("requests with %s %s are refused for another %s: upstreams crashed under them", q.Kind, q.ID, q.EndsIn.Round(time.Second)))
+	}
 	return warnings
 }
 
--- a/internal/cli/edge_test.go
+++ b/internal/cli/edge_test.go
@@ -25,6 +25,8 @@
 		Adapters:  []protocol.AdapterReport{{Adapter: "base/a1", Newest: 4, Replicas: map[int][]state.UpstreamID{3: {"i-1"}, 4: {"i-2"}}}},
 		Upstreams: []protocol.UpstreamReport{{ID: "i-1", Service: "llm", LeaseHolder: "edge-1", CanOrder: true, Adapters: 3}, {ID: "i-2", Service: "llm"}},
 		Peers:     []protocol.PeerReport{{VM: "edge-2", Zone: "b", MessageAge: 8 * time.Second, Lost: true}},
+
+		Quarantined: []protocol.QuarantineReport{{Kind: "prompt part", ID: "91bd3f06", EndsIn: 9 * time.Minute}},
 	}
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(report) }))
 	t.Cleanup(s.Close)
@@ -45,7 +47,7 @@
 	c.Assert(code, qt.Equals, ExitOK, qt.Commentf("%s", text))
 	for _, want := range []string{
 		"warning: the list of upstreams is 9s old", "warning: daemon edge-2 has been silent for 8s", "warning: service booking has no upstream",
-		`warning: no daemon may order loads at engine i-2; lease holder ""`, "/chat/", "600ms", "version 3 at 1 engines, version 4 at 1 engines",
+		`warning: no daemon may order loads at engine i-2; lease holder ""`, "requests with prompt part 91bd3f06 are refused for another 9m0s", "/chat/", "600ms", "version 3 at 1 engines, version 4 at 1 engines",
 	} {
 		c.Check(text, qt.Contains, want)
 	}
--- a/internal/node/fleet/report.go
+++ b/internal/node/fleet/report.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
@@ -59,7 +61,7 @@
 	slices.SortFunc(r.Services, func(a, b protocol.ServiceReport) int { return cmp.Compare(a.Name, b.Name) })
 }
 
-// report adds the upstreams and the adapters to a report.
+// report adds the upstreams, the adapters and what is quarantined to a report.
 func (v *View) report(now time.Time, r *protocol.FleetReport) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -88,6 +90,11 @@
 			}
 		}
 	}
+	for _, trait := range v.crashes.Refused(now) {
+		r.Quarantined = append(r.Quarantined, protocol.QuarantineReport{
+			Kind: trait.Kind.String(), ID: strconv.FormatUint(trait.ID, 16), EndsIn: v.crashes.RefusalTime(now, []quarantine.Trait{trait}),
+		})
+	}
 	for a, versions := range byVersion {
 		for _, ids := range versions {
 			slices.Sort(ids)
--- a/internal/node/suspects/messages.go
+++ b/internal/node/suspects/messages.go
@@ -32,6 +32,17 @@
 	return isRefused
 }
 
+// RefusedMessages returns the hashes of the messages with which requests are refused.
+func (n *Node) RefusedMessages() []uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var list []uint64
+	for _, trait := range n.messages.Refused(n.opts.Clock()) {
+		list = append(list, trait.ID)
+	}
+	return list
+}
+
 // recordMessageCrashes records a crash under requests with the given messages, and returns what is
 // new for the other daemons. The caller holds mu.
 func (n *Node) recordMessageCrashes(id core.CrashID, messages []uint64) []quarantine.Crash {
--- a/internal/protocol/fleetreport.go
+++ b/internal/protocol/fleetreport.go
@@ -20,6 +20,15 @@
 	Adapters        []AdapterReport  `json:"adapters"` // with a replica or an announced version
 	Upstreams       []UpstreamReport `json:"upstreams"`
 	Peers           []PeerReport     `json:"peers"`
+	// Quarantined are the contents and prompt parts that the daemon refuses.
+	Quarantined []QuarantineReport `json:"quarantined"`
+}
+
+// QuarantineReport is a content or a prompt part under which upstreams crashed.
+type QuarantineReport struct {
+	Kind   string        `json:"kind"`
+	ID     string        `json:"id"`      // hexadecimal
+	EndsIn time.Duration `json:"ends_in"` // without a further crash
 }
 
 // RouteReport is a route of the configuration in force.
--- a/internal/report/conditions.go
+++ b/internal/report/conditions.go
@@ -253,7 +253,7 @@
 	protocol.ConditionConfigBehind:       "Wait a few seconds; if a daemon stays behind, check its links to the platform and its zone.",
 	protocol.ConditionFlood:              "The flooding class is held to its share. Ask the customer; lower requests_per_second if needed.",
 	protocol.ConditionRankLate:           "Compare running with batch by zone; add engines or lower less urgent work.",
-	protocol.ConditionFingerprintRefused: "A request crashed several upstreams and is refused now. Tell its customer.",
+	protocol.ConditionFingerprintRefused: "A request, or several requests with one message, crashed several upstreams and are refused now. Tell their customer.",
 	protocol.ConditionOutcomeUnknown:     "A call that must not repeat was interrupted. Check the service's own records before anyone sends it again.",
 	protocol.ConditionDrained:            "End the drain with celerydeck drain --end when the work is done.",
 }
