status: show the request limits that upstreams name

Cause: that an upstream accepts only some requests a second stood in a log line at the moment of a change only; status gave no reason for refusals beside idle upstreams.

--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -78,6 +78,7 @@
 //   - a daemon is silent;
 //   - a service has no upstream that takes requests;
 //   - no daemon may order loads at an engine;
+//   - an upstream limits its requests;
 //   - requests are quarantined.
 func edgeWarnings(r *protocol.FleetReport) []string {
 	var warnings []string
@@ -106,6 +107,9 @@
 		if isEngineService[u.Service] && !u.Draining && (u.LeaseHolder == "" || !u.CanOrder) {
 			warnings = append(warnings, fmt.Sprintf("no daemon may order loads at engine %s; lease holder %q", u.ID, u.LeaseHolder))
 		}
+		if u.RequestLimit != nil {
+			warnings = append(warnings, fmt.Sprintf("upstream %s accepts only %.1f requests/s from all daemons", u.ID, *u.RequestLimit))
+		}
 	}
 	for _, q := range r.Quarantined {
 		warnings = append(warnings, fmt.Sprintf("requests with %s %s are refused for another %s: upstreams crashed under them", q.Kind, q.ID, q.EndsIn.Round(time.Second)))
--- a/internal/coordination/balance/ratelimit.go
+++ b/internal/coordination/balance/ratelimit.go
@@ -98,10 +98,14 @@
 	return list
 }
 
-// HasRateLimit reports whether an upstream is known to limit its requests.
-func (t *Tracker) HasRateLimit(id state.UpstreamID) bool {
+// RateLimit returns how many requests per second an upstream accepts from all daemons together. It
+// returns false if no limit is known.
+func (t *Tracker) RateLimit(id state.UpstreamID) (float64, bool) {
 	r := t.rates[id]
-	return r != nil && !r.hasEnded
+	if r == nil || r.hasEnded {
+		return 0, false
+	}
+	return r.perSecond, true
 }
 
 // share returns the requests per second that this daemon may send.
--- a/internal/node/fleet/ratelimit_test.go
+++ b/internal/node/fleet/ratelimit_test.go
@@ -41,7 +41,7 @@
 			n := 0
 			for _, node := range s.nodes {
 				node.opts.View.WithTracker(func(t *balance.Tracker) {
-					if t.HasRateLimit("e0") {
+					if _, ok := t.RateLimit("e0"); ok {
 						n++
 					}
 				})
--- a/internal/node/fleet/report.go
+++ b/internal/node/fleet/report.go
@@ -74,6 +74,9 @@
 			ID: id, Service: u.Service, Zone: u.Zone, Addr: u.Addr, Draining: u.Draining, CanOrder: v.engineStates[id].canOrder,
 			Adapters: len(v.engineStates[id].adapters), LoadCapacity: v.engineStates[id].loadCapacity, Requests: v.tracker.InFlight(now, id).Requests,
 		}
+		if limit, ok := v.tracker.RateLimit(id); ok {
+			e.RequestLimit = &limit
+		}
 		r.Upstreams = append(r.Upstreams, e)
 		for a, item := range v.engineStates[id].adapters {
 			if byVersion[a] == nil {
--- a/internal/protocol/fleetreport.go
+++ b/internal/protocol/fleetreport.go
@@ -73,6 +73,9 @@
 	Adapters     int              `json:"adapters"`
 	LoadCapacity int              `json:"room"` // further loads that the engine accepts now
 	Requests     int              `json:"requests"`
+	// RequestLimit is how many requests per second the upstream accepts from all daemons
+	// together, nil without a limit.
+	RequestLimit *float64 `json:"request_limit,omitempty"`
 }
 
 // PeerReport is another daemon of the fleet.
