Request limits: idle daemons of a large fleet lose unused tokens

Cause: each daemon keeps one whole token however small its share is, so a burst after an idle time finds one at every daemon. The bound on unused tokens was one for each daemon, not one for the fleet. Phases replace the random first tokens, so the daemons' tokens come one after the other.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -140,6 +140,7 @@
 	waitsFor       map[uint64]state.UpstreamID       // engine by ticket
 	rates          map[state.UpstreamID]*rateLimit   // that upstreams named
 	daemons        int                               // that share the limits of upstreams
+	position       int                               // of this daemon among them, from 0
 }
 
 // NewTracker returns a tracker without requests.
--- a/internal/coordination/balance/ratelimit_test.go
+++ b/internal/coordination/balance/ratelimit_test.go
@@ -32,9 +32,9 @@
 
 func newLimitedFleet(daemons int, seed uint64) *limitedFleet {
 	f := &limitedFleet{upstream: &upstreams.Upstream{ID: "e1", Service: "llm", Slots: 64}, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 2))}
-	for range daemons {
+	for position := range daemons {
 		t := NewTracker()
-		t.SetDaemonCount(daemons)
+		t.SetDaemons(daemons, position)
 		f.daemons = append(f.daemons, t)
 	}
 	return f
@@ -53,7 +53,7 @@
 			continue
 		}
 		f.sent = append(f.sent, f.now)
-		t.SetRateLimit(f.now, f.upstream.ID, f.limit, f.random.Float64())
+		t.SetRateLimit(f.now, f.upstream.ID, f.limit)
 		t.End(f.upstream.ID, r, false)
 	}
 }
@@ -109,6 +109,34 @@
 	}
 }
 
+// TestIdleDaemonsOfALargeFleetDoNotExceedALimitTogether lets all daemons know a limit, leaves the
+// upstream nearly idle and then sends it a burst. Each idle daemon could hold a whole token. Under
+// constant demand the limit must still be used.
+func TestIdleDaemonsOfALargeFleetDoNotExceedALimitTogether(t *testing.T) {
+	for _, daemons := range []int{6, 20, 70, 195} {
+		for seed := range uint64(20) {
+			c := qt.New(t)
+			f := newLimitedFleet(daemons, seed)
+			for _, limit := range []float64{2.1, 4.5} {
+				f.limit = RateLimit{PerSecond: limit}
+				for _, d := range f.daemons {
+					d.SetRateLimit(f.now, f.upstream.ID, f.limit)
+				}
+				f.run(60*time.Second, limit/4)
+				from := f.now
+				f.run(10*time.Second, 100)
+				c.Check(f.mostSince(from) <= allowed(limit), qt.IsTrue, qt.Commentf("%d daemons, seed %d, limit %g: %g", daemons, seed, limit, f.mostSince(from)))
+
+				count := len(f.sent)
+				f.run(20*time.Second, max(20, 1.5*float64(daemons)))
+				count = len(f.sent) - count
+				c.Check(float64(count) >= 0.7*limit*20, qt.IsTrue, qt.Commentf("%d daemons, seed %d, limit %g: %d sent", daemons, seed, limit, count))
+				c.Check(f.mostSince(from) <= allowed(limit), qt.IsTrue, qt.Commentf("%d daemons, seed %d, limit %g: %g", daemons, seed, limit, f.mostSince(from)))
+			}
+		}
+	}
+}
+
 func TestAnUpstreamThatAllowsNothingIsProbed(t *testing.T) {
 	c := qt.New(t)
 	f := newLimitedFleet(4, 1)
@@ -123,15 +151,15 @@
 	c := qt.New(t)
 	tracker := NewTracker()
 	now := time.Unix(1000, 0)
-	c.Assert(tracker.SetRateLimit(now, "e1", RateLimit{PerSecond: 2}, 0), qt.IsTrue)
-	c.Assert(tracker.MergeRateLimit(now, "e1", RateLimit{Ended: true, Age: time.Second}, 0), qt.IsFalse)
+	c.Assert(tracker.SetRateLimit(now, "e1", RateLimit{PerSecond: 2}), qt.IsTrue)
+	c.Assert(tracker.MergeRateLimit(now, "e1", RateLimit{Ended: true, Age: time.Second}), qt.IsFalse)
 	limit, ok := tracker.RateLimit("e1")
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(limit, qt.Equals, 2.0)
-	c.Assert(tracker.MergeRateLimit(now.Add(time.Second), "e1", RateLimit{Ended: true, Age: time.Second / 2}, 0), qt.IsTrue)
+	c.Assert(tracker.MergeRateLimit(now.Add(time.Second), "e1", RateLimit{Ended: true, Age: time.Second / 2}), qt.IsTrue)
 	_, ok = tracker.RateLimit("e1")
 	c.Assert(ok, qt.IsFalse)
-	c.Assert(tracker.MergeRateLimit(now, "e2", RateLimit{Ended: true}, 0), qt.IsFalse) // never had one
+	c.Assert(tracker.MergeRateLimit(now, "e2", RateLimit{Ended: true}), qt.IsFalse) // never had one
 	tracker.Retain(func(state.UpstreamID) bool { return false })
 	c.Assert(tracker.rates, qt.HasLen, 0)
 }
--- a/internal/node/fleet/ratelimit.go
+++ b/internal/node/fleet/ratelimit.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"math/rand/v2"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
 	"github.com/celerydeck/celerydeck/internal/state"
@@ -12,7 +11,7 @@
 func (v *View) SetRateLimit(id state.UpstreamID, l balance.RateLimit) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.tracker.SetRateLimit(v.opts.Clock(), id, l, rand.Float64()) {
+	if v.tracker.SetRateLimit(v.opts.Clock(), id, l) {
 		v.logRateLimit(id, l, "")
 	}
 }
@@ -22,7 +21,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for id, l := range limits {
-		if v.tracker.MergeRateLimit(v.opts.Clock(), id, l, rand.Float64()) {
+		if v.tracker.MergeRateLimit(v.opts.Clock(), id, l) {
 			v.logRateLimit(id, l, peer)
 		}
 	}
--- a/internal/node/fleet/storesync.go
+++ b/internal/node/fleet/storesync.go
@@ -440,7 +440,13 @@
 		}
 	}
 	n.opts.Pins.Set(pins)
-	n.opts.View.SetDaemonCount(len(r.Members))
+	position := 0
+	for _, m := range r.Members {
+		if m.VM < n.opts.Self.VM {
+			position++
+		}
+	}
+	n.opts.View.SetDaemons(len(r.Members), position)
 	n.holders = r.Holders
 }
 
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -138,7 +138,7 @@
 		retryBudgets:    make(map[string]*retrybudget.Budget),
 		noticePending:   make(chan struct{}, 1),
 	}
-	v.tracker.SetDaemonCount(minDaemonCount)
+	v.tracker.SetDaemons(minDaemonCount, 0)
 	return v
 }
 
@@ -295,12 +295,13 @@
 	return v.tracker.OwnInFlight(v.opts.Clock())
 }
 
-// SetDaemonCount sets the number of daemons that share the budgets.
-func (v *View) SetDaemonCount(n int) {
+// SetDaemons sets the number of daemons that share the budgets and the limits of upstreams, and the
+// position of this daemon among them, from 0.
+func (v *View) SetDaemons(count, position int) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.daemonCount = n
-	v.tracker.SetDaemonCount(n)
+	v.daemonCount = count
+	v.tracker.SetDaemons(count, position)
 }
 
 // Outgoing is what this daemon reports to its peers about its requests: those in flight, the
--- a/internal/node/gateway/ratelimit_test.go
+++ b/internal/node/gateway/ratelimit_test.go
@@ -72,7 +72,7 @@
 	var wg sync.WaitGroup
 	for daemon := range daemons {
 		w := newFixture(t, list...)
-		w.view.SetDaemonCount(daemons)
+		w.view.SetDaemons(daemons, daemon)
 		wg.Go(func() {
 			var requests sync.WaitGroup
 			for i := 0; time.Since(start) < d; i++ {
