Quarantine: record refused prompt parts in the store

Callers would have seen: after a restart of all daemons, or in a zone that only reaches the store, requests with a part that was already refused elsewhere crash three more upstreams. Cause: what is refused travelled by messages between daemons only. Change: the relays record refused parts with the crashes that are the reason, beside the records of daemons and leases that are read anyway. Each record is applied once; one whose part is no longer refused is deleted. A quiet fleet makes no further call.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -35,9 +35,9 @@
 	// suspicionTTL is the time after its last crash in which further crashes add to a record
 	// that does not suffice for a refusal.
 	suspicionTTL = 2 * time.Minute
-	// refusalTTL is how long a trait is refused after its last crash. Later requests are sent
+	// RefusalTTL is how long a trait is refused after its last crash. Later requests are sent
 	// again, and one further crash renews the refusal.
-	refusalTTL = 10 * time.Minute
+	RefusalTTL = 10 * time.Minute
 	recordTTL  = time.Hour // time from the last crash until a record may be evicted
 
 	maxRecords          = 4096
@@ -241,7 +241,7 @@
 		}
 		t.update(now)
 		if t.refused[trait] {
-			longest = max(longest, refusalTTL-now.Sub(r.lastCrash))
+			longest = max(longest, RefusalTTL-now.Sub(r.lastCrash))
 		}
 	}
 	return longest
@@ -252,7 +252,7 @@
 	t.update(now)
 	var list []Trait
 	for trait := range t.refused {
-		if now.Sub(t.records[trait].lastCrash) < refusalTTL {
+		if now.Sub(t.records[trait].lastCrash) < RefusalTTL {
 			list = append(list, trait)
 		}
 	}
@@ -260,6 +260,20 @@
 	return list
 }
 
+// Crashes returns the crashes that count against a trait, ordered by upstream and boot.
+func (t *Table) Crashes(trait Trait) []Crash {
+	r := t.records[trait]
+	if r == nil {
+		return nil
+	}
+	list := make([]Crash, 0, len(r.crashes))
+	for b := range r.crashes {
+		list = append(list, Crash{ID: trait.ID, Kind: trait.Kind, Upstream: b.upstream, Boot: b.start})
+	}
+	slices.SortFunc(list, compareCrashes)
+	return list
+}
+
 // RepeatedCrashes returns crashes that are reported to the peers again and again, so that daemons
 // that were cut off or have started learn of them: those of refused traits, and of prompt parts
 // with at least two crashes that no refused part explains. It omits crashes that were recorded
@@ -269,7 +283,7 @@
 	explained := t.explained()
 	var list []Crash
 	for trait, r := range t.records {
-		if age := now.Sub(r.lastCrash); age >= refusalTTL {
+		if age := now.Sub(r.lastCrash); age >= RefusalTTL {
 			continue
 		}
 		if count, _ := r.unexplained(explained); !t.refused[trait] && (trait.Kind == Content || count < 2) {
@@ -281,12 +295,15 @@
 			}
 		}
 	}
-	slices.SortFunc(list, func(a, b Crash) int {
-		return cmp.Or(-cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.ID, b.ID), cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Boot, b.Boot))
-	})
+	slices.SortFunc(list, compareCrashes)
 	return list[:min(len(list), maxRepeatedCrashes)]
 }
 
+// compareCrashes orders those of prompt parts first.
+func compareCrashes(a, b Crash) int {
+	return cmp.Or(-cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.ID, b.ID), cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Boot, b.Boot))
+}
+
 func compareTraits(a, b Trait) int {
 	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.ID, b.ID))
 }
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -104,6 +104,7 @@
 	demand           map[string]*pendingDemand // by VM of the lease holder
 	crashes          []crashReport
 	survivals        []survivalReport
+	appliedRefusals  map[string]uint64 // revision of each applied record by prompt part; used by pollRecords only
 	// modelLoads are the times of recent orders to load model weights.
 	modelLoads []time.Time
 }
@@ -122,6 +123,8 @@
 		watchCancels:  make(map[string]context.CancelFunc),
 		demand:        make(map[string]*pendingDemand),
 
+		appliedRefusals: make(map[string]uint64),
+
 		refreshRequested: make(chan struct{}, 1),
 	}
 }
--- a/internal/node/fleet/quarantine_test.go
+++ b/internal/node/fleet/quarantine_test.go
@@ -7,9 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
-	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/state"
-	"github.com/celerydeck/celerydeck/internal/transport/peer"
 )
 
 var (
@@ -68,19 +66,7 @@
 	s.rounds(15) // 3 s
 	s.Check(s.refusing(crashingPart), qt.Equals, 9)
 
-	restarted := s.nodes["z2-01"]
-	opts := restarted.opts
-	opts.View = NewView(restarted.opts.View.opts)
-	opts.Pins = new(peer.Pins)
-	log := decisionlog.New(t.Output(), "z2-01")
-	t.Cleanup(log.Close)
-	opts.Log = log
-	s.nodes["z2-01"] = New(opts)
-	var members []Member
-	for _, n := range s.nodes {
-		members = append(members, n.opts.Self)
-	}
-	s.nodes["z2-01"].applyRecords(s.now, Records{Revision: 1, Members: members})
+	s.restart(t, "z2-01")
 	s.Check(s.refusing(crashingPart), qt.Equals, 8)
 	s.rounds(15)
 	s.Check(s.refusing(crashingPart), qt.Equals, 9)
--- a/internal/node/fleet/store.go
+++ b/internal/node/fleet/store.go
@@ -24,11 +24,28 @@
 // Holder is the record of the lease holder of an engine.
 type Holder = protocol.LeaseHolder
 
-// Records are the records of all daemons and lease holders.
+// Refusal is the record of a prompt part that the daemons refuse, with the crashes of upstreams
+// that are the reason.
+type Refusal struct {
+	Part      string         `json:"part"` // hexadecimal
+	Crashes   []RefusalCrash `json:"crashes"`
+	RefusedAt int64          `json:"refused_at"` // Unix milliseconds
+
+	Revision uint64 `json:"-"`
+}
+
+// RefusalCrash is a crash of an upstream.
+type RefusalCrash struct {
+	Upstream state.UpstreamID `json:"upstream"`
+	Boot     int64            `json:"boot"` // start of the upstream, Unix milliseconds
+}
+
+// Records are the records of all daemons, lease holders and refused prompt parts.
 type Records struct {
 	Revision uint64 // of the store, when they were read
 	Members  []Member
 	Holders  map[state.UpstreamID]Holder
+	Refusals []Refusal
 }
 
 // UpstreamList is the list of upstreams at a revision of the store.
@@ -53,6 +70,10 @@
 	PutHolder(ctx context.Context, h Holder) (Holder, error)
 	DeleteHolder(ctx context.Context, h Holder) error
 	DeleteMember(ctx context.Context, m Member) error
+	// PutRefusal creates the record of a refused prompt part. It fails with ErrConflict if there
+	// is one.
+	PutRefusal(ctx context.Context, r Refusal) error
+	DeleteRefusal(ctx context.Context, r Refusal) error
 }
 
 // EngineReport is an engine's report on its state.
--- a/internal/node/fleet/storesync.go
+++ b/internal/node/fleet/storesync.go
@@ -373,6 +373,7 @@
 			b.ok(now)
 			n.applyRecords(now, r)
 			n.isPublished = n.renewLeases(askedAt, r)
+			n.syncRefusals(now, r.Refusals)
 		}
 		n.reconcileWorkers()
 		n.claimEngines()
