An idle engine accepts loads again after its lease lapsed

Cause: a lapsed lease drops the belief that a report was read, so that the engine counts as unable to load; a planner without recent orders asked for no new report. Change: a lapsed lease requires a report; it is read as soon as the lease is valid again, with the usual pause after a failure. Result: TestAnIdleEngineAcceptsLoadsAgainAfterItsLeaseLapsed failed before.

--- a/internal/coordination/residency/residency.go
+++ b/internal/coordination/residency/residency.go
@@ -117,9 +117,11 @@
 	acceptedOrders int             // number of orders that this boot of the engine accepted
 	lastOrder      time.Time
 	nextReport     time.Time // when the next report is due
-	adapters       map[upstreams.Adapter]*entry
-	pending        []pendingLoad
-	newestVersions map[upstreams.Adapter]int
+	// isReportRequired is set until the next report, see RequireReport.
+	isReportRequired bool
+	adapters         map[upstreams.Adapter]*entry
+	pending          []pendingLoad
+	newestVersions   map[upstreams.Adapter]int
 	// localCopies are the adapters that the engine is assumed to have copies of outside
 	// its slots, with the time of their last load.
 	localCopies      map[upstreams.Adapter]time.Time
@@ -162,12 +164,13 @@
 
 // NeedsReport reports whether the planner needs a report from the engine now.
 func (p *Planner) NeedsReport(now time.Time) bool {
-	if !p.synced {
-		return !now.Before(p.nextReport)
-	}
-	return !p.lastOrder.IsZero() && !now.Before(p.nextReport)
+	isNeeded := !p.synced || p.isReportRequired || !p.lastOrder.IsZero()
+	return isNeeded && !now.Before(p.nextReport)
 }
 
+// RequireReport makes the planner need a report even if it has sent no order.
+func (p *Planner) RequireReport() { p.isReportRequired = true }
+
 // ReportFailed delays the next read of a report after a read failed.
 func (p *Planner) ReportFailed(now time.Time) { p.nextReport = now.Add(maxReportAge) }
 
@@ -177,6 +180,7 @@
 // flight. ApplyReport also discards expired records of unresolved orders and unloads, and
 // schedules the next report.
 func (p *Planner) ApplyReport(now time.Time, startTime int64, acceptedOrders int, h upstreams.Residency, inFlight []upstreams.Adapter) {
+	p.isReportRequired = false
 	if p.synced && startTime != p.startTime { // the engine restarted and lost its adapters
 		p.adapters = make(map[upstreams.Adapter]*entry)
 	}
--- a/internal/node/fleet/worker.go
+++ b/internal/node/fleet/worker.go
@@ -247,6 +247,7 @@
 	w.planner.SetCapacity(usableSlots(spec.MaxAdapters(w.planner.TargetModels())))
 	if !w.lease.Valid(w.node.opts.BootClock()) {
 		w.hasReport = false
+		w.planner.RequireReport()
 		w.mu.Unlock()
 		return false
 	}
