A restart of an engine is noticed while a report is required

Cause: the start time in a report was compared only while the planner trusted its state. After a conflict or an unknown outcome the adapters of the boot before stayed, and an unload of one of them was counted as an order. Change: the start time is compared with every report after the first.

--- a/internal/coordination/residency/residency.go
+++ b/internal/coordination/residency/residency.go
@@ -181,7 +181,7 @@
 // schedules the next report.
 func (p *Planner) ApplyReport(now time.Time, startTime int64, acceptedOrders int, h upstreams.Residency, inFlight []upstreams.Adapter) {
 	p.isReportRequired = false
-	if p.synced && startTime != p.startTime { // the engine restarted and lost its adapters
+	if p.startTime != 0 && startTime != p.startTime { // the engine restarted and lost its adapters
 		p.adapters = make(map[upstreams.Adapter]*entry)
 	}
 	if !p.synced || startTime != p.startTime || now.Sub(p.lastOrder) > maxReportAge {
