The unload of an adapter that an earlier lease holder unloaded is not counted

Cause: a new lease holder takes adapters from a report that may be older than an unload of its predecessor, or the unload waits for running requests. The engine answers an unload of an absent adapter with done and does not count it, the planner counted it, and a delayed load with that count was executed. Change: adapters that this planner did not order, on an engine that has accepted orders, count as inherited until a report confirms them after an order was accepted. Unloading one requires a report; a report without one removes it.

--- a/internal/coordination/residency/orders.go
+++ b/internal/coordination/residency/orders.go
@@ -148,13 +148,17 @@
 	switch r {
 	case OutcomeAccepted:
 		p.acceptedOrders++
+		if p.firstAccepted.IsZero() {
+			p.firstAccepted = now
+		}
 		p.applyOrder(now, o, false)
 		p.scheduleReport(now, reconcileInterval)
 	case OutcomeDone:
+		e := p.adapters[o.Adapter]
 		p.applyOrder(now, o, true)
 		switch {
-		case o.Unload && now.Sub(p.recentlyUnresolved[o.Adapter]) < unresolvedOrderTTL:
-			p.requireReport(now)
+		case o.Unload && (now.Sub(p.recentlyUnresolved[o.Adapter]) < unresolvedOrderTTL || e != nil && e.isInherited):
+			p.requireReport(now) // the engine does not count the unload of an absent adapter
 		case o.Unload: // a load completed at once is not counted: the engine already had the adapter
 			p.acceptedOrders++
 		}
--- a/internal/coordination/residency/overfill_test.go
+++ b/internal/coordination/residency/overfill_test.go
@@ -17,3 +17,21 @@
 	p.ApplyReport(start.Add(time.Second), 2, 0, holding(), nil)
 	c.Assert(p.usedSlots(), qt.Equals, 0)
 }
+
+// TestTheUnloadOfAnAdapterThatAnEarlierHolderUnloadedIsNotCounted guards against an order count that
+// is too high, at which a delayed load could still be executed.
+func TestTheUnloadOfAnAdapterThatAnEarlierHolderUnloadedIsNotCounted(t *testing.T) {
+	c := qt.New(t)
+	p := NewPlanner(model, 2)
+	p.ApplyReport(start, 1, 4, holding(adapter(1), adapter(2)), nil) // older than the unload of adapter 1
+	now := start.Add(time.Second)
+	p.RecordOutcome(now, Order{Adapter: adapter(1), Unload: true, ExpectedOrderCount: 4}, OutcomeDone)
+	_, ok := p.NextOrder(now, all)
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(p.NeedsReport(now.Add(maxReportAge)), qt.IsTrue)
+	p.ApplyReport(now.Add(maxReportAge), 1, 5, holding(adapter(2)), nil)
+	c.Assert(p.RequestLoad(now.Add(maxReportAge), adapter(3), 0, 0, time.Second), qt.IsTrue)
+	o, ok := p.NextOrder(now.Add(maxReportAge), all)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(o.ExpectedOrderCount, qt.Equals, 5)
+}
--- a/internal/coordination/residency/residency.go
+++ b/internal/coordination/residency/residency.go
@@ -88,6 +88,10 @@
 	// replacesOlder is set while the engine also keeps an older version in a second slot,
 	// until the requests that run on the older version have ended.
 	replacesOlder bool
+	// isInherited is set if the engine reported an adapter that this planner had not ordered, and
+	// has accepted orders. The adapter may have left the engine since, by an unload of an earlier
+	// lease holder.
+	isInherited bool
 	// expectedOrderCount is Order.ExpectedOrderCount of a load of unknown outcome.
 	expectedOrderCount int
 }
@@ -117,6 +121,7 @@
 	acceptedOrders int             // number of orders that this boot of the engine accepted
 	lastOrder      time.Time
 	nextReport     time.Time // when the next report is due
+	firstAccepted  time.Time // first order that the engine accepted: no earlier unload was in progress
 	// isReportRequired is set until the next report, see RequireReport.
 	isReportRequired bool
 	adapters         map[upstreams.Adapter]*entry
@@ -194,7 +199,7 @@
 		// The report predates the unload of the adapter.
 		case e == nil && now.Sub(p.recentlyUnloaded[a]) < staleReportPeriod:
 		case e == nil:
-			p.adapters[a] = &entry{version: version, phase: resident, phaseSince: now, readyAt: now, lastUsed: now}
+			p.adapters[a] = &entry{version: version, phase: resident, phaseSince: now, readyAt: now, lastUsed: now, isInherited: acceptedOrders > 0}
 		case e.phase == loading && version >= e.version:
 			e.phase, e.version, e.readyAt, e.replacesOlder = resident, version, now, false
 		case e.phase == resident:
@@ -203,11 +208,20 @@
 	}
 	for _, a := range inFlight {
 		if p.adapters[a] == nil {
-			p.adapters[a] = &entry{phase: loading, phaseSince: now, readyAt: now.Add(coldLoadTime), lastUsed: now}
+			p.adapters[a] = &entry{phase: loading, phaseSince: now, readyAt: now.Add(coldLoadTime), lastUsed: now, isInherited: acceptedOrders > 0}
 		}
 	}
 	for a, e := range p.adapters {
-		if _, isResident := h.Adapters[a]; isResident || slices.Contains(inFlight, a) || now.Sub(e.phaseSince) < reconcileInterval || e.mayStillLoad(now, acceptedOrders) {
+	isConfirmed := !p.firstAccepted.IsZero() && now.Sub(p.firstAccepted) >= maxReportAge
+		_, isResident := h.Adapters[a]
+		if isResident && isConfirmed {
+			e.isInherited = false
+		}
+		if isResident || slices.Contains(inFlight, a) || e.mayStillLoad(now, acceptedOrders) {
+			continue
+		}
+		// The report may be older than an order of this planner, but not older than an earlier report.
+		if !e.isInherited && now.Sub(e.phaseSince) < reconcileInterval {
 			continue
 		}
 		delete(p.adapters, a)
