--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -34,7 +34,7 @@
 	table.RecordCrash(now, crash(seven, "b"))
 	c.Assert(table.isRefused(now, seven), qt.IsTrue)
 	c.Assert(table.isRefused(now, eight), qt.IsFalse)
-	c.Assert(table.isRefused(now.Add(refusalTTL), seven), qt.IsFalse)
+	c.Assert(table.isRefused(now.Add(RefusalTTL), seven), qt.IsFalse)
 	table.RecordSurvival(now, seven)
 	c.Assert(table.isRefused(now, seven), qt.IsFalse)
 }
@@ -128,7 +128,7 @@
 	for i := range partCrashLimit {
 		table.RecordCrash(start, crash(part(1), fmt.Sprint(i)))
 	}
-	now := start.Add(refusalTTL)
+	now := start.Add(RefusalTTL)
 	c.Assert(table.isRefused(now, part(1)), qt.IsFalse)
 	table.RecordCrash(now, crash(part(1), "again"))
 	c.Assert(table.isRefused(now, part(1)), qt.IsTrue)
