A crash is detected after an interruption without a crash

Cause: the result of a check was kept for the boot, also if it was 'no crash'. Change: only a check that is in progress, or that found the crash of this boot, is shared. Result: TestACrashIsDetectedAfterAnInterruptionWithoutACrash failed before.

--- a/internal/node/owner/crash.go
+++ b/internal/node/owner/crash.go
@@ -55,16 +55,16 @@
 	return &crashed
 }
 
-// currentCrashCheck returns the check that is in progress, or else the check for the current
-// boot of the upstream. It also returns whether the caller must run the check. The caller's
+// currentCrashCheck returns the check that is in progress, or else the check that found a crash of
+// the current boot of the upstream, or else a new one. It also returns whether the caller must run the check. The caller's
 // own call must still be registered in w.calls, so that the check lists every request that
 // ran.
 func (w *worker) currentCrashCheck() (*crashCheck, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	boot := w.core.Status().Boot
-	if w.latestCheck != nil && (w.latestCheck.boot == boot || w.latestCheck.inProgress()) {
-		return w.latestCheck, false
+	if c := w.latestCheck; c != nil && (c.inProgress() || c.boot == boot && c.crashed) {
+		return c, false
 	}
 	check := &crashCheck{boot: boot, done: make(chan struct{})}
 	for _, p := range w.calls {
