A refusal by an unreported run is stored

Cause: a permit to run alone that expires while another daemon asks for it counts as a crash, but the changed entry was dropped, so that a refusal that follows was never marked for the store. Change: the tracker keeps such entries for the next Expire. Result: TestARefusalByAnUnreportedRunIsStored failed before.

--- a/internal/coordination/suspects/tracker.go
+++ b/internal/coordination/suspects/tracker.go
@@ -36,6 +36,7 @@
 	table   *Table
 	permits map[Fingerprint]permit
 	issued  uint64
+	expired []Entry // changed by permits that expired in Acquire, for the next Expire
 }
 
 // NewTracker returns a tracker that reads verdicts from table. It records a crash in
@@ -48,7 +49,7 @@
 // decision is RunAlone, the daemon holds the permit. A permit that has expired ends
 // first, as in Expire.
 func (t *Tracker) Acquire(now time.Time, f Fingerprint, by state.DaemonID) Decision {
-	t.expire(now, f)
+	t.expired = append(t.expired, t.expire(now, f)...)
 	switch t.table.Verdict(now, f) {
 	case Clean:
 		return RunFreely
@@ -72,9 +73,10 @@
 }
 
 // Expire ends the permits that were not released in time. It records a crash for each
-// of them and returns the changed entries.
+// of them and returns the entries that changed since the last call.
 func (t *Tracker) Expire(now time.Time) []Entry {
-	var changed []Entry
+	changed := t.expired
+	t.expired = nil
 	for f := range t.permits {
 		changed = append(changed, t.expire(now, f)...)
 	}
