A stored refusal is updated by a newer one

Cause: a refusal was only ever created in the store; an existing record, also an expired one, counted as done. Change: an older record is replaced at its version. Result: TestARefusalOutlivesAnOlderRecord failed before.

--- a/internal/node/suspects/node.go
+++ b/internal/node/suspects/node.go
@@ -395,8 +395,8 @@
 }
 
 // saveEntry writes one entry to the object store. It reports whether the entry is done
-// with: the entry was written, another daemon had written an entry of the fingerprint, or
-// the entry can't be encoded.
+// with: the entry was written, another daemon had written an entry of the fingerprint that
+// is not older, or the entry can't be encoded.
 func (n *Node) saveEntry(e core.Entry) bool {
 	value, err := json.Marshal(e)
 	if err != nil {
@@ -404,8 +404,21 @@
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
 	defer cancel()
-	_, err = n.opts.Objects.Put(ctx, refusedKey(e.Fingerprint), value, 0)
-	return err == nil || errors.Is(err, platform.ErrConflict)
+	key := refusedKey(e.Fingerprint)
+	_, err = n.opts.Objects.Put(ctx, key, value, 0)
+	if !errors.Is(err, platform.ErrConflict) {
+		return err == nil
+	}
+	stored, err := n.opts.Objects.Get(ctx, key)
+	if err != nil {
+		return false
+	}
+	var old core.Entry
+	if json.Unmarshal(stored.Value, &old) == nil && !old.LastCrash.Before(e.LastCrash) {
+		return true
+	}
+	_, err = n.opts.Objects.Put(ctx, key, value, stored.Version)
+	return err == nil
 }
 
 // refusedKey returns the object key of a refused fingerprint.
--- a/internal/node/suspects/node_test.go
+++ b/internal/node/suspects/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -61,6 +62,34 @@
 	return core.CrashID{Upstream: state.UpstreamID(fmt.Sprint("e", i)), Boot: "b"}
 }
 
+// TestARefusalOutlivesAnOlderRecord guards against a refusal that is lost with the last daemon because
+// an expired record of the same fingerprint is stored.
+func TestARefusalOutlivesAnOlderRecord(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_800_000_000, 0).UTC()
+	store := &memoryStore{objects: make(map[string]platform.Object)}
+	clock := func() time.Time { return now }
+	crash := func() {
+		n := newNode(store, clock)
+		for i := range core.CrashLimit {
+			n.mu.Lock()
+			n.markRefused(n.table.RecordCrash(now, crashID(i), []core.Fingerprint{crashing, 8}))
+			n.mu.Unlock()
+		}
+		n.save()
+		n.Close()
+	}
+	crash()
+	now = now.Add(2 * core.RefusalTTL)
+	crash()
+	restarted := newNode(store, clock)
+	restarted.load()
+	c.Assert(restarted.Verdict(crashing), qt.Equals, core.Refused)
+	var stored core.Entry
+	c.Assert(json.Unmarshal(store.objects[refusedKey(crashing)].Value, &stored), qt.IsNil)
+	c.Assert(stored.LastCrash, qt.Equals, now)
+}
+
 // TestARefusalByAnUnreportedRunIsStored guards against a permit that expires while another daemon asks
 // for it: the refusal that follows must be stored like any other.
 func TestARefusalByAnUnreportedRunIsStored(t *testing.T) {
