Compaction deletes all records below its mark

Cause: a round deletes at most 200 records, and the next one starts at the mark again and stops at the first missing record, which is the mark itself. Change: a daemon goes on where its last round ended; it takes all as deleted after 1,000 missing records in a row.

--- a/internal/node/config/compact.go
+++ b/internal/node/config/compact.go
@@ -18,8 +18,12 @@
 const (
 	// compactInterval is the mean interval between compactions of one relay.
 	compactInterval = time.Minute
-	// maxDeletesPerRound limits the number of records that one call of Compact deletes.
+	// maxDeletesPerRound limits the number of records that one call of Compact deletes or finds
+	// missing.
 	maxDeletesPerRound = 200
+	// maxMissingRecords is the number of missing records in a row below which all records count
+	// as deleted.
+	maxMissingRecords = configsync.RecordsPerSnapshot
 )
 
 // compactLoop runs Compact at random intervals while this daemon is the relay of its
@@ -131,34 +135,58 @@
 	return manifest.Buckets[i], true
 }
 
+// deletion is the progress of a deletion of records from a compaction mark downwards.
+type deletion struct {
+	mark    uint64
+	next    uint64 // revision of the next record; zero at the end
+	missing int    // records in a row that did not exist
+}
+
 // deleteCompacted deletes records from the compaction mark downwards, and the garbage
-// buckets of the manifest. It runs only after the compaction mark was stored. A
+// buckets of the manifest. It goes on where the last call ended. It runs only after the compaction mark was stored. A
 // submitter whose delayed create stores a deleted revision again therefore finds the
 // revision at or below the mark, and does not report the record as accepted.
 func (n *Node) deleteCompacted(ctx context.Context, manifest configsync.SnapshotManifest) error {
-	revision := manifest.CompactedThrough
+	n.mu.Lock()
+	d := n.deletion
+	n.mu.Unlock()
+	if d.mark != manifest.CompactedThrough {
+		d = deletion{mark: manifest.CompactedThrough, next: manifest.CompactedThrough}
+	}
 	for range maxDeletesPerRound {
-		if revision == 0 {
-			break
-		}
-		o, err := n.opts.Objects.Get(ctx, RecordKey(revision))
-		if errors.Is(err, platform.ErrNotFound) {
+		if d.next == 0 || d.missing >= maxMissingRecords {
 			break
 		}
+		found, err := n.deleteRecord(ctx, d.next)
 		if err != nil {
 			return err
 		}
-		if err := n.opts.Objects.Delete(ctx, o.Key, o.Version); err != nil {
-			return err
+		if d.missing++; found {
+			d.missing = 0
 		}
-		revision--
+		d.next--
 	}
+	n.mu.Lock()
+	n.deletion = d
+	n.mu.Unlock()
 	if n.claimGarbage(manifest.Revision) {
 		return n.deleteBuckets(ctx, manifest.GarbageBuckets)
 	}
 	return nil
 }
 
+// deleteRecord deletes the record of a revision, and reports whether there was one.
+func (n *Node) deleteRecord(ctx context.Context, revision uint64) (bool, error) {
+	o, err := n.opts.Objects.Get(ctx, RecordKey(revision))
+	if errors.Is(err, platform.ErrNotFound) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	return true, n.opts.Objects.Delete(ctx, o.Key, o.Version)
+}
+
 // deleteBuckets deletes buckets and skips those that do not exist.
 func (n *Node) deleteBuckets(ctx context.Context, refs []configsync.BucketRef) error {
 	for _, ref := range refs {
--- a/internal/node/config/node.go
+++ b/internal/node/config/node.go
@@ -72,6 +72,7 @@
 	diverged       bool // the digest after a record differed from the digest in the record
 	closed         bool
 	garbageClaimed uint64 // revision of the snapshot whose garbage buckets were deleted
+	deletion       deletion
 }
 
 // New returns a node that has not been started.
