Compaction deletes the blobs of the records that it deletes

Cause: a record over 256 KiB keeps its changes in separate objects; only the record was deleted. Change: the blobs of a record are deleted before it.

--- a/internal/node/config/compact.go
+++ b/internal/node/config/compact.go
@@ -175,7 +175,8 @@
 	return nil
 }
 
-// deleteRecord deletes the record of a revision, and reports whether there was one.
+// deleteRecord deletes the record of a revision after its blobs, and reports whether there was
+// one. A record that can't be decoded is deleted without blobs.
 func (n *Node) deleteRecord(ctx context.Context, revision uint64) (bool, error) {
 	o, err := n.opts.Objects.Get(ctx, RecordKey(revision))
 	if errors.Is(err, platform.ErrNotFound) {
@@ -184,13 +185,33 @@
 	if err != nil {
 		return false, err
 	}
+	var rec configsync.ChangeRecord
+	if err := json.Unmarshal(o.Value, &rec); err != nil {
+		klog.V(1).InfoS("Record can't be decoded", "daemon", n.opts.Self, "step", "delete record", "key", o.Key, "err", err)
+	}
+	var blobs []string
+	for i := range min(rec.BlobCount, maxBlobs) {
+		blobs = append(blobs, blobKey(rec.Submission.ID, i))
+	}
+	if err := n.deleteObjects(ctx, blobs); err != nil {
+		return false, err
+	}
 	return true, n.opts.Objects.Delete(ctx, o.Key, o.Version)
 }
 
 // deleteBuckets deletes buckets and skips those that do not exist.
 func (n *Node) deleteBuckets(ctx context.Context, refs []configsync.BucketRef) error {
+	var keys []string
 	for _, ref := range refs {
-		o, err := n.opts.Objects.Get(ctx, bucketPrefix+ref.Name)
+		keys = append(keys, bucketPrefix+ref.Name)
+	}
+	return n.deleteObjects(ctx, keys)
+}
+
+// deleteObjects deletes objects and skips those that do not exist.
+func (n *Node) deleteObjects(ctx context.Context, keys []string) error {
+	for _, key := range keys {
+		o, err := n.opts.Objects.Get(ctx, key)
 		if errors.Is(err, platform.ErrNotFound) {
 			continue
 		}
--- a/internal/node/config/record_encoding.go
+++ b/internal/node/config/record_encoding.go
@@ -19,8 +19,9 @@
 	maxInlineRecordSize  = 256 << 10 // size in bytes up to which a record is stored without blobs
 	maxBlobSize          = 900 << 10 // bytes
 	maxChangesSize       = 256 << 20 // bytes of the blobs of one record after decompression
-	maxRecentRecordsSize = 4 << 20   // bytes of all recent records in memory
-	maxRecentRecords     = 4096      // number of recent records in memory
+	maxBlobs             = maxChangesSize/maxBlobSize + 1
+	maxRecentRecordsSize = 4 << 20 // bytes of all recent records in memory
+	maxRecentRecords     = 4096    // number of recent records in memory
 )
 
 // RecordKey returns the key of the change record of a revision.
