A note is stored once if its answer is lost

Cause: the client sends a call to the next daemon if one does not answer, which the API allows for calls that may be repeated; adding a note was none. Change: the client chooses a key for each note; a note with the key of one that the author has stored is not stored again. Result: TestANoteIsStoredOnceIfItsAnswerIsLost and TestANoteKeepsItsKeyAtTheNextDaemon; before, requests had no key.

--- a/internal/node/operator/notes.go
+++ b/internal/node/operator/notes.go
@@ -47,9 +47,10 @@
 }
 
 // AddNote appends a note and removes the oldest notes beyond maxNotes. Notes that are
-// added concurrently at several daemons are all kept.
-func (n *Node) AddNote(ctx context.Context, author, text string) (protocol.Note, error) {
-	note := protocol.Note{Author: author, Text: text, At: n.opts.Clock().UTC()}
+// added concurrently at several daemons are all kept. If the author has already added a note
+// with the same key, which is not empty, AddNote returns that note.
+func (n *Node) AddNote(ctx context.Context, author, key, text string) (protocol.Note, error) {
+	note := protocol.Note{Key: key, Author: author, Text: text, At: n.opts.Clock().UTC()}
 	outcome := protocol.OutcomeNotRun
 	var lastErr error
 	for range noteAttempts {
@@ -79,11 +80,16 @@
 	return note, protocol.Errorf(protocol.KindUnavailable, stepNote, outcome, "%v", lastErr).WithPeer(objectStoreSubject)
 }
 
-// findNote returns the stored note with the same author, text and time as note. An
-// earlier attempt of AddNote whose outcome is unknown may have stored it.
+// findNote returns the stored note with the same author and key as note, or without a key the
+// one with the same author, text and time. An earlier attempt of AddNote whose outcome is
+// unknown, or a client's call of another daemon, may have stored it.
 func findNote(notes []protocol.Note, note protocol.Note) (protocol.Note, bool) {
 	for _, stored := range notes {
-		if stored.Author == note.Author && stored.Text == note.Text && stored.At.Equal(note.At) {
+		isSame := stored.Key == note.Key
+		if note.Key == "" {
+			isSame = isSame && stored.Text == note.Text && stored.At.Equal(note.At)
+		}
+		if isSame && stored.Author == note.Author {
 			return stored, true
 		}
 	}
--- a/internal/node/operator/operator_test.go
+++ b/internal/node/operator/operator_test.go
@@ -135,13 +135,13 @@
 func TestOneOfTwoConcurrentNotesIsLost(t *testing.T) {
 	n := newTestNode(t)
 	n.store.beforePut = func() {
-		_, err := n.AddNote(t.Context(), "kim", "second")
+		_, err := n.AddNote(t.Context(), "kim", "", "second")
 		qt.Check(t, err, qt.IsNil)
 	}
-	_, err := n.AddNote(t.Context(), "lee", "first")
+	_, err := n.AddNote(t.Context(), "lee", "", "first")
 	qt.Assert(t, err, qt.IsNil)
 	n.store.lostAnswers = 1
-	note, err := n.AddNote(t.Context(), "lee", "third")
+	note, err := n.AddNote(t.Context(), "lee", "", "third")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, note.ID, qt.Equals, uint64(3))
 	notes, err := n.Notes(t.Context())
@@ -156,6 +156,24 @@
 	qt.Assert(t, kindOf(err), qt.Equals, protocol.KindUnavailable)
 }
 
+// TestANoteIsStoredOnceIfItsAnswerIsLost guards against a note that a client adds at two daemons because
+// the first answer did not arrive.
+func TestANoteIsStoredOnceIfItsAnswerIsLost(t *testing.T) {
+	n := newTestNode(t)
+	first, err := n.AddNote(t.Context(), "lee", "k1", "engine 4 is slow")
+	qt.Assert(t, err, qt.IsNil)
+	again, err := n.AddNote(t.Context(), "lee", "k1", "engine 4 is slow")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, again.ID, qt.Equals, first.ID)
+	for _, other := range []struct{ author, key string }{{"kim", "k1"}, {"lee", "k2"}} {
+		_, err = n.AddNote(t.Context(), other.author, other.key, "engine 4 is slow")
+		qt.Assert(t, err, qt.IsNil)
+	}
+	notes, err := n.Notes(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, notes, qt.HasLen, 3)
+}
+
 func TestExplanationNamesAnUpstreamThatTakesNoWork(t *testing.T) {
 	n := newTestNode(t)
 	n.fleet.Update("e1", func(x *state.Upstream) {
--- a/internal/protocol/operators.go
+++ b/internal/protocol/operators.go
@@ -209,6 +209,7 @@
 // Note is a remark that an operator leaves for other operators.
 type Note struct {
 	ID     uint64    `json:"id"`
+	Key    string    `json:"key,omitempty"` // chosen by the client; a note with the same key is not stored again
 	Author string    `json:"author"`
 	Text   string    `json:"text"`
 	At     time.Time `json:"at"`
--- a/internal/transport/admin/admin_test.go
+++ b/internal/transport/admin/admin_test.go
@@ -39,6 +39,7 @@
 	submitted []configsync.Submission
 	err       error
 	drains    []protocol.Drain
+	noteKeys  []string
 }
 
 func (f *fakeBackend) Current() (uint64, string, *deckconfig.Config) { return 4, "d", config() }
@@ -72,8 +73,9 @@
 
 func (f *fakeBackend) Notes(context.Context) ([]protocol.Note, error) { return nil, f.err }
 
-func (f *fakeBackend) AddNote(_ context.Context, author, text string) (protocol.Note, error) {
-	return protocol.Note{Author: author, Text: text}, f.err
+func (f *fakeBackend) AddNote(_ context.Context, author, key, text string) (protocol.Note, error) {
+	f.noteKeys = append(f.noteKeys, key)
+	return protocol.Note{Key: key, Author: author, Text: text}, f.err
 }
 
 func (f *fakeBackend) Drain(_ context.Context, d protocol.Drain) error {
@@ -163,6 +165,28 @@
 	qt.Assert(t, f.submitted, qt.HasLen, 0)
 }
 
+// TestANoteKeepsItsKeyAtTheNextDaemon guards against a note that is stored twice because the answer of
+// the first daemon is lost.
+func TestANoteKeepsItsKeyAtTheNextDaemon(t *testing.T) {
+	f := &fakeBackend{}
+	server, handler := serve(t, f)
+	losing := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		handler.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(losing.Close)
+	client := admin.NewClient([]string{losing.URL, server.URL}, "op")
+	for range 2 {
+		_, err := client.AddNote(t.Context(), "engine 4 is slow")
+		qt.Assert(t, err, qt.IsNil)
+	}
+	qt.Assert(t, f.noteKeys, qt.HasLen, 4)
+	qt.Check(t, f.noteKeys[0] != "", qt.IsTrue)
+	qt.Check(t, f.noteKeys[1], qt.Equals, f.noteKeys[0])
+	qt.Check(t, f.noteKeys[3], qt.Equals, f.noteKeys[2])
+	qt.Check(t, f.noteKeys[2] != f.noteKeys[0], qt.IsTrue)
+}
+
 func TestErrorLosesItsDetail(t *testing.T) {
 	f := &fakeBackend{}
 	server, _ := serve(t, f)
--- a/internal/transport/admin/client.go
+++ b/internal/transport/admin/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
@@ -137,7 +138,7 @@
 // AddNote adds a note for other operators.
 func (c *Client) AddNote(ctx context.Context, text string) (protocol.Note, error) {
 	var note protocol.Note
-	err := c.call(ctx, http.MethodPost, "/notes", NoteBody{Text: text}, &note)
+	err := c.call(ctx, http.MethodPost, "/notes", NoteBody{Text: text, Key: rand.Text()}, &note)
 	return note, err
 }
 
--- a/internal/transport/admin/fleet.go
+++ b/internal/transport/admin/fleet.go
@@ -15,6 +15,7 @@
 const (
 	defaultHandoverPeriod = 24 * time.Hour
 	maxNoteBytes          = 4000
+	maxNoteKeyBytes       = 64
 )
 
 func (s *Server) status(w http.ResponseWriter, _ *http.Request, _ deckconfig.Operator) {
@@ -47,6 +48,8 @@
 // NoteBody is the body of a request that adds a note.
 type NoteBody struct {
 	Text string `json:"text"`
+	// Key makes the request idempotent: it is the same in all requests for one note.
+	Key string `json:"key,omitempty"`
 }
 
 func (s *Server) notes(w http.ResponseWriter, r *http.Request, _ deckconfig.Operator) {
@@ -69,7 +72,11 @@
 		writeError(w, protocol.Errorf(protocol.KindBadRequest, step, protocol.OutcomeNotRun, "text must have 1 to %d bytes", maxNoteBytes))
 		return
 	}
-	note, err := s.opts.Fleet.AddNote(r.Context(), operator.Name, body.Text)
+	if len(body.Key) > maxNoteKeyBytes {
+		writeError(w, protocol.Errorf(protocol.KindBadRequest, step, protocol.OutcomeNotRun, "key must have at most %d bytes", maxNoteKeyBytes))
+		return
+	}
+	note, err := s.opts.Fleet.AddNote(r.Context(), operator.Name, body.Key, body.Text)
 	if err != nil {
 		writeAnyError(w, err, step)
 		return
--- a/internal/transport/admin/server.go
+++ b/internal/transport/admin/server.go
@@ -49,7 +49,7 @@
 	Collect(ctx context.Context, q protocol.StatusQuery) protocol.FleetView
 	Explain(ctx context.Context, q protocol.ExplainQuery) (protocol.Explanation, error)
 	Notes(ctx context.Context) ([]protocol.Note, error)
-	AddNote(ctx context.Context, author, text string) (protocol.Note, error)
+	AddNote(ctx context.Context, author, key, text string) (protocol.Note, error)
 	Drain(ctx context.Context, d protocol.Drain) error
 	Undrain(ctx context.Context, d protocol.Drain) error
 }
