A forgotten upstream is not claimed by a call in flight

Cause: Forget removed the core's entry, but results of calls in flight still reached the core, whose actions went on: it claimed the upstream. Change: events of a removed entry are dropped; unloads that wait for a decision there are denied at once instead of at their deadline. Result: TestAForgottenUpstreamIsNotClaimed: the record was written before.

--- a/internal/node/ownership/node.go
+++ b/internal/node/ownership/node.go
@@ -171,11 +171,18 @@
 	n.updateOwner()
 }
 
-// Forget removes an upstream that is no longer listed, and disowns it.
+// Forget removes an upstream that is no longer listed, and disowns it. It denies the unloads that
+// wait for a decision. Results of calls in flight are dropped.
 func (n *Node) Forget(id state.UpstreamID) {
 	n.mu.Lock()
 	e := n.entries[id]
 	delete(n.entries, id)
+	if e != nil {
+		for a, waiter := range e.unloadWaiters {
+			delete(e.unloadWaiters, a)
+			waiter <- false
+		}
+	}
 	n.mu.Unlock()
 	if e != nil {
 		n.ownerMu.Lock()
@@ -222,6 +229,9 @@
 // handleEvent passes an event to a core and carries out the resulting actions. The
 // caller must hold mu.
 func (n *Node) handleEvent(e *entry, event ownership.Event) {
+	if n.entries[e.upstream.ID] != e { // forgotten while a call was in flight
+		return
+	}
 	n.runActions(e, e.core.Handle(n.opts.Clock(), event))
 	n.watchAwaited(e)
 	e.dirty = true
--- a/internal/node/ownership/node_test.go
+++ b/internal/node/ownership/node_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -39,6 +40,7 @@
 type storeClient struct {
 	*store
 	partitioned bool
+	readDelay   time.Duration
 	calls       int
 }
 
@@ -58,6 +60,7 @@
 	if err := c.call(); err != nil {
 		return platform.Object{}, err
 	}
+	time.Sleep(c.readDelay)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	o, ok := c.objects[key]
@@ -269,3 +272,24 @@
 		qt.Assert(t, time.Now().Before(z.daemons[0].LeaseValidUntil()), qt.IsTrue)
 	})
 }
+
+// TestAForgottenUpstreamIsNotClaimed guards against a call in flight whose result makes a daemon claim an
+// upstream that has left the list meanwhile.
+func TestAForgottenUpstreamIsNotClaimed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := newZone(1)
+		defer z.close()
+		d := z.daemons[0]
+		time.Sleep(time.Second) // the daemon has its lease
+		d.storeClient.readDelay = 500 * time.Millisecond
+		d.SetAssigned(&state.Upstream{ID: "gone", Kind: state.KindEngine}, true)
+		time.Sleep(100 * time.Millisecond)
+		d.Forget("gone")
+		time.Sleep(5 * time.Second)
+		z.store.mu.Lock()
+		defer z.store.mu.Unlock()
+		for key := range z.store.objects {
+			qt.Check(t, strings.Contains(key, "gone"), qt.IsFalse, qt.Commentf("%s", key))
+		}
+	})
+}
