Test of the edge daemon: ports that no other socket takes

Cause: the test looked for free ports among those that the system gives to other sockets, closed them, and three of eleven ports only were checked. Change: all ports come from below that range and all are checked.

--- a/internal/app/edge_test.go
+++ b/internal/app/edge_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -76,9 +77,11 @@
 
 // start starts a daemon on free loopback ports.
 func (w *edgeCluster) start(t *testing.T, vm string) *Edge {
-	front, ready, first := freePort(w.C), freePort(w.C), freePorts(w.C, 3)
+	const rangeSize = 11
+	first := freePorts(w.C, rangeSize+2)
+	front, ready := first+rangeSize, first+rangeSize+1
 	text := fmt.Sprintf("node_name=%s\nip=127.0.0.1\nzone=z1\nlisten.front=127.0.0.1:%d\nlisten.ready=127.0.0.1:%d\nport_range=%d,%d\n"+
-		"provider.address=%s\nbounds.lease_ms=300\nfuture.key=ignored\n", vm, front, ready, first, first+10, w.addr)
+		"provider.address=%s\nbounds.lease_ms=300\nfuture.key=ignored\n", vm, front, ready, first, first+rangeSize-1, w.addr)
 	settings, err := platform.ParseSettings([]byte(text))
 	w.Assert(err, qt.IsNil)
 	log := decisionlog.New(io.Discard, vm)
@@ -91,17 +94,17 @@
 	return e
 }
 
-func freePort(c *qt.C) int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
-}
+// Ports below those that the system gives to outgoing connections and to listeners without a port
+// of their own, so that no other socket takes a port between its check and its use.
+const (
+	minTestPort = 20000
+	maxTestPort = 32000
+)
 
 // freePorts returns the first of n ports in a row that are free for TCP and UDP.
 func freePorts(c *qt.C, n int) int {
 	for range 100 {
-		first := freePort(c)
+		first := minTestPort + rand.IntN(maxTestPort-minTestPort-n)
 		free := true
 		for port := first; port < first+n && free; port++ {
 			addr := fmt.Sprintf("127.0.0.1:%d", port)
