--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -383,7 +383,7 @@
 
 // mostCrashing returns the prompt parts with the most unexplained crashes, if these suffice for a
 // refusal, and when the first of the crashes was recorded. Parts with equally many crashes occur
-// together, so that nothing tells which of them is the cause.
+// together, so that the crashes do not distinguish the cause.
 func (t *Table) mostCrashing(explained map[boot]bool) (parts []Trait, first time.Time) {
 	most := partCrashLimit
 	for trait, r := range t.records {
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -13,11 +13,9 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
-	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/node/fleet"
@@ -51,21 +49,12 @@
 	skippedBodyTimeout = 100 * time.Millisecond
 	// deadlineSlack is the time after the caller's deadline at which an attempt ends.
 	deadlineSlack = 50 * time.Millisecond
-	// crashCheckDelay is the time between a broken attempt and the check whether the
-	// upstream has crashed.
-	crashCheckDelay = 60 * time.Millisecond
 	// minAttemptTimeout is the minimum wait for the response headers of an idempotent request
 	// before another upstream is sought.
 	minAttemptTimeout = 300 * time.Millisecond
 	// headCheckInterval is the interval at which another upstream is sought once the response
 	// takes longer than the attempt timeout.
 	headCheckInterval = 200 * time.Millisecond
-	// startCheckInterval is the interval at which a request that has not started is checked
-	// for a newer version of its adapter and for a quarantine.
-	startCheckInterval = 300 * time.Millisecond
-	// survivalTime is the time after the first event after which a run counts as past its
-	// beginning, where a request that crashes its upstream would have done so.
-	survivalTime = 500 * time.Millisecond
 	// overdueLoadPause is the pause before a request is sent again to an engine whose load
 	// of the adapter takes longer than estimated.
 	overdueLoadPause = 100 * time.Millisecond
@@ -276,41 +265,6 @@
 	return true
 }
 
-// guardStart closes the connection of a request that must no longer start: its adapter version
-// was superseded, so that it would run on the older version, or it was quarantined since it was
-// sent, so that it would crash its upstream.
-func (x *exchange) guardStart(version int, started <-chan struct{}) {
-	view := x.c.g.opts.View
-	tick := time.NewTicker(startCheckInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-started:
-			return
-		case <-tick.C:
-		}
-		switch {
-		case x.c.meta.Adapter.Name != "" && view.IsSuperseded(x.c.meta.Adapter, version):
-			x.c.logStep("adapter version superseded", x.u, nil)
-		case view.QuarantineTime(x.c.traits) > 0:
-			x.wasWithdrawn.Store(true)
-			x.c.logStep("quarantined while waiting", x.u, nil)
-		default:
-			continue
-		}
-		_ = x.conn.Close()
-		return
-	}
-}
-
-// stopStartGuard stops guardStart. Only the goroutine of the exchange calls it.
-func (x *exchange) stopStartGuard() {
-	if x.started != nil {
-		close(x.started)
-		x.started = nil
-	}
-}
-
 // write sends the request. A long body is written while the response is read, since an
 // upstream may respond before it has read the whole body.
 func (x *exchange) write(version int) error {
@@ -392,64 +346,6 @@
 	return broken
 }
 
-// recordSurvival records that the run got past its beginning: it is no cause of a crash.
-func (x *exchange) recordSurvival() {
-	if x.hasSurvived {
-		return
-	}
-	x.hasSurvived = true
-	x.c.g.opts.View.RecordSurvival(x.c.traits)
-}
-
-// brokenRun is a run of a request that broke off before it was past its beginning.
-type brokenRun struct {
-	upstream      *upstreams.Upstream
-	traits        []quarantine.Trait
-	requestID     string
-	adapter       upstreams.Adapter
-	sharedParts   []uint64
-	hadHead       bool // the response head was received
-	hadFirstEvent bool // a first event was received
-}
-
-// checkCrash records a crash if the upstream crashed while it ran the request. A connection to
-// a crashed upstream is refused, as its port is closed. The port of an upstream that leaves is
-// closed, too.
-func (g *Gateway) checkCrash(b brokenRun) {
-	u := b.upstream
-	time.Sleep(crashCheckDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), crashCheckDelay*5)
-	defer cancel()
-	conn, err := g.opts.Pool.Get(ctx, u.Addr, true)
-	if err == nil {
-		g.opts.Pool.Put(u.Addr, conn, 0)
-		return
-	}
-	if !errors.Is(err, syscall.ECONNREFUSED) { // cut off, or out of connections
-		return
-	}
-	if listed := g.opts.View.Upstream(u.ID); listed == nil || listed.Draining {
-		return
-	}
-	g.opts.Log.Event("upstream crashed under a request", slog.String("upstream", string(u.ID)), slog.Int64("boot", u.StartTime),
-		slog.Uint64("fingerprint", b.traits[0].ID), slog.String("request", b.requestID), slog.String("adapter", b.adapter.String()),
-		slog.String("parts", formatParts(b.sharedParts)), slog.Bool("had_head", b.hadHead), slog.Bool("had_event", b.hadFirstEvent))
-	crashes := make([]quarantine.Crash, len(b.traits))
-	for i, trait := range b.traits {
-		crashes[i] = quarantine.Crash{ID: trait.ID, Kind: trait.Kind, Upstream: u.ID, Boot: u.StartTime}
-	}
-	g.opts.View.RecordCrashes(crashes)
-}
-
-// formatParts returns the IDs of prompt parts in hexadecimal, separated by commas.
-func formatParts(parts []uint64) string {
-	text := make([]string, len(parts))
-	for i, id := range parts {
-		text[i] = strconv.FormatUint(id, 16)
-	}
-	return strings.Join(text, ",")
-}
-
 // handleResponse handles the response to the request, whose headers have been read: it forwards
 // the response, or decides that the request may be sent to another upstream.
 func (x *exchange) handleResponse(resp *http.Response, a ResponseMetadata) outcome {
--- a/internal/node/suspects/node.go
+++ b/internal/node/suspects/node.go
@@ -173,7 +173,7 @@
 }
 
 // Completed records that a request completed. If this clears a suspect or a shared message,
-// Completed tells the other daemons.
+// Completed reports it to the other daemons.
 func (n *Node) Completed(ctx context.Context, f core.Fingerprint, sharedMessages []uint64, alone bool) {
 	n.mu.Lock()
 	entry, cleared := n.table.RecordCompletion(n.opts.Clock(), f, alone)
