--- a/internal/node/ownership/node_test.go
+++ b/internal/node/ownership/node_test.go
@@ -60,7 +60,10 @@
 	if err := c.call(); err != nil {
 		return platform.Object{}, err
 	}
-	time.Sleep(c.readDelay)
+	c.mu.Lock()
+	delay := c.readDelay
+	c.mu.Unlock()
+	time.Sleep(delay)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	o, ok := c.objects[key]
@@ -281,7 +284,9 @@
 		defer z.close()
 		d := z.daemons[0]
 		time.Sleep(time.Second) // the daemon has its lease
+		z.store.mu.Lock()
 		d.storeClient.readDelay = 500 * time.Millisecond
+		z.store.mu.Unlock()
 		d.SetAssigned(&state.Upstream{ID: "gone", Kind: state.KindEngine}, true)
 		time.Sleep(100 * time.Millisecond)
 		d.Forget("gone")
