Our own interface: record refused messages in the platform

Callers would have seen: after a restart of all daemons, requests with a shared message that was already refused crash three more upstreams. Cause: as on the users' platform, what is refused travelled by messages between daemons only; fingerprints were stored, messages were not. Change: a record is written when a refusal begins, deleted when it ends, read at the start, and deleted there once it has expired. Result: TestAMessageStaysRefusedWhenAllDaemonsRestart; before, a restarted daemon refused nothing.

--- a/internal/node/suspects/messages.go
+++ b/internal/node/suspects/messages.go
@@ -27,6 +27,7 @@
 	defer n.mu.Unlock()
 	isRefused := n.messages.RefusalTime(n.opts.Clock(), messageTraits(messages)) > 0
 	for _, c := range n.messages.Changes() {
+		n.unsavedMessages[c.Trait.ID] = true
 		statelog.Info("Shared message", "daemon", n.opts.Self, "message", strconv.FormatUint(c.Trait.ID, 16), "refused", c.Refused, "crashes", c.Crashes)
 	}
 	return isRefused
--- a/internal/node/suspects/node.go
+++ b/internal/node/suspects/node.go
@@ -72,6 +72,9 @@
 	messages *quarantine.Table
 	unsaved  map[core.Fingerprint]bool // refused fingerprints that save has yet to write
 	loaded   bool                      // load has read the refused fingerprints
+
+	unsavedMessages map[uint64]bool // messages whose refusal began or ended since saveMessages
+	loadedMessages  bool            // loadMessages has read the refused messages
 }
 
 // New returns a node with an empty table. The node exchanges entries with peers at regular
@@ -88,6 +91,8 @@
 
 		messages: quarantine.New(),
 		unsaved:  make(map[core.Fingerprint]bool),
+
+		unsavedMessages: make(map[uint64]bool),
 	}
 }
 
@@ -294,7 +299,9 @@
 	interval := initialGossipInterval
 	for n.ctx.Err() == nil {
 		n.load()
+		n.loadMessages()
 		n.save()
+		n.saveMessages()
 		if n.synchronize() {
 			interval = gossipInterval
 		}
--- a/internal/node/suspects/node_test.go
+++ b/internal/node/suspects/node_test.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
 	core "github.com/celerydeck/celerydeck/internal/coordination/suspects"
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/transport/peer"
@@ -42,10 +44,20 @@
 	return s.version, nil
 }
 
-func (s *memoryStore) List(context.Context, string) (platform.Page, error) {
+func (s *memoryStore) Delete(_ context.Context, key string, version platform.Version) error {
+	if s.objects[key].Version != version {
+		return platform.ErrConflict
+	}
+	delete(s.objects, key)
+	return nil
+}
+
+func (s *memoryStore) List(_ context.Context, prefix string) (platform.Page, error) {
 	var page platform.Page
-	for _, o := range s.objects {
-		page.Objects = append(page.Objects, o)
+	for key, o := range s.objects {
+		if strings.HasPrefix(key, prefix) {
+			page.Objects = append(page.Objects, o)
+		}
 	}
 	return page, nil
 }
@@ -110,3 +122,43 @@
 	n.save()
 	c.Assert(store.objects, qt.HasLen, 1)
 }
+
+// TestAMessageStaysRefusedWhenAllDaemonsRestart guards against a message that crashes upstreams again
+// after each restart of the fleet, and against records that outlive their refusal.
+func TestAMessageStaysRefusedWhenAllDaemonsRestart(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_800_000_000, 0).UTC()
+	store := &memoryStore{objects: make(map[string]platform.Object)}
+	clock := func() time.Time { return now }
+	first := newNode(store, clock)
+	for i := range 3 {
+		first.mu.Lock()
+		first.recordMessageCrashes(crashID(i), []uint64{40})
+		first.mu.Unlock()
+	}
+	now = now.Add(quarantine.ConfirmDelay)
+	c.Assert(first.refusesMessage([]uint64{40}), qt.IsTrue)
+	first.saveMessages()
+
+	restarted := newNode(store, clock)
+	c.Assert(restarted.refusesMessage([]uint64{40}), qt.IsFalse)
+	restarted.loadMessages()
+	c.Assert(restarted.refusesMessage([]uint64{40}), qt.IsTrue)
+	c.Assert(restarted.refusesMessage([]uint64{41}), qt.IsFalse)
+
+	restarted.mu.Lock()
+	restarted.recordSurvivals([]uint64{40})
+	restarted.mu.Unlock()
+	c.Assert(restarted.refusesMessage([]uint64{40}), qt.IsFalse)
+	restarted.saveMessages()
+	c.Assert(store.objects, qt.HasLen, 0)
+
+	first.mu.Lock()
+	first.unsavedMessages[40] = true
+	first.mu.Unlock()
+	first.saveMessages()
+	c.Assert(store.objects, qt.HasLen, 1)
+	now = now.Add(quarantine.RefusalTTL)
+	newNode(store, clock).loadMessages()
+	c.Assert(store.objects, qt.HasLen, 0)
+}
