A stale report of a load does not bring an unloaded adapter back

Cause: a report that is older than the unload of an adapter was ignored for resident adapters, but not for loads in flight. The adapter came back as loading, then as resident; its second unload was answered with done, not counted by the engine, but by the planner, and a delayed load had the count that followed. Change: both lists of a report are compared with recent unloads.

--- a/internal/coordination/residency/overfill_test.go
+++ b/internal/coordination/residency/overfill_test.go
@@ -66,3 +66,14 @@
 	p.ApplyReport(start.Add(time.Second), 1, 1, report, nil)
 	c.Assert(p.usedSlots(), qt.Equals, 1)
 }
+
+// TestALoadInAStaleReportDoesNotBringAnUnloadedAdapterBack guards against a slot, and later an order
+// count, for an adapter that the engine has unloaded.
+func TestALoadInAStaleReportDoesNotBringAnUnloadedAdapterBack(t *testing.T) {
+	c := qt.New(t)
+	p := synced(2, adapter(1))
+	now := start.Add(time.Second)
+	p.RecordOutcome(now, Order{Adapter: adapter(1), Unload: true}, OutcomeDone)
+	p.ApplyReport(now.Add(20*time.Millisecond), 1, 0, holding(), []upstreams.Adapter{adapter(1)})
+	c.Assert(p.usedSlots(), qt.Equals, 0)
+}
--- a/internal/coordination/residency/residency.go
+++ b/internal/coordination/residency/residency.go
@@ -197,8 +197,7 @@
 	for a, version := range h.Adapters {
 		e := p.adapters[a]
 		switch {
-		// The report predates the unload of the adapter.
-		case e == nil && now.Sub(p.recentlyUnloaded[a]) < staleReportPeriod:
+		case e == nil && p.mayPredateUnload(now, a):
 		case e == nil:
 			p.adapters[a] = &entry{version: version, phase: resident, phaseSince: now, readyAt: now, lastUsed: now, isInherited: acceptedOrders > 0}
 		case e.phase == loading && version >= e.version:
@@ -208,7 +207,7 @@
 		}
 	}
 	for _, a := range inFlight {
-		if p.adapters[a] == nil {
+		if p.adapters[a] == nil && !p.mayPredateUnload(now, a) {
 			p.adapters[a] = &entry{phase: loading, phaseSince: now, readyAt: now.Add(coldLoadTime), lastUsed: now, isInherited: acceptedOrders > 0}
 		}
 	}
@@ -249,6 +248,11 @@
 	}
 }
 
+// mayPredateUnload reports whether a report that names an adapter may be older than its unload.
+func (p *Planner) mayPredateUnload(now time.Time, a upstreams.Adapter) bool {
+	return now.Sub(p.recentlyUnloaded[a]) < staleReportPeriod
+}
+
 // applyModels sets the resident models from a report. If a model is new, the reported
 // models become the target models. Otherwise the target models stay, so that a restarted
 // engine loads its earlier models again.
