--- a/internal/transport/admin/admin_test.go
+++ b/internal/transport/admin/admin_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -39,7 +40,9 @@
 	submitted []configsync.Submission
 	err       error
 	drains    []protocol.Drain
-	noteKeys  []string
+
+	mu       sync.Mutex // guards noteKeys
+	noteKeys []string
 }
 
 func (f *fakeBackend) Current() (uint64, string, *deckconfig.Config) { return 4, "d", config() }
@@ -74,6 +77,8 @@
 func (f *fakeBackend) Notes(context.Context) ([]protocol.Note, error) { return nil, f.err }
 
 func (f *fakeBackend) AddNote(_ context.Context, author, key, text string) (protocol.Note, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.noteKeys = append(f.noteKeys, key)
 	return protocol.Note{Key: key, Author: author, Text: text}, f.err
 }
@@ -180,6 +185,8 @@
 		_, err := client.AddNote(t.Context(), "engine 4 is slow")
 		qt.Assert(t, err, qt.IsNil)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	qt.Assert(t, f.noteKeys, qt.HasLen, 4)
 	qt.Check(t, f.noteKeys[0] != "", qt.IsTrue)
 	qt.Check(t, f.noteKeys[1], qt.Equals, f.noteKeys[0])
