Quarantine: tell the crashing part from those that were in the same crashes by a trial

Callers would have seen: all requests of a client account refused for 10 min because their first prompt part was in the same crashes as the part that causes them. Cause: parts with equally many unexplained crashes are refused together. A run past its beginning clears a part, but no request with a refused part is sent, so none could. The class of the fault: a refusal that keeps out the evidence that would end it. Change: a request whose refused parts have caused fewer than three crashes by themselves is admitted as a trial, at most one a second at each daemon; a refused trial is told to come back within that second. If it gets past its beginning, its parts are cleared in the whole fleet. If its upstream crashes, the parts that it lacks are no longer suspect, and there is no further trial. A part that alone explains three crashes is never tried, so the bound on later requests holds. Both request paths use it. TestASoundMessageIsServedBesideACrashingOne guards the other path.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -10,10 +10,15 @@
 // Most requests that break in a crash only ran beside the one that caused it. So prompt parts are
 // refused in the order of the crashes that they explain, and a crash that a refused part explains
 // counts against nothing else.
+//
+// Parts that were in the same crashes are refused together, although some are innocent. A request
+// with only some of them is admitted as a trial now and then: if it gets past its beginning, its
+// parts are no longer refused, and if its upstream crashes, the others are not.
 package quarantine
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -35,6 +40,9 @@
 	// suspicionTTL is the time after its last crash in which further crashes add to a record
 	// that does not suffice for a refusal.
 	suspicionTTL = 2 * time.Minute
+	// trialInterval is the minimum time between two trials of a prompt part at a daemon. Within it a
+	// trial gets past its beginning, or its crash reaches the peers.
+	trialInterval = time.Second
 	// RefusalTTL is how long a trait is refused after its last crash. Later requests are sent
 	// again, and one further crash renews the refusal.
 	RefusalTTL = 10 * time.Minute
@@ -94,9 +102,9 @@
 
 // unexplained returns the number of crashes that no refused prompt part explains, and when the
 // first of them was recorded.
-func (r *record) unexplained(explained map[boot]bool) (count int, first time.Time) {
+func (r *record) unexplained(causes map[boot][]Trait) (count int, first time.Time) {
 	for b, at := range r.crashes {
-		if explained[b] {
+		if len(causes[b]) > 0 {
 			continue
 		}
 		if count++; first.IsZero() || at.Before(first) {
@@ -126,14 +134,18 @@
 	survivals map[Trait]survival // of prompt parts
 
 	refused     map[Trait]bool
-	changes     []Change  // of refused, see Changes
-	isStale     bool      // a crash or a survival was recorded after refused was computed
-	nextRefusal time.Time // when a trait may be added to refused without a further crash; zero for never
+	causes      map[boot][]Trait    // the refused prompt parts that a crash counts against
+	trials      map[Trait]time.Time // when a request with a refused prompt part was last admitted
+	changes     []Change            // of refused, see Changes
+	isStale     bool                // a crash or a survival was recorded after refused was computed
+	nextRefusal time.Time           // when a trait may be added to refused without a further crash; zero for never
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{records: make(map[Trait]*record), survivals: make(map[Trait]survival), refused: make(map[Trait]bool)}
+	return &Table{
+		records: make(map[Trait]*record), survivals: make(map[Trait]survival), refused: make(map[Trait]bool), trials: make(map[Trait]time.Time),
+	}
 }
 
 // RecordCrash records a crash that this daemon or a peer observed. It reports whether the crash
@@ -230,21 +242,95 @@
 	return list
 }
 
-// RefusalTime returns how long a request with the given traits must not be sent to any upstream,
-// zero if it may be sent now.
+// Admit decides whether a request with the given traits may be sent to an upstream. If not, it
+// returns the time after which the request may be admitted. If the request is admitted as a trial
+// of refused prompt parts, isTrial is true; the result holds for all attempts while IsRefused is
+// false.
+func (t *Table) Admit(now time.Time, traits []Trait) (wait time.Duration, isTrial bool) {
+	parts, wait := t.refusedAmong(now, traits)
+	if wait == 0 || !t.isInDoubt(parts) {
+		return wait, false
+	}
+	wait = 0
+	for _, trait := range parts {
+		if last, ok := t.trials[trait]; ok {
+			wait = max(wait, trialInterval-now.Sub(last))
+		}
+	}
+	if wait > 0 {
+		return wait, false
+	}
+	for _, trait := range parts {
+		t.trials[trait] = now
+	}
+	return 0, true
+}
+
+// IsRefused reports whether a request with the given traits must not be sent to any upstream, not
+// even as a trial.
+func (t *Table) IsRefused(now time.Time, traits []Trait) bool {
+	parts, wait := t.refusedAmong(now, traits)
+	return wait > 0 && !t.isInDoubt(parts)
+}
+
+// RefusalTime returns how long requests with the given traits are refused, apart from trials. It is
+// zero if they are not.
 func (t *Table) RefusalTime(now time.Time, traits []Trait) time.Duration {
-	var longest time.Duration
+	_, wait := t.refusedAmong(now, traits)
+	return wait
+}
+
+// refusedAmong returns the refused prompt parts among traits, and how long the request is refused
+// because of them. If a content is refused as well, it returns no parts.
+func (t *Table) refusedAmong(now time.Time, traits []Trait) (parts []Trait, wait time.Duration) {
+	hasRefusedContent := false
 	for _, trait := range traits {
 		r := t.records[trait]
 		if r == nil {
 			continue
 		}
 		t.update(now)
-		if t.refused[trait] {
-			longest = max(longest, RefusalTTL-now.Sub(r.lastCrash))
+		left := RefusalTTL - now.Sub(r.lastCrash)
+		if !t.refused[trait] || left <= 0 {
+			continue
 		}
+		wait = max(wait, left)
+		if trait.Kind == Content {
+			hasRefusedContent = true
+			continue
+		}
+		parts = append(parts, trait)
 	}
-	return longest
+	if hasRefusedContent {
+		return nil, wait
+	}
+	return parts, wait
+}
+
+// isInDoubt reports whether the crashes may all be due to other refused parts than the given ones:
+// too few of the crashes count against these parts alone.
+func (t *Table) isInDoubt(parts []Trait) bool {
+	if len(parts) == 0 {
+		return false
+	}
+	due := make(map[boot]bool)
+	for _, trait := range parts {
+		for b := range t.records[trait].crashes {
+			if isSubset(t.causes[b], parts) {
+				due[b] = true
+			}
+		}
+	}
+	return len(due) < partCrashLimit
+}
+
+func isSubset(list, of []Trait) bool {
+	for _, trait := range list {
+		if !slices.Contains(of, trait) {
+			return false
+		}
+	}
+	return true
 }
 
 // Refused returns the refused traits, ordered by kind and ID.
@@ -280,13 +366,12 @@
 // less than ConfirmDelay ago.
 func (t *Table) RepeatedCrashes(now time.Time) []Crash {
 	t.update(now)
-	explained := t.explained()
 	var list []Crash
 	for trait, r := range t.records {
 		if age := now.Sub(r.lastCrash); age >= RefusalTTL {
 			continue
 		}
-		if count, _ := r.unexplained(explained); !t.refused[trait] && (trait.Kind == Content || count < 2) {
+		if count, _ := r.unexplained(t.causes); !t.refused[trait] && (trait.Kind == Content || count < 2) {
 			continue
 		}
 		for b, at := range r.crashes {
@@ -316,19 +401,6 @@
 	return contentCrashLimit
 }
 
-// explained returns the crashes that count against refused prompt parts.
-func (t *Table) explained() map[boot]bool {
-	explained := make(map[boot]bool)
-	for trait := range t.refused {
-		if trait.Kind == PromptPart {
-			for b := range t.records[trait].crashes {
-				explained[b] = true
-			}
-		}
-	}
-	return explained
-}
-
 // update computes the refused traits anew if a crash or a survival was recorded or a ConfirmDelay
 // has passed since the last time.
 func (t *Table) update(now time.Time) {
@@ -337,11 +409,10 @@
 	}
 	t.isStale, t.nextRefusal = false, time.Time{}
 	previous := t.refused
-	t.refused = make(map[Trait]bool)
+	t.refused, t.causes = make(map[Trait]bool), make(map[boot][]Trait)
 	defer func() { t.recordChanges(previous) }()
-	explained := make(map[boot]bool)
 	for {
-		parts, first := t.mostCrashing(explained)
+		parts, first := t.mostCrashing()
 		if len(parts) == 0 {
 			break
 		}
@@ -352,7 +423,7 @@
 		for _, trait := range parts {
 			t.refused[trait] = true
 			for b := range t.records[trait].crashes {
-				explained[b] = true
+				t.causes[b] = append(t.causes[b], trait)
 			}
 		}
 	}
@@ -360,7 +431,7 @@
 		if trait.Kind != Content {
 			continue
 		}
-		if count, _ := r.unexplained(explained); count >= contentCrashLimit {
+		if count, _ := r.unexplained(t.causes); count >= contentCrashLimit {
 			t.refused[trait] = true
 		}
 	}
@@ -379,18 +450,19 @@
 			t.changes = append(t.changes, Change{Trait: trait})
 		}
 	}
+	maps.DeleteFunc(t.trials, func(trait Trait, _ time.Time) bool { return !t.refused[trait] })
 }
 
 // mostCrashing returns the prompt parts with the most unexplained crashes, if these suffice for a
 // refusal, and when the first of the crashes was recorded. Parts with equally many crashes occur
 // together, so that the crashes do not distinguish the cause.
-func (t *Table) mostCrashing(explained map[boot]bool) (parts []Trait, first time.Time) {
+func (t *Table) mostCrashing() (parts []Trait, first time.Time) {
 	most := partCrashLimit
 	for trait, r := range t.records {
 		if trait.Kind != PromptPart || t.refused[trait] {
 			continue
 		}
-		count, at := r.unexplained(explained)
+		count, at := r.unexplained(t.causes)
 		switch {
 		case count < most:
 			continue
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -151,3 +151,62 @@
 	}
 	c.Assert(other.Refused(now), qt.DeepEquals, []Trait{part(1)})
 }
+
+// newTie returns a table of parts 1 and 2 that were in the same three crashes, and when both are
+// refused.
+func newTie() (*Table, time.Time) {
+	table := New()
+	for i := range partCrashLimit {
+		table.RecordCrash(start, crash(part(1), fmt.Sprint(i)))
+		table.RecordCrash(start, crash(part(2), fmt.Sprint(i)))
+	}
+	return table, start.Add(ConfirmDelay)
+}
+
+// TestAnInnocentPartIsAdmittedAgainAfterATrial guards against a part that stays refused because it was
+// in the same crashes as the one that causes them.
+func TestAnInnocentPartIsAdmittedAgainAfterATrial(t *testing.T) {
+	c := qt.New(t)
+	table, now := newTie()
+	both, one, other := []Trait{part(1), part(2)}, []Trait{part(1), {Content, 9}}, []Trait{part(2)}
+	c.Assert(table.IsRefused(now, both), qt.IsTrue)
+	c.Assert(table.IsRefused(now, one), qt.IsFalse)
+	wait, isTrial := table.Admit(now, one)
+	c.Assert(wait == 0 && isTrial, qt.IsTrue)
+	wait, isTrial = table.Admit(now.Add(trialInterval/4), one)
+	c.Assert(wait == trialInterval*3/4 && !isTrial, qt.IsTrue)
+	table.RecordSurvival(now.Add(trialInterval/2), part(1))
+	now = now.Add(trialInterval)
+	wait, isTrial = table.Admit(now, one)
+	c.Assert(wait == 0 && !isTrial, qt.IsTrue)
+	c.Assert(table.IsRefused(now, other), qt.IsTrue)
+	wait, isTrial = table.Admit(now, both)
+	c.Assert(wait > time.Minute && !isTrial, qt.IsTrue)
+}
+
+// TestACrashedTrialShowsWhichPartCrashes guards against further trials of a part that has crashed an
+// upstream without the others.
+func TestACrashedTrialShowsWhichPartCrashes(t *testing.T) {
+	c := qt.New(t)
+	table, now := newTie()
+	_, isTrial := table.Admit(now, []Trait{part(2)})
+	c.Assert(isTrial, qt.IsTrue)
+	table.RecordCrash(now, crash(part(2), "trial"))
+	now = now.Add(trialInterval)
+	c.Assert(table.Refused(now), qt.DeepEquals, []Trait{part(2)})
+	c.Assert(table.IsRefused(now, []Trait{part(2)}), qt.IsTrue)
+	wait, isTrial := table.Admit(now, []Trait{part(1)})
+	c.Assert(wait == 0 && !isTrial, qt.IsTrue)
+}
+
+// TestARefusedContentIsNotTried guards against trials of requests that crash upstreams whatever parts
+// they have.
+func TestARefusedContentIsNotTried(t *testing.T) {
+	c := qt.New(t)
+	table, now := newTie()
+	for i := range contentCrashLimit {
+		table.RecordCrash(now, crash(Trait{Content, 9}, fmt.Sprint("content", i)))
+	}
+	wait, isTrial := table.Admit(now, []Trait{part(1), {Content, 9}})
+	c.Assert(wait > 0 && !isTrial, qt.IsTrue)
+}
--- a/internal/node/fleet/crashmodel_test.go
+++ b/internal/node/fleet/crashmodel_test.go
@@ -113,7 +113,7 @@
 	if isSettled {
 		m.settled++
 	}
-	if view.QuarantineTime(traits) > 0 {
+	if wait, _ := view.AdmitTraits(traits); wait > 0 {
 		if isSettled {
 			m.refused++
 		}
--- a/internal/node/fleet/quarantine.go
+++ b/internal/node/fleet/quarantine.go
@@ -76,9 +76,28 @@
 	return isNew
 }
 
-// QuarantineTime returns how long a request with the given traits must not be sent to any
-// upstream, because upstreams crashed under requests with one of them. It is zero if the request
-// may be sent.
+// AdmitTraits decides whether a request with the given traits may be sent to an upstream, see
+// quarantine.Table.Admit.
+func (v *View) AdmitTraits(traits []quarantine.Trait) (wait time.Duration, isTrial bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	wait, isTrial = v.crashes.Admit(v.opts.Clock(), traits)
+	v.logQuarantineChanges()
+	return wait, isTrial
+}
+
+// IsQuarantined reports whether a request with the given traits must not be sent to any upstream,
+// not even as a trial, because upstreams crashed under requests with one of them.
+func (v *View) IsQuarantined(traits []quarantine.Trait) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	isRefused := v.crashes.IsRefused(v.opts.Clock(), traits)
+	v.logQuarantineChanges()
+	return isRefused
+}
+
+// QuarantineTime returns how long requests with the given traits are refused, apart from trials. It
+// is zero if they are not.
 func (v *View) QuarantineTime(traits []quarantine.Trait) time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/node/gateway/crash.go
+++ b/internal/node/gateway/crash.go
@@ -41,7 +41,7 @@
 		switch {
 		case x.c.meta.Adapter.Name != "" && view.IsSuperseded(x.c.meta.Adapter, version):
 			x.c.logStep("adapter version superseded", x.u, nil)
-		case view.QuarantineTime(x.c.traits) > 0:
+		case view.IsQuarantined(x.c.traits):
 			x.wasWithdrawn.Store(true)
 			x.c.logStep("quarantined while waiting", x.u, nil)
 		default:
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -178,6 +178,7 @@
 	deadline time.Time
 	request  balance.Request
 
+	isTrial         bool                      // admitted as a trial of refused prompt parts
 	sends           int                       // attempts that got a connection to an upstream
 	runs            int                       // attempts in which the request may have run
 	excluded        map[state.UpstreamID]bool // upstreams that are not to be chosen again
@@ -316,7 +317,7 @@
 			return
 		}
 		// The request may have waited since the last check, or may itself have crashed an upstream.
-		if wait := c.g.opts.View.QuarantineTime(c.traits); wait > 0 {
+		if wait := c.quarantineWait(); wait > 0 {
 			c.failWithRetryAfter(decisionlog.Quarantined, wait)
 			return
 		}
@@ -369,10 +370,25 @@
 				c.fail(decisionlog.UpstreamDisconnected)
 				return
 			}
+			c.isTrial = false // it has failed
 		}
 	}
 }
 
+// quarantineWait returns how long the request must not be sent to any upstream, because upstreams
+// crashed under requests like it. It is zero if the request may be sent, also if it may be sent as
+// a trial.
+func (c *call) quarantineWait() time.Duration {
+	if c.isTrial && !c.g.opts.View.IsQuarantined(c.traits) {
+		return 0
+	}
+	var wait time.Duration
+	if wait, c.isTrial = c.g.opts.View.AdmitTraits(c.traits); c.isTrial {
+		c.g.opts.Log.Event("quarantine trial", slog.String("request", c.meta.RequestID), slog.String("parts", formatParts(c.meta.SharedParts)))
+	}
+	return wait
+}
+
 // maxSends is the number of attempts after which a request that an upstream rejects is not
 // sent again.
 const maxSends = 4
--- a/internal/node/suspects/messages.go
+++ b/internal/node/suspects/messages.go
@@ -21,16 +21,34 @@
 	return traits
 }
 
-// refusesMessage reports whether requests with one of the messages are refused.
+// refusesMessage reports whether requests with the messages are refused, also as a trial.
 func (n *Node) refusesMessage(messages []uint64) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	isRefused := n.messages.RefusalTime(n.opts.Clock(), messageTraits(messages)) > 0
+	defer n.noteMessageChanges()
+	return n.messages.IsRefused(n.opts.Clock(), messageTraits(messages))
+}
+
+// admitMessages reports whether a request with the messages may be sent, and whether it is a trial
+// of refused ones.
+func (n *Node) admitMessages(messages []uint64) (isAdmitted, isTrial bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	defer n.noteMessageChanges()
+	wait, isTrial := n.messages.Admit(n.opts.Clock(), messageTraits(messages))
+	if isTrial {
+		statelog.Info("Trial of shared messages", "daemon", n.opts.Self)
+	}
+	return wait == 0, isTrial
+}
+
+// noteMessageChanges logs the messages whose refusal began or ended, and marks them for
+// saveMessages. The caller holds mu.
+func (n *Node) noteMessageChanges() {
 	for _, c := range n.messages.Changes() {
 		n.unsavedMessages[c.Trait.ID] = true
 		statelog.Info("Shared message", "daemon", n.opts.Self, "message", strconv.FormatUint(c.Trait.ID, 16), "refused", c.Refused, "crashes", c.Crashes)
 	}
-	return isRefused
 }
 
 // RefusedMessages returns the hashes of the messages with which requests are refused.
--- a/internal/node/suspects/node.go
+++ b/internal/node/suspects/node.go
@@ -126,9 +126,13 @@
 // must call Release after the run. Admit fails if the fingerprint or a shared message is
 // refused, if the tracker can't be reached, or if ctx ends first.
 func (n *Node) Admit(ctx context.Context, f core.Fingerprint, sharedMessages []uint64) (bool, *protocol.Error) {
+	isTrial := false
 	for {
-		if n.refusesMessage(sharedMessages) {
-			return false, messageRefusal(f)
+		if !isTrial || n.refusesMessage(sharedMessages) {
+			var isAdmitted bool
+			if isAdmitted, isTrial = n.admitMessages(sharedMessages); !isAdmitted {
+				return false, messageRefusal(f)
+			}
 		}
 		switch n.Verdict(f) {
 		case core.Clean:
--- a/internal/node/suspects/node_test.go
+++ b/internal/node/suspects/node_test.go
@@ -162,3 +162,25 @@
 	newNode(store, clock).loadMessages()
 	c.Assert(store.objects, qt.HasLen, 0)
 }
+
+// TestASoundMessageIsServedBesideACrashingOne guards against a system message that stays refused
+// because it was in the same crashes as a later message.
+func TestASoundMessageIsServedBesideACrashingOne(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	n := newNode(&memoryStore{objects: make(map[string]platform.Object)}, func() time.Time { return now })
+	for i := range 3 {
+		n.recordMessageCrashes(crashID(i), []uint64{40, 41})
+	}
+	now = now.Add(quarantine.ConfirmDelay)
+	_, err := n.Admit(t.Context(), 1, []uint64{40, 41})
+	c.Assert(err != nil, qt.IsTrue)
+	_, err = n.Admit(t.Context(), 2, []uint64{40})
+	c.Assert(err == nil, qt.IsTrue)
+	n.Completed(t.Context(), 2, []uint64{40}, false)
+	for i := range 3 {
+		_, err = n.Admit(t.Context(), core.Fingerprint(3+i), []uint64{40, uint64(50 + i)})
+		c.Assert(err == nil, qt.IsTrue)
+	}
+	c.Assert(n.refusesMessage([]uint64{40, 41}), qt.IsTrue)
+}
