Quarantine: refuse a crashing part after 0.5 s of objections instead of 1 s

Callers would have seen: more engines crash before a part is refused than need to, and each breaks up to 64 runs. Cause: the peers had a second to report runs that clear a part. In a small fleet two messages suffice; a report that comes later ends the refusal, and a part that was refused beside another one is tried within a second.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -32,8 +32,9 @@
 	// higher than contentCrashLimit, as a refused part stops more requests.
 	partCrashLimit = 3
 	// ConfirmDelay is the time from the first crash that counts against a prompt part until the
-	// part may be refused. Meanwhile the peers report runs that got past their beginning.
-	ConfirmDelay = time.Second
+	// part may be refused. Meanwhile the peers of a small fleet report runs that got past their beginning;
+	// a later report ends the refusal.
+	ConfirmDelay = 500 * time.Millisecond
 	// survivalTTL is how long crashes do not count against a prompt part after a run got past
 	// its beginning: many upstreams may crash at once for another reason.
 	survivalTTL = 10 * time.Second
