Quarantine: only crashes after the last survival count, instead of none for 10 s

Cause: a run past its beginning kept crashes of its parts from counting for 10 s, and its report did so at the peers from when it arrived. The class of the fault: evidence without a time, which outweighs later evidence. Change: reports of crashes and survivals carry their age. A survival clears the crashes until then. A part that survived within 10 s before the first crash is refused after 5 crashes and 1.5 s instead of 3 and 0.5 s, since a popular part survives again within that time if engines crash for another reason. Repeated and recorded crashes have their age, too, so that the method for them is gone. Both request paths use it. TestAPopularPartIsNotRefusedWhileUpstreamsCrashForAnotherReason asked that ten crashes count for nothing while no run survives for 5 s, which is the fault; it now asks the same of the time in which a popular part survives again, and of four crashes without any.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -4,8 +4,8 @@
 // A request is known by its traits: its content, which stays the same when the caller resends
 // it, and the parts of its prompt that other requests share. When an upstream crashes, the crash
 // counts against the traits of the runs that had only just begun there, and of those that had not
-// begun. A run that gets past its beginning proves its traits innocent. A trait with enough
-// crashes is refused.
+// begun. A run that gets past its beginning shows that its traits were innocent until then, so that
+// only later crashes count. A trait with enough crashes is refused.
 //
 // Most requests that break in a crash only ran beside the one that caused it. So prompt parts are
 // refused in the order of the crashes that they explain, and a crash that a refused part explains
@@ -35,9 +35,17 @@
 	// part may be refused. Meanwhile the peers of a small fleet report runs that got past their beginning;
 	// a later report ends the refusal.
 	ConfirmDelay = 500 * time.Millisecond
-	// survivalTTL is how long crashes do not count against a prompt part after a run got past
-	// its beginning: many upstreams may crash at once for another reason.
+	// survivalTTL is how long after a run got past its beginning a crash of its prompt parts is taken
+	// for one with another reason: a part is refused after more crashes and time then.
 	survivalTTL = 10 * time.Second
+	// servedCrashLimit and servedConfirmDelay are in place of partCrashLimit and ConfirmDelay for prompt
+	// parts that survived within survivalTTL before the first crash. Such a part is usually served
+	// again before.
+	servedCrashLimit   = 5
+	servedConfirmDelay = 1500 * time.Millisecond
+	// survivalReportInterval is the minimum time between two survivals with a trait that are both
+	// reported to further peers.
+	survivalReportInterval = time.Second
 	// suspicionTTL is the time after its last crash in which further crashes add to a record
 	// that does not suffice for a refusal.
 	suspicionTTL = 2 * time.Minute
@@ -84,11 +92,23 @@
 	Upstream state.UpstreamID `cbor:"2,keyasint"`
 	Boot     int64            `cbor:"3,keyasint,omitempty"` // start of the upstream, Unix milliseconds
 	Kind     Kind             `cbor:"4,keyasint,omitempty"` // of the trait
+	// Age is the time since the crash, for reports to peers.
+	Age time.Duration `cbor:"5,keyasint,omitempty" json:"-"`
 }
 
 // Trait returns the trait that the crash counts against.
 func (c Crash) Trait() Trait { return Trait{Kind: c.Kind, ID: c.ID} }
 
+// Survival reports that a run with a trait got past its beginning.
+type Survival struct {
+	Kind Kind          `cbor:"1,keyasint"` // of the trait
+	ID   uint64        `cbor:"2,keyasint"` // of the trait
+	Age  time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
+// Trait returns the trait of the run.
+func (s Survival) Trait() Trait { return Trait{Kind: s.Kind, ID: s.ID} }
+
 // boot is one run of an upstream. It ends with at most one crash.
 type boot struct {
 	upstream state.UpstreamID
@@ -97,12 +117,12 @@
 
 // record holds the crashes that count against one trait.
 type record struct {
-	crashes   map[boot]time.Time // when each crash was recorded
+	crashes   map[boot]time.Time // when each crash came
 	lastCrash time.Time
 }
 
 // unexplained returns the number of crashes that no refused prompt part explains, and when the
-// first of them was recorded.
+// first of them came.
 func (r *record) unexplained(causes map[boot][]Trait) (count int, first time.Time) {
 	for b, at := range r.crashes {
 		if len(causes[b]) > 0 {
@@ -118,7 +138,7 @@
 // survival is when the last runs with a trait got past their beginning.
 type survival struct {
 	own    time.Time // at this daemon
-	atPeer time.Time // when a peer last reported one
+	latest time.Time // at any daemon, as far as it was reported
 }
 
 // Change is the begin or the end of a refusal.
@@ -151,21 +171,14 @@
 
 // RecordCrash records a crash that this daemon or a peer observed. It reports whether the crash
 // is new and counts. If the table is full, RecordCrash evicts records first.
-func (t *Table) RecordCrash(now time.Time, c Crash) bool { return t.recordCrash(now, now, c) }
-
-// RecordRepeatedCrash records a crash that a peer reports again, see RepeatedCrashes. The peers
-// have had ConfirmDelay to object.
-func (t *Table) RecordRepeatedCrash(now time.Time, c Crash) bool {
-	return t.recordCrash(now, now.Add(-ConfirmDelay), c)
-}
-
-func (t *Table) recordCrash(now, recordedAt time.Time, c Crash) bool {
+func (t *Table) RecordCrash(now time.Time, c Crash) bool {
 	trait := c.Trait()
-	if s := t.survivals[trait]; isRecent(now, s.own, survivalTTL) || isRecent(now, s.atPeer, survivalTTL) {
+	at := now.Add(-c.Age)
+	if !at.After(t.survivals[trait].latest) {
 		return false
 	}
 	r := t.records[trait]
-	if r != nil && now.Sub(r.lastCrash) >= suspicionTTL && len(r.crashes) < crashLimit(trait.Kind) {
+	if r != nil && at.Sub(r.lastCrash) >= suspicionTTL && len(r.crashes) < crashLimit(trait.Kind) {
 		r = nil
 	}
 	if r == nil {
@@ -179,8 +192,10 @@
 	if _, ok := r.crashes[b]; ok || len(r.crashes) >= maxCrashesPerRecord {
 		return false
 	}
-	r.crashes[b] = recordedAt
-	r.lastCrash = now
+	r.crashes[b] = at
+	if at.After(r.lastCrash) {
+		r.lastCrash = at
+	}
 	t.isStale = true
 	return true
 }
@@ -189,44 +204,59 @@
 // removes the crashes that count against the trait. It reports whether there were any.
 func (t *Table) RecordSurvival(now time.Time, trait Trait) bool {
 	if trait.Kind == PromptPart {
-		s := t.survival(now, trait)
-		s.own = now
-		t.survivals[trait] = s
+		t.makeRoomForSurvival(now, trait)
+		t.survivals[trait] = survival{own: now, latest: now}
 	}
-	return t.clear(trait)
+	return t.clear(trait, now)
 }
 
 // RecordPeerSurvival records a survival that a peer reports. It reports whether the survival is
 // new, so that it is to be reported to further peers.
-func (t *Table) RecordPeerSurvival(now time.Time, trait Trait) bool {
-	s := t.survival(now, trait)
-	isNew := !isRecent(now, s.atPeer, survivalTTL/2)
-	s.atPeer = now
+func (t *Table) RecordPeerSurvival(now time.Time, report Survival) bool {
+	trait, at := report.Trait(), now.Add(-report.Age)
+	t.makeRoomForSurvival(now, trait)
+	s := t.survivals[trait]
+	isNew := at.Sub(s.latest) >= survivalReportInterval
+	if at.After(s.latest) {
+		s.latest = at
+	}
 	t.survivals[trait] = s
-	return t.clear(trait) || isNew
+	return t.clear(trait, at) || isNew
 }
 
-// Survived reports whether a run of this daemon with a trait has recently got past its beginning.
-func (t *Table) Survived(now time.Time, trait Trait) bool {
-	return isRecent(now, t.survivals[trait].own, survivalTTL)
+// OwnSurvival returns the last survival at this daemon of the trait that a peer reports a crash of,
+// if the peer should know it.
+func (t *Table) OwnSurvival(now time.Time, c Crash) (Survival, bool) {
+	own := t.survivals[c.Trait()].own
+	if own.IsZero() || now.Add(-c.Age).Sub(own) >= survivalTTL {
+		return Survival{}, false
+	}
+	return Survival{Kind: c.Kind, ID: c.ID, Age: now.Sub(own)}, true
 }
 
-// survival returns the survival of a trait, and makes room for it if there is none.
-func (t *Table) survival(now time.Time, trait Trait) survival {
-	s, ok := t.survivals[trait]
-	if !ok && len(t.survivals) >= maxSurvivals {
+func (t *Table) makeRoomForSurvival(now time.Time, trait Trait) {
+	if _, ok := t.survivals[trait]; !ok && len(t.survivals) >= maxSurvivals {
 		t.expireSurvivals(now)
 	}
-	return s
 }
 
-// clear removes the crashes that count against a trait, and reports whether there were any.
-func (t *Table) clear(trait Trait) bool {
-	if t.records[trait] == nil {
+// clear removes the crashes until a time that count against a trait, and reports whether there were
+// any.
+func (t *Table) clear(trait Trait, until time.Time) bool {
+	r := t.records[trait]
+	if r == nil {
+		return false
+	}
+	count := len(r.crashes)
+	maps.DeleteFunc(r.crashes, func(_ boot, at time.Time) bool { return !at.After(until) })
+	if len(r.crashes) == count {
 		return false
 	}
-	delete(t.records, trait)
 	t.isStale = true
+	if len(r.crashes) > 0 {
+		return true
+	}
+	delete(t.records, trait)
 	if t.refused[trait] {
 		delete(t.refused, trait)
 		t.changes = append(t.changes, Change{Trait: trait})
@@ -234,8 +264,6 @@
 	return true
 }
 
-func isRecent(now, at time.Time, ttl time.Duration) bool { return !at.IsZero() && now.Sub(at) < ttl }
-
 // Changes returns and removes the changes of the refused traits.
 func (t *Table) Changes() []Change {
 	list := t.changes
@@ -377,7 +405,7 @@
 		}
 		for b, at := range r.crashes {
 			if now.Sub(at) >= ConfirmDelay {
-				list = append(list, Crash{ID: trait.ID, Kind: trait.Kind, Upstream: b.upstream, Boot: b.start})
+				list = append(list, Crash{ID: trait.ID, Kind: trait.Kind, Upstream: b.upstream, Boot: b.start, Age: now.Sub(at)})
 			}
 		}
 	}
@@ -413,14 +441,10 @@
 	t.refused, t.causes = make(map[Trait]bool), make(map[boot][]Trait)
 	defer func() { t.recordChanges(previous) }()
 	for {
-		parts, first := t.mostCrashing()
+		parts := t.mostCrashing(now)
 		if len(parts) == 0 {
 			break
 		}
-		if due := first.Add(ConfirmDelay); now.Before(due) {
-			t.nextRefusal = due
-			break
-		}
 		for _, trait := range parts {
 			t.refused[trait] = true
 			for b := range t.records[trait].crashes {
@@ -454,28 +478,37 @@
 	maps.DeleteFunc(t.trials, func(trait Trait, _ time.Time) bool { return !t.refused[trait] })
 }
 
-// mostCrashing returns the prompt parts with the most unexplained crashes, if these suffice for a
-// refusal, and when the first of the crashes was recorded. Parts with equally many crashes occur
+// mostCrashing returns the prompt parts with the most unexplained crashes of those that may be refused
+// now, and sets nextRefusal to when further ones may be. Parts with equally many crashes occur
 // together, so that the crashes do not distinguish the cause.
-func (t *Table) mostCrashing() (parts []Trait, first time.Time) {
-	most := partCrashLimit
+func (t *Table) mostCrashing(now time.Time) []Trait {
+	var parts []Trait
+	most := 0
+	t.nextRefusal = time.Time{}
 	for trait, r := range t.records {
 		if trait.Kind != PromptPart || t.refused[trait] {
 			continue
 		}
-		count, at := r.unexplained(t.causes)
-		switch {
-		case count < most:
+		count, first := r.unexplained(t.causes)
+		limit, delay := partCrashLimit, ConfirmDelay
+		if served := t.survivals[trait].latest; !served.IsZero() && first.Sub(served) < survivalTTL {
+			limit, delay = servedCrashLimit, servedConfirmDelay
+		}
+		if count < limit || count < most {
 			continue
-		case count > most:
-			parts, first, most = nil, time.Time{}, count
 		}
-		parts = append(parts, trait)
-		if first.IsZero() || at.Before(first) {
-			first = at
+		if due := first.Add(delay); now.Before(due) {
+			if t.nextRefusal.IsZero() || due.Before(t.nextRefusal) {
+				t.nextRefusal = due
+			}
+			continue
+		}
+		if count > most {
+			parts, most = nil, count
 		}
+		parts = append(parts, trait)
 	}
-	return parts, first
+	return parts
 }
 
 // evict removes the expired records, and if none has expired the quarter of the records with the
@@ -513,7 +546,7 @@
 // expireSurvivals removes the expired survivals, or all if none has expired.
 func (t *Table) expireSurvivals(now time.Time) {
 	for trait, s := range t.survivals {
-		if !isRecent(now, s.own, survivalTTL) && !isRecent(now, s.atPeer, survivalTTL) {
+		if now.Sub(s.latest) >= survivalTTL {
 			delete(t.survivals, trait)
 		}
 	}
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -100,12 +100,39 @@
 		table.RecordCrash(start, crash(part(1), fmt.Sprint(i)))
 	}
 	c.Assert(table.isRefused(start.Add(ConfirmDelay-1), part(1)), qt.IsFalse)
-	c.Assert(table.RecordPeerSurvival(start.Add(ConfirmDelay/2), part(1)), qt.IsTrue)
+	c.Assert(table.RecordPeerSurvival(start.Add(ConfirmDelay/2), Survival{Kind: PromptPart, ID: 1}), qt.IsTrue)
 	c.Assert(table.isRefused(start.Add(ConfirmDelay), part(1)), qt.IsFalse)
+	now := start.Add(survivalTTL / 2)
 	for i := range 10 {
-		table.RecordCrash(start.Add(survivalTTL/2), crash(part(1), fmt.Sprint("later", i)))
+		table.RecordCrash(now, crash(part(1), fmt.Sprint("later", i)))
 	}
-	c.Assert(table.isRefused(start.Add(survivalTTL), part(1)), qt.IsFalse)
+	now = now.Add(servedConfirmDelay - 1)
+	c.Assert(table.isRefused(now, part(1)), qt.IsFalse)
+	c.Assert(table.RecordPeerSurvival(now, Survival{Kind: PromptPart, ID: 1, Age: servedConfirmDelay / 2}), qt.IsTrue)
+	for i := range servedCrashLimit - 1 {
+		table.RecordCrash(now, crash(part(1), fmt.Sprint("again", i)))
+	}
+	c.Assert(table.isRefused(now.Add(survivalTTL), part(1)), qt.IsFalse)
+}
+
+// TestCrashesAfterASurvivalCount guards against a part that crashes upstreams unnoticed because it was
+// served before, and against an old survival that clears later crashes.
+func TestCrashesAfterASurvivalCount(t *testing.T) {
+	c := qt.New(t)
+	table := New()
+	table.RecordSurvival(start, part(1))
+	now := start.Add(time.Second)
+	for i := range servedCrashLimit {
+		table.RecordCrash(now, crash(part(1), fmt.Sprint(i)))
+	}
+	now = now.Add(servedConfirmDelay)
+	c.Assert(table.isRefused(now, part(1)), qt.IsTrue)
+	table.RecordPeerSurvival(now, Survival{Kind: PromptPart, ID: 1, Age: 2 * time.Second})
+	c.Assert(table.isRefused(now, part(1)), qt.IsTrue)
+	late := crash(part(2), "a")
+	late.Age = time.Second
+	table.RecordSurvival(now, part(2))
+	c.Assert(table.RecordCrash(now, late), qt.IsFalse)
 }
 
 func TestASurvivalEndsARefusal(t *testing.T) {
@@ -147,7 +174,7 @@
 	repeated := table.RepeatedCrashes(now)
 	c.Assert(repeated, qt.HasLen, partCrashLimit)
 	for _, r := range repeated {
-		other.RecordRepeatedCrash(now, r)
+		other.RecordCrash(now, r)
 	}
 	c.Assert(other.Refused(now), qt.DeepEquals, []Trait{part(1)})
 }
--- a/internal/node/fleet/gossip.go
+++ b/internal/node/fleet/gossip.go
@@ -37,17 +37,17 @@
 	relayTotalsID = state.DaemonID("relay")
 )
 
-// crashReport is a crash of an upstream and when this daemon observed it or received it from
-// a peer.
+// crashReport is a crash of an upstream, with its age when this daemon observed it or received it
+// from a peer, and when that was.
 type crashReport struct {
 	quarantine.Crash
 	at time.Time
 }
 
-// survivalReport is a trait whose survival this daemon or a peer observed, and when this daemon
-// learned of it.
+// survivalReport is a survival that this daemon or a peer observed, with its age when this daemon
+// learned of it, and when that was.
 type survivalReport struct {
-	quarantine.Trait
+	quarantine.Survival
 	at time.Time
 }
 
@@ -109,8 +109,8 @@
 	for _, s := range out.Crashes {
 		n.crashes = append(n.crashes, crashReport{s, now})
 	}
-	for _, trait := range out.Survivals {
-		n.survivals = append(n.survivals, survivalReport{trait, now})
+	for _, s := range out.Survivals {
+		n.addSurvival(now, s)
 	}
 	n.expireCrashReports(now)
 	n.applyDemand(protocol.Demand{InUse: out.InUse, Missing: out.Missing})
@@ -134,7 +134,7 @@
 		if m == nil || m.callInFlight {
 			continue
 		}
-		push := &protocol.FleetPush{States: []protocol.DaemonState{own}, Crashes: n.recentCrashes(), Survivals: n.recentSurvivals(), Revisions: n.currentRevisions(now)}
+		push := &protocol.FleetPush{States: []protocol.DaemonState{own}, Crashes: n.recentCrashes(now), Survivals: n.recentSurvivals(now), Revisions: n.currentRevisions(now)}
 		push.RepeatedCrashes = n.repeatedCrashesFor(now, m)
 		if isRelay {
 			push.States = append(push.States, n.relayedStates(now, m.Zone)...)
@@ -240,20 +240,31 @@
 	return list
 }
 
-// recentCrashes returns the crashes to include in messages. The caller holds the lock.
-func (n *Node) recentCrashes() []quarantine.Crash {
+// recentCrashes returns the crashes to include in messages, with their present age. The caller holds
+// the lock.
+func (n *Node) recentCrashes(now time.Time) []quarantine.Crash {
 	var list []quarantine.Crash
-	for _, s := range n.crashes[max(0, len(n.crashes)-maxCrashReports):] {
-		list = append(list, s.Crash)
+	for _, r := range n.crashes[max(0, len(n.crashes)-maxCrashReports):] {
+		r.Age += now.Sub(r.at)
+		list = append(list, r.Crash)
 	}
 	return list
 }
 
-// recentSurvivals returns the traits to include in messages as survivals. The caller holds the lock.
-func (n *Node) recentSurvivals() []quarantine.Trait {
-	var list []quarantine.Trait
-	for _, s := range n.survivals[max(0, len(n.survivals)-maxCrashReports):] {
-		list = append(list, s.Trait)
+// addSurvival adds a survival to those in messages, in place of an earlier one of the trait. The
+// caller holds the lock.
+func (n *Node) addSurvival(now time.Time, s quarantine.Survival) {
+	n.survivals = slices.DeleteFunc(n.survivals, func(r survivalReport) bool { return r.Trait() == s.Trait() })
+	n.survivals = append(n.survivals, survivalReport{s, now})
+}
+
+// recentSurvivals returns the survivals to include in messages, with their present age. The caller
+// holds the lock.
+func (n *Node) recentSurvivals(now time.Time) []quarantine.Survival {
+	var list []quarantine.Survival
+	for _, r := range n.survivals[max(0, len(n.survivals)-maxCrashReports):] {
+		r.Age += now.Sub(r.at)
+		list = append(list, r.Survival)
 	}
 	return list
 }
--- a/internal/node/fleet/push.go
+++ b/internal/node/fleet/push.go
@@ -34,7 +34,7 @@
 	n.applyCrashes(now, push.Crashes, push.Survivals, push.RepeatedCrashes)
 	n.applyRevisions(now, push.Revisions)
 	reply := &protocol.FleetReply{
-		Crashes: n.recentCrashes(), Survivals: n.recentSurvivals(), RepeatedCrashes: n.repeatedCrashesFor(now, caller),
+		Crashes: n.recentCrashes(now), Survivals: n.recentSurvivals(now), RepeatedCrashes: n.repeatedCrashesFor(now, caller),
 		Revisions: n.currentRevisions(now), Demand: n.drainDemandFor(caller),
 	}
 	if isRelay {
@@ -221,19 +221,19 @@
 
 // applyCrashes records the crashes and survivals that peers report, and queues the new ones to be
 // gossiped further. The caller holds the lock.
-func (n *Node) applyCrashes(now time.Time, crashes []quarantine.Crash, survivals []quarantine.Trait, repeated []quarantine.Crash) {
+func (n *Node) applyCrashes(now time.Time, crashes []quarantine.Crash, survivals []quarantine.Survival, repeated []quarantine.Crash) {
 	for _, c := range crashes {
 		if n.opts.View.RecordPeerCrash(c) {
 			n.crashes = append(n.crashes, crashReport{c, now})
 		}
 	}
-	for _, trait := range survivals {
-		if n.opts.View.RecordPeerSurvival(trait) {
-			n.survivals = append(n.survivals, survivalReport{trait, now})
+	for _, s := range survivals {
+		if n.opts.View.RecordPeerSurvival(s) {
+			n.addSurvival(now, s)
 		}
 	}
-	for _, c := range repeated {
-		n.opts.View.RecordRepeatedCrash(c)
+	for _, c := range repeated { // each daemon repeats them itself
+		n.opts.View.RecordPeerCrash(c)
 	}
 }
 
--- a/internal/node/fleet/quarantine.go
+++ b/internal/node/fleet/quarantine.go
@@ -16,36 +16,24 @@
 	now := v.opts.Clock()
 	for _, c := range list {
 		if v.crashes.RecordCrash(now, c) {
-			v.newCrashes = append(v.newCrashes, c)
+			v.newCrashes = append(v.newCrashes, crashReport{c, now})
 		}
 	}
 }
 
 // RecordPeerCrash records a crash that a peer observed. It reports whether the crash is new. If a
-// run of this daemon shows that the trait is innocent, it queues that for the peers instead.
+// run of this daemon with the trait got past its beginning not long before the crash, or after it,
+// RecordPeerCrash queues that for the peers.
 func (v *View) RecordPeerCrash(c quarantine.Crash) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.opts.Clock()
-	if v.crashes.Survived(now, c.Trait()) {
-		v.newSurvivals[c.Trait()] = true
-		return false
+	if own, ok := v.crashes.OwnSurvival(now, c); ok {
+		v.newSurvivals[c.Trait()] = now.Add(-own.Age)
 	}
 	return v.crashes.RecordCrash(now, c)
 }
 
-// RecordRepeatedCrash records a crash that a peer reports again and again.
-func (v *View) RecordRepeatedCrash(c quarantine.Crash) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	now := v.opts.Clock()
-	if v.crashes.Survived(now, c.Trait()) {
-		v.newSurvivals[c.Trait()] = true
-		return
-	}
-	v.crashes.RecordRepeatedCrash(now, c)
-}
-
 // RepeatedCrashes returns the crashes that are reported to the peers again and again.
 func (v *View) RepeatedCrashes() []quarantine.Crash {
 	v.mu.Lock()
@@ -60,7 +48,7 @@
 	now := v.opts.Clock()
 	for _, trait := range traits {
 		if v.crashes.RecordSurvival(now, trait) {
-			v.newSurvivals[trait] = true
+			v.newSurvivals[trait] = now
 		}
 	}
 	v.logQuarantineChanges()
@@ -68,10 +56,10 @@
 
 // RecordPeerSurvival records that a run of a peer got past its beginning. It reports whether that
 // is new here.
-func (v *View) RecordPeerSurvival(trait quarantine.Trait) bool {
+func (v *View) RecordPeerSurvival(report quarantine.Survival) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	isNew := v.crashes.RecordPeerSurvival(v.opts.Clock(), trait)
+	isNew := v.crashes.RecordPeerSurvival(v.opts.Clock(), report)
 	v.logQuarantineChanges()
 	return isNew
 }
--- a/internal/node/fleet/refusals.go
+++ b/internal/node/fleet/refusals.go
@@ -72,8 +72,9 @@
 		v.opts.Log.Event("unusable refusal", slog.String("id", r.Part), slog.String("err", err.Error()))
 		return
 	}
+	age := max(v.opts.Clock().Sub(time.UnixMilli(r.RefusedAt)), quarantine.ConfirmDelay)
 	for _, c := range r.Crashes {
-		v.RecordRepeatedCrash(quarantine.Crash{Kind: quarantine.PromptPart, ID: id, Upstream: c.Upstream, Boot: c.Boot})
+		v.RecordPeerCrash(quarantine.Crash{Kind: quarantine.PromptPart, ID: id, Upstream: c.Upstream, Boot: c.Boot, Age: age})
 	}
 }
 
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -5,8 +5,6 @@
 
 import (
 	"log/slog"
-	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -101,8 +99,8 @@
 	newestVersions  map[upstreams.Adapter]announcedVersion
 	tracker         *balance.Tracker
 	crashes         *quarantine.Table
-	newCrashes      []quarantine.Crash                       // not yet sent to the peers
-	newSurvivals    map[quarantine.Trait]bool                // not yet sent to the peers
+	newCrashes      []crashReport                            // not yet sent to the peers
+	newSurvivals    map[quarantine.Trait]time.Time           // when they came; not yet sent to the peers
 	adapterRequests map[engineAdapter]int                    // requests in flight
 	newlyUsed       map[state.UpstreamID][]upstreams.Adapter // not yet sent to the lease holders
 	newlyMissing    map[state.UpstreamID][]upstreams.Adapter // not yet sent to the lease holders
@@ -128,7 +126,7 @@
 		newestVersions:  make(map[upstreams.Adapter]announcedVersion),
 		tracker:         balance.NewTracker(),
 		crashes:         quarantine.New(),
-		newSurvivals:    make(map[quarantine.Trait]bool),
+		newSurvivals:    make(map[quarantine.Trait]time.Time),
 		adapterRequests: make(map[engineAdapter]int),
 		newlyUsed:       make(map[state.UpstreamID][]upstreams.Adapter),
 		newlyMissing:    make(map[state.UpstreamID][]upstreams.Adapter),
@@ -310,7 +308,7 @@
 type Outgoing struct {
 	InFlight  map[state.UpstreamID]balance.InFlight
 	Crashes   []quarantine.Crash
-	Survivals []quarantine.Trait // of which peers may have recorded crashes
+	Survivals []quarantine.Survival // of traits of which peers may have recorded crashes
 	InUse     map[state.UpstreamID][]upstreams.Adapter
 	Missing   map[state.UpstreamID][]upstreams.Adapter
 }
@@ -321,7 +319,15 @@
 func (v *View) DrainOutgoing() Outgoing {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	out := Outgoing{InFlight: v.tracker.OwnInFlight(v.opts.Clock()), Crashes: v.newCrashes, Survivals: slices.Collect(maps.Keys(v.newSurvivals)), InUse: v.newlyUsed, Missing: v.newlyMissing}
+	now := v.opts.Clock()
+	out := Outgoing{InFlight: v.tracker.OwnInFlight(now), InUse: v.newlyUsed, Missing: v.newlyMissing}
+	for _, c := range v.newCrashes {
+		c.Age = now.Sub(c.at)
+		out.Crashes = append(out.Crashes, c.Crash)
+	}
+	for trait, at := range v.newSurvivals {
+		out.Survivals = append(out.Survivals, quarantine.Survival{Kind: trait.Kind, ID: trait.ID, Age: now.Sub(at)})
+	}
 	for key := range v.adapterRequests {
 		out.InUse[key.engine] = append(out.InUse[key.engine], key.adapter)
 	}
--- a/internal/node/gateway/crashingpart_test.go
+++ b/internal/node/gateway/crashingpart_test.go
@@ -145,7 +145,7 @@
 	w := newFixture(t, u)
 	time.AfterFunc(200*time.Millisecond, func() {
 		for i := range 3 {
-			w.view.RecordRepeatedCrash(quarantine.Crash{Kind: quarantine.PromptPart, ID: 0x91bd3f06, Upstream: state.UpstreamID(fmt.Sprint(i))})
+			w.view.RecordPeerCrash(quarantine.Crash{Kind: quarantine.PromptPart, ID: 0x91bd3f06, Upstream: state.UpstreamID(fmt.Sprint(i)), Age: time.Minute})
 		}
 	})
 	w.Assert(w.send("/stream/", "5c1e07a2:800,"+crashingPart+":410,9:250", 1), qt.Equals, http.StatusBadGateway)
--- a/internal/node/suspects/messagerecords.go
+++ b/internal/node/suspects/messagerecords.go
@@ -103,7 +103,8 @@
 			continue
 		}
 		for _, c := range record.Crashes {
-			n.messages.RecordRepeatedCrash(now, c)
+			c.Age = max(now.Sub(record.RefusedAt), quarantine.ConfirmDelay)
+			n.messages.RecordCrash(now, c)
 		}
 	}
 	n.loadedMessages = true
--- a/internal/node/suspects/messages.go
+++ b/internal/node/suspects/messages.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -78,12 +77,12 @@
 
 // recordSurvivals records that a request with the given messages completed, and returns those
 // messages that crashes counted against. The caller holds mu.
-func (n *Node) recordSurvivals(messages []uint64) []quarantine.Trait {
+func (n *Node) recordSurvivals(messages []uint64) []quarantine.Survival {
 	now := n.opts.Clock()
-	var list []quarantine.Trait
+	var list []quarantine.Survival
 	for _, trait := range messageTraits(messages) {
 		if n.messages.RecordSurvival(now, trait) {
-			list = append(list, trait)
+			list = append(list, quarantine.Survival{Kind: trait.Kind, ID: trait.ID})
 		}
 	}
 	return list
@@ -91,30 +90,29 @@
 
 // recordPeerSurvivals records survivals that a peer reports, and returns the new ones. The caller
 // holds mu.
-func (n *Node) recordPeerSurvivals(survivals []quarantine.Trait) []quarantine.Trait {
+func (n *Node) recordPeerSurvivals(survivals []quarantine.Survival) []quarantine.Survival {
 	now := n.opts.Clock()
-	var list []quarantine.Trait
-	for _, trait := range survivals {
-		if n.messages.RecordPeerSurvival(now, trait) {
-			list = append(list, trait)
+	var list []quarantine.Survival
+	for _, s := range survivals {
+		if n.messages.RecordPeerSurvival(now, s) {
+			list = append(list, s)
 		}
 	}
 	return list
 }
 
-// mergeMessageCrashes records the survivals, and with the given method the crashes, that a peer
-// reports. It returns the messages in these crashes with which requests have recently completed
-// here. The caller holds mu.
-func (n *Node) mergeMessageCrashes(msg protocol.Suspects, record func(time.Time, quarantine.Crash) bool) []quarantine.Trait {
+// mergeMessageCrashes records the survivals and the crashes that a peer reports. It returns the last
+// completions here, not long before these crashes or after them, of requests with their messages. The
+// caller holds mu.
+func (n *Node) mergeMessageCrashes(msg protocol.Suspects) []quarantine.Survival {
 	n.recordPeerSurvivals(msg.Survivals)
 	now := n.opts.Clock()
-	var survivals []quarantine.Trait
+	var survivals []quarantine.Survival
 	for _, c := range msg.MessageCrashes {
-		if n.messages.Survived(now, c.Trait()) {
-			survivals = append(survivals, c.Trait())
-			continue
+		if own, ok := n.messages.OwnSurvival(now, c); ok {
+			survivals = append(survivals, own)
 		}
-		record(now, c)
+		n.messages.RecordCrash(now, c)
 	}
 	return survivals
 }
--- a/internal/node/suspects/node.go
+++ b/internal/node/suspects/node.go
@@ -203,7 +203,7 @@
 	defer n.mu.Unlock()
 	n.markRefused(n.table.Merge(msg.Entries))
 	now := n.opts.Clock()
-	reply := protocol.Suspects{Digest: digest(n.table.Entries()), Survivals: n.mergeMessageCrashes(msg, n.messages.RecordCrash)}
+	reply := protocol.Suspects{Digest: digest(n.table.Entries()), Survivals: n.mergeMessageCrashes(msg)}
 	if len(msg.Entries)+len(msg.MessageCrashes)+len(msg.Survivals) > 0 {
 		return reply
 	}
@@ -273,13 +273,13 @@
 
 // exchangeWithAll sends a message to all peers, and returns the survivals that the replies report
 // and that are new here.
-func (n *Node) exchangeWithAll(ctx context.Context, msg protocol.Suspects) []quarantine.Trait {
+func (n *Node) exchangeWithAll(ctx context.Context, msg protocol.Suspects) []quarantine.Survival {
 	if len(msg.Entries)+len(msg.MessageCrashes)+len(msg.Survivals) == 0 {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), broadcastTimeout)
 	defer cancel()
-	var survivals []quarantine.Trait // guarded by n.mu
+	var survivals []quarantine.Survival // guarded by n.mu
 	var wg sync.WaitGroup
 	for _, p := range n.opts.Members.AllPeers() {
 		wg.Go(func() {
@@ -343,7 +343,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.markRefused(n.table.Merge(reply.Entries))
-	n.mergeMessageCrashes(reply, n.messages.RecordRepeatedCrash)
+	n.mergeMessageCrashes(reply)
 	return true
 }
 
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -67,7 +67,7 @@
 	Update    StoreUpdate        `cbor:"5,keyasint"`
 	// Survivals are traits of requests that got past the beginning of their run, of which
 	// peers may have recorded crashes.
-	Survivals []quarantine.Trait `cbor:"6,keyasint,omitempty"`
+	Survivals []quarantine.Survival `cbor:"6,keyasint,omitempty"`
 	// RepeatedCrashes are older crashes, for peers that were cut off or have started.
 	RepeatedCrashes []quarantine.Crash `cbor:"7,keyasint,omitempty"`
 }
@@ -85,9 +85,9 @@
 	// MessageAges is the time since the last message of each VM.
 	MessageAges map[string]time.Duration `cbor:"7,keyasint,omitempty"`
 
-	Update          StoreUpdate        `cbor:"8,keyasint"`
-	Survivals       []quarantine.Trait `cbor:"9,keyasint,omitempty"`  // as in FleetPush
-	RepeatedCrashes []quarantine.Crash `cbor:"10,keyasint,omitempty"` // as in FleetPush
+	Update          StoreUpdate           `cbor:"8,keyasint"`
+	Survivals       []quarantine.Survival `cbor:"9,keyasint,omitempty"`  // as in FleetPush
+	RepeatedCrashes []quarantine.Crash    `cbor:"10,keyasint,omitempty"` // as in FleetPush
 	// RateLimits are the limits that upstreams have recently named in responses to any daemon.
 	// It is empty in replies to a relay.
 	RateLimits map[state.UpstreamID]balance.RateLimit `cbor:"11,keyasint,omitempty"`
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -214,7 +214,7 @@
 	// MessageCrashes are crashes that count against shared messages.
 	MessageCrashes []quarantine.Crash `cbor:"3,keyasint,omitempty"`
 	// Survivals are shared messages that requests completed with.
-	Survivals []quarantine.Trait `cbor:"4,keyasint,omitempty"`
+	Survivals []quarantine.Survival `cbor:"4,keyasint,omitempty"`
 }
 
 // PermitRequest asks the daemon that tracks a fingerprint for a permit to run a request,
