gateway: check the quarantine again after a wait for a load

Callers would have seen: engines crash under requests that were sent after their part was refused. In a storm of crashes engines come back empty, so that most requests wait for loads. Change: the check is made again before each request is sent. Code of the crash checks moves to crash.go. Result: TestARequestThatWaitsForALoadIsNotSentOnceItIsQuarantined failed before (status 200, the request was sent).

--- a/internal/node/gateway/crash.go
+++ b/internal/node/gateway/crash.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
+	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/state/upstreams"
 )
 
@@ -25,6 +26,24 @@
 	survivalTime = 500 * time.Millisecond
 )
 
+// refuseQuarantined refuses the request if it must not be sent to any upstream because upstreams
+// crashed under requests like it, and reports whether it did. A request that is admitted as a trial
+// remains one in later calls.
+func (c *call) refuseQuarantined() bool {
+	if c.isTrial && !c.g.opts.View.IsQuarantined(c.traits) {
+		return false
+	}
+	var wait time.Duration
+	if wait, c.isTrial = c.g.opts.View.AdmitTraits(c.traits); c.isTrial {
+		c.g.opts.Log.Event("quarantine trial", slog.String("request", c.meta.RequestID), slog.String("parts", formatParts(c.meta.SharedParts)))
+	}
+	if wait == 0 {
+		return false
+	}
+	c.failWithRetryAfter(decisionlog.Quarantined, wait)
+	return true
+}
+
 // guardStart closes the connection of a request that must no longer start: its adapter version
 // was superseded, so that it would run on the older version, or it was quarantined since it was
 // sent, so that it would crash its upstream.
--- a/internal/node/gateway/crashingpart_test.go
+++ b/internal/node/gateway/crashingpart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +17,7 @@
 
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
 	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
+	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 )
 
@@ -134,6 +136,30 @@
 	}
 }
 
+// TestARequestThatWaitsForALoadIsNotSentOnceItIsQuarantined guards against crashes under requests that
+// waited for their adapter while their prompt part became known to crash upstreams.
+func TestARequestThatWaitsForALoadIsNotSentOnceItIsQuarantined(t *testing.T) {
+	u := serveUpstream(t, "e1", func(_ int, r *http.Request, conn net.Conn) { ok(r, conn, "") })
+	w := newFixture(t, u)
+	w.view.SetLoadable(map[state.UpstreamID]bool{"e1-llm": true})
+	w.loader.requestLoad = func(context.Context, protocol.LoadRequest) protocol.LoadReply {
+		for i := range 3 {
+			w.view.RecordPeerCrash(quarantine.Crash{Kind: quarantine.PromptPart, ID: 0x91bd3f06, Upstream: state.UpstreamID(fmt.Sprint(i)), Age: time.Minute})
+		}
+		return protocol.LoadReply{Accepted: true, ReadyIn: 100 * time.Millisecond}
+	}
+	r := w.request("/stream/", "")
+	r.Header.Set("X-Model", model+"/rare")
+	r.Header.Set("X-Prompt-Prefix", "5c1e07a2:800,"+crashingPart+":410,9:250")
+	resp, err := http.DefaultClient.Do(r)
+	w.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	w.Assert(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	w.Assert(u.seen, qt.HasLen, 0)
+}
+
 // TestARequestThatWaitsAtItsUpstreamIsWithdrawnWhenItIsQuarantined guards against crashes under
 // requests that were sent before their prompt part was known to crash upstreams.
 func TestARequestThatWaitsAtItsUpstreamIsWithdrawnWhenItIsQuarantined(t *testing.T) {
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -317,8 +317,7 @@
 			return
 		}
 		// The request may have waited since the last check, or may itself have crashed an upstream.
-		if wait := c.quarantineWait(); wait > 0 {
-			c.failWithRetryAfter(decisionlog.Quarantined, wait)
+		if c.refuseQuarantined() {
 			return
 		}
 		placement := c.g.opts.View.Choose(c.placementRequest())
@@ -353,6 +352,9 @@
 			}
 			continue
 		}
+		if c.refuseQuarantined() { // the request may have waited for a load
+			return
+		}
 		switch c.send(placement) {
 		case delivered:
 			return
@@ -375,20 +377,6 @@
 	}
 }
 
-// quarantineWait returns how long the request must not be sent to any upstream, because upstreams
-// crashed under requests like it. It is zero if the request may be sent, also if it may be sent as
-// a trial.
-func (c *call) quarantineWait() time.Duration {
-	if c.isTrial && !c.g.opts.View.IsQuarantined(c.traits) {
-		return 0
-	}
-	var wait time.Duration
-	if wait, c.isTrial = c.g.opts.View.AdmitTraits(c.traits); c.isTrial {
-		c.g.opts.Log.Event("quarantine trial", slog.String("request", c.meta.RequestID), slog.String("parts", formatParts(c.meta.SharedParts)))
-	}
-	return wait
-}
-
 // maxSends is the number of attempts after which a request that an upstream rejects is not
 // sent again.
 const maxSends = 4
