Our own interface: check refused messages when a queued request is dispatched

Callers would have seen: engines crash under requests that waited at an owner while one of their messages became known to crash upstreams. Cause: entries check a request before each attempt; the owner, where it may wait for seconds, did not. Change: the owner checks messages and fingerprint immediately before each dispatch. Result: TestAQueuedRequestIsNotDispatchedOnceItIsRefused; before, the owner had no such check.

--- a/internal/node/owner/crash.go
+++ b/internal/node/owner/crash.go
@@ -17,11 +17,14 @@
 )
 
 // CrashReporter receives the fingerprints and the shared messages of the requests that ran on
-// an upstream when it crashed.
+// an upstream when it crashed, and decides which requests are refused because of that.
 type CrashReporter interface {
 	// ReportCrash announces a crash to the other daemons. It returns when the other daemons
 	// have confirmed the announcement, or after a bounded time.
 	ReportCrash(ctx context.Context, id suspects.CrashID, running []suspects.Fingerprint, sharedMessages []uint64)
+	// Refusal returns the error of a request that is refused because upstreams crashed under its
+	// fingerprint or its shared messages, or nil.
+	Refusal(f suspects.Fingerprint, sharedMessages []uint64) *protocol.Error
 }
 
 // crashCheck determines whether an upstream has crashed since a boot. It runs once for each
--- a/internal/node/owner/crash_test.go
+++ b/internal/node/owner/crash_test.go
@@ -1,11 +1,14 @@
 package owner
 
 import (
+	"context"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	core "github.com/celerydeck/celerydeck/internal/coordination/owner"
+	"github.com/celerydeck/celerydeck/internal/coordination/suspects"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 )
@@ -39,3 +42,26 @@
 	_, isNew = w.currentCrashCheck()
 	c.Assert(isNew, qt.IsFalse)
 }
+
+// refusedMessages refuses requests with one of the messages.
+type refusedMessages []uint64
+
+func (refusedMessages) ReportCrash(context.Context, suspects.CrashID, []suspects.Fingerprint, []uint64) {
+}
+
+func (r refusedMessages) Refusal(_ suspects.Fingerprint, sharedMessages []uint64) *protocol.Error {
+	if slices.ContainsFunc(sharedMessages, func(id uint64) bool { return slices.Contains(r, id) }) {
+		return protocol.Errorf(protocol.KindRefusedFingerprint, "admit request", protocol.OutcomeNotRun, "refused")
+	}
+	return nil
+}
+
+// TestAQueuedRequestIsNotDispatchedOnceItIsRefused guards against crashes under requests that waited for
+// an upstream while one of their messages became known to crash upstreams.
+func TestAQueuedRequestIsNotDispatchedOnceItIsRefused(t *testing.T) {
+	c := qt.New(t)
+	w := &worker{m: &Manager{opts: Options{Crashes: refusedMessages{40}}}}
+	err := w.checkDispatch(&protocol.Call{Model: &protocol.ModelCall{SharedMessages: []uint64{39, 40}}})
+	c.Assert(err != nil && err.Kind == protocol.KindRefusedFingerprint, qt.IsTrue)
+	c.Assert(w.checkDispatch(&protocol.Call{Model: &protocol.ModelCall{SharedMessages: []uint64{39}}}) == nil, qt.IsTrue)
+}
--- a/internal/node/owner/gate.go
+++ b/internal/node/owner/gate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	core "github.com/celerydeck/celerydeck/internal/coordination/owner"
+	"github.com/celerydeck/celerydeck/internal/coordination/suspects"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 )
@@ -76,6 +77,11 @@
 
 // checkDispatch returns an error if this daemon may not dispatch the call now.
 func (w *worker) checkDispatch(call *protocol.Call) *protocol.Error {
+	if crashes := w.m.opts.Crashes; crashes != nil && call.Model != nil { // since the call was queued
+		if err := crashes.Refusal(suspects.Fingerprint(call.Fingerprint), call.Model.SharedMessages); err != nil {
+			return err
+		}
+	}
 	g := w.m.gate
 	if g == nil {
 		return nil
--- a/internal/node/suspects/node.go
+++ b/internal/node/suspects/node.go
@@ -166,6 +166,18 @@
 	_, _ = n.requestPermitChange(ctx, f, true)
 }
 
+// Refusal returns the error of a request that is refused, or nil. A request that may be admitted as a
+// trial is not refused.
+func (n *Node) Refusal(f core.Fingerprint, sharedMessages []uint64) *protocol.Error {
+	if n.refusesMessage(sharedMessages) {
+		return messageRefusal(f)
+	}
+	if n.Verdict(f) == core.Refused {
+		return refusal(f)
+	}
+	return nil
+}
+
 // ReportCrash records a crash of an upstream for the requests that were running on the
 // upstream. Before it returns, it sends the changed entries to the other daemons, so that
 // each daemon recognizes a request that its caller resends. It saves refused fingerprints
--- a/internal/node/suspects/node_test.go
+++ b/internal/node/suspects/node_test.go
@@ -183,4 +183,6 @@
 		c.Assert(err == nil, qt.IsTrue)
 	}
 	c.Assert(n.refusesMessage([]uint64{40, 41}), qt.IsTrue)
+	c.Assert(n.Refusal(9, []uint64{40, 41}) != nil, qt.IsTrue)
+	c.Assert(n.Refusal(9, []uint64{40}) == nil, qt.IsTrue)
 }
