Quarantine: each daemon that knows a survival answers reports of crashes with it

Cause: only the daemon at which the run survived answered. A daemon often has no contact to it, but to a relay, which knew the survival. Change: the last survival known from any daemon is the answer; reports of the same survival are still new once only (TestReportsOfACrashEnd). The time of the own survival is no longer kept apart.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -135,12 +135,6 @@
 	return count, first
 }
 
-// survival is when the last runs with a trait got past their beginning.
-type survival struct {
-	own    time.Time // at this daemon
-	latest time.Time // at any daemon, as far as it was reported
-}
-
 // Change is the begin or the end of a refusal.
 type Change struct {
 	Trait   Trait
@@ -152,7 +146,7 @@
 // them. It is not safe for concurrent use.
 type Table struct {
 	records   map[Trait]*record
-	survivals map[Trait]survival // of prompt parts
+	survivals map[Trait]time.Time // when a run with a prompt part last got past its beginning, at any daemon
 
 	refused     map[Trait]bool
 	causes      map[boot][]Trait    // the refused prompt parts that a crash counts against
@@ -165,7 +159,7 @@
 // New returns an empty table.
 func New() *Table {
 	return &Table{
-		records: make(map[Trait]*record), survivals: make(map[Trait]survival), refused: make(map[Trait]bool), trials: make(map[Trait]time.Time),
+		records: make(map[Trait]*record), survivals: make(map[Trait]time.Time), refused: make(map[Trait]bool), trials: make(map[Trait]time.Time),
 	}
 }
 
@@ -174,7 +168,7 @@
 func (t *Table) RecordCrash(now time.Time, c Crash) bool {
 	trait := c.Trait()
 	at := now.Add(-c.Age)
-	if !at.After(t.survivals[trait].latest) {
+	if !at.After(t.survivals[trait]) {
 		return false
 	}
 	r := t.records[trait]
@@ -204,8 +198,7 @@
 // removes the crashes that count against the trait. It reports whether there were any.
 func (t *Table) RecordSurvival(now time.Time, trait Trait) bool {
 	if trait.Kind == PromptPart {
-		t.makeRoomForSurvival(now, trait)
-		t.survivals[trait] = survival{own: now, latest: now}
+		t.setSurvival(now, trait, now)
 	}
 	return t.clear(trait, now)
 }
@@ -214,30 +207,31 @@
 // new, so that it is to be reported to further peers.
 func (t *Table) RecordPeerSurvival(now time.Time, report Survival) bool {
 	trait, at := report.Trait(), now.Add(-report.Age)
-	t.makeRoomForSurvival(now, trait)
-	s := t.survivals[trait]
-	isNew := at.Sub(s.latest) >= survivalReportInterval
-	if at.After(s.latest) {
-		s.latest = at
-	}
-	t.survivals[trait] = s
+	isNew := at.Sub(t.survivals[trait]) >= survivalReportInterval
+	t.setSurvival(now, trait, at)
 	return t.clear(trait, at) || isNew
 }
 
-// OwnSurvival returns the last survival at this daemon of the trait that a peer reports a crash of,
-// if the peer should know it.
-func (t *Table) OwnSurvival(now time.Time, c Crash) (Survival, bool) {
-	own := t.survivals[c.Trait()].own
-	if own.IsZero() || now.Add(-c.Age).Sub(own) >= survivalTTL {
+// LastSurvival returns the last survival with the trait of a crash that a peer reports. It returns
+// false if that was so long before the crash that it does not matter.
+func (t *Table) LastSurvival(now time.Time, c Crash) (Survival, bool) {
+	at, ok := t.survivals[c.Trait()]
+	if !ok || now.Add(-c.Age).Sub(at) >= survivalTTL {
 		return Survival{}, false
 	}
-	return Survival{Kind: c.Kind, ID: c.ID, Age: now.Sub(own)}, true
+	return Survival{Kind: c.Kind, ID: c.ID, Age: now.Sub(at)}, true
 }
 
-func (t *Table) makeRoomForSurvival(now time.Time, trait Trait) {
-	if _, ok := t.survivals[trait]; !ok && len(t.survivals) >= maxSurvivals {
+// setSurvival records a survival unless a later one is known. If there are too many, it evicts others
+// first.
+func (t *Table) setSurvival(now time.Time, trait Trait, at time.Time) {
+	last, ok := t.survivals[trait]
+	if !ok && len(t.survivals) >= maxSurvivals {
 		t.expireSurvivals(now)
 	}
+	if at.After(last) {
+		t.survivals[trait] = at
+	}
 }
 
 // clear removes the crashes until a time that count against a trait, and reports whether there were
@@ -491,7 +485,7 @@
 		}
 		count, first := r.unexplained(t.causes)
 		limit, delay := partCrashLimit, ConfirmDelay
-		if served := t.survivals[trait].latest; !served.IsZero() && first.Sub(served) < survivalTTL {
+		if served, ok := t.survivals[trait]; ok && first.Sub(served) < survivalTTL {
 			limit, delay = servedCrashLimit, servedConfirmDelay
 		}
 		if count < limit || count < most {
@@ -545,8 +539,8 @@
 
 // expireSurvivals removes the expired survivals, or all if none has expired.
 func (t *Table) expireSurvivals(now time.Time) {
-	for trait, s := range t.survivals {
-		if now.Sub(s.latest) >= survivalTTL {
+	for trait, at := range t.survivals {
+		if now.Sub(at) >= survivalTTL {
 			delete(t.survivals, trait)
 		}
 	}
--- a/internal/node/fleet/crashmodel_test.go
+++ b/internal/node/fleet/crashmodel_test.go
@@ -17,6 +17,7 @@
 	settleTime   = 2 * lateAfter // after the fifth crash, until sound requests are to be served
 	modelTime    = 30 * time.Second
 	engineDown   = 5 * time.Second
+	outagePause  = 5 * time.Second
 	untilEvent   = 300 * time.Millisecond // from the start of a run to its first event, or its crash
 	untilPastIt  = 800 * time.Millisecond // from the start of a run to the end of its beginning
 	runTime      = 2 * time.Second
@@ -31,6 +32,7 @@
 	sound                float64       // requests with sharedFirstPart
 	crashing             float64       // requests with sharedFirstPart and crashingPart
 	servedFor            time.Duration // how long these are served before they crash engines
+	outages              int           // how often a third of the engines crashes for another reason
 }
 
 // crashModel replays a crashLoad from the start of a fleet. Engines crash when they begin to answer a
@@ -62,7 +64,6 @@
 type modelRun struct {
 	traits []quarantine.Trait
 	view   *View
-	engine *modelEngine
 	boot   int64
 	isPast bool // past its beginning
 }
@@ -76,7 +77,16 @@
 	m.crashAt = m.now.Add(load.servedFor)
 	m.arrive(load.sound, func() { m.send(sharedFirstPart, 2000+m.random.Uint64N(133)) })
 	m.arrive(3*load.sound, func() { m.send(sharedFirstPart+1+m.random.Uint64N(2), 5000+m.random.Uint64N(133)) })
-	m.arrive(load.crashing, func() { m.send(sharedFirstPart, crashingPart.ID) })
+	if load.crashing > 0 {
+		m.arrive(load.crashing, func() { m.send(sharedFirstPart, crashingPart.ID) })
+	}
+	for i := range load.outages {
+		m.after(time.Duration(1+i)*outagePause, func() {
+			for j := i % 3; j < len(m.engines); j += 3 {
+				m.crash(m.engines[j])
+			}
+		})
+	}
 	for end := m.now.Add(modelTime); m.now.Before(end); {
 		roundEnd := m.now.Add(gossipInterval)
 		for len(m.events) > 0 && m.events[0].at.Before(roundEnd) {
@@ -131,10 +141,14 @@
 		m.late++
 	}
 	e := running[m.random.IntN(len(running))]
-	r := &modelRun{traits: traits, view: view, engine: e, boot: e.boot}
+	r := &modelRun{traits: traits, view: view, boot: e.boot}
 	e.runs[r] = true
 	if crashes {
-		m.after(untilEvent, func() { m.crash(r) })
+		m.after(untilEvent, func() {
+			if e.runs[r] {
+				m.crash(e)
+			}
+		})
 		return
 	}
 	m.after(untilPastIt, func() {
@@ -146,12 +160,8 @@
 	m.after(runTime, func() { delete(e.runs, r) })
 }
 
-// crash crashes the engine of a run, unless the run has broken before.
-func (m *crashModel) crash(r *modelRun) {
-	e := r.engine
-	if !e.runs[r] {
-		return
-	}
+// crash crashes an engine.
+func (m *crashModel) crash(e *modelEngine) {
 	if m.crashes++; m.crashes == 5 {
 		m.fifth = m.now
 	}
@@ -199,6 +209,13 @@
 	}
 }
 
+// TestSoundRequestsAreServedWhileUpstreamsCrashForAnotherReason guards against popular parts that are
+// refused because many of their runs break at the same time.
+func TestSoundRequestsAreServedWhileUpstreamsCrashForAnotherReason(t *testing.T) {
+	checkCrashes(t, crashLoad{zones: 3, each: 3, engines: 18, sound: 27, outages: 5})
+	checkCrashes(t, crashLoad{zones: 3, each: 12, engines: 78, sound: 27, outages: 5})
+}
+
 func checkCrashes(t *testing.T, load crashLoad) {
 	for seed := range uint64(4) {
 		m := replayCrashes(t, load, seed)
--- a/internal/node/fleet/quarantine.go
+++ b/internal/node/fleet/quarantine.go
@@ -22,14 +22,14 @@
 }
 
 // RecordPeerCrash records a crash that a peer observed. It reports whether the crash is new. If a
-// run of this daemon with the trait got past its beginning not long before the crash, or after it,
-// RecordPeerCrash queues that for the peers.
+// run with the trait got past its beginning not long before the crash, or after it, RecordPeerCrash
+// queues that for the peers.
 func (v *View) RecordPeerCrash(c quarantine.Crash) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.opts.Clock()
-	if own, ok := v.crashes.OwnSurvival(now, c); ok {
-		v.newSurvivals[c.Trait()] = now.Add(-own.Age)
+	if last, ok := v.crashes.LastSurvival(now, c); ok {
+		v.newSurvivals[c.Trait()] = now.Add(-last.Age)
 	}
 	return v.crashes.RecordCrash(now, c)
 }
--- a/internal/node/suspects/messages.go
+++ b/internal/node/suspects/messages.go
@@ -102,15 +102,15 @@
 }
 
 // mergeMessageCrashes records the survivals and the crashes that a peer reports. It returns the last
-// completions here, not long before these crashes or after them, of requests with their messages. The
-// caller holds mu.
+// completions, not long before these crashes or after them, of requests with their messages. The caller
+// holds mu.
 func (n *Node) mergeMessageCrashes(msg protocol.Suspects) []quarantine.Survival {
 	n.recordPeerSurvivals(msg.Survivals)
 	now := n.opts.Clock()
 	var survivals []quarantine.Survival
 	for _, c := range msg.MessageCrashes {
-		if own, ok := n.messages.OwnSurvival(now, c); ok {
-			survivals = append(survivals, own)
+		if last, ok := n.messages.LastSurvival(now, c); ok {
+			survivals = append(survivals, last)
 		}
 		n.messages.RecordCrash(now, c)
 	}
