--- a/internal/node/fleet/crashmodel_test.go
+++ b/internal/node/fleet/crashmodel_test.go
@@ -19,7 +19,7 @@
 	engineDown   = 5 * time.Second
 	outagePause  = 5 * time.Second
 	untilEvent   = 300 * time.Millisecond // from the start of a run to its first event, or its crash
-	untilPastIt  = 800 * time.Millisecond // from the start of a run to the end of its beginning
+	untilPast    = 800 * time.Millisecond // from the start of a run to the end of its beginning
 	runTime      = 2 * time.Second
 	untilNoticed = 60 * time.Millisecond // from a crash to its detection
 
@@ -151,7 +151,7 @@
 		})
 		return
 	}
-	m.after(untilPastIt, func() {
+	m.after(untilPast, func() {
 		if e.runs[r] {
 			r.isPast = true
 			view.RecordSurvival(r.traits)
