Soak: requests with a prompt part that crashes engines

Guarantees: at most three of them run later than 3 s after the first three crashes, by daemons without a disturbance, and half of the sound requests with the same first part are served at the end. Links listen below the ephemeral ports, to be able to listen again.

--- a/Makefile
+++ b/Makefile
@@ -58,8 +58,9 @@
 # Fresh seeds of faults against real processes; each seed is printed and can be
 # played again with --seed.
 SOAK_SEEDS ?= 50
+SOAK_CRASHES ?= 5
 soak: build
-	bin/decksoak --daemon bin/celerydeckd --seeds $(SOAK_SEEDS)
+	bin/decksoak --daemon bin/celerydeckd --seeds $(SOAK_SEEDS) --crashes $(SOAK_CRASHES)
 
 # Builds that violate a guarantee must be caught by the soak.
 soak-broken:
--- a/internal/soak/broken_test.go
+++ b/internal/soak/broken_test.go
@@ -33,13 +33,20 @@
 			"t != nil && t.Config.Version >= c.Version", "t != nil",
 			"a new configuration takes effect in time",
 		},
+		{
+			"refuses no prompt part", "../coordination/quarantine/quarantine.go",
+			"partCrashLimit = 3\n", "partCrashLimit = 300\n",
+			"requests with a prompt part that crashes engines are refused",
+		},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
 			binary := build(c, overlay(c, tc.file, tc.from, tc.to))
+			size := DefaultSize()
+			size.CrashRate = crashRate
 			for seed := uint64(1); seed <= maxSeeds; seed++ {
-				v, err := Run(context.Background(), Options{Binary: binary, Dir: c.TempDir(), Seed: seed, Size: DefaultSize(), Out: io.Discard})
+				v, err := Run(context.Background(), Options{Binary: binary, Dir: c.TempDir(), Seed: seed, Size: size, Out: io.Discard})
 				c.Assert(err, qt.IsNil)
 				for _, b := range v.Violations {
 					if b.Guarantee == tc.guarantee {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -67,7 +67,7 @@
 	}
 	for _, check := range []func(){
 		c.checkUnknownRequests, c.checkAtMostOnce, c.checkRefusals, c.checkAnswers, c.checkRoutes, c.checkConfigDelay, c.checkConfigRollback, c.checkVersionDelay, c.checkDrains,
-		c.checkOrders, c.checkLostRequests, c.checkDeadlines, c.checkClientErrors, c.checkAttempts, c.checkProcesses, c.checkRecovery,
+		c.checkOrders, c.checkLostRequests, c.checkDeadlines, c.checkClientErrors, c.checkAttempts, c.checkProcesses, c.checkCrashingPart, c.checkRecovery,
 	} {
 		check()
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -128,6 +128,17 @@
 		{"a daemon exits within the grace period", func(h *History) {
 			h.Incarnations[0].Stopped, h.Incarnations[0].Ended, h.Incarnations[0].Code = at(3), at(8), 2
 		}},
+		{"requests with a prompt part that crashes engines are refused", func(h *History) {
+			for i := 0; i < 200; i += 10 {
+				h.Requests[i].Crashes = true
+			}
+		}},
+		{"sound requests are served beside those that crash engines", func(h *History) {
+			h.Requests[0].Crashes = true
+			for i := 150; i < 200; i += 10 {
+				h.Requests[i].Answer.Complete = false
+			}
+		}},
 		{"requests are served again after the last fault", func(h *History) {
 			for i := 150; i < 200; i++ {
 				h.Requests[i].Answer.Complete = false
--- a/internal/soak/cli.go
+++ b/internal/soak/cli.go
@@ -22,14 +22,18 @@
 	exitFailed
 )
 
+// maxCrashRate is the highest rate of requests that crash engines, per second.
+const maxCrashRate = 100
+
 type args struct {
-	Daemon  string `arg:"--daemon,env:DECKSOAK_DAEMON" default:"bin/celerydeckd" help:"the daemon's program"`
-	Seed    uint64 `arg:"--seed" help:"the first seed; 0 selects a random one"`
-	Seeds   int    `arg:"--seeds" default:"1" help:"how many consecutive seeds to run"`
-	Jobs    int    `arg:"--jobs" default:"2" help:"how many seeds to run at the same time"`
-	Daemons int    `arg:"--daemons" default:"4" help:"daemon processes in each run"`
-	Dir     string `arg:"--dir" default:"/tmp/decksoak" help:"directory for the settings and logs of each seed"`
-	Plan    bool   `arg:"--plan" help:"print the planned faults of the seeds and run nothing"`
+	Daemon  string  `arg:"--daemon,env:DECKSOAK_DAEMON" default:"bin/celerydeckd" help:"the daemon's program"`
+	Seed    uint64  `arg:"--seed" help:"the first seed; 0 selects a random one"`
+	Seeds   int     `arg:"--seeds" default:"1" help:"how many consecutive seeds to run"`
+	Jobs    int     `arg:"--jobs" default:"2" help:"how many seeds to run at the same time"`
+	Daemons int     `arg:"--daemons" default:"4" help:"daemon processes in each run"`
+	Crashes float64 `arg:"--crashes" help:"requests per second that crash the engines that answer them"`
+	Dir     string  `arg:"--dir" default:"/tmp/decksoak" help:"directory for the settings and logs of each seed"`
+	Plan    bool    `arg:"--plan" help:"print the planned faults of the seeds and run nothing"`
 }
 
 // Description returns the help text that go-arg prints.
@@ -56,6 +60,9 @@
 	case a.Seeds < 1 || a.Jobs < 1 || a.Daemons < 1:
 		fmt.Fprintln(out, "--seeds, --jobs and --daemons must be 1 or more")
 		return exitFailed
+	case !(a.Crashes >= 0 && a.Crashes <= maxCrashRate):
+		fmt.Fprintf(out, "--crashes must be from 0 to %d\n", maxCrashRate)
+		return exitFailed
 	}
 	if a.Seed == 0 {
 		a.Seed = rand.Uint64N(1 << 32)
@@ -76,7 +83,7 @@
 // runSeeds runs all seeds, a.Jobs at a time, and returns the exit code.
 func (a *args) runSeeds(ctx context.Context, out io.Writer) int {
 	size := DefaultSize()
-	size.Daemons = a.Daemons
+	size.Daemons, size.CrashRate = a.Daemons, a.Crashes
 	t := &tally{checked: make(map[string]int), events: make(map[EventKind]int)}
 	seeds := make(chan uint64)
 	var wg sync.WaitGroup
@@ -114,7 +121,7 @@
 	}
 	plan := Plan(seed, size)
 	var text bytes.Buffer // keeps the output of concurrent seeds apart
-	fmt.Fprintf(&text, "seed %d (reproduce: decksoak --seed %d --daemons %d)\n", seed, seed, size.Daemons)
+	fmt.Fprintf(&text, "seed %d (reproduce: decksoak --seed %d --daemons %d --crashes %g)\n", seed, seed, size.Daemons, size.CrashRate)
 	if a.Plan {
 		for _, e := range plan {
 			fmt.Fprintln(&text, e)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -91,6 +91,7 @@
 	rotation []int          // indexes of the daemons that new connections go to
 	latest   map[string]int // number of the latest event, by target
 	restarts int            // of all engines, for unique identities
+	failure  error          // of a stand-in
 }
 
 // NewFleet starts the stand-ins and the daemons. The daemons log to files in dir.
@@ -111,9 +112,11 @@
 	for i := range f.size.Engines {
 		id := fmt.Sprintf("i-%d", i)
 		e := modelengine.New(id, model, adapterSlots, adapterLoadTime, streamEvents, eventInterval)
-		if err := f.addUpstream(&upstream{name: id, id: id, service: engineService, engine: e}, e); err != nil {
+		u := &upstream{name: id, id: id, service: engineService, engine: e}
+		if err := f.addUpstream(u, e); err != nil {
 			return err
 		}
+		e.CrashOn(crashingPart, func() { go f.crashEngine(u) })
 	}
 	for i := range serviceCount * f.size.Services {
 		id := fmt.Sprintf("w-%d", i)
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -25,6 +25,8 @@
 	Class  Class
 	Daemon int
 	Answer caller.Answer
+	// Crashes is true if the request crashes each engine that begins to answer it.
+	Crashes bool
 }
 
 // Execution is one execution of a request at an upstream.
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -84,21 +84,41 @@
 	Addr   string
 	target string
 	mode   *modeSwitch
-	listen net.Listener
 
-	mu    sync.Mutex
-	conns map[net.Conn]bool
+	mu     sync.Mutex
+	listen net.Listener
+	conns  map[net.Conn]bool
 }
 
 // NewLink starts an open link to the TCP address target.
 func NewLink(target string) (*Link, error) {
-	listen, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := freePorts(1)
 	if err != nil {
-		return nil, fmt.Errorf("soak: open link to %s: %w", target, err)
+		return nil, err
 	}
-	l := &Link{Addr: listen.Addr().String(), target: target, mode: newModeSwitch(), listen: listen, conns: make(map[net.Conn]bool)}
-	go l.accept()
-	return l, nil
+	l := &Link{Addr: fmt.Sprintf("127.0.0.1:%d", port), target: target, mode: newModeSwitch(), conns: make(map[net.Conn]bool)}
+	return l, l.Accept()
+}
+
+// Accept starts to listen, also again after Refuse.
+func (l *Link) Accept() error {
+	listen, err := net.Listen("tcp", l.Addr)
+	if err != nil {
+		return fmt.Errorf("soak: open link to %s: %w", l.target, err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.listen = listen
+	go l.accept(listen)
+	return nil
+}
+
+// Refuse stops listening, so that new connections are refused, and resets all connections.
+func (l *Link) Refuse() {
+	l.mu.Lock()
+	_ = l.listen.Close()
+	l.mu.Unlock()
+	l.resetAll()
 }
 
 // SetMode changes the mode. ModeReset also resets all connections.
@@ -110,10 +130,7 @@
 }
 
 // Close stops listening and resets all connections.
-func (l *Link) Close() {
-	_ = l.listen.Close()
-	l.resetAll()
-}
+func (l *Link) Close() { l.Refuse() }
 
 func (l *Link) resetAll() {
 	l.mu.Lock()
@@ -130,9 +147,9 @@
 	_ = c.Close()
 }
 
-func (l *Link) accept() {
+func (l *Link) accept(listen net.Listener) {
 	for {
-		c, err := l.listen.Accept()
+		c, err := listen.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -63,6 +63,7 @@
 	Warmup      time.Duration
 	FaultPeriod time.Duration
 	Recovery    time.Duration // after the fault period; Check measures the share served at its end
+	CrashRate   float64       // requests per second that crash the engines that answer them; zero for none
 }
 
 // DefaultSize returns the size of a run of 25 seconds.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -79,6 +79,9 @@
 		wg.Add(1)
 		go func() { defer wg.Done(); f.runCaller(runCtx, i, rand.New(rand.NewPCG(o.Seed, uint64(100+i)))) }()
 	}
+	if o.Size.CrashRate > 0 {
+		wg.Go(func() { f.runCrashingCaller(runCtx, o.Size.CrashRate, rand.New(rand.NewPCG(o.Seed, 99))) })
+	}
 	var mu sync.Mutex
 	for number, e := range plan {
 		select {
@@ -101,11 +104,16 @@
 	if ctx.Err() != nil {
 		return Result{}, ctx.Err()
 	}
-	return Check(f.collect(begin.Add(total))), nil
+	h, err := f.collect(begin.Add(total))
+	if err != nil {
+		return Result{}, err
+	}
+	return Check(h), nil
 }
 
-// collect adds what the upstreams observed and returns a copy of the history.
-func (f *Fleet) collect(end time.Time) *History {
+// collect adds what the upstreams observed and returns a copy of the history. It fails if a stand-in
+// has failed.
+func (f *Fleet) collect(end time.Time) (*History, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	h := &f.history
@@ -131,7 +139,7 @@
 	}
 	snapshot := *h
 	snapshot.Incarnations = slices.Clone(h.Incarnations)
-	return &snapshot
+	return &snapshot, f.failure
 }
 
 // balance updates the rotation until ctx ends, as the platform's load balancer does.
@@ -205,7 +213,7 @@
 		Body: fmt.Sprintf("body of %d of caller %d", sequence, number), Deadline: callDeadline,
 	}
 	if a.Class == ClassChat {
-		a.Stream, a.Deadline = true, chatDeadline
+		a.Stream, a.Deadline, a.Prompt = true, chatDeadline, prompt(soundPart(sequence), number, sequence)
 		// Most requests go to a few adapters.
 		a.Model = model + "/" + adapterName(min(r.IntN(adapterCount), r.IntN(adapterCount)))
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 
@@ -24,6 +25,12 @@
 // of the configuration.
 var shortSeeds = []uint64{2, 3}
 
+// crashSeeds also have requests with a prompt part that crashes engines.
+var crashSeeds = []uint64{2001}
+
+// crashRate is the rate of these requests, per second.
+const crashRate = 5
+
 // failedSeeds are the regression cases: every seed that ever failed, with the cause.
 var failedSeeds = []struct {
 	seed  uint64
@@ -42,19 +49,23 @@
 	c := qt.New(t)
 	binary := build(c, "")
 	var wg sync.WaitGroup
-	seeds := shortSeeds
+	seeds := append(slices.Clone(shortSeeds), crashSeeds...)
 	for _, f := range failedSeeds {
 		seeds = append(seeds, f.seed)
 	}
 	tokens := make(chan struct{}, maxParallelSeeds)
 	for _, seed := range seeds {
+		size := DefaultSize()
+		if slices.Contains(crashSeeds, seed) {
+			size.CrashRate = crashRate
+		}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
 			tokens <- struct{}{}
 			defer func() { <-tokens }()
 			var out bytes.Buffer
-			v, err := Run(context.Background(), Options{Binary: binary, Dir: c.TempDir(), Seed: seed, Size: DefaultSize(), Out: &out})
+			v, err := Run(context.Background(), Options{Binary: binary, Dir: c.TempDir(), Seed: seed, Size: size, Out: &out})
 			if err != nil || len(v.Violations) > 0 {
 				t.Errorf("seed %d: %v %v\n%s", seed, err, v.Violations, out.String())
 			}
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -21,6 +21,7 @@
 	Host     string
 	Path     string
 	Model    string // "model/adapter"; empty for a plain service
+	Prompt   string // the parts of the prompt, as ID:TOKENS separated by commas; may be empty
 	Body     string
 	Deadline time.Duration
 	Stream   bool
@@ -120,6 +121,9 @@
 	if r.Model != "" {
 		fmt.Fprintf(&b, "X-Model: %s\r\nX-Token-Count: 100,20\r\n", r.Model)
 	}
+	if r.Prompt != "" {
+		fmt.Fprintf(&b, "X-Prompt-Prefix: %s\r\n", r.Prompt)
+	}
 	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(r.Body), r.Body)
 	return b.String()
 }
--- a/internal/standin/modelengine/modelengine.go
+++ b/internal/standin/modelengine/modelengine.go
@@ -60,6 +60,9 @@
 	runs          []Run
 	overfull      bool
 	answersToLose int
+	crashingPart  string // of prompts; empty for none
+	onCrash       func()
+	isCrashed     bool
 }
 
 // New returns an engine of a model with slots for adapters. Loading an adapter takes
@@ -76,8 +79,22 @@
 	return e
 }
 
+// CrashOn makes the engine crash when it begins to answer a request with a part in its prompt: it calls
+// onCrash, which is to close its connections, and handles no request until Restart.
+func (e *Engine) CrashOn(part string, onCrash func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashingPart, e.onCrash = part, onCrash
+}
+
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	isCrashed := e.isCrashed
+	e.mu.Unlock()
+	if isCrashed {
+		panic(http.ErrAbortHandler)
+	}
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != e.identity() {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -98,6 +115,7 @@
 	e.id = id
 	e.boot++
 	e.orderSeq = 0
+	e.isCrashed = false
 	e.resident, e.readyAt = make(map[string]int), make(map[string]time.Time)
 }
 
@@ -212,6 +230,8 @@
 			RequestID: r.Header.Get("X-Request-Id"), Path: r.URL.Path, Body: string(body), Adapter: adapter, Version: version, At: time.Now(),
 		})
 	}
+	crashes := ok && e.crashingPart != "" && !e.isCrashed && strings.Contains(r.Header.Get("X-Prompt-Prefix"), e.crashingPart+":")
+	e.isCrashed = e.isCrashed || crashes
 	e.mu.Unlock()
 	if !ok && adapter != "" {
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -226,6 +246,12 @@
 		first = id + 1
 	}
 	controller := http.NewResponseController(w)
+	if crashes {
+		w.WriteHeader(http.StatusOK)
+		_ = controller.Flush()
+		e.onCrash()
+		panic(http.ErrAbortHandler)
+	}
 	for i := first; i < e.events; i++ {
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i, adapter, i); err != nil || controller.Flush() != nil {
 			return
