Soak: a link tries another port if its first one is taken

Change: a link tries up to five ports. The race itself has no test; ports of daemons, which listen later, are exposed to it as before.

--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -27,6 +27,8 @@
 	dialTimeout      = time.Second
 	copyBufferBytes  = 32 << 10
 	maxDatagramBytes = 2048
+	// maxListenAttempts limits the ports that a new link tries to listen on.
+	maxListenAttempts = 5
 )
 
 // modeSwitch holds the mode of a link. It is safe for concurrent use.
@@ -92,12 +94,19 @@
 
 // NewLink starts an open link to the TCP address target.
 func NewLink(target string) (*Link, error) {
-	port, err := freePorts(1)
-	if err != nil {
-		return nil, err
+	l := &Link{target: target, mode: newModeSwitch(), conns: make(map[net.Conn]bool)}
+	var err error
+	for range maxListenAttempts { // another process may take a free port first
+		var port int
+		if port, err = freePorts(1); err != nil {
+			return nil, err
+		}
+		l.Addr = fmt.Sprintf("127.0.0.1:%d", port)
+		if err = l.Accept(); err == nil {
+			return l, nil
+		}
 	}
-	l := &Link{Addr: fmt.Sprintf("127.0.0.1:%d", port), target: target, mode: newModeSwitch(), conns: make(map[net.Conn]bool)}
-	return l, l.Accept()
+	return nil, err
 }
 
 // Accept starts to listen, also again after Refuse.
