Test: a trial of the crashing part is not repeated

Replays crashing requests of which a few have another first part, so that a trial of the crashing part alone is possible.

--- a/internal/node/fleet/crashmodel_test.go
+++ b/internal/node/fleet/crashmodel_test.go
@@ -30,8 +30,9 @@
 type crashLoad struct {
 	zones, each, engines int
 	sound                float64       // requests with sharedFirstPart
-	crashing             float64       // requests with sharedFirstPart and crashingPart
+	crashing             float64       // requests with crashingPart, most of them with sharedFirstPart, see elsewhere
 	servedFor            time.Duration // how long these are served before they crash engines
+	elsewhere            float64       // share of the crashing requests that have another first part
 	outages              int           // how often a third of the engines crashes for another reason
 }
 
@@ -78,7 +79,13 @@
 	m.arrive(load.sound, func() { m.send(sharedFirstPart, 2000+m.random.Uint64N(133)) })
 	m.arrive(3*load.sound, func() { m.send(sharedFirstPart+1+m.random.Uint64N(2), 5000+m.random.Uint64N(133)) })
 	if load.crashing > 0 {
-		m.arrive(load.crashing, func() { m.send(sharedFirstPart, crashingPart.ID) })
+		m.arrive(load.crashing, func() {
+			first := uint64(sharedFirstPart)
+			if m.random.Float64() < load.elsewhere {
+				first++
+			}
+			m.send(first, crashingPart.ID)
+		})
 	}
 	for i := range load.outages {
 		m.after(time.Duration(1+i)*outagePause, func() {
@@ -197,6 +204,15 @@
 	}
 }
 
+// TestATrialOfTheCrashingPartIsNotRepeated guards against trials that crash engine after engine, as some
+// of the crashing requests have another first part.
+func TestATrialOfTheCrashingPartIsNotRepeated(t *testing.T) {
+	for _, elsewhere := range []float64{0.02, 0.1, 0.5} {
+		checkCrashes(t, crashLoad{zones: 3, each: 3, engines: 18, sound: 0.3, crashing: 10, elsewhere: elsewhere})
+		checkCrashes(t, crashLoad{zones: 3, each: 3, engines: 18, sound: 1, crashing: 30, elsewhere: elsewhere})
+	}
+}
+
 // TestAPartThatWasServedBeforeItCrashesUpstreamsIsRefused guards against crashes that do not count
 // because runs with the part got past their beginning shortly before.
 func TestAPartThatWasServedBeforeItCrashesUpstreamsIsRefused(t *testing.T) {
