--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -372,7 +372,7 @@
 				c.fail(decisionlog.UpstreamDisconnected)
 				return
 			}
-			c.isTrial = false // it has failed
+			c.isTrial = false // the trial has ended
 		}
 	}
 }
--- a/internal/node/owner/gate.go
+++ b/internal/node/owner/gate.go
@@ -77,7 +77,7 @@
 
 // checkDispatch returns an error if this daemon may not dispatch the call now.
 func (w *worker) checkDispatch(call *protocol.Call) *protocol.Error {
-	if crashes := w.m.opts.Crashes; crashes != nil && call.Model != nil { // since the call was queued
+	if crashes := w.m.opts.Crashes; crashes != nil && call.Model != nil { // refused since it was queued?
 		if err := crashes.Refusal(suspects.Fingerprint(call.Fingerprint), call.Model.SharedMessages); err != nil {
 			return err
 		}
--- a/internal/node/suspects/messages.go
+++ b/internal/node/suspects/messages.go
@@ -20,7 +20,7 @@
 	return traits
 }
 
-// refusesMessage reports whether requests with the messages are refused, also as a trial.
+// refusesMessage reports whether a request with the messages is refused, even as a trial.
 func (n *Node) refusesMessage(messages []uint64) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
