Show a stream that runs twice after a late second rejection

Cause: an independent review looked for orders of events in which a request that must not be repeated runs twice. A rejected request is sent again on the connection that brought the rejection, and its id does not tell a late second copy of that rejection from the answer that is due.

Change: case 1 of the review, a script with small stand-ins of the platform, the engines and the clients. Nothing outside the review changes. The fault is not fixed here.

--- /dev/null
+++ b/review/_harness/standin/cases.go
@@ -0,0 +1,6 @@
+package main
+
+// cases are the cases by name.
+var cases = map[string]func(w *world){
+	"extra": extra,
+}
