Show requests that a stopping daemon leaves without an answer

Cause: the review looked at what a daemon does with requests that wait in it when it is stopped. They are neither sent on nor refused before the process exits.

--- a/review/_harness/standin/cases.go
+++ b/review/_harness/standin/cases.go
@@ -2,5 +2,6 @@
 
 // cases are the cases by name.
 var cases = map[string]func(w *world){
-	"extra": extra,
+	"extra":    extra,
+	"shutdown": shutdown,
 }
