Show requests to an engine whose entry the store has removed

Cause: the review looked at daemons that lose the store alone. A daemon that regains it keeps engines that left meanwhile for two seconds more, and passes them to its peers as part of the newest list.

--- a/review/_harness/standin/cases.go
+++ b/review/_harness/standin/cases.go
@@ -4,4 +4,5 @@
 var cases = map[string]func(w *world){
 	"extra":    extra,
 	"shutdown": shutdown,
+	"lapse":    lapse,
 }
