--- a/review/_harness/standin/extra.go
+++ b/review/_harness/standin/extra.go
@@ -17,7 +17,7 @@
 		"slots": 64, "kv_capacity": 140000, "weights_mb": 67000, "lora_slots": 20, "loads_per_s": 2.9,
 		"models": []any{map[string]any{"name": "base", "weights_mb": 65100, "lora_mb": 12, "load_time_s": 3.8, "adapters": 3000}},
 	}}})
-	// 250 ms with at most 8 loads on their way from the store, longer in proportion beyond: 12 of them.
+	// 250 ms with at most 16 loads on their way from the store, longer in proportion beyond: 24 of them.
 	const load = 375 * time.Millisecond
 	servers := []*modelServer{w.startModelServer("i-1", 20, load), w.startModelServer("i-2", 20, load)}
 	d := w.startDaemon("vm-1", 0.8, 284)
