Show an outage of the store that never ends for a daemon

Cause: a daemon that leaves the store to its zone's reader after an outage, without a good call of its own, goes on taking the store for lost. Its next call, much later, counts as the end of that outage.

Change: case 4 of the review, a script.

--- a/review/_harness/standin/cases.go
+++ b/review/_harness/standin/cases.go
@@ -5,4 +5,5 @@
 	"extra":    extra,
 	"shutdown": shutdown,
 	"lapse":    lapse,
+	"stale":    stale,
 }
