Gateway: never send a request twice on one connection

Cause: after a rejection the connection went back to the pool, and the next attempt of the same request took it, as the most recently used one. Responses are matched by the request ID, which all attempts of a request share, so a delayed second copy of the rejection was taken for the response to the attempt that was running. The record of the case shows the 421, the second attempt and its run on the same connection.

Change: a call remembers the connections of its attempts, and Pool.GetExcept does not reuse them. On any other connection a delayed copy meets a request with another ID, and is skipped as before.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -178,9 +178,13 @@
 	deadline time.Time
 	request  balance.Request
 
-	isTrial         bool                      // admitted as a trial of refused prompt parts
-	sends           int                       // attempts that got a connection to an upstream
-	runs            int                       // attempts in which the request may have run
+	isTrial bool // admitted as a trial of refused prompt parts
+	sends   int  // attempts that got a connection to an upstream
+	runs    int  // attempts in which the request may have run
+	// usedConns are the connections that carried an attempt. A response is matched by the request
+	// ID, so on these connections a delayed copy of the response to that attempt could be taken
+	// for the response to another attempt.
+	usedConns       []*httpconn.Conn
 	excluded        map[state.UpstreamID]bool // upstreams that are not to be chosen again
 	failedLoads     int                       // load requests that were refused
 	retryTaken      atomic.Bool               // the next retry was already taken from the budget
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -105,7 +105,7 @@
 	defer func() {
 		view.End(u.ID, c.request, c.meta.Adapter, x.hadFirstEvent)
 	}()
-	conn, err := c.g.opts.Pool.Get(c.ctx, u.Addr, !c.route.Repeatable())
+	conn, err := c.g.opts.Pool.GetExcept(c.ctx, u.Addr, !c.route.Repeatable(), c.usedConns)
 	if err != nil {
 		if c.ctx.Err() != nil {
 			return delivered
@@ -115,6 +115,7 @@
 		c.logStep("no connection", u, err)
 		return notRun
 	}
+	c.usedConns = append(c.usedConns, conn)
 	c.sends++
 	if c.sends == 1 {
 		view.CountRequest(c.service)
--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -89,8 +90,13 @@
 // the unusable connections that it finds. With recentOnly it reuses only a recently used
 // connection (see recentShare).
 func (p *Pool) Get(ctx context.Context, addr string, recentOnly bool) (*Conn, error) {
+	return p.GetExcept(ctx, addr, recentOnly, nil)
+}
+
+// GetExcept is like Get, but does not reuse any of the given connections.
+func (p *Pool) GetExcept(ctx context.Context, addr string, recentOnly bool, except []*Conn) (*Conn, error) {
 	now := time.Now()
-	for c := p.pop(addr, now, recentOnly); c != nil; c = p.pop(addr, now, recentOnly) {
+	for c := p.pop(addr, now, recentOnly, except); c != nil; c = p.pop(addr, now, recentOnly, except) {
 		if now.Sub(c.idleSince) < c.maxIdle && c.reusable() {
 			c.Reused = true
 			return c, nil
@@ -148,22 +154,24 @@
 	}
 }
 
-// pop removes and returns the most recently used idle connection to addr. It returns nil if
-// there is no idle connection. With recentOnly it also returns nil if that connection was
-// not recently used.
-func (p *Pool) pop(addr string, now time.Time, recentOnly bool) *Conn {
+// pop removes and returns the most recently used idle connection to addr that is not one of
+// except. It returns nil if there is none. With recentOnly it also returns nil if that
+// connection was not recently used.
+func (p *Pool) pop(addr string, now time.Time, recentOnly bool, except []*Conn) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
-	}
-	c := list[len(list)-1]
-	if recentOnly && float64(now.Sub(c.idleSince)) > recentShare*float64(c.maxIdle) {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if slices.Contains(except, c) {
+			continue
+		}
+		if recentOnly && float64(now.Sub(c.idleSince)) > recentShare*float64(c.maxIdle) {
+			return nil
+		}
+		p.idle[addr] = slices.Delete(list, i, i+1)
+		return c
 	}
-	p.idle[addr] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // reusable reports whether an idle connection is open and has no unread data.
--- a/internal/transport/httpconn/pool_test.go
+++ b/internal/transport/httpconn/pool_test.go
@@ -63,6 +63,23 @@
 	}
 }
 
+// Guards against a second attempt of a request on a connection that carried the first one.
+func TestAnExceptedConnectionIsNotReused(t *testing.T) {
+	c := qt.New(t)
+	addr, _ := accept(t)
+	p := NewPool()
+	first, second := get(c, p, addr, false), get(c, p, addr, false)
+	p.Put(addr, first, time.Minute)
+	p.Put(addr, second, time.Minute)
+	conn, err := p.GetExcept(t.Context(), addr, true, []*Conn{second})
+	c.Assert(err, qt.IsNil)
+	c.Assert(conn, qt.Equals, first)
+	conn, err = p.GetExcept(t.Context(), addr, true, []*Conn{second})
+	c.Assert(err, qt.IsNil)
+	c.Assert(conn.Reused, qt.IsFalse)
+	c.Assert(get(c, p, addr, true), qt.Equals, second)
+}
+
 // Guards against the loss of a non-repeatable request on a connection that the upstream
 // has dropped without closing it.
 func TestNonRepeatableRequestGetsARecentlyUsedConnection(t *testing.T) {
