Gateway: no trust in a response without an ID on a reused connection

A caller could get the response of another request, or a 503 for a request that ran.

Cause: a response without a request ID was always taken for the response to the present request. On a reused connection it may be left over from an earlier request; upstreams echo the ID of a request that has one.

Change: such a response ends the attempt as one that may have run. On a new connection, which has carried nothing else, it is accepted as before.

Evidence: TestAResponseWithoutAnIDOnAReusedConnectionIsNotTrusted gets 503 for the rejection and the other request's body for the success before, 502 for both after.

--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -166,9 +166,12 @@
 	}
 	defer resp.Body.Close()
 	a := c.g.opts.HeaderCodec.DecodeResponse(resp.StatusCode, resp.Header)
-	if a.RequestID == "" || a.RequestID == c.meta.RequestID {
+	if a.RequestID == c.meta.RequestID || a.RequestID == "" && !x.conn.Reused {
 		return x.handleResponse(resp, a), true
 	}
+	if a.RequestID == "" { // it may be left over from an earlier request
+		return x.abort("match answer", errUnidentifiedResponse), true
+	}
 	c.logStep("answer to an earlier request skipped", x.u, nil)
 	if err := x.skipBody(resp); err != nil {
 		return x.abort("skip earlier answer", errors.Join(err, errStaleResponse)), true
@@ -197,7 +200,10 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
-var errStaleResponse = errors.New("gateway: the connection carries responses to other requests")
+var (
+	errStaleResponse        = errors.New("gateway: the connection carries responses to other requests")
+	errUnidentifiedResponse = errors.New("gateway: a response on a reused connection has no request ID")
+)
 
 // attemptTimeout returns how long the gateway waits for the response headers before it seeks
 // another upstream. It is zero if only the deadline limits the wait.
