Shutdown: answer the requests that are left when the grace period ends

Cause: requests wait in the gateway for room for a prompt, for a request limit, for a load or between attempts. At the end of the grace period the HTTP server was closed while they waited; nothing ended them. The record shows that these requests reached no engine, and the log of the daemon names them as active when it stopped.

Change: a waiting request that cannot be expected to end before the exit is refused while its caller has time left for another daemon. What is still left at the end of the grace period is ended by the gateway: 503 for what has not run, 502 for what may have run. Then new requests are refused, and the last responses are written before the server closes; a handler that has returned may not have written its response yet.

TestAStoppedProcessAnswersEachRequestThatItPassedOn passes with and without the change: requests that arrive late in the grace period were not cut off after being passed on.

--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -64,6 +64,8 @@
 	edgeReadTimeout        = 15 * time.Second // of a whole request for metrics or readiness
 	edgeHeaderBytes        = 64 << 10
 	shutdownPollInterval   = 50 * time.Millisecond
+	// lastResponseTimeout limits the wait for the responses of the requests that the shutdown ends.
+	lastResponseTimeout = 200 * time.Millisecond
 )
 
 // Edge is a running daemon on the users' platform.
@@ -163,7 +165,7 @@
 }
 
 // Shutdown stops the daemon gracefully. It waits for requests in flight within the
-// platform's grace period.
+// platform's grace period. It then answers those that are left, and stops.
 func (e *Edge) Shutdown() {
 	begin := time.Now()
 	e.log.Event("leaving", slog.Int64("active", e.gateway.ActiveRequests()))
@@ -171,13 +173,23 @@
 	e.gateway.SetLeaving()
 	e.node.Load().SetLeaving()
 	time.AfterFunc(idleCloseDelay, e.front.CloseIdle)
-	limit := e.settings.Bounds.Grace - exitMargin
-	time.AfterFunc(longRequestRefusalDelay, func() { e.gateway.RefuseLongRequests(begin.Add(limit)) })
-	for time.Since(begin) < limit && (e.gateway.ActiveRequests() > 0 || time.Since(begin) < minShutdownTime) {
+	endBy := begin.Add(e.settings.Bounds.Grace - exitMargin)
+	time.AfterFunc(longRequestRefusalDelay, func() { e.gateway.RefuseLongRequests(endBy) })
+	pollUntil(endBy, func() bool { return e.gateway.ActiveRequests() == 0 && time.Since(begin) >= minShutdownTime })
+	e.gateway.RefuseAll()
+	pollUntil(endBy, func() bool { return e.gateway.ActiveRequests() == 0 }) // a request may have arrived before RefuseAll
+	left := e.gateway.ActiveRequests()
+	e.gateway.EndAll()
+	pollUntil(time.Now().Add(lastResponseTimeout), func() bool { return e.front.Active() == 0 })
+	e.log.Event("stopped", slog.Int64("active", left), slog.Duration("after", time.Since(begin)))
+	e.Stop()
+}
+
+// pollUntil waits until a condition holds, or until the given time.
+func pollUntil(end time.Time, isDone func() bool) {
+	for !isDone() && time.Now().Before(end) {
 		time.Sleep(shutdownPollInterval)
 	}
-	e.log.Event("stopped", slog.Int64("active", e.gateway.ActiveRequests()), slog.Duration("after", time.Since(begin)))
-	e.Stop()
 }
 
 // Stop stops the daemon without waiting for requests.
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -354,6 +354,9 @@
 	t.meanStreamTime += time.Duration(streamTimeGain * float64(actual-t.meanStreamTime))
 }
 
+// MeanStreamTime returns the mean time of streams from the first event to the last one.
+func (t *Tracker) MeanStreamTime() time.Duration { return t.meanStreamTime }
+
 // ObserveServiceTime updates the mean time of plain requests at an upstream.
 func (t *Tracker) ObserveServiceTime(id state.UpstreamID, actual time.Duration) {
 	h := t.healthOf(id)
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -31,9 +31,6 @@
 	// noConfigRetryAfter is the Retry-After while the daemon has no configuration, or no
 	// memory for request bodies.
 	noConfigRetryAfter = 500 * time.Millisecond
-	// leavingRetryAfter is the Retry-After of a daemon that is shutting down. It is short
-	// because the retry goes to another daemon.
-	leavingRetryAfter = 10 * time.Millisecond
 )
 
 // Metadata is what the headers of a caller's request contain.
@@ -107,36 +104,38 @@
 
 // Gateway is an http.Handler for callers. It is safe for concurrent use.
 type Gateway struct {
-	opts      Options
-	bodies    bodyMemory
-	active    atomic.Int64
-	tickets   atomic.Uint64 // of the last request
-	leaving   atomic.Bool
-	mustEndBy atomic.Int64 // Unix nanoseconds, see RefuseLongRequests; zero for no limit
+	opts       Options
+	bodies     bodyMemory
+	active     atomic.Int64
+	tickets    atomic.Uint64 // of the last request
+	leaving    atomic.Bool
+	mustEndBy  atomic.Int64 // Unix nanoseconds, see RefuseLongRequests; zero for no limit
+	refusesAll atomic.Bool
+	ended      context.Context // done once EndAll was called
+	end        context.CancelFunc
 }
 
 // New returns a gateway.
-func New(opts Options) *Gateway { return &Gateway{opts: opts} }
-
-// SetLeaving makes the gateway close the connection to the caller after each response, so that
-// callers use other daemons.
-func (g *Gateway) SetLeaving() { g.leaving.Store(true) }
-
-// RefuseLongRequests makes the gateway refuse new requests that may not end by the given
-// time: all streams, and requests with a later deadline.
-func (g *Gateway) RefuseLongRequests(endBy time.Time) { g.mustEndBy.Store(endBy.UnixNano()) }
-
-// ActiveRequests returns the number of requests in progress.
-func (g *Gateway) ActiveRequests() int64 { return g.active.Load() }
+func New(opts Options) *Gateway {
+	g := &Gateway{opts: opts}
+	g.ended, g.end = context.WithCancel(context.Background())
+	return g
+}
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	c := &call{g: g, w: w, r: r, ctx: r.Context(), arrival: g.opts.Clock(), lastEvent: -1}
+	ctx, release := g.withEnd(r.Context())
+	defer release()
+	c := &call{g: g, w: w, r: r, ctx: ctx, arrival: g.opts.Clock(), lastEvent: -1}
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if g.refusesAll.Load() {
+		c.refuse(decisionlog.DaemonLeaving, leavingRetryAfter)
+		return
+	}
 	table := g.opts.View.Table()
 	if table == nil {
 		c.refuse(decisionlog.NoConfiguration, noConfigRetryAfter)
@@ -154,8 +153,7 @@
 	}
 	defer func() { g.bodies.release(c.body) }()
 	c.prepare(table)
-	if by := g.mustEndBy.Load(); by != 0 && (c.route.Kind == routes.Stream || c.deadline.UnixNano() > by) {
-		c.refuse(decisionlog.DaemonLeaving, leavingRetryAfter)
+	if c.refuseNewWhileLeaving() {
 		return
 	}
 	c.serve()
@@ -166,7 +164,7 @@
 	g       *Gateway
 	w       http.ResponseWriter
 	r       *http.Request
-	ctx     context.Context
+	ctx     context.Context // ends when the caller leaves or with EndAll
 	arrival time.Time
 
 	meta     Metadata
@@ -312,10 +310,17 @@
 func (c *call) serve() {
 	defer c.g.opts.View.WithTracker(func(t *balance.Tracker) { t.Withdraw(c.request) })
 	for {
-		if c.ctx.Err() != nil {
+		if c.hasCallerLeft() {
 			c.logOutcome(decisionlog.CallerLeft, 0)
 			return
 		}
+		if c.ctx.Err() != nil {
+			c.failWithRetryAfter(decisionlog.DaemonLeaving, leavingRetryAfter)
+			return
+		}
+		if c.refuseWaitingWhileLeaving() {
+			return
+		}
 		if c.timeLeft() < minTimeLeft {
 			c.fail(decisionlog.Deadline)
 			return
@@ -367,12 +372,12 @@
 			c.holdTime += c.hold
 			c.sleep(min(c.hold, max(0, c.timeLeft()-minTimeLeft)))
 		case notRun:
-			if c.sends >= maxSends {
+			if c.ctx.Err() == nil && c.sends >= maxSends {
 				c.fail(decisionlog.Rejected)
 				return
 			}
 		case broken:
-			if !c.route.Repeatable() || c.runs >= c.route.Attempts {
+			if c.ctx.Err() == nil && (!c.route.Repeatable() || c.runs >= c.route.Attempts) {
 				c.fail(decisionlog.UpstreamDisconnected)
 				return
 			}
@@ -435,7 +440,7 @@
 	return true
 }
 
-// sleep waits for d, or until the caller leaves.
+// sleep waits for d, or until the call ends.
 func (c *call) sleep(d time.Duration) {
 	if d <= 0 {
 		return
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -108,7 +108,7 @@
 	conn, err := c.g.opts.Pool.GetExcept(c.ctx, u.Addr, !c.route.Repeatable(), c.usedConns)
 	if err != nil {
 		if c.ctx.Err() != nil {
-			return delivered
+			return notRun
 		}
 		c.excluded[u.ID] = true
 		view.WithTracker(func(t *balance.Tracker) { t.RecordFailure(c.g.opts.Clock(), u.ID, true) })
@@ -123,15 +123,7 @@
 	x.conn, x.sentAt = conn, c.g.opts.Clock()
 	x.stopCallerWatch = context.AfterFunc(c.ctx, func() { _ = conn.Close() })
 	defer x.stopCallerWatch()
-	out := x.run(placement.Version)
-	if out == delivered {
-		return out
-	}
-	if c.ctx.Err() != nil {
-		c.logOutcome(decisionlog.CallerLeft, 0)
-		return delivered
-	}
-	return out
+	return x.run(placement.Version)
 }
 
 // run writes the request and reads responses up to the response that belongs to the request.
--- a/internal/transport/idleconn/idleconn.go
+++ b/internal/transport/idleconn/idleconn.go
@@ -65,6 +65,20 @@
 	}
 }
 
+// Active returns the number of connections with a request in progress. A request is in progress
+// until its whole response is written, which is after its handler has returned.
+func (l *Listener) Active() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for c := range l.conns {
+		if !c.idle.Load() {
+			n++
+		}
+	}
+	return n
+}
+
 // conn is a connection that the listener accepted.
 type conn struct {
 	net.Conn
