Shutdown of an owner's daemon: answer the requests that are left

Cause: Shutdown went on to stop the HTTP server, which drops the connections of requests in flight.

Change: the requests in flight are canceled first, and the daemon waits for their answers, for a second at most. Each states its outcome.

Evidence: TestDrainingDaemonIsUnreadyAtOnceAndStopsOnASecondSignal checked that the request ends with an error, which held for a connection without an answer. The check is replaced by a stricter one: status 502 and outcome "unknown". It gets no answer without the change.

--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -39,6 +39,7 @@
 	idBytes           = 12
 	acceptedConnGrace = 500 * time.Millisecond // for requests on connections accepted before the port closed
 	announceTimeout   = 2 * time.Second
+	cancelTimeout     = time.Second // for the answers of canceled requests
 	readHeaderTimeout = 10 * time.Second
 )
 
@@ -50,6 +51,9 @@
 	parts             parts
 	shuttingDown      atomic.Bool
 	drainedByOperator atomic.Bool
+
+	requestsEnded context.Context // done when the requests in flight are canceled
+	endRequests   context.CancelFunc
 }
 
 type parts struct {
@@ -70,10 +74,11 @@
 // Start starts a daemon. It proves its identity id on connections to its peers.
 func Start(ctx context.Context, settings Settings, id peer.Identity) (*Daemon, error) {
 	d := &Daemon{settings: settings}
+	d.requestsEnded, d.endRequests = context.WithCancel(context.Background())
 	d.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(settings, id),
-		fx.Supply(fx.Annotate(d, fx.As(new(readiness)), fx.As(new(drainer)))),
+		fx.Supply(d, fx.Annotate(d, fx.As(new(readiness)), fx.As(new(drainer)))),
 		fx.Provide(
 			state.NewFleet, newSockets, newKeyring, newRecorderRef, newPool, newOwner, newCluster, newOwnership, newOwnershipPeers, newConfig, newMembersRef, newSuspects, newGateway, newWeightStoreBudget, newCallers, newPlatform,
 			newRecorder, newDrainsRef, newOperator, newAdmin, newRouter,
@@ -103,7 +108,7 @@
 // Shutdown stops the daemon gracefully: it refuses new requests, hands its upstreams over
 // and waits for requests in flight. For the drain grace period it keeps refusing requests,
 // so that callers get an answer and not a closed connection. Then it stops. If ctx is
-// done, it stops at once.
+// done, it cancels the requests in flight, so that they too get an answer, and stops.
 func (d *Daemon) Shutdown(ctx context.Context) error {
 	d.shuttingDown.Store(true)
 	klog.InfoS("Draining", "daemon", d.settings.ID)
@@ -111,6 +116,9 @@
 	defer cancel()
 	d.parts.Cluster.Drain(announce)
 	err := d.parts.Requests.Wait(ctx)
+	if err != nil {
+		d.cancelRequests()
+	}
 	pause(ctx, d.settings.DrainGrace)
 	// net/http drops requests that it reads after the call of http.Server.Shutdown. The
 	// port therefore closes earlier, so that requests on accepted connections still get a
@@ -123,6 +131,16 @@
 	return errors.Join(err, d.app.Stop(stop))
 }
 
+// cancelRequests cancels the requests in flight and waits until their answers are written,
+// for at most cancelTimeout.
+func (d *Daemon) cancelRequests() {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	d.endRequests()
+	_ = d.parts.Requests.Wait(ctx)   // Shutdown returns the error of the wait before
+	_ = d.parts.Server.Shutdown(ctx) // the last bytes are written after the handlers return
+}
+
 // pause sleeps for d or until ctx is done.
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
@@ -219,7 +237,7 @@
 	return l, nil
 }
 
-func newCallers(lc fx.Lifecycle, l net.Listener, g *once.Gateway, n *config.Node, r readiness, rec *metrics.Recorder, requests *inflight.Counter) *http.Server {
+func newCallers(lc fx.Lifecycle, l net.Listener, d *Daemon, g *once.Gateway, n *config.Node, r readiness, rec *metrics.Recorder, requests *inflight.Counter) *http.Server {
 	api := callers.New(callers.Options{
 		Gateway: metrics.Instrument(g, rec),
 		Tickets: g,
@@ -227,7 +245,7 @@
 		Ready:   r.Ready,
 		NewID:   newID,
 	})
-	server := &http.Server{Handler: countRequests(requests, r, api.Handler()), ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: countRequests(d.requestsEnded, requests, r, api.Handler()), ReadHeaderTimeout: readHeaderTimeout}
 	lc.Append(fx.StartStopHook(
 		func() { go func() { _ = server.Serve(l) }() },
 		func() { _ = server.Close() },
--- a/internal/app/requests.go
+++ b/internal/app/requests.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/celerydeck/celerydeck/internal/state/inflight"
@@ -8,12 +9,16 @@
 
 // countRequests counts the callers' requests in flight. An answer that starts while the
 // daemon is not ready asks the caller to close the connection, so that no request is
-// sent on a connection that the daemon is about to close.
-func countRequests(requests *inflight.Counter, ready readiness, next http.Handler) http.Handler {
+// sent on a connection that the daemon is about to close. When ended is done, the requests
+// in flight are canceled.
+func countRequests(ended context.Context, requests *inflight.Counter, ready readiness, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		requests.Add()
 		defer requests.Done()
-		next.ServeHTTP(&closingWriter{ResponseWriter: w, ready: ready}, r)
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		defer context.AfterFunc(ended, cancel)()
+		next.ServeHTTP(&closingWriter{ResponseWriter: w, ready: ready}, r.WithContext(ctx))
 	})
 }
 
--- a/internal/demo/shutdown_test.go
+++ b/internal/demo/shutdown_test.go
@@ -154,14 +154,20 @@
 		e.SetHung(true)
 	}
 	addr := d.Daemons[0].CallerAddr()
-	ended := make(chan error, 1)
+	type answer struct {
+		status  int
+		outcome string
+	}
+	ended := make(chan answer, 1)
 	go func() {
 		resp, err := http.DefaultClient.Do(completionRequest(t.Context(), t, addr, `{"model":"advice/blitz@v1","prompt":"x","stream":true}`))
-		if err == nil {
-			_, err = io.Copy(io.Discard, resp.Body)
-			_ = resp.Body.Close()
+		if err != nil {
+			ended <- answer{}
+			return
 		}
-		ended <- err
+		defer resp.Body.Close()
+		_, _ = io.Copy(io.Discard, resp.Body)
+		ended <- answer{resp.StatusCode, resp.Header.Get("X-Celerydeck-Outcome")}
 	}()
 	waitForRunning(t, d, 1)
 	ctx, secondSignal := context.WithCancel(t.Context())
@@ -176,7 +182,7 @@
 	qt.Check(t, status(t, addr, "/healthz"), qt.Equals, http.StatusOK)
 	secondSignal() // a second signal cancels the context of Shutdown
 	qt.Check(t, <-stopped, qt.IsNotNil)
-	qt.Check(t, <-ended, qt.IsNotNil)
+	qt.Check(t, <-ended, qt.Equals, answer{http.StatusBadGateway, "unknown"})
 	d.Close(ctx)
 }
 
