Fleet: an outage of the store is judged by the reads of all daemons

Cause: a daemon whose own calls had failed took that for an outage of the store. For 2 s it added the upstreams that its older list had and the new one lacked, and passed the result on as the store's list at the new revision, so that its peers listed them again.

Change: daemons tell each other since when they, together, have read the store without an interruption (new package continuity). Only a pause of the whole fleet that is long enough for an entry to expire counts as an outage. Lapsed upstreams are kept by each daemon for itself, apart from the store's list, and dropped when a peer read the store all the while, when they were listed again, or when their time is over.

--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -268,7 +268,7 @@
 	n := fleet.New(fleet.Options{
 		Self: self, View: p.View, Store: platform.NewStore(p.Settings.StoreAddr), Engines: platform.NewEngines(),
 		Pool: p.Pool, Pins: p.Pins, Log: p.Log, Clock: time.Now, BootClock: bootClock,
-		MinHandoverInterval: b.MinHandoverInterval, LapsedGracePeriod: b.LapsedGracePeriod, ModelLoadWindow: b.LoadWindow, ModelLoadBurst: b.LoadBurst,
+		MinHandoverInterval: b.MinHandoverInterval, LapsedGracePeriod: b.LapsedGracePeriod, UpstreamHeartbeat: b.Heartbeat, ModelLoadWindow: b.LoadWindow, ModelLoadBurst: b.LoadBurst,
 		FirstStart: p.Settings.FirstStart,
 	})
 	lc.Append(fx.StartStopHook(n.Start, n.Close))
--- a/internal/node/fleet/gossip.go
+++ b/internal/node/fleet/gossip.go
@@ -101,6 +101,7 @@
 //   - passes the demand for adapters to workers or queues it for other lease holders, and
 //     drains the queued demand that the messages contain,
 //   - logs peers that became silent or returned,
+//   - drops lapsed upstreams whose time is over,
 //   - updates the engine states and the loadable engines in the view.
 func (n *Node) roundMessages(out Outgoing) []message {
 	n.mu.Lock()
@@ -113,6 +114,7 @@
 		n.addSurvival(now, s)
 	}
 	n.expireCrashReports(now)
+	n.expireLapsed(now)
 	n.applyDemand(protocol.Demand{InUse: out.InUse, Missing: out.Missing})
 	n.updateLostPeers(now)
 	own := n.ownState(out.InFlight)
@@ -280,10 +282,11 @@
 }
 
 // currentRevisions returns the revisions of this daemon's copies of the store's objects, with
-// the age of the list of upstreams. The caller holds the lock.
+// the age of the list of upstreams and the time of reads before it. The caller holds the lock.
 func (n *Node) currentRevisions(now time.Time) protocol.StoreRevisions {
 	k := n.revisions
-	k.StoreAge = now.Sub(n.listReadAt)
+	k.StoreAge = now.Sub(n.reads.Last)
+	k.ReadFor = n.reads.Last.Sub(n.reads.Since)
 	return k
 }
 
--- a/internal/node/fleet/gossip_test.go
+++ b/internal/node/fleet/gossip_test.go
@@ -45,6 +45,7 @@
 		view := NewView(ViewOptions{Zone: m.Zone, Log: log, Clock: clock, Retries: RetryLimits{Ratio: 1, Burst: 1, Window: time.Second}})
 		s.nodes[m.VM] = New(Options{
 			Self: m, View: view, Pins: new(peer.Pins), Log: log, Clock: clock, BootClock: func() time.Duration { return s.now.Sub(time.Unix(0, 0)) },
+			UpstreamHeartbeat: 1200 * time.Millisecond, LapsedGracePeriod: 2 * time.Second,
 		})
 		s.nodes[m.VM].applyRecords(s.now, Records{Revision: 1, Members: members, Holders: map[state.UpstreamID]Holder{"e0": {Engine: "e0", VM: "z0-00", Revision: 1}}})
 	}
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/continuity"
 	"github.com/celerydeck/celerydeck/internal/coordination/holders"
 	"github.com/celerydeck/celerydeck/internal/coordination/loadwindow"
 	"github.com/celerydeck/celerydeck/internal/coordination/relays"
@@ -40,6 +41,8 @@
 	// MinHandoverInterval is the minimum time between the orders of two lease holders of an
 	// engine.
 	MinHandoverInterval time.Duration
+	// UpstreamHeartbeat is the interval at which upstreams renew their entries in the store.
+	UpstreamHeartbeat time.Duration
 	// LapsedGracePeriod is how long upstreams whose entries expired during an outage of the
 	// store stay listed after the outage.
 	LapsedGracePeriod time.Duration
@@ -86,12 +89,13 @@
 	holders         map[state.UpstreamID]Holder
 	workers         map[state.UpstreamID]*worker
 	unlistedSince   map[state.UpstreamID]time.Time // engines of own records that are not listed
-	revisions       protocol.StoreRevisions        // of the copies of the store's objects; listReadAt replaces StoreAge
-	listReadAt      time.Time                      // when any daemon last requested the list of upstreams
-	list            []upstreams.Upstream           // at revisions.Upstreams
+	revisions       protocol.StoreRevisions        // of the copies of the store's objects; reads replaces StoreAge and ReadFor
+	reads           continuity.Reads               // of the list of upstreams, by any daemon
+	list            []upstreams.Upstream           // the store's list at revisions.Upstreams
+	lapsed          []upstreams.Upstream           // listed before the last outage of the store, and not since
 	versions        map[upstreams.Adapter]int
 	storeReachable  bool      // the last call of the store succeeded
-	storeRegainedAt time.Time // end of the last outage of the store
+	storeRegainedAt time.Time // when a call of this daemon succeeded again after a failed one
 	leaving         bool
 	seq             uint64 // of this daemon's last state
 	rounds          uint64 // of gossip
--- a/internal/node/fleet/push.go
+++ b/internal/node/fleet/push.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
+	"github.com/celerydeck/celerydeck/internal/coordination/continuity"
 	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
 	"github.com/celerydeck/celerydeck/internal/coordination/relays"
 	"github.com/celerydeck/celerydeck/internal/protocol"
@@ -167,7 +168,7 @@
 		n.applyRecords(now, r)
 	}
 	if newer.Upstreams != nil {
-		n.applyUpstreams(now, now.Add(-known.StoreAge), known.Upstreams, newer.Upstreams)
+		n.applyPeerUpstreams(now, known, newer.Upstreams)
 	}
 	n.applyVersions(newer.Versions)
 }
@@ -248,10 +249,24 @@
 		n.restartWatch(watchedVersions, "a peer has newer versions")
 	}
 	// The peer's list is not newer than this daemon's, so its age is valid for both.
-	if k.Upstreams <= n.revisions.Upstreams {
-		if at := now.Add(-k.StoreAge); at.After(n.listReadAt) {
-			n.listReadAt = at
-			n.opts.View.ConfirmUpstreams(at)
-		}
+	if k.Upstreams > 0 && k.Upstreams <= n.revisions.Upstreams {
+		n.recordReads(now, readsOf(now, k))
+		n.pruneLapsed()
+		n.opts.View.ConfirmUpstreams(n.reads.Last)
 	}
 }
+
+// applyPeerUpstreams applies a list of upstreams that a peer sent with its revisions.
+func (n *Node) applyPeerUpstreams(now time.Time, known protocol.StoreRevisions, list []upstreams.Upstream) {
+	reads := readsOf(now, known)
+	n.mu.Lock()
+	n.recordReads(now, reads)
+	n.mu.Unlock()
+	n.applyUpstreams(now, reads.Last, known.Upstreams, list)
+}
+
+// readsOf returns when daemons read the store, according to a peer's revisions.
+func readsOf(now time.Time, k protocol.StoreRevisions) continuity.Reads {
+	last := now.Add(-k.StoreAge)
+	return continuity.Reads{Since: last.Add(-k.ReadFor), Last: last}
+}
--- a/internal/node/fleet/report.go
+++ b/internal/node/fleet/report.go
@@ -19,7 +19,7 @@
 	defer n.mu.Unlock()
 	now := n.opts.Clock()
 	r := protocol.FleetReport{
-		VM: n.opts.Self.VM, Zone: n.opts.Self.Zone, At: now, UpstreamListAge: now.Sub(n.listReadAt), StoreReachable: n.storeReachable,
+		VM: n.opts.Self.VM, Zone: n.opts.Self.Zone, At: now, UpstreamListAge: now.Sub(n.reads.Last), StoreReachable: n.storeReachable,
 	}
 	for _, m := range n.members {
 		r.Peers = append(r.Peers, protocol.PeerReport{VM: m.VM, Zone: m.Zone, MessageAge: now.Sub(m.lastHeard), Lost: m.lost})
--- a/internal/node/fleet/storesync.go
+++ b/internal/node/fleet/storesync.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/continuity"
 	"github.com/celerydeck/celerydeck/internal/coordination/holders"
 	"github.com/celerydeck/celerydeck/internal/coordination/relays"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
@@ -139,7 +140,7 @@
 	switch {
 	case isStarting && n.revisions.Records == 0:
 		return false
-	case n.revisions.Upstreams == 0 && !isStarting, now.Sub(n.listReadAt) > staleAfter && !isStarting:
+	case n.revisions.Upstreams == 0 && !isStarting, now.Sub(n.reads.Last) > staleAfter && !isStarting:
 		return true
 	}
 	// A relay that cannot reach the store is passed over, so that the zone does not wait
@@ -280,27 +281,27 @@
 		if len(list.Unusable) > 0 {
 			n.opts.Log.Event("unusable upstream entries", slog.Any("names", list.Unusable))
 		}
-		n.applyUpstreams(now, askedAt, list.Revision, n.withLapsedUpstreams(now, list.Upstreams))
+		n.applyUpstreams(now, askedAt, list.Revision, list.Upstreams)
 		n.reconcileWorkers()
 		n.sleep(upstreamInterval)
 	}
 }
 
 // applyUpstreams applies a list of upstreams that was requested from the store at askedAt. If
-// a newer list is known, only the time of the request is recorded.
+// a newer list is known, only the time of the request is recorded. An upstream that is not on the
+// list has left, unless its entry lapsed in an outage of the store.
 func (n *Node) applyUpstreams(now, askedAt time.Time, revision uint64, list []upstreams.Upstream) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if askedAt.After(n.listReadAt) {
-		n.listReadAt = askedAt
-	}
+	n.recordReads(now, continuity.At(askedAt))
 	if revision < n.revisions.Upstreams {
 		return
 	}
 	n.revisions.Upstreams = revision
 	n.list = list
-	n.opts.View.SetUpstreams(now, list)
-	n.opts.View.ConfirmUpstreams(n.listReadAt)
+	n.pruneLapsed()
+	n.expireLapsed(now)
+	n.showUpstreams(now)
 }
 
 // setStoreReachable records whether a call of the store succeeded. When the store is regained,
@@ -316,30 +317,6 @@
 	n.storeReachable = isReachable
 }
 
-// withLapsedUpstreams returns list with the upstreams added whose entries expired during an
-// outage of the store, until LapsedGracePeriod after the outage; they may register again. The
-// added upstreams are taken from the newest list that any daemon read. If only this daemon
-// had lost the store, upstreams that left meanwhile are no longer in that list.
-func (n *Node) withLapsedUpstreams(now time.Time, list []upstreams.Upstream) []upstreams.Upstream {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if now.Sub(n.storeRegainedAt) >= n.opts.LapsedGracePeriod {
-		return list
-	}
-	ids := make(map[state.UpstreamID]bool, len(list))
-	addrs := make(map[string]bool, len(list))
-	for _, u := range list {
-		ids[u.ID] = true
-		addrs[u.Addr] = true
-	}
-	for _, u := range n.list {
-		if !ids[u.ID] && !addrs[u.Addr] && !u.Draining {
-			list = append(list, u)
-		}
-	}
-	return list
-}
-
 // pollRecords publishes this daemon's own record and reads the records at intervals. It also
 // renews this daemon's leases, starts and stops workers, claims engines and deletes obsolete
 // records.
--- a/internal/node/fleet/storesync_test.go
+++ b/internal/node/fleet/storesync_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/continuity"
 	"github.com/celerydeck/celerydeck/internal/coordination/residency"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
 	"github.com/celerydeck/celerydeck/internal/state/upstreams"
@@ -20,12 +21,11 @@
 	c := qt.New(t)
 	s := newSim(t, 1, 1)
 	n := s.nodes["z0-00"]
-	n.opts.LapsedGracePeriod = 2 * time.Second
 	stays := upstreams.Upstream{ID: "e1", Service: "llm", Addr: "10.0.0.1:1", Zone: "z0"}
 	leaves := upstreams.Upstream{ID: "e2", Service: "llm", Addr: "10.0.0.2:1", Zone: "z0"}
 	n.setStoreReachable(s.now, true)
 	s.now = s.now.Add(10 * time.Second)
-	n.applyUpstreams(s.now, s.now, 10, n.withLapsedUpstreams(s.now, []upstreams.Upstream{stays, leaves}))
+	n.applyUpstreams(s.now, s.now, 10, []upstreams.Upstream{stays, leaves})
 	n.setStoreReachable(s.now, false)
 	leaving := leaves
 	leaving.Draining = true
@@ -33,7 +33,8 @@
 	n.applyUpstreams(s.now, s.now, 30, []upstreams.Upstream{stays})
 	s.now = s.now.Add(7 * time.Second)
 	n.setStoreReachable(s.now, true)
-	c.Assert(n.withLapsedUpstreams(s.now, []upstreams.Upstream{stays}), qt.HasLen, 1)
+	n.applyUpstreams(s.now, s.now, 40, []upstreams.Upstream{stays})
+	c.Assert(n.opts.View.Upstreams(), qt.HasLen, 1)
 }
 
 // During an outage of the store for all daemons, the entries of upstreams expire. The upstreams
@@ -42,22 +43,22 @@
 	c := qt.New(t)
 	s := newSim(t, 1, 1)
 	n := s.nodes["z0-00"]
-	n.opts.LapsedGracePeriod = 2 * time.Second
 	list := []upstreams.Upstream{{ID: "e1", Addr: "10.0.0.1:1"}, {ID: "e2", Addr: "10.0.0.2:1"}, {ID: "e3", Addr: "10.0.0.3:1", Draining: true}}
 	n.setStoreReachable(s.now, true)
 	s.now = s.now.Add(10 * time.Second)
-	n.applyUpstreams(s.now, s.now, 10, n.withLapsedUpstreams(s.now, list))
+	n.applyUpstreams(s.now, s.now, 10, list)
 	n.setStoreReachable(s.now, false)
 	s.now = s.now.Add(5 * time.Second)
 	n.setStoreReachable(s.now, true)
 	for range 3 {
-		kept := n.withLapsedUpstreams(s.now, list[:1])
-		c.Assert(kept, qt.HasLen, 2, qt.Commentf("the draining upstream is not kept"))
-		n.applyUpstreams(s.now, s.now, 20, kept)
+		n.applyUpstreams(s.now, s.now, 20, list[:1])
+		c.Assert(n.opts.View.Upstreams(), qt.HasLen, 2)
+		c.Assert(n.opts.View.Upstream("e3"), qt.IsNil, qt.Commentf("the draining upstream is not kept"))
 		s.now = s.now.Add(600 * time.Millisecond)
 	}
 	s.now = s.now.Add(time.Second)
-	c.Assert(n.withLapsedUpstreams(s.now, list[:1]), qt.HasLen, 1)
+	n.applyUpstreams(s.now, s.now, 20, list[:1])
+	c.Assert(n.opts.View.Upstreams(), qt.HasLen, 1)
 }
 
 // silentEngines never answer.
@@ -114,7 +115,7 @@
 		for _, vm := range s.order {
 			n := s.nodes[vm]
 			n.mu.Lock()
-			n.revisions.Upstreams, n.listReadAt = 1, s.now // the list is fresh
+			n.revisions.Upstreams, n.reads = 1, continuity.At(s.now) // the list is fresh
 			n.mu.Unlock()
 			if n.readsStore() {
 				list = append(list, vm)
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -54,6 +54,9 @@
 	Records   uint64 `cbor:"4,keyasint"` // store revision of the records of members and lease holders
 	// StoreAge is the time since any daemon read this list of upstreams.
 	StoreAge time.Duration `cbor:"5,keyasint"`
+	// ReadFor is the time before that read in which daemons read the store without an
+	// interruption.
+	ReadFor time.Duration `cbor:"6,keyasint"`
 }
 
 // FleetPush is the gossip message that a daemon sends to a relay several times a second.
