Fleet: a daemon that stops calling the store forgets its last failure

Cause: after an outage one daemon reads the store for the zone, and the others stop calling it, some before a call of their own has succeeded. Such a daemon went on taking the store for lost. Its first good call, however much later, counted as the end of the outage, and the upstream that had just left was kept as lapsed for 2 s.

What was left of the cause is removed here: a loop that stops calling the store, because another daemon reads it, resets its failure. A daemon with an old failure counted as cut off: its peers passed it over as a reader, and it claimed no engine.

--- a/internal/node/fleet/lapsed_test.go
+++ b/internal/node/fleet/lapsed_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -109,3 +110,41 @@
 	s.rounds(10) // LapsedGracePeriod
 	s.Assert(s.lists("z0-00"), qt.IsFalse)
 }
+
+// Guards against requests to an upstream that left: a daemon that stopped calling the store in an
+// outage took that outage for a present one, when it called again long after.
+func TestAnOutageThatEndedLongAgoKeepsNoUpstreamThatLeft(t *testing.T) {
+	s := newSim(t, 1, 2)
+	s.rounds(2)
+	s.readFor(3, "z0-00", 10, staying, leaving)
+	for _, vm := range s.order {
+		s.nodes[vm].setStoreReachable(s.now, false)
+	}
+	s.rounds(18) // 3.6 s
+	s.readFor(6, "z0-00", 20, staying, leaving)
+	s.down["z0-00"] = true
+	for !s.nodes["z0-01"].readsStore() {
+		s.rounds(1)
+	}
+	s.read("z0-01", 30, staying)
+	s.Assert(s.lists("z0-01"), qt.IsFalse)
+}
+
+// Guards against a daemon that counts as cut off from the store, and is passed over as a reader,
+// because its last call failed in an outage that other daemons saw the end of.
+func TestADaemonThatStoppedCallingTheStoreForgetsTheFailure(t *testing.T) {
+	s := newSim(t, 1, 2)
+	s.rounds(2)
+	n := s.nodes["z0-01"]
+	b := storeBackoff{log: n.opts.Log, call: "upstreams"}
+	b.failed(s.now, errors.New("test"))
+	n.setStoreReachable(s.now, false)
+	s.readFor(1, "z0-00", 10, staying)
+	s.Assert(n.readsStore(), qt.IsFalse)
+	s.Assert(n.Report().StoreReachable, qt.IsFalse)
+	n.stopCalling(&b)
+	s.Assert(n.Report().StoreReachable, qt.IsTrue)
+	n.setStoreReachable(s.now, false) // a later call of another loop
+	n.stopCalling(&b)
+	s.Assert(n.Report().StoreReachable, qt.IsFalse)
+}
--- a/internal/node/fleet/storesync.go
+++ b/internal/node/fleet/storesync.go
@@ -75,6 +75,17 @@
 	b.pause = 0
 }
 
+// stopped resets the backoff of a loop that calls the store no more, and reports whether its
+// last call had failed.
+func (b *storeBackoff) stopped() bool {
+	if b.pause == 0 {
+		return false
+	}
+	b.log.Event("store no longer called", slog.String("call", b.call))
+	b.pause = 0
+	return true
+}
+
 // sleep waits for d, or until the node is closed.
 func (n *Node) sleep(d time.Duration) {
 	t := time.NewTimer(d)
@@ -266,6 +277,7 @@
 	b := storeBackoff{log: n.opts.Log, call: "upstreams"}
 	for n.ctx.Err() == nil {
 		if !n.readsStore() {
+			n.stopCalling(&b)
 			n.sleep(relayCheckInterval)
 			continue
 		}
@@ -304,8 +316,8 @@
 	n.showUpstreams(now)
 }
 
-// setStoreReachable records whether a call of the store succeeded. When the store is regained,
-// it restarts the watches.
+// setStoreReachable records whether the store is taken to be reachable: whether the last call of
+// it succeeded. When the store is regained, it restarts the watches.
 func (n *Node) setStoreReachable(now time.Time, isReachable bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -317,6 +329,15 @@
 	n.storeReachable = isReachable
 }
 
+// stopCalling is called while another daemon reads the store and a loop does not call it. If the
+// last call of the loop failed, the failure says nothing about the store any more: it must not
+// be taken for a present one later.
+func (n *Node) stopCalling(b *storeBackoff) {
+	if b.stopped() {
+		n.setStoreReachable(n.opts.Clock(), true)
+	}
+}
+
 // pollRecords publishes this daemon's own record and reads the records at intervals. It also
 // renews this daemon's leases, starts and stops workers, claims engines and deletes obsolete
 // records.
@@ -351,6 +372,8 @@
 			n.applyRecords(now, r)
 			n.isPublished = n.renewLeases(askedAt, r)
 			n.syncRefusals(now, r.Refusals)
+		} else if !n.readsStore() {
+			n.stopCalling(&b)
 		}
 		n.reconcileWorkers()
 		n.claimEngines()
