--- a/internal/app/process_test.go
+++ b/internal/app/process_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -24,11 +25,14 @@
 	*qt.C
 	store  *objectstore.Store
 	server *httptest.Server
+	// foreign is JSON text of entries that another program has added to the list of upstreams, each
+	// followed by a comma.
+	foreign atomic.Pointer[string]
 }
 
 func newPlatformStandIn(t *testing.T) *platformStandIn {
 	p := &platformStandIn{C: qt.New(t), store: objectstore.New()}
-	p.server = httptest.NewServer(p.store)
+	p.server = httptest.NewServer(p)
 	t.Cleanup(p.server.Close)
 	p.store.Put("config", "main", map[string]any{
 		"version": 1,
@@ -42,6 +46,20 @@
 	return p
 }
 
+// ServeHTTP serves the store, with the foreign entries in the list of upstreams.
+func (p *platformStandIn) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	foreign := p.foreign.Load()
+	if foreign == nil || r.Method != http.MethodGet || r.URL.Path != "/v1/objects/servers" {
+		p.store.ServeHTTP(w, r)
+		return
+	}
+	rec := httptest.NewRecorder()
+	p.store.ServeHTTP(rec, r)
+	w.WriteHeader(rec.Code)
+	const start = `"items":[`
+	_, _ = w.Write(bytes.Replace(rec.Body.Bytes(), []byte(start), []byte(start+*foreign), 1)) // the daemon may have left
+}
+
 // register lists an upstream of the plain service.
 func (p *platformStandIn) register(id, addr string) {
 	p.store.Put("servers", id, map[string]any{
