VM list: one odd entry no longer hides the other VMs

Cause: the list was decoded as a whole.

Change: the entries are decoded one by one, and those that can't be decoded are left out. An address needs a port from 1 to 65535.

--- a/internal/transport/platform/platform.go
+++ b/internal/transport/platform/platform.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -19,6 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/transport/lenientjson"
 )
 
 // Errors of the object API.
@@ -197,7 +197,11 @@
 	if err := statusErr(resp, http.MethodGet); err != nil {
 		return eris.Wrapf(err, "get %s", path)
 	}
-	return eris.Wrapf(json.NewDecoder(io.LimitReader(resp.Body, maxPageBytes)).Decode(v), "decode %s", path)
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxPageBytes))
+	if err != nil {
+		return eris.Wrapf(err, "read %s", path)
+	}
+	return eris.Wrapf(lenientjson.Unmarshal(data, v), "decode %s", path)
 }
 
 // call waits for the budget and sends a request. Its error wraps errNotSent if the request
@@ -279,7 +283,7 @@
 )
 
 type vmList struct {
-	VMs []VM `json:"vms"`
+	VMs lenientjson.Slice[VM] `json:"vms"`
 }
 
 // VMs reads the platform's list of live and leaving VMs, which may be stale.
@@ -288,7 +292,7 @@
 	defer cancel()
 	var list vmList
 	err := c.getJSON(ctx, "/v1/vms", &list)
-	return usableVMs(list.VMs), err
+	return usableVMs(list.VMs.Values), err
 }
 
 // usableVMs removes incomplete entries and VMs of kinds that the fleet does not use, which
@@ -309,6 +313,10 @@
 	default:
 		return false
 	}
-	_, port, err := net.SplitHostPort(vm.Address)
-	return err == nil && port != "" && vm.ID != "" && vm.Zone != ""
+	_, text, err := net.SplitHostPort(vm.Address)
+	if err != nil || vm.ID == "" || vm.Zone == "" {
+		return false
+	}
+	port, err := strconv.ParseUint(text, 10, 16)
+	return err == nil && port > 0
 }
