Platform: one odd record no longer hides the other records

The same failure as for the list of upstreams: one record that could not be decoded made every read of the records fail, so that daemons lost their leases and new daemons their peers. Found by reading.

Change: such a record is left out and logged as unusable. A lease whose record is unusable is neither renewed nor claimed, as the record still exists.

Evidence: TestOneOddRecordDoesNotHideTheOthers gets an error from Records without the change.

--- a/internal/node/fleet/store.go
+++ b/internal/node/fleet/store.go
@@ -46,6 +46,7 @@
 	Members  []Member
 	Holders  map[state.UpstreamID]Holder
 	Refusals []Refusal
+	Unusable []string // names of records that can't be decoded, for example another program's
 }
 
 // UpstreamList is the list of upstreams at a revision of the store.
--- a/internal/node/fleet/storesync.go
+++ b/internal/node/fleet/storesync.go
@@ -369,6 +369,9 @@
 				continue
 			}
 			b.ok(now)
+			if len(r.Unusable) > 0 {
+				n.opts.Log.Event("unusable records", slog.Any("names", r.Unusable))
+			}
 			n.applyRecords(now, r)
 			n.isPublished = n.renewLeases(askedAt, r)
 			n.syncRefusals(now, r.Refusals)
