Upstream client: no request on a connection that carried a rejection

Cause: engines and services of our own interface echo no request ID, so answers are matched by their order on a connection alone.

Change: connections note the status of each answer. After a status that says that a request was not run, the connection refuses the next request before any part of it is sent, and the client takes another connection. One list of these statuses serves both this and the outcome of a call.

--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -48,7 +48,7 @@
 // NewClientWithDial returns a client that opens its connections with dial.
 func NewClientWithDial(dial DialFunc) *Client {
 	transport := &http.Transport{
-		DialContext:            dial,
+		DialContext:            watchRejections(dial),
 		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
 		IdleConnTimeout:        time.Minute,
 		MaxResponseHeaderBytes: maxHeadBytes,
@@ -82,13 +82,19 @@
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	req.ContentLength = int64(len(body))
 	req.GetBody = nil
-	req.Body = io.NopCloser(bytes.NewReader(body))
-	if len(body) == 0 && sendsEmptyBodyAsChunks(req.Method) {
-		req.Body = http.NoBody
-		lowercaseIdempotencyKey(req.Header)
+	for range maxRejectedConns {
+		sent.Store(false)
+		req.Body = io.NopCloser(bytes.NewReader(body))
+		if len(body) == 0 && sendsEmptyBodyAsChunks(req.Method) {
+			req.Body = http.NoBody
+			lowercaseIdempotencyKey(req.Header)
+		}
+		resp, err := c.http.Do(req)
+		if !errors.Is(err, errRejectedConn) {
+			return resp, sent.Load(), err
+		}
 	}
-	resp, err := c.http.Do(req)
-	return resp, sent.Load(), err
+	return nil, false, errRejectedConn
 }
 
 // sendsEmptyBodyAsChunks reports whether net/http sends an empty body that is not
@@ -133,11 +139,13 @@
 }
 
 // statusError returns the error for an error status of an engine. The outcome is unknown
-// except for the statuses listed here, with which engines reject a request before they run
-// any part of it.
+// except for the statuses of isRejection.
 func statusError(step string, u *state.Upstream, resp *http.Response) *protocol.Error {
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
 	kind, outcome := protocol.KindUnavailable, protocol.OutcomeNotRun
+	if !isRejection(resp.StatusCode) {
+		outcome = protocol.OutcomeUnknown
+	}
 	switch resp.StatusCode {
 	case http.StatusBadRequest, http.StatusUnprocessableEntity:
 		kind = protocol.KindBadRequest
@@ -147,8 +155,6 @@
 		kind = protocol.KindNotOwner
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		kind = protocol.KindOverloaded
-	default:
-		outcome = protocol.OutcomeUnknown
 	}
 	message := fmt.Sprintf("status %d: %s", resp.StatusCode, bytes.TrimSpace(text))
 	return protocol.Errorf(kind, step, outcome, "%s", message).WithPeer(string(u.ID))
