--- a/internal/decisionlog/trace.go
+++ b/internal/decisionlog/trace.go
@@ -239,6 +239,7 @@
 	CallerLeft           = "caller left"
 	Quarantined          = "crashes upstreams"
 	DaemonLeaving        = "daemon is leaving"
+	DaemonStopped        = "daemon stopped"
 	BodyTooLarge         = "body too large"
 	BodyMemoryExhausted  = "memory for bodies is taken"
 )
@@ -259,6 +260,7 @@
 	CallerLeft:           "the caller closed its connection",
 	Quarantined:          "upstreams crashed while they began to run this request, or requests with one of its prompt parts",
 	DaemonLeaving:        "the daemon was shutting down; the request did not run",
+	DaemonStopped:        "the grace period of a shutdown ended while the request may have been running",
 	BodyTooLarge:         "the body is longer than the configuration allows",
 	BodyMemoryExhausted:  "the daemon held too many bodies at that moment; the request did not run",
 }
--- a/internal/node/fleet/lapsed.go
+++ b/internal/node/fleet/lapsed.go
@@ -26,14 +26,14 @@
 	switch {
 	case before.Last.IsZero():
 	case n.reads.Since.After(before.Last):
-		n.opts.Log.Event("store was not read", slog.Duration("for", n.reads.Since.Sub(before.Last)))
+		n.opts.Log.Event("store was not read", slog.Duration("unread", n.reads.Since.Sub(before.Last)))
 		for _, u := range n.list {
 			if !u.Draining && !slices.ContainsFunc(n.lapsed, func(l upstreams.Upstream) bool { return l.ID == u.ID }) {
 				n.lapsed = append(n.lapsed, u)
 			}
 		}
 	case n.reads.Since.Before(before.Since) && len(n.lapsed) > 0:
-		n.opts.Log.Event("store was read by a peer", slog.Duration("since", now.Sub(n.reads.Since)))
+		n.opts.Log.Event("store was read by a peer", slog.Duration("read_for", now.Sub(n.reads.Since)))
 		n.lapsed = nil
 		n.showUpstreams(now)
 	}
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -315,7 +315,7 @@
 			return
 		}
 		if c.ctx.Err() != nil {
-			c.failWithRetryAfter(decisionlog.DaemonLeaving, leavingRetryAfter)
+			c.endWithDaemon()
 			return
 		}
 		if c.refuseWaitingWhileLeaving() {
--- a/internal/node/gateway/shutdown.go
+++ b/internal/node/gateway/shutdown.go
@@ -63,6 +63,15 @@
 	return true
 }
 
+// endWithDaemon ends a request because of EndAll.
+func (c *call) endWithDaemon() {
+	reason := decisionlog.DaemonLeaving
+	if c.runs > 0 || c.responseStarted {
+		reason = decisionlog.DaemonStopped
+	}
+	c.failWithRetryAfter(reason, leavingRetryAfter)
+}
+
 // endBy returns the time by which requests must end, if the daemon is shutting down.
 func (g *Gateway) endBy() (time.Time, bool) {
 	nanos := g.mustEndBy.Load()
