Test: processes of the daemon share one build and never a port

Tests that start processes at the same time could have chosen the same free ports, as these are taken only when a process listens. Ports are now given out in sequence.

--- a/internal/app/edge_test.go
+++ b/internal/app/edge_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -101,10 +102,18 @@
 	maxTestPort = 32000
 )
 
-// freePorts returns the first of n ports in a row that are free for TCP and UDP.
+// nextTestPort is the first port that freePorts tries. It starts at a random port, as other test
+// programs may run at the same time.
+var nextTestPort atomic.Int64
+
+func init() { nextTestPort.Store(rand.Int64N(maxTestPort - minTestPort)) }
+
+// freePorts returns the first of n ports in a row that are free for TCP and UDP. No two calls
+// return the same port.
 func freePorts(c *qt.C, n int) int {
 	for range 100 {
-		first := minTestPort + rand.IntN(maxTestPort-minTestPort-n)
+		offset := int(nextTestPort.Add(int64(n))) % (maxTestPort - minTestPort - n)
+		first := minTestPort + offset
 		free := true
 		for port := first; port < first+n && free; port++ {
 			addr := fmt.Sprintf("127.0.0.1:%d", port)
--- a/internal/app/process_test.go
+++ b/internal/app/process_test.go
@@ -95,12 +95,36 @@
 	return b.buf.String()
 }
 
-// startProcess builds the daemon, starts it on free loopback ports and waits until it is ready.
+// binaryDir holds the daemon's program while the tests run.
+var binaryDir string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "celerydeck-app-test")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binaryDir = dir
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// daemonBinary builds the daemon's program, once, and returns its path.
+var daemonBinary = sync.OnceValues(func() (string, error) {
+	binary := filepath.Join(binaryDir, "celerydeckd")
+	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/celerydeckd").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build the daemon: %w: %s", err, out)
+	}
+	return binary, nil
+})
+
+// startProcess starts a daemon on free loopback ports and waits until it is ready.
 func (p *platformStandIn) startProcess(t *testing.T, settings string) *process {
 	dir := t.TempDir()
-	binary := filepath.Join(dir, "celerydeckd")
-	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/celerydeckd").CombinedOutput()
-	p.Assert(err, qt.IsNil, qt.Commentf("%s", out))
+	binary, err := daemonBinary()
+	p.Assert(err, qt.IsNil)
 	const rangeSize = 11
 	first := freePorts(p.C, rangeSize+2)
 	d := &process{C: p.C, front: fmt.Sprintf("127.0.0.1:%d", first+rangeSize), ready: fmt.Sprintf("127.0.0.1:%d", first+rangeSize+1), exited: make(chan struct{}), log: new(syncBuffer)}
