Gateway: look at the list of upstreams again after the wait for a load

A request could reach an engine seconds after its entry said that it leaves, or was removed.

Cause: a request waits for the load of its adapter, and was then sent to the engine that it had chosen before the wait.

Change: after the wait, a request whose engine has left chooses another one, without taking a retry from the budget.

Evidence: TestARequestThatWaitedForALoadIsNotSentToAnEngineThatLeft, for an engine that leaves and one that has left: one arrival there without the change, none with it.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -364,6 +364,10 @@
 		if c.refuseQuarantined() { // the request may have waited for a load
 			return
 		}
+		if c.hasLeft(placement) {
+			c.retryTaken.Store(c.sends > 0)
+			continue
+		}
 		switch c.send(placement) {
 		case delivered:
 			return
@@ -440,6 +444,19 @@
 	return true
 }
 
+// hasLeft reports whether the upstream of a placement began to leave, or left, while the request
+// waited for a load there.
+func (c *call) hasLeft(placement fleet.Placement) bool {
+	if !placement.Load && placement.ReadyIn == 0 {
+		return false
+	}
+	if u := c.g.opts.View.Upstream(placement.Upstream.ID); u != nil && !u.Draining {
+		return false
+	}
+	c.logStep("upstream left during a load", placement.Upstream, nil)
+	return true
+}
+
 // sleep waits for d, or until the call ends.
 func (c *call) sleep(d time.Duration) {
 	if d <= 0 {
