Soak: the broken build that repeats a request, after the condition has changed

The condition that this build changes has got a part for the shutdown, so that its text was no longer found, and the case ended before a seed. The text to replace is now the part that the case is about; the seeds and the guarantee are as before.

--- a/internal/soak/broken_test.go
+++ b/internal/soak/broken_test.go
@@ -25,7 +25,7 @@
 	}{
 		{
 			"repeats a non-idempotent request", "../node/gateway/gateway.go",
-			"if !c.route.Repeatable() || c.runs >= c.route.Attempts {", "if c.runs >= c.route.Attempts {",
+			"(!c.route.Repeatable() || c.runs >= c.route.Attempts)", "c.runs >= c.route.Attempts",
 			"a non-idempotent request runs at most once",
 		},
 		{
