--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -6,12 +6,10 @@
 	"errors"
 	"io"
 	"log/slog"
-	"maps"
 	"net/http"
 	"net/textproto"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,7 +17,6 @@
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/node/fleet"
-	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/state/upstreams"
 	"github.com/celerydeck/celerydeck/internal/transport/httpconn"
 )
@@ -197,73 +194,6 @@
 	errUnidentifiedResponse = errors.New("gateway: a response on a reused connection has no request ID")
 )
 
-// attemptTimeout returns how long the gateway waits for the response headers before it seeks
-// another upstream. It is zero if only the deadline limits the wait.
-func (x *exchange) attemptTimeout() time.Duration {
-	c := x.c
-	if !c.route.Repeatable() || c.runs+1 >= c.route.Attempts {
-		return 0
-	}
-	if c.route.Kind == routes.Stream {
-		return max(3*c.placement.Estimate, c.route.Goal*2)
-	}
-	return max(minAttemptTimeout, 2*c.route.Goal)
-}
-
-// watchResponse closes the connection of a request whose response head, or whose body if it is
-// not a stream, takes longer than the attempt timeout, if another upstream would start the
-// request within the latency objective. At an engine that is merely busy, the request's place in
-// the queue is worth more than a new place in the queue of another engine. watchResponse returns
-// a function that ends the watch, which may be called more than once.
-func (x *exchange) watchResponse() (stop func()) {
-	wait := x.attemptTimeout()
-	if wait == 0 {
-		return func() {}
-	}
-	req := x.placementElsewhere()
-	done := make(chan struct{})
-	go func() {
-		t := time.NewTimer(wait)
-		defer t.Stop()
-		for {
-			select {
-			case <-done:
-				return
-			case <-t.C:
-			}
-			if x.tryMove(req) {
-				x.c.logStep("no answer in time", x.u, nil)
-				_ = x.conn.Close()
-				return
-			}
-			t.Reset(headCheckInterval)
-		}
-	}()
-	return sync.OnceFunc(func() { close(done) })
-}
-
-// placementElsewhere returns a request for a placement at another upstream, for use on any
-// goroutine.
-func (x *exchange) placementElsewhere() fleet.PlacementRequest {
-	req := x.c.placementRequest()
-	excluded := maps.Clone(x.c.excluded) // the call's goroutine may change the original
-	req.Excluded = func(id state.UpstreamID) bool { return id == x.u.ID || excluded[id] }
-	return req
-}
-
-// tryMove reports whether another upstream, without a load, would start the request within the
-// latency objective and a retry is left in the budget. If so, it takes the retry.
-func (x *exchange) tryMove(req fleet.PlacementRequest) bool {
-	c := x.c
-	req.Limits = balance.Limits{LatencyObjective: c.route.Goal, MaxStartDelay: min(c.route.Goal, c.timeLeft())}
-	placement := c.g.opts.View.Choose(req)
-	if placement.Upstream == nil || placement.Load || !c.g.opts.View.TakeRetry(c.service) {
-		return false
-	}
-	c.retryTaken.Store(true)
-	return true
-}
-
 // write sends the request. A long body is written while the response is read, since an
 // upstream may respond before it has read the whole body.
 func (x *exchange) write(version int) error {
