--- a/internal/coordination/routes/routes.go
+++ b/internal/coordination/routes/routes.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/accounts"
 )
 
 // Kind determines whether the requests of a route may be sent again, and whether their
@@ -53,6 +55,7 @@
 	Rank      int           // 0 is the most urgent
 	Attempts  int           // maximum number of upstreams that may run one request
 	Targets   []Target
+	Public    bool // requests carry no API key although the configuration has client accounts
 }
 
 // Repeatable reports whether a request may run more than once.
@@ -134,17 +137,19 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	Accounts []accounts.Account // client accounts; without any, requests carry no API key
 }
 
 // Table finds routes by host and path. It is immutable.
 type Table struct {
-	Config *Config
-	byHost map[string][]*Route // longest prefix first
+	Config   *Config
+	byHost   map[string][]*Route // longest prefix first
+	accounts *accounts.Catalogue
 }
 
 // NewTable builds the table of a configuration.
 func NewTable(c *Config) *Table {
-	t := &Table{Config: c, byHost: make(map[string][]*Route)}
+	t := &Table{Config: c, byHost: make(map[string][]*Route), accounts: accounts.NewCatalogue(c.Accounts)}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
@@ -155,6 +160,9 @@
 	return t
 }
 
+// Accounts returns the client accounts, or nil if the configuration has none.
+func (t *Table) Accounts() *accounts.Catalogue { return t.accounts }
+
 // Lookup returns the route with the longest prefix of a path, or nil.
 func (t *Table) Lookup(host, path string) *Route {
 	host = strings.ToLower(host)
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -360,4 +360,3 @@
 	v.lastReplicated[a] = now
 	return true
 }
-
--- a/internal/node/fleet/viewrequests.go
+++ b/internal/node/fleet/viewrequests.go
@@ -31,7 +31,6 @@
 	return 0
 }
 
-
 // SetPromptNotices sets whether the daemons notify each other of each prompt. Otherwise the
 // prompts are part of the reports of requests in flight.
 func (v *View) SetPromptNotices(on bool) {
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/accounts"
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
 	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
@@ -29,6 +30,7 @@
 
 	meta     Metadata
 	route    *routes.Route
+	account  *accounts.Account // nil on public routes, and if the configuration has no accounts
 	service  string
 	engine   *routes.EngineSpec
 	body     []byte
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -46,6 +46,10 @@
 	Priority  int           // at a model engine; -1 for none
 	Version   int           // of the adapter, 0 for any
 	LastEvent int           // last event that the caller has received; -1 for none
+	Account   string        // name of the caller's client account
+	// HasAccounts is whether the configuration has client accounts. If so, the headers that name
+	// the caller's key or account are the daemon's to set.
+	HasAccounts bool
 }
 
 // ResponseMetadata is what the headers of an upstream's response contain.
@@ -151,4 +155,3 @@
 	}
 	c.serve()
 }
-
--- a/internal/node/gateway/headwatch.go
+++ b/internal/node/gateway/headwatch.go
@@ -60,7 +60,6 @@
 	return sync.OnceFunc(func() { close(done) })
 }
 
-
 // placementElsewhere returns a request for a placement at another upstream, for use on any
 // goroutine.
 func (x *exchange) placementElsewhere() fleet.PlacementRequest {
--- a/internal/node/gateway/loadwait.go
+++ b/internal/node/gateway/loadwait.go
@@ -55,7 +55,6 @@
 	return true
 }
 
-
 // hasLeft reports whether the upstream of a placement began to leave, or left, while the request
 // waited for a load there.
 func (c *call) hasLeft(placement fleet.Placement) bool {
@@ -91,7 +90,6 @@
 		slog.Bool("ok", reply.Accepted), slog.String("reason", reply.Reason))
 }
 
-
 // useNoticeTimeout limits the time for a notice of a use to a lease holder. A lost notice costs
 // at most a rejected request.
 const useNoticeTimeout = 300 * time.Millisecond
