--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -153,6 +153,9 @@
 	}
 	v.table.Store(routes.NewTable(c))
 	v.opts.Log.Event("configuration in force", slog.Uint64("version", c.Version), slog.Int("routes", len(c.Routes)))
+	if list := unusableAccounts(c); len(list) > 0 {
+		v.opts.Log.Event("unusable account entries", slog.Uint64("version", c.Version), slog.Any("positions", list))
+	}
 	return true
 }
 
