Gateway: authenticate requests by API key

Cause: with client accounts in the configuration, requests carry a key. Change: after the route lookup and before the body is read, the gateway finds the account of the key. A missing, repeated, malformed or unknown key gets 401 at once, also while the body has not arrived. The key is removed from the request and only its digest is kept. Upstreams receive the account's name in X-Tenant. Outcome lines name the key's fingerprint.

--- a/internal/decisionlog/trace.go
+++ b/internal/decisionlog/trace.go
@@ -204,6 +204,8 @@
 		return parts
 	case NoCapacity:
 		return []string{fmt.Sprintf("the best one would have begun in %s", end.duration("estimate").Round(time.Millisecond)), engineCounts(end)}
+	case UnknownKey:
+		return []string{fmt.Sprintf("the key has the fingerprint %s, and version %d of the configuration was in force", end.text("key"), end.number("config"))}
 	case NoEngine:
 		return []string{engineCounts(end)}
 	case CallerLeft:
@@ -242,6 +244,8 @@
 	DaemonStopped        = "daemon stopped"
 	BodyTooLarge         = "body too large"
 	BodyMemoryExhausted  = "memory for bodies is taken"
+	NoKey                = "no usable key"
+	UnknownKey           = "unknown key"
 )
 
 // Causes maps each outcome to its explanation for operators.
@@ -263,4 +267,6 @@
 	DaemonStopped:        "the grace period of a shutdown ended while the request may have been running",
 	BodyTooLarge:         "the body is longer than the configuration allows",
 	BodyMemoryExhausted:  "the daemon held too many bodies at that moment; the request did not run",
+	NoKey:                "the route needs an API key, and the request had no Authorization header, several, or one that is not of the form Bearer KEY; the request did not run",
+	UnknownKey:           "no client account of the configuration in force holds the key; the request did not run",
 }
--- /dev/null
+++ b/internal/node/gateway/account_test.go
@@ -0,0 +1,135 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/accounts"
+	"github.com/celerydeck/celerydeck/internal/coordination/routes"
+)
+
+const secret = "sk-secret-1"
+
+// setAccounts puts a configuration with accounts in force. Its route /once/ is public.
+func (w *fixture) setAccounts(list ...accounts.Account) {
+	next := *w.view.Table().Config
+	next.Version++
+	next.Accounts = list
+	next.Routes = append([]routes.Route(nil), next.Routes...)
+	for i := range next.Routes {
+		next.Routes[i].Public = next.Routes[i].Prefix == "/once/"
+	}
+	w.view.SetConfig(&next)
+}
+
+func account(name string, keys ...string) accounts.Account {
+	a := accounts.Account{Name: name}
+	for _, k := range keys {
+		a.Keys = append(a.Keys, accounts.DigestOf(k))
+	}
+	return a
+}
+
+// doWith sends a request with values of the Authorization header and a forged account.
+func (w *fixture) doWith(path string, authorization ...string) response {
+	r := w.request(path, "body")
+	r.Header["X-Tenant"] = []string{"forged"}
+	r.Header["Authorization"] = authorization
+	resp, err := http.DefaultClient.Do(r)
+	w.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	return response{resp.StatusCode, resp.Header, resp.Close}
+}
+
+// Guards against a request that runs without a key or for another account, and against an upstream
+// that receives a key.
+func TestRequestsRunForTheAccountOfTheirKey(t *testing.T) {
+	u := serveUpstream(t, "a", func(_ int, r *http.Request, w net.Conn) { ok(r, w, "x") })
+	w := newFixture(t, u)
+	// Without accounts, both headers pass through.
+	w.Assert(w.doWith("/plain/x", "Bearer "+secret).StatusCode, qt.Equals, http.StatusOK)
+	w.Assert(u.seen[0].Header["Authorization"], qt.DeepEquals, []string{"Bearer " + secret})
+	w.Assert(u.seen[0].Header["X-Tenant"], qt.DeepEquals, []string{"forged"})
+
+	w.setAccounts(account("acme", secret, "sk-2"), account("other", "sk-3"))
+	for _, test := range []struct {
+		path          string
+		authorization []string
+		status        int
+		account       []string
+	}{
+		{"/plain/x", []string{"Bearer " + secret}, 200, []string{"acme"}},
+		{"/plain/x", []string{"bearer sk-3"}, 200, []string{"other"}},
+		{"/once/x", []string{"Bearer " + secret}, 200, nil},
+		{"/once/x", nil, 200, nil},
+		{"/plain/x", nil, 401, nil},
+		{"/plain/x", []string{"Bearer unknown"}, 401, nil},
+		{"/plain/x", []string{"Bearer " + secret, "Bearer " + secret}, 401, nil},
+		{"/plain/x", []string{"Basic " + secret}, 401, nil},
+	} {
+		before := u.arrivals()
+		resp := w.doWith(test.path, test.authorization...)
+		note := qt.Commentf("%s %s", test.path, test.authorization)
+		w.Assert(resp.StatusCode, qt.Equals, test.status, note)
+		if test.status == http.StatusUnauthorized {
+			w.Assert(resp.Header.Get("WWW-Authenticate"), qt.Equals, "Bearer")
+			w.Assert(u.arrivals(), qt.Equals, before, note)
+			continue
+		}
+		seen := u.seen[before].Header
+		w.Assert(seen["X-Tenant"], qt.DeepEquals, test.account, note)
+		w.Assert(seen["Authorization"], qt.IsNil, note)
+	}
+}
+
+// Guards against a refusal that waits for the request body, and against the rest of a body that is
+// taken for a request.
+func TestAnUnknownKeyIsRefusedBeforeTheBodyArrives(t *testing.T) {
+	w := newFixture(t, serveUpstream(t, "a", func(_ int, r *http.Request, w net.Conn) { ok(r, w, "x") }))
+	w.setAccounts(account("acme", secret))
+	forged := "GET /plain/forged HTTP/1.1\r\nHost: 127.0.0.1\r\nAuthorization: Bearer " + secret + "\r\n\r\n"
+	for _, framing := range []string{fmt.Sprintf("Content-Length: %d", len(forged)+1), "Transfer-Encoding: chunked", "Content-Length: 3000000"} {
+		conn, err := net.Dial("tcp", w.server.Listener.Addr().String())
+		w.Assert(err, qt.IsNil)
+		defer conn.Close()
+		_, _ = fmt.Fprintf(conn, "POST /plain/x HTTP/1.1\r\nHost: 127.0.0.1\r\nAuthorization: Bearer no\r\n%s\r\n\r\n", framing)
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		reader := bufio.NewReader(conn)
+		resp, err := http.ReadResponse(reader, nil)
+		w.Assert(err, qt.IsNil, qt.Commentf(framing))
+		w.Assert(resp.StatusCode, qt.Equals, http.StatusUnauthorized)
+		_ = resp.Body.Close()
+		_, _ = conn.Write([]byte(forged)) // a closed connection is the expected end
+		if next, err := http.ReadResponse(reader, nil); err == nil {
+			_ = next.Body.Close()
+			w.Assert(next.StatusCode, qt.Not(qt.Equals), http.StatusOK, qt.Commentf("%s: the body was taken for a request", framing))
+		}
+	}
+}
+
+// Guards against a connection that is lost with each refusal.
+func TestTheConnectionSurvivesARefusedKey(t *testing.T) {
+	w := newFixture(t, serveUpstream(t, "a", func(_ int, r *http.Request, w net.Conn) { ok(r, w, "x") }))
+	w.setAccounts(account("acme", secret))
+	conn, err := net.Dial("tcp", w.server.Listener.Addr().String())
+	w.Assert(err, qt.IsNil)
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for _, test := range []struct {
+		key    string
+		status int
+	}{{"no", http.StatusUnauthorized}, {secret, http.StatusOK}} {
+		_, _ = fmt.Fprintf(conn, "POST /plain/x HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: q\r\nAuthorization: Bearer %s\r\nContent-Length: 4\r\n\r\n%s", test.key, strings.Repeat("b", 4))
+		resp, err := http.ReadResponse(reader, nil)
+		w.Assert(err, qt.IsNil)
+		w.Assert(resp.StatusCode, qt.Equals, test.status)
+		w.Assert(resp.Body.Close(), qt.IsNil) // reads the rest
+	}
+}
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -28,15 +28,16 @@
 	ctx     context.Context // ends when the caller leaves or with EndAll
 	arrival time.Time
 
-	meta     Metadata
-	route    *routes.Route
-	account  *accounts.Account // nil on public routes, and if the configuration has no accounts
-	service  string
-	engine   *routes.EngineSpec
-	body     []byte
-	traits   []quarantine.Trait
-	deadline time.Time
-	request  balance.Request
+	meta       Metadata
+	route      *routes.Route
+	account    *accounts.Account // nil on public routes, and if the configuration has no accounts
+	credential credential
+	service    string
+	engine     *routes.EngineSpec
+	body       []byte
+	traits     []quarantine.Trait
+	deadline   time.Time
+	request    balance.Request
 
 	isTrial bool // admitted as a trial of refused prompt parts
 	sends   int  // attempts that got a connection to an upstream
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -144,6 +144,9 @@
 		c.respond(http.StatusNotFound, decisionlog.NoRoute)
 		return
 	}
+	if !c.authenticate(table) {
+		return
+	}
 	c.setDeadline()
 	if !c.readBody(table.Config.Limits.BodyBytes) {
 		return
--- a/internal/node/gateway/outcome.go
+++ b/internal/node/gateway/outcome.go
@@ -75,7 +75,7 @@
 	}
 	c.g.opts.Log.Request(
 		decisionlog.End{Request: c.meta.RequestID, Route: routeName, Outcome: outcome, Answered: status >= 200 && status < 300},
-		slog.String("account", accountName), slog.String("service", c.service), slog.String("adapter", c.meta.Adapter.String()), slog.Int("status", status),
+		slog.String("account", accountName), slog.String("key", c.credential.fingerprint()), slog.String("service", c.service), slog.String("adapter", c.meta.Adapter.String()), slog.Int("status", status),
 		slog.Int("sends", c.sends), slog.Int("runs", c.runs), slog.String("upstream", string(c.upstream)),
 		slog.Duration("took", took), slog.Duration("first", c.firstEventDelay), slog.Duration("load_wait", c.loadWait),
 		slog.Duration("estimate", c.placement.Estimate), slog.Uint64("config", c.configVersion), slog.Duration("list_age", c.placement.ListAge),
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -200,7 +200,10 @@
 	c := x.c
 	h := c.r.Header.Clone()
 	stripHopByHop(h)
-	s := UpstreamMetadata{Upstream: x.u.ID, TimeLeft: c.timeLeft(), Priority: -1, LastEvent: -1}
+	s := UpstreamMetadata{Upstream: x.u.ID, TimeLeft: c.timeLeft(), Priority: -1, LastEvent: -1, HasAccounts: c.credential.isRequired}
+	if c.account != nil {
+		s.Account = c.account.Name
+	}
 	if c.engine != nil {
 		s.Priority = c.priority()
 		s.Version = version
