Fleet: know when the configuration was last confirmed

Cause: a daemon that is cut off from the store and its peers can't know whether an unknown key is new, and must not refuse it for good. Change: reads and watches of the configuration confirm the version in force, and gossip passes the age of the confirmation on. After bounds.apply_ms without one, an unknown key gets 503 with Retry-After. With accounts, a watch waits for half of bounds.apply_ms, so that the confirmation reaches daemons that do not read the store in time.

--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -215,8 +215,10 @@
 		Zone:                state.Zone(s.Zone),
 		Retries:             fleet.RetryLimits{Ratio: s.Bounds.RetryRatio, Burst: s.Bounds.RetryBurst, Window: s.Bounds.RetryWindow},
 		OutdatedGracePeriod: time.Duration(float64(s.Bounds.AdapterVersion) * outdatedGraceShare),
+		ConfigApplyTime:     s.Bounds.ConfigApply,
 		Log:                 log,
 		Clock:               time.Now,
+		BootClock:           bootClock,
 	})
 }
 
--- a/internal/node/fleet/gossip.go
+++ b/internal/node/fleet/gossip.go
@@ -287,6 +287,7 @@
 	k := n.revisions
 	k.StoreAge = now.Sub(n.reads.Last)
 	k.ReadFor = n.reads.Last.Sub(n.reads.Since)
+	k.ConfigAge = n.opts.View.ConfigAge()
 	return k
 }
 
@@ -380,6 +381,7 @@
 	to := peer.Peer{ID: m.ID(), Addr: m.Addr}
 	n.mu.Unlock()
 	var reply protocol.FleetReply
+	sentAt := n.opts.BootClock()
 	err := n.opts.Pool.Exchange(ctx, to, protocol.MsgFleet, push, &reply)
 	n.mu.Lock()
 	m.callInFlight = false
@@ -400,4 +402,5 @@
 	m.failures, m.lastErr = 0, ""
 	n.mu.Unlock()
 	n.applyReply(m, &reply)
+	n.confirmByPeer(sentAt, reply.Revisions)
 }
--- a/internal/node/fleet/gossip_test.go
+++ b/internal/node/fleet/gossip_test.go
@@ -69,7 +69,9 @@
 					continue
 				}
 				self := n.opts.Self
-				n.applyReply(m.to, s.nodes[m.to.VM].HandlePush(self.ID(), m.push))
+				reply := s.nodes[m.to.VM].HandlePush(self.ID(), m.push)
+				n.applyReply(m.to, reply)
+				n.confirmByPeer(n.opts.BootClock(), reply.Revisions)
 			}
 		}
 	}
--- a/internal/node/fleet/push.go
+++ b/internal/node/fleet/push.go
@@ -27,6 +27,7 @@
 		return &protocol.FleetReply{Revisions: n.currentRevisions(now)}
 	}
 	caller.revisions = push.Revisions
+	n.confirmByPush(push.Revisions)
 	n.applyStates(now, push.States)
 	// Decide by this daemon's view: a caller that has lost its peers may consider itself a relay.
 	isRelay := slices.Contains(relays.Of(caller.Zone, n.relayView(now)), caller.VM)
--- a/internal/node/fleet/storesync.go
+++ b/internal/node/fleet/storesync.go
@@ -214,18 +214,27 @@
 
 // watchConfig keeps the configuration in force up to date.
 func (n *Node) watchConfig() {
+	var inStore uint64 // the newest version that was read
 	n.watch(watchedConfig, func(ctx context.Context, at uint64) (uint64, error) {
 		read := n.opts.Store.Config
+		var wait time.Duration
 		if at > 0 {
+			wait = n.opts.View.configWait()
 			read = func(ctx context.Context) (*routes.Config, uint64, error) {
-				return n.opts.Store.WatchConfig(ctx, at, watchTimeout)
+				return n.opts.Store.WatchConfig(ctx, at, wait)
 			}
 		}
+		askedAt := n.opts.BootClock()
 		c, revision, err := read(ctx)
-		if err == nil && c != nil {
+		if err != nil {
+			return revision, err
+		}
+		if c != nil {
 			n.applyConfig(c)
+			inStore = c.Version
 		}
-		return revision, err
+		n.confirmRead(askedAt, wait, c != nil, inStore)
+		return revision, nil
 	})
 }
 
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -58,8 +58,13 @@
 	// OutdatedGracePeriod is how long an older version of an adapter may serve after a
 	// newer version was announced.
 	OutdatedGracePeriod time.Duration
-	Log                 *decisionlog.Log
-	Clock               func() time.Time
+	// ConfigApplyTime is the time within which a configuration is in force at every daemon that
+	// reaches the store or its peers. Zero means that this daemon always has the newest one.
+	ConfigApplyTime time.Duration
+	Log             *decisionlog.Log
+	Clock           func() time.Time
+	// BootClock also counts while the machine is suspended. It is needed with ConfigApplyTime.
+	BootClock func() time.Duration
 }
 
 // engineState is a lease holder's report on its engine.
@@ -90,6 +95,8 @@
 	opts  ViewOptions
 	table atomic.Pointer[routes.Table]
 
+	confirmation configConfirmation
+
 	mu              sync.Mutex // guards the fields below; not held across I/O
 	listConfirmedAt time.Time  // when byID last agreed with the store
 	byID            map[state.UpstreamID]*upstreams.Upstream
@@ -135,6 +142,10 @@
 		useNotifiedAt:   make(map[engineAdapter]time.Time),
 		retryBudgets:    make(map[string]*retrybudget.Budget),
 		noticePending:   make(chan struct{}, 1),
+		confirmation:    configConfirmation{at: neverConfirmed},
+	}
+	if v.opts.BootClock == nil {
+		v.opts.BootClock = func() time.Duration { return 0 }
 	}
 	v.tracker.SetDaemons(minDaemonCount, 0)
 	return v
--- a/internal/node/gateway/account.go
+++ b/internal/node/gateway/account.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -94,7 +93,11 @@
 	}
 	c.configVersion = table.Config.Version
 	c.prepareEarlyResponse()
-	c.respondUnauthorized(refusal)
+	if refusal == decisionlog.UnknownKey && !c.g.opts.View.IsConfigConfirmed(table.Config.Version) {
+		c.refuse(decisionlog.UnconfirmedKey, noConfigRetryAfter) // a newer configuration may hold the key
+	} else {
+		c.respondUnauthorized(refusal)
+	}
 	c.skipUnreadBody()
 	return false
 }
@@ -102,7 +105,6 @@
 // respondUnauthorized responds to a request whose key is missing, malformed, unknown or removed.
 func (c *call) respondUnauthorized(reason string) {
 	c.w.Header().Set("WWW-Authenticate", authScheme)
-	c.w.Header().Set("Content-Length", strconv.Itoa(len(reason)+1)) // the response may be flushed before it ends
 	c.respond(http.StatusUnauthorized, reason)
 }
 
--- a/internal/node/gateway/account_test.go
+++ b/internal/node/gateway/account_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/celerydeck/celerydeck/internal/coordination/accounts"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
+	"github.com/celerydeck/celerydeck/internal/node/fleet"
 )
 
 const secret = "sk-secret-1"
@@ -114,6 +115,28 @@
 	}
 }
 
+// Guards against a 401 for a key that only a newer configuration holds, at a daemon that can't know
+// of it.
+func TestAnUnknownKeyIsNotRefusedForGoodByAnOldConfiguration(t *testing.T) {
+	boot := time.Duration(0)
+	opts := fleet.ViewOptions{ConfigApplyTime: 3 * time.Second, BootClock: func() time.Duration { return boot }}
+	w := newFixtureWith(t, opts, serveUpstream(t, "a", func(_ int, r *http.Request, w net.Conn) { ok(r, w, "x") }))
+	w.setAccounts(account("acme", secret))
+	status := func(key string) int {
+		resp := w.doWith("/plain/x", "Bearer "+key)
+		w.Assert(resp.Header.Get("Retry-After") != "", qt.Equals, resp.StatusCode == http.StatusServiceUnavailable)
+		return resp.StatusCode
+	}
+	w.Assert(status("new"), qt.Equals, http.StatusServiceUnavailable, qt.Commentf("never confirmed"))
+	w.view.ConfirmConfig(w.view.Table().Config.Version, boot)
+	boot += 3 * time.Second
+	w.Assert(status("new"), qt.Equals, http.StatusUnauthorized)
+	boot++
+	w.Assert(status("new"), qt.Equals, http.StatusServiceUnavailable)
+	w.Assert(status(secret), qt.Equals, http.StatusOK, qt.Commentf("known keys are served"))
+	w.Assert(w.doWith("/plain/x").StatusCode, qt.Equals, http.StatusUnauthorized, qt.Commentf("no configuration allows a request without a key"))
+}
+
 // Guards against a connection that is lost with each refusal.
 func TestTheConnectionSurvivesARefusedKey(t *testing.T) {
 	w := newFixture(t, serveUpstream(t, "a", func(_ int, r *http.Request, w net.Conn) { ok(r, w, "x") }))
--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -132,10 +132,17 @@
 // /stream/ (a resumable stream) and /fixed/ (a stream that is not resumable). Without
 // upstreams it has no configuration.
 func newFixture(t *testing.T, list ...*upstream) *fixture {
+	return newFixtureWith(t, fleet.ViewOptions{}, list...)
+}
+
+// newFixtureWith is newFixture with options of the view, apart from those that all fixtures share.
+func newFixtureWith(t *testing.T, opts fleet.ViewOptions, list ...*upstream) *fixture {
 	c := qt.New(t)
 	log := decisionlog.New(io.Discard, "vm")
 	t.Cleanup(log.Close)
-	view := fleet.NewView(fleet.ViewOptions{Zone: "z", OutdatedGracePeriod: 400 * time.Millisecond, Retries: fleet.RetryLimits{Ratio: 0.2, Burst: 100, Window: 10 * time.Second}, Log: log, Clock: time.Now})
+	opts.Zone, opts.OutdatedGracePeriod, opts.Log, opts.Clock = "z", 400*time.Millisecond, log, time.Now
+	opts.Retries = fleet.RetryLimits{Ratio: 0.2, Burst: 100, Window: 10 * time.Second}
+	view := fleet.NewView(opts)
 	w := &fixture{C: c, view: view, loader: &loader{}}
 	w.gateway = gateway.New(gateway.Options{
 		View: view, Loader: w.loader, Pool: httpconn.NewPool(), HeaderCodec: platform.Dialect{}, Log: log, Metrics: noMetrics{}, Clock: time.Now,
--- a/internal/node/gateway/outcome.go
+++ b/internal/node/gateway/outcome.go
@@ -4,6 +4,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
@@ -41,6 +42,7 @@
 // respond sends a response of the gateway itself and logs the outcome.
 func (c *call) respond(status int, reason string) {
 	c.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	c.w.Header().Set("Content-Length", strconv.Itoa(len(reason)+1)) // the response may be flushed before it ends
 	c.w.Header().Set("X-Celerydeck-Reason", reason)
 	c.w.WriteHeader(status)
 	_, _ = io.WriteString(c.w, reason+"\n") // the caller may have left
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -57,6 +57,8 @@
 	// ReadFor is the time before that read in which daemons read the store without an
 	// interruption.
 	ReadFor time.Duration `cbor:"6,keyasint"`
+	// ConfigAge is the time since the store was known to hold no newer configuration.
+	ConfigAge time.Duration `cbor:"7,keyasint"`
 }
 
 // FleetPush is the gossip message that a daemon sends to a relay several times a second.
