--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -33,6 +33,7 @@
 	Adapter   upstreams.Adapter
 	TokensIn  int
 	TokensOut int
+	HasTokens bool // the request names both numbers of tokens
 	// SharedParts identifies the parts of the prompt, in order, that other requests may share:
 	// all but the last one.
 	SharedParts []uint64
