Gossip: use of client accounts

Cause: a daemon's estimate of an account's bucket needs the other daemons' sums. Change: a state names the accounts with requests at its daemon; a relay replies with the sums over the others for these accounts and for busy ones.

--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -23,6 +23,7 @@
 	"go.uber.org/fx/fxevent"
 	"golang.org/x/sys/unix"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/quota"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/metrics"
 	"github.com/celerydeck/celerydeck/internal/node/fleet"
@@ -215,6 +216,7 @@
 		Zone:                state.Zone(s.Zone),
 		Retries:             fleet.RetryLimits{Ratio: s.Bounds.RetryRatio, Burst: s.Bounds.RetryBurst, Window: s.Bounds.RetryWindow},
 		OutdatedGracePeriod: time.Duration(float64(s.Bounds.AdapterVersion) * outdatedGraceShare),
+		Quotas:              quota.Options{Window: s.Bounds.QuotaWindow, Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack},
 		Log:                 log,
 		Clock:               time.Now,
 	})
--- a/internal/node/fleet/gossip.go
+++ b/internal/node/fleet/gossip.go
@@ -125,6 +125,9 @@
 	n.opts.View.SetPromptNotices(n.isSmall())
 	view := n.relayView(now)
 	isRelay := slices.Contains(relays.Of(n.opts.Self.Zone, view), n.opts.Self.VM)
+	if isRelay {
+		n.sumAccountsForSelf(now)
+	}
 	targets := relays.TargetsOf(n.opts.Self.VM, n.opts.Self.Zone, view)
 	n.rounds++
 	if n.rounds%n.roundsPerCrossZoneMessage() != 0 && isRelay {
@@ -202,7 +205,7 @@
 	n.seq++
 	s := protocol.DaemonState{
 		VM: n.opts.Self.VM, Incarnation: n.opts.Self.Incarnation, Sequence: n.seq, InFlight: inFlight, StoreUnreachable: !n.storeReachable, Leaving: n.leaving,
-		RateLimits: n.opts.View.OwnRateLimits(),
+		RateLimits: n.opts.View.OwnRateLimits(), Accounts: n.opts.View.ownAccountUse(),
 	}
 	backlog := n.pendingLoadsLocked()
 	for _, w := range n.workers {
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -111,6 +111,7 @@
 	appliedRefusals  map[string]uint64 // revision of each applied record by prompt part; used by pollRecords only
 	// modelLoads are the times of recent orders to load model weights.
 	modelLoads []time.Time
+	accounts   accountSums
 }
 
 // New returns a node. Start starts it.
--- a/internal/node/fleet/push.go
+++ b/internal/node/fleet/push.go
@@ -43,6 +43,7 @@
 	} else {
 		reply.TotalInFlight, reply.Engines, reply.MessageAges = n.digest(now, caller.VM)
 		reply.RateLimits = n.rateLimits(now)
+		reply.Accounts, reply.AllBusyAccounts = n.accountsFor(now, caller)
 	}
 	reply.Update = n.objectsNewerThan(push.Revisions)
 	return reply
@@ -186,10 +187,12 @@
 	n.applyCrashes(now, reply.Crashes, reply.Survivals, reply.RepeatedCrashes)
 	n.applyRevisions(now, reply.Revisions)
 	if reply.MessageAges == nil { // a reply to a relay contains states, not a digest
+		n.sumAccountsForSelf(now)
 		return
 	}
 	n.opts.View.SetPeerInFlight(relayTotalsID, reply.TotalInFlight)
 	n.opts.View.MergeRateLimits(m.VM, reply.RateLimits)
+	n.opts.View.setOthersUse(now, reply.Accounts, reply.AllBusyAccounts)
 	for _, e := range reply.Engines {
 		n.opts.View.SetEngineState(e)
 	}
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -11,6 +11,7 @@
 
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
 	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
+	"github.com/celerydeck/celerydeck/internal/coordination/quota"
 	"github.com/celerydeck/celerydeck/internal/coordination/residency"
 	"github.com/celerydeck/celerydeck/internal/coordination/retrybudget"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
@@ -58,6 +59,7 @@
 	// OutdatedGracePeriod is how long an older version of an adapter may serve after a
 	// newer version was announced.
 	OutdatedGracePeriod time.Duration
+	Quotas              quota.Options
 	Log                 *decisionlog.Log
 	Clock               func() time.Time
 }
@@ -113,6 +115,8 @@
 	promptNotices   bool                  // whether the daemons send notices of prompts
 	notice          protocol.PromptNotice // not yet sent to the peers
 	noticePending   chan struct{}         // has an element if notice is not empty
+
+	quotas quotaLedger // has its own lock
 }
 
 // NewView returns an empty view.
@@ -137,6 +141,8 @@
 		noticePending:   make(chan struct{}, 1),
 	}
 	v.tracker.SetDaemons(minDaemonCount, 0)
+	v.quotas.ledger = quota.New(opts.Quotas)
+	v.quotas.ledger.SetDaemons(minDaemonCount)
 	return v
 }
 
@@ -300,6 +306,7 @@
 	defer v.mu.Unlock()
 	v.daemonCount = count
 	v.tracker.SetDaemons(count, position)
+	v.quotas.setDaemons(count)
 }
 
 // Outgoing is what this daemon reports to its peers about its requests: those in flight, the
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -5,6 +5,7 @@
 
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
 	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
+	"github.com/celerydeck/celerydeck/internal/coordination/quota"
 	"github.com/celerydeck/celerydeck/internal/coordination/residency"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
 	"github.com/celerydeck/celerydeck/internal/state"
@@ -23,6 +24,8 @@
 	Leaving          bool `cbor:"7,keyasint,omitempty"`
 	// RateLimits are the limits that upstreams have recently named in responses to the daemon.
 	RateLimits map[state.UpstreamID]balance.RateLimit `cbor:"8,keyasint,omitempty"`
+	// Accounts is the use of client accounts that have recently had requests at the daemon.
+	Accounts map[string]quota.Use `cbor:"9,keyasint,omitempty"`
 }
 
 // EngineState is the state of an engine as its lease holder reports it.
@@ -94,6 +97,12 @@
 	// RateLimits are the limits that upstreams have recently named in responses to any daemon.
 	// It is empty in replies to a relay.
 	RateLimits map[state.UpstreamID]balance.RateLimit `cbor:"11,keyasint,omitempty"`
+	// Accounts sums up the use of client accounts at all daemons other than the receiver of the
+	// reply: of the accounts that the receiver reported, and of busy ones. It is empty in replies
+	// to a relay.
+	Accounts map[string]quota.Others `cbor:"12,keyasint,omitempty"`
+	// AllBusyAccounts is whether Accounts contains all busy accounts.
+	AllBusyAccounts bool `cbor:"13,keyasint,omitempty"`
 }
 
 // StoreUpdate contains the objects of the object store of which its receiver has no copy
