Gateway: refuse requests beyond the quota of their account

Cause: a request beyond the quota must get 429 at once and must not run. Change: a request is charged once before its first placement, and refunded if it ran nowhere. Each refusal is logged with the inputs of the decision.

--- a/internal/decisionlog/trace.go
+++ b/internal/decisionlog/trace.go
@@ -29,7 +29,7 @@
 }
 
 // durationKeys are the keys of attributes with values in nanoseconds.
-var durationKeys = []string{"took", "first", "load_wait", "estimate", "list_age", "held_age", "ready_in", "left", "after", "pause", "longest_pause", "hold"}
+var durationKeys = []string{"took", "first", "load_wait", "estimate", "report_age", "retry_after", "list_age", "held_age", "ready_in", "left", "after", "pause", "longest_pause", "hold"}
 
 // Text formats the attributes as key=value, sorted by key. It omits empty values.
 func (l *Line) Text() string {
@@ -242,6 +242,7 @@
 	DaemonStopped        = "daemon stopped"
 	BodyTooLarge         = "body too large"
 	BodyMemoryExhausted  = "memory for bodies is taken"
+	QuotaExceeded        = "quota exceeded"
 )
 
 // Causes maps each outcome to its explanation for operators.
@@ -263,4 +264,5 @@
 	DaemonStopped:        "the grace period of a shutdown ended while the request may have been running",
 	BodyTooLarge:         "the body is longer than the configuration allows",
 	BodyMemoryExhausted:  "the daemon held too many bodies at that moment; the request did not run",
+	QuotaExceeded:        "the client account has used up its quota for the moment; the request did not run",
 }
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -62,6 +62,7 @@
 	loadWait        time.Duration             // total wait for loads
 	hold            time.Duration             // wait for room for the prompt at an engine
 	holdTime        time.Duration             // sum of these waits
+	quota           quotaUse
 }
 
 // setDeadline computes the deadline from the route's timeout and the time that the caller
@@ -171,6 +172,7 @@
 // that the choice of an upstream asks for.
 func (c *call) serve() {
 	defer c.g.opts.View.WithTracker(func(t *balance.Tracker) { t.Withdraw(c.request) })
+	defer c.returnQuota()
 	for {
 		if c.hasCallerLeft() {
 			c.logOutcome(decisionlog.CallerLeft, 0)
@@ -191,6 +193,9 @@
 		if c.refuseQuarantined() {
 			return
 		}
+		if !c.takeQuota() {
+			return
+		}
 		placement := c.g.opts.View.Choose(c.placementRequest())
 		c.placement = placement
 		if placement.ReplicateTo != nil && c.g.opts.View.AllowReplication(c.meta.Adapter) {
@@ -232,6 +237,7 @@
 		}
 		switch c.send(placement) {
 		case delivered:
+			c.quota.isSpent = true
 			return
 		case held:
 			c.retryTaken.Store(c.sends > 0)
--- /dev/null
+++ b/internal/node/gateway/quota.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/accounts"
+	"github.com/celerydeck/celerydeck/internal/decisionlog"
+)
+
+// quotaJitter is the share by which a Retry-After is lengthened at most, so that the callers of an
+// account do not return at once.
+const quotaJitter = 0.25
+
+// quotaUse is what a request has taken from the quota of its account.
+type quotaUse struct {
+	isTaken bool
+	isSpent bool // a response was passed on, so nothing is returned
+	tokens  float64
+	takenAt time.Time
+}
+
+// takeQuota charges the request to its account before its first placement. It returns false if it
+// has refused the request: a request beyond the quota does not run.
+func (c *call) takeQuota() bool {
+	if c.account == nil || c.quota.isTaken {
+		return true
+	}
+	c.quota.tokens = quotaTokens(&c.account.Quota, &c.meta)
+	d := c.g.opts.View.TakeQuota(c.account, c.quota.tokens)
+	if d.Admitted {
+		c.quota.isTaken, c.quota.takenAt = true, c.g.opts.Clock()
+		return true
+	}
+	retryAfter := d.RetryAfter + time.Duration(rand.Float64()*quotaJitter*float64(d.RetryAfter))
+	c.g.opts.Log.Event("quota refused", slog.String(decisionlog.KeyRequest, c.meta.RequestID), slog.String("account", c.account.Name),
+		slog.String("reason", d.Reason), slog.Float64("tokens", c.quota.tokens), slog.Float64("quota", c.account.Quota.PerSecond), slog.Float64("burst", c.account.Quota.Burst),
+		slog.Float64("level", d.Level), slog.Float64("capacity", d.Capacity), slog.Float64("share", d.Share), slog.Duration("report_age", d.ReportAge), slog.Duration("retry_after", retryAfter))
+	c.g.opts.HeaderCodec.EncodeRefusal(c.w.Header(), retryAfter)
+	c.respond(http.StatusTooManyRequests, decisionlog.QuotaExceeded)
+	return false
+}
+
+// returnQuota gives the tokens of a request back that ended without having run.
+func (c *call) returnQuota() {
+	if !c.quota.isTaken || c.quota.isSpent || c.runs > 0 {
+		return
+	}
+	c.quota.isSpent = true
+	c.g.opts.View.ReturnQuota(c.account, c.quota.tokens, c.quota.takenAt)
+}
+
+// quotaTokens returns what a request counts for a quota.
+func quotaTokens(q *accounts.Quota, m *Metadata) float64 {
+	switch {
+	case !q.InTokens:
+		return 1
+	case m.HasTokens:
+		return float64(m.TokensIn) + float64(m.TokensOut)
+	default:
+		return float64(max(q.PlainTokens, 1))
+	}
+}
