--- a/internal/decisionlog/trace.go
+++ b/internal/decisionlog/trace.go
@@ -29,7 +29,7 @@
 }
 
 // durationKeys are the keys of attributes with values in nanoseconds.
-var durationKeys = []string{"took", "first", "load_wait", "estimate", "list_age", "held_age", "ready_in", "left", "after", "pause", "longest_pause", "hold"}
+var durationKeys = []string{"took", "first", "load_wait", "estimate", "report_age", "retry_after", "list_age", "held_age", "ready_in", "left", "after", "pause", "longest_pause", "hold"}
 
 // Text formats the attributes as key=value, sorted by key. It omits empty values.
 func (l *Line) Text() string {
@@ -247,6 +247,7 @@
 	NoKey                = "no usable key"
 	UnknownKey           = "unknown key"
 	UnconfirmedKey       = "unknown key, old configuration"
+	QuotaExceeded        = "quota exceeded"
 )
 
 // Causes maps each outcome to its explanation for operators.
@@ -271,4 +272,5 @@
 	NoKey:                "the route needs an API key, and the request had no Authorization header, several, or one that is not of the form Bearer KEY; the request did not run",
 	UnknownKey:           "no client account of the configuration in force holds the key; the request did not run",
 	UnconfirmedKey:       "no client account of the configuration in force holds the key, but the daemon was cut off from the store and its peers and could not know whether a newer one does; the request did not run",
+	QuotaExceeded:        "the client account has used up its quota for the moment; the request did not run",
 }
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -11,6 +11,7 @@
 
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
 	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
+	"github.com/celerydeck/celerydeck/internal/coordination/quota"
 	"github.com/celerydeck/celerydeck/internal/coordination/residency"
 	"github.com/celerydeck/celerydeck/internal/coordination/retrybudget"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
@@ -61,6 +62,7 @@
 	// ConfigApplyTime is the time within which a configuration is in force at every daemon that
 	// reaches the store or its peers. Zero means that this daemon always has the newest one.
 	ConfigApplyTime time.Duration
+	Quotas          quota.Options
 	Log             *decisionlog.Log
 	Clock           func() time.Time
 	// BootClock also counts while the machine is suspended. It is needed with ConfigApplyTime.
@@ -120,6 +122,8 @@
 	promptNotices   bool                  // whether the daemons send notices of prompts
 	notice          protocol.PromptNotice // not yet sent to the peers
 	noticePending   chan struct{}         // has an element if notice is not empty
+
+	quotas quotaLedger // has its own lock
 }
 
 // NewView returns an empty view.
@@ -148,6 +152,8 @@
 		v.opts.BootClock = func() time.Duration { return 0 }
 	}
 	v.tracker.SetDaemons(minDaemonCount, 0)
+	v.quotas.ledger = quota.New(opts.Quotas)
+	v.quotas.ledger.SetDaemons(minDaemonCount)
 	return v
 }
 
@@ -314,6 +320,7 @@
 	defer v.mu.Unlock()
 	v.daemonCount = count
 	v.tracker.SetDaemons(count, position)
+	v.quotas.setDaemons(count)
 }
 
 // Outgoing is what this daemon reports to its peers about its requests: those in flight, the
