Gateway, httpconn: reset the connection of an ended attempt

Cause: an attempt that ended without its whole response closed its connection in order. The kernel and the link go on to deliver what was sent: over a link that was cut for 5.5 s, a request reached an engine seconds after its caller had an answer and after the engine had been acknowledged as leaving. An idle connection took further requests although its link was silent. SO_LINGER 0 is set when the socket is made, so that a dial that is given up and a process that ends reset too; Conn.Close restores the ordinary close. Each attempt ends its connection once, as kept, closed or reset, and the step line says which (conn). An attempt or a dial without any answer resets the idle connections to its address, and connections from before it are not pooled again. The check for a crash no longer pools the connection that it dials. A late watch can no longer close a connection that was given back to the pool.

--- a/internal/node/gateway/crash.go
+++ b/internal/node/gateway/crash.go
@@ -44,7 +44,7 @@
 	return true
 }
 
-// guardStart closes the connection of a request that must no longer start: its adapter version
+// guardStart resets the connection of a request that must no longer start: its adapter version
 // was superseded, so that it would run on the older version, or it was quarantined since it was
 // sent, so that it would crash its upstream.
 func (x *exchange) guardStart(version int, started <-chan struct{}) {
@@ -57,16 +57,17 @@
 			return
 		case <-tick.C:
 		}
+		step := ""
 		switch {
 		case x.c.meta.Adapter.Name != "" && view.IsSuperseded(x.c.meta.Adapter, version):
-			x.c.logStep("adapter version superseded", x.u, nil)
+			step = "adapter version superseded"
 		case view.IsQuarantined(x.c.traits):
 			x.wasWithdrawn.Store(true)
-			x.c.logStep("quarantined while waiting", x.u, nil)
+			step = "quarantined while waiting"
 		default:
 			continue
 		}
-		_ = x.conn.Close()
+		x.resetFor(step)
 		return
 	}
 }
@@ -109,7 +110,7 @@
 	defer cancel()
 	conn, err := g.opts.Pool.Get(ctx, u.Addr, true)
 	if err == nil {
-		g.opts.Pool.Put(u.Addr, conn, 0)
+		conn.Discard() // an answered dial doesn't show that the link delivers a request
 		return
 	}
 	if !errors.Is(err, syscall.ECONNREFUSED) { // cut off, or out of connections
--- a/internal/node/gateway/headwatch.go
+++ b/internal/node/gateway/headwatch.go
@@ -24,11 +24,11 @@
 	return max(minAttemptTimeout, 2*c.route.Goal)
 }
 
-// watchResponse closes the connection of a request whose response head, or whose body if it is
+// watchResponse resets the connection of a request whose response head, or whose body if it is
 // not a stream, takes longer than the attempt timeout, if another upstream would start the
 // request within the latency objective. At an engine that is merely busy, the request's place in
 
-// watchResponse closes the connection of a request whose response head, or whose body if it is
+// watchResponse resets the connection of a request whose response head, or whose body if it is
 // not a stream, takes longer than the attempt timeout, if another upstream would start the
 // request within the latency objective. At an engine that is merely busy, the request's place in
 // the queue is worth more than a new place in the queue of another engine. watchResponse returns
@@ -50,8 +50,7 @@
 			case <-t.C:
 			}
 			if x.tryMove(req) {
-				x.c.logStep("no answer in time", x.u, nil)
-				_ = x.conn.Close()
+				x.resetFor("no answer in time")
 				return
 			}
 			t.Reset(headCheckInterval)
--- a/internal/node/gateway/loadwait.go
+++ b/internal/node/gateway/loadwait.go
@@ -64,7 +64,7 @@
 	if u := c.g.opts.View.Upstream(placement.Upstream.ID); u != nil && !u.Draining {
 		return false
 	}
-	c.logStep("upstream left during a load", placement.Upstream, nil)
+	c.logStep("upstream left during a load", placement.Upstream, fateNone, nil)
 	return true
 }
 
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -76,15 +76,16 @@
 	c                 *call
 	u                 *upstreams.Upstream
 	conn              *httpconn.Conn
+	fate              atomic.Int32 // of conn, see fate
 	sentAt            time.Time
-	stopCallerWatch   func() bool   // after its call, the connection stays open when the caller leaves
+	stopCallerWatch   func() bool   // after its call, the connection is not reset when the caller leaves
 	stopResponseWatch func()        // see watchResponse
 	bodyInBackground  bool          // the body is written while the response is read
 	hadHead           bool          // the response head was received
 	hadFirstEvent     bool          // a first event was received
 	firstEventAt      time.Time     // zero without a first event
 	hasSurvived       bool          // the run got past its beginning, see recordSurvival
-	wasWithdrawn      atomic.Bool   // guardStart has closed the connection because of a quarantine
+	wasWithdrawn      atomic.Bool   // guardStart has reset the connection because of a quarantine
 	started           chan struct{} // closed with the first event; nil if there is nothing to guard
 	pauseSampledAt    time.Time     // see pauseSampleInterval
 	lastEventAt       atomic.Int64  // when an event was last received, in Unix nanoseconds
@@ -102,14 +103,17 @@
 	defer func() {
 		view.End(u.ID, c.request, c.meta.Adapter, x.hadFirstEvent)
 	}()
-	conn, err := c.g.opts.Pool.GetExcept(c.ctx, u.Addr, !c.route.Repeatable(), c.usedConns)
+	conn, err := c.dial(u)
 	if err != nil {
 		if c.ctx.Err() != nil {
+			c.logStep("ended while dialing", u, fateDialing, err)
 			return notRun
 		}
 		c.excluded[u.ID] = true
-		view.WithTracker(func(t *balance.Tracker) { t.RecordFailure(c.g.opts.Clock(), u.ID, true) })
-		c.logStep("no connection", u, err)
+		if c.timeLeft() > 0 { // the dial ends with the deadline
+			view.WithTracker(func(t *balance.Tracker) { t.RecordFailure(c.g.opts.Clock(), u.ID, true) })
+		}
+		c.logStep("no connection", u, fateDialing, err)
 		return notRun
 	}
 	c.usedConns = append(c.usedConns, conn)
@@ -118,8 +122,9 @@
 		view.CountRequest(c.service)
 	}
 	x.conn, x.sentAt = conn, c.g.opts.Clock()
-	x.stopCallerWatch = context.AfterFunc(c.ctx, func() { _ = conn.Close() })
+	x.stopCallerWatch = context.AfterFunc(c.ctx, x.reset)
 	defer x.stopCallerWatch()
+	defer x.reset() // unless the connection was released
 	return x.run(placement.Version)
 }
 
@@ -161,7 +166,7 @@
 	if a.RequestID == "" { // it may be left over from an earlier request
 		return x.abort("match answer", errUnidentifiedResponse), true
 	}
-	c.logStep("answer to an earlier request skipped", x.u, nil)
+	c.logStep("answer to an earlier request skipped", x.u, x.connFate(), nil)
 	if err := x.skipBody(resp); err != nil {
 		return x.abort("skip earlier answer", errors.Join(err, errStaleResponse)), true
 	}
@@ -254,9 +259,10 @@
 // crashed.
 func (x *exchange) abort(step string, err error) outcome {
 	c := x.c
-	_ = x.conn.Close()
+	x.reset()
 	c.runs++
 	if c.ctx.Err() != nil || x.wasWithdrawn.Load() {
+		c.logStep("withdrawn", x.u, x.connFate(), err)
 		return broken
 	}
 	c.excluded[x.u.ID] = true
@@ -265,7 +271,7 @@
 	c.g.opts.View.WithTracker(func(t *balance.Tracker) {
 		t.RecordFailure(c.g.opts.Clock(), x.u.ID, !deadlinePassed && !errors.Is(err, errStaleResponse))
 	})
-	c.logStep(step, x.u, err)
+	c.logStep(step, x.u, x.connFate(), err)
 	if !deadlinePassed && !x.hasSurvived {
 		go c.g.checkCrash(brokenRun{
 			upstream: x.u, traits: c.traits, requestID: c.meta.RequestID, adapter: c.meta.Adapter, sharedParts: c.meta.SharedParts,
@@ -317,7 +323,7 @@
 		c.excluded[x.u.ID] = true
 		c.g.opts.View.WithTracker(func(t *balance.Tracker) { t.RecordFailure(now, x.u.ID, false) })
 		if c.route.Repeatable() && c.runs < c.route.Attempts && c.timeLeft() > minTimeLeft && !c.responseStarted {
-			c.logStep("upstream failed", x.u, errors.New(resp.Status))
+			c.logStep("upstream failed", x.u, x.connFate(), errors.New(resp.Status))
 			return broken
 		}
 	} else {
@@ -345,11 +351,11 @@
 func (x *exchange) handleRejection(resp *http.Response, a ResponseMetadata) outcome {
 	c := x.c
 	if err := x.skipBody(resp); err != nil {
-		_ = x.conn.Close()
+		x.reset()
 	} else {
 		x.release(resp, a)
 	}
-	c.logStep("rejected by upstream", x.u, errors.New(resp.Status))
+	c.logStep("rejected by upstream", x.u, x.connFate(), errors.New(resp.Status))
 	if c.loadingAt == x.u.ID { // the load takes longer than estimated
 		if c.earlyRejections++; c.earlyRejections > 1 { // a single rejection may be due to the error of the estimate
 			c.g.opts.View.RecordOverdueLoad(x.u.ID, c.meta.Adapter)
@@ -377,26 +383,12 @@
 	}
 }
 
-// release gives the connection back to the pool if it can carry another request, and closes it
-// otherwise. A connection on which the request body was written in the background is closed:
-// the upstream may have responded before it read the whole body.
-func (x *exchange) release(resp *http.Response, a ResponseMetadata) {
-	// Stop the watch first: a caller that leaves now must not close the connection, which the
-	// next request may use.
-	isWatchStopped := x.stopCallerWatch()
-	if !isWatchStopped || x.bodyInBackground || resp.Close || isUnframed(resp) {
-		_ = x.conn.Close()
-		return
-	}
-	x.c.g.opts.Pool.Put(x.u.Addr, x.conn, a.KeepAlive)
-}
-
-// logStep logs one step of a request.
-func (c *call) logStep(step string, u *upstreams.Upstream, err error) {
+// logStep logs one step of a request, with the fate of its connection to the upstream.
+func (c *call) logStep(step string, u *upstreams.Upstream, conn fate, err error) {
 	text := ""
 	if err != nil {
 		text = err.Error()
 	}
 	c.g.opts.Log.Event("step", slog.String("request", c.meta.RequestID), slog.String("step", step), slog.String("peer", string(u.ID)),
-		slog.String("addr", u.Addr), slog.Int("sends", c.sends), slog.Duration("left", c.timeLeft()), slog.String("err", text))
+		slog.String("addr", u.Addr), slog.Int("sends", c.sends), slog.String("conn", conn.String()), slog.Duration("left", c.timeLeft()), slog.String("err", text))
 }
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -108,7 +108,7 @@
 			c.responseStarted = true
 		}
 		if _, err := c.w.Write(e.raw); err != nil {
-			_ = x.conn.Close()
+			x.reset()
 			c.logOutcome(decisionlog.CallerLeft, 0)
 			return delivered
 		}
@@ -118,7 +118,7 @@
 		}
 		if reader.Buffered() == 0 {
 			if err := flush.Flush(); err != nil {
-				_ = x.conn.Close()
+				x.reset()
 				c.logOutcome(decisionlog.CallerLeft, 0)
 				return delivered
 			}
@@ -187,7 +187,7 @@
 	})
 }
 
-// watchStall closes the connection of a resumable stream that has stalled, if another
+// watchStall resets the connection of a resumable stream that has stalled, if another
 // upstream can take it over. It returns a function that ends the watch.
 func (x *exchange) watchStall() (stop func()) {
 	c := x.c
@@ -208,7 +208,7 @@
 			}
 			wait := x.checkStall(req)
 			if wait == 0 {
-				_ = x.conn.Close()
+				x.resetFor("stream stalled")
 				return
 			}
 			t.Reset(wait)
@@ -237,6 +237,5 @@
 		return stallCheckInterval
 	}
 	c.retryTaken.Store(true)
-	c.logStep("stream stalled", x.u, nil)
 	return 0
 }
--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -10,6 +10,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -50,11 +51,17 @@
 	head      headLimiter   // below Reader
 	idleSince time.Time
 	maxIdle   time.Duration
+
+	pool     *Pool
+	addr     string
+	peer     *peer
+	openedAt time.Time
+	answered atomic.Bool // the upstream sent bytes or closed the connection since it left the pool
 }
 
 func newConn(conn net.Conn) *Conn {
 	c := &Conn{Conn: conn}
-	c.head.conn = conn
+	c.head.conn = c
 	c.Reader = bufio.NewReaderSize(&c.head, readBufferBytes)
 	return c
 }
@@ -63,20 +70,25 @@
 type Pool struct {
 	dialer net.Dialer
 
-	mu   sync.Mutex
-	idle map[string][]*Conn
+	mu    sync.Mutex
+	idle  map[string][]*Conn
+	peers map[string]*peer
 }
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
 	return &Pool{
-		idle: make(map[string][]*Conn),
+		idle:  make(map[string][]*Conn),
+		peers: make(map[string]*peer),
 		dialer: net.Dialer{
 			Timeout: dialTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{
 				Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 			},
-			Control: func(_, _ string, raw syscall.RawConn) error {
+			Control: func(network, addr string, raw syscall.RawConn) error {
+				if err := ResetOnClose(network, addr, raw); err != nil {
+					return err
+				}
 				return raw.Control(func(fd uintptr) {
 					// The error is ignored, because requests have timeouts of their own.
 					_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
@@ -99,19 +111,30 @@
 	for c := p.pop(addr, now, recentOnly, except); c != nil; c = p.pop(addr, now, recentOnly, except) {
 		if now.Sub(c.idleSince) < c.maxIdle && c.reusable() {
 			c.Reused = true
+			c.answered.Store(false)
 			return c, nil
 		}
 		_ = c.Close()
 	}
+	openedAt := time.Now() // before the dial: a silence that is recorded meanwhile counts
 	conn, err := p.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
+		var netErr net.Error
+		if ctx.Err() == nil && errors.As(err, &netErr) && netErr.Timeout() {
+			p.recordSilence(addr)
+		}
 		return nil, errors.Join(ErrDial, err)
 	}
-	return newConn(conn), nil
+	c := newConn(conn)
+	c.pool, c.addr, c.openedAt = p, addr, openedAt
+	p.mu.Lock()
+	c.peer = p.peerOf(addr)
+	p.mu.Unlock()
+	return c, nil
 }
 
-// Put adds a connection to the pool, or closes it if it has unread data or the pool is
-// full. The caller must have read the last response to its end. KeepAlive is the idle time
+// Put adds a connection to the pool, or closes it if it has unread data, if its address was
+// silent since it was opened, or if the pool is full. The caller must have read the last response to its end. KeepAlive is the idle time
 // that the upstream announced, or zero if it announced none.
 func (p *Pool) Put(addr string, c *Conn, keepAlive time.Duration) {
 	c.maxIdle = maxIdleTime
@@ -125,7 +148,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[addr]) >= maxIdleConns {
+	if s := p.peerOf(addr); len(p.idle[addr]) >= maxIdleConns || !c.openedAt.After(s.silentAt) && !s.silentAt.IsZero() {
 		_ = c.Close()
 		return
 	}
@@ -152,6 +175,7 @@
 			p.idle[addr] = kept
 		}
 	}
+	p.sweepPeers(now)
 }
 
 // pop removes and returns the most recently used idle connection to addr that is not one of
--- a/internal/transport/httpconn/response.go
+++ b/internal/transport/httpconn/response.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 )
 
@@ -22,7 +21,7 @@
 // headLimiter reads from a connection. While a response head is read, it limits the number
 // of bytes.
 type headLimiter struct {
-	conn     net.Conn
+	conn     *Conn
 	limited  bool
 	left     int  // bytes
 	exceeded bool // a read failed because nothing was left
@@ -31,17 +30,26 @@
 // Read implements io.Reader.
 func (l *headLimiter) Read(p []byte) (int, error) {
 	if !l.limited {
-		return l.conn.Read(p)
+		return l.read(p)
 	}
 	if l.left <= 0 {
 		l.exceeded = true
 		return 0, ErrHeadTooLarge
 	}
-	n, err := l.conn.Read(p[:min(len(p), l.left)])
+	n, err := l.read(p[:min(len(p), l.left)])
 	l.left -= n
 	return n, err
 }
 
+func (l *headLimiter) read(p []byte) (int, error) {
+	n, err := l.conn.Read(p)
+	if n > 0 {
+		l.conn.recordBytes()
+	}
+	l.conn.recordRefusal(err)
+	return n, err
+}
+
 // ReadResponse reads the head of the next response and skips interim responses. It fails with
 // ErrHeadTooLarge if that takes more than maxHeadBytes.
 func (c *Conn) ReadResponse(req *http.Request) (*http.Response, error) {
--- /dev/null
+++ b/internal/transport/httpconn/silence.go
@@ -0,0 +1,63 @@
+package httpconn
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// livelyWithin is how recently an address must have sent bytes on any connection for an
+	// attempt without a byte to be no sign of a silent link: its request may just wait.
+	livelyWithin = 100 * time.Millisecond
+	// peerMemory is how long the state of an address without idle connections is kept. It is
+	// longer than a connection is in use without receiving anything.
+	peerMemory = 5 * time.Minute
+)
+
+// peer is what the pool knows of an address.
+type peer struct {
+	lastBytes atomic.Int64 // when bytes were last received on any connection, in Unix nanoseconds
+	touched   time.Time    // last use, guarded by Pool.mu
+	silentAt  time.Time    // end of the last attempt without an answer, guarded by Pool.mu
+}
+
+// peerOf returns the state of an address. The caller holds p.mu.
+func (p *Pool) peerOf(addr string) *peer {
+	s := p.peers[addr]
+	if s == nil {
+		s = &peer{}
+		p.peers[addr] = s
+	}
+	s.touched = time.Now()
+	return s
+}
+
+// recordSilence records that an attempt to an address ended without any answer, not even a
+// closed connection. It resets the idle connections to the address: a link that has gone silent
+// holds back a request on them, while a dial shows whether the link works. Connections that are
+// in use are not reused after their response (see Put).
+func (p *Pool) recordSilence(addr string) {
+	now := time.Now()
+	p.mu.Lock()
+	s := p.peerOf(addr)
+	if now.Sub(time.Unix(0, s.lastBytes.Load())) < livelyWithin {
+		p.mu.Unlock()
+		return
+	}
+	s.silentAt = now
+	idle := p.idle[addr]
+	delete(p.idle, addr)
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.Discard()
+	}
+}
+
+// sweepPeers forgets addresses that were not used for a long time. The caller holds p.mu.
+func (p *Pool) sweepPeers(now time.Time) {
+	for addr, s := range p.peers {
+		if len(p.idle[addr]) == 0 && now.Sub(s.touched) > peerMemory {
+			delete(p.peers, addr)
+		}
+	}
+}
