Platform, transport: reset the connection of a call that is given up

Cause: net/http closes the connection of a cancelled call in order, so that an order, a report, a call of the store, or a request of our own interface could arrive after it was given up. Change: SO_LINGER 0 on the sockets of these clients, set before the dial.

--- a/internal/transport/platform/platform.go
+++ b/internal/transport/platform/platform.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/transport/httpconn"
 	"github.com/celerydeck/celerydeck/internal/transport/lenientjson"
 )
 
@@ -86,7 +87,7 @@
 // NewClient returns a client of the platform at the base URL, such as
 // http://10.0.0.1:80.
 func NewClient(base string) *Client {
-	return NewClientWithDial(base, (&net.Dialer{Timeout: callTimeout}).DialContext)
+	return NewClientWithDial(base, (&net.Dialer{Timeout: callTimeout, Control: httpconn.ResetOnClose}).DialContext)
 }
 
 // DialFunc opens a connection to the platform.
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -18,6 +18,7 @@
 
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/transport/httpconn"
 )
 
 const (
@@ -39,7 +40,7 @@
 
 // NewClient returns a client with a connection pool of its own.
 func NewClient() *Client {
-	return NewClientWithDial((&net.Dialer{Timeout: dialTimeout}).DialContext)
+	return NewClientWithDial((&net.Dialer{Timeout: dialTimeout, Control: httpconn.ResetOnClose}).DialContext)
 }
 
 // DialFunc opens a connection to an upstream.
