Gateway: give up attempts over a link that answers nothing

Cause: an attempt at a silent link waited until its deadline when no other upstream could start it in time. A link that healed meanwhile delivered it to an engine that had left. After a silence, the next request was sent on any connection that was accepted, and some links accept while they are cut. Requests that must not repeat wait until their deadline. After a silence, an engine must answer a probe before it gets a request; requests share the probes of an address. The request line names the fate of the last attempt's connection, too. Result: without the watch and the probe, TestARepeatableAttemptOverASilentLinkIsGivenUpBeforeItsDeadline gets 504 at the deadline instead of 502, and TestAfterASilenceAnEngineAnswersAProbeBeforeTheNextRequest sends the request (504) instead of refusing it unsent (503).

--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -292,8 +292,10 @@
 }
 
 func newEdgeGateway(view *fleet.View, n *fleet.Node, pool *httpconn.Pool, log *decisionlog.Log, r *metrics.Recorder) *gateway.Gateway {
+	engines := platform.NewEngines() // with connections of its own: a probe must not wait for an order
 	return gateway.New(gateway.Options{
 		View: view, Loader: n, Pool: pool, HeaderCodec: platform.Dialect{}, Log: log, Metrics: r.Routes(), Clock: time.Now,
+		Probe: func(ctx context.Context, addr string) error { _, err := engines.Report(ctx, addr); return err },
 	})
 }
 
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -56,6 +56,7 @@
 	placement       fleet.Placement           // the last choice of an upstream
 	configVersion   uint64                    // of the configuration in force at the arrival
 	upstream        state.UpstreamID          // of the last attempt
+	attempt         *exchange                 // the last attempt that got a connection
 	loadingAt       state.UpstreamID          // where the request waited for a load
 	earlyRejections int                       // rejections by the engine loadingAt
 	firstEventDelay time.Duration             // from the arrival to the first event
--- a/internal/node/gateway/connend.go
+++ b/internal/node/gateway/connend.go
@@ -1,12 +1,6 @@
 package gateway
 
-import (
-	"context"
-	"net/http"
-
-	"github.com/celerydeck/celerydeck/internal/state/upstreams"
-	"github.com/celerydeck/celerydeck/internal/transport/httpconn"
-)
+import "net/http"
 
 // fate is what became of the connection of an attempt.
 type fate int32
@@ -24,13 +18,6 @@
 	return [...]string{"open", "kept", "closed", "reset", "dialing", ""}[f]
 }
 
-// dial returns a connection for an attempt. The dial ends with the request.
-func (c *call) dial(u *upstreams.Upstream) (*httpconn.Conn, error) {
-	ctx, cancel := context.WithTimeout(c.ctx, c.timeLeft())
-	defer cancel()
-	return c.g.opts.Pool.GetExcept(ctx, u.Addr, !c.route.Repeatable(), c.usedConns)
-}
-
 // connFate returns what has become of the connection so far.
 func (x *exchange) connFate() fate { return fate(x.fate.Load()) }
 
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -91,6 +91,8 @@
 	Log         *decisionlog.Log
 	Metrics     Metrics
 	Clock       func() time.Time
+	// Probe asks the engine at an address for a short answer. Nil if engines can't be probed.
+	Probe func(ctx context.Context, addr string) error
 }
 
 // Metrics counts and times completed requests.
@@ -103,6 +105,7 @@
 type Gateway struct {
 	opts       Options
 	bodies     bodyMemory
+	probes     prober
 	active     atomic.Int64
 	tickets    atomic.Uint64 // of the last request
 	leaving    atomic.Bool
--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -131,14 +131,17 @@
 // newFixture returns a fixture with the routes /plain/ (idempotent), /once/ (not idempotent),
 // /stream/ (a resumable stream) and /fixed/ (a stream that is not resumable). Without
 // upstreams it has no configuration.
-func newFixture(t *testing.T, list ...*upstream) *fixture {
+func newFixture(t *testing.T, list ...*upstream) *fixture { return newProbingFixture(t, nil, list...) }
+
+// newProbingFixture is like newFixture, with a probe of engines.
+func newProbingFixture(t *testing.T, probe func(context.Context, string) error, list ...*upstream) *fixture {
 	c := qt.New(t)
 	log := decisionlog.New(io.Discard, "vm")
 	t.Cleanup(log.Close)
 	view := fleet.NewView(fleet.ViewOptions{Zone: "z", OutdatedGracePeriod: 400 * time.Millisecond, Retries: fleet.RetryLimits{Ratio: 0.2, Burst: 100, Window: 10 * time.Second}, Log: log, Clock: time.Now})
 	w := &fixture{C: c, view: view, loader: &loader{}}
 	w.gateway = gateway.New(gateway.Options{
-		View: view, Loader: w.loader, Pool: httpconn.NewPool(), HeaderCodec: platform.Dialect{}, Log: log, Metrics: noMetrics{}, Clock: time.Now,
+		View: view, Loader: w.loader, Pool: httpconn.NewPool(), HeaderCodec: platform.Dialect{}, Log: log, Metrics: noMetrics{}, Clock: time.Now, Probe: probe,
 	})
 	w.server = httptest.NewServer(w.gateway)
 	t.Cleanup(w.server.Close)
--- a/internal/node/gateway/outcome.go
+++ b/internal/node/gateway/outcome.go
@@ -73,10 +73,14 @@
 	if c.account != nil {
 		accountName = c.account.Name
 	}
+	conn := fateNone
+	if c.attempt != nil {
+		conn = c.attempt.connFate()
+	}
 	c.g.opts.Log.Request(
 		decisionlog.End{Request: c.meta.RequestID, Route: routeName, Outcome: outcome, Answered: status >= 200 && status < 300},
 		slog.String("account", accountName), slog.String("service", c.service), slog.String("adapter", c.meta.Adapter.String()), slog.Int("status", status),
-		slog.Int("sends", c.sends), slog.Int("runs", c.runs), slog.String("upstream", string(c.upstream)),
+		slog.Int("sends", c.sends), slog.Int("runs", c.runs), slog.String("upstream", string(c.upstream)), slog.String("conn", conn.String()),
 		slog.Duration("took", took), slog.Duration("first", c.firstEventDelay), slog.Duration("load_wait", c.loadWait),
 		slog.Duration("estimate", c.placement.Estimate), slog.Uint64("config", c.configVersion), slog.Duration("list_age", c.placement.ListAge),
 		slog.Duration("held_age", c.placement.ResidencyAge),
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -80,6 +80,7 @@
 	sentAt            time.Time
 	stopCallerWatch   func() bool   // after its call, the connection is not reset when the caller leaves
 	stopResponseWatch func()        // see watchResponse
+	stopSilenceWatch  func()        // see watchSilence
 	bodyInBackground  bool          // the body is written while the response is read
 	hadHead           bool          // the response head was received
 	hadFirstEvent     bool          // a first event was received
@@ -122,6 +123,7 @@
 		view.CountRequest(c.service)
 	}
 	x.conn, x.sentAt = conn, c.g.opts.Clock()
+	c.attempt = x
 	x.stopCallerWatch = context.AfterFunc(c.ctx, x.reset)
 	defer x.stopCallerWatch()
 	defer x.reset() // unless the connection was released
@@ -140,6 +142,8 @@
 	if err := x.write(version); err != nil {
 		return x.abort("write request", err)
 	}
+	x.stopSilenceWatch = x.watchSilence()
+	defer x.stopSilenceWatch()
 	for range maxStaleResponses {
 		if out, isOwn := x.readResponse(); isOwn {
 			return out
@@ -286,6 +290,7 @@
 func (x *exchange) handleResponse(resp *http.Response, a ResponseMetadata) outcome {
 	c := x.c
 	x.hadHead = true
+	x.stopSilenceWatch()
 	now := c.g.opts.Clock()
 	c.g.opts.View.WithTracker(func(t *balance.Tracker) { t.RecordProgress(now, x.u.ID) })
 	if a.HasLoad {
--- a/internal/standin/holdlink/holdlink.go
+++ b/internal/standin/holdlink/holdlink.go
@@ -76,7 +76,14 @@
 func (l *Link) AwaitEnds(n int) { l.await(hasEnded, n) }
 
 // AwaitHeld waits until the link holds bytes of n clients.
-func (l *Link) AwaitHeld(n int) { l.await(func(p *pipe) bool { return len(p.held) > 0 }, n) }
+func (l *Link) AwaitHeld(n int) { l.await(hasHeld, n) }
+
+// Held returns the number of clients of which the link holds bytes.
+func (l *Link) Held() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.count(hasHeld)
+}
 
 // AwaitFlushed waits until everything that n clients sent before their end was delivered or
 // discarded.
@@ -127,6 +134,8 @@
 	return n
 }
 
+func hasHeld(p *pipe) bool { return len(p.held) > 0 }
+
 func hasEnded(p *pipe) bool { return p.senderEnd != nil }
 
 func (l *Link) serve(client net.Conn) {
--- a/internal/transport/httpconn/silence.go
+++ b/internal/transport/httpconn/silence.go
@@ -53,6 +53,33 @@
 	}
 }
 
+// IsSilent reports whether an attempt or a dial to an address got no answer, and nothing was
+// received from the address since.
+func (p *Pool) IsSilent(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.peers[addr]
+	return s != nil && s.silentAt.UnixNano() > s.lastBytes.Load() && !s.silentAt.IsZero()
+}
+
+// LastBytes returns when bytes were last received from an address.
+func (p *Pool) LastBytes(addr string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.peers[addr]; s != nil {
+		return time.Unix(0, s.lastBytes.Load())
+	}
+	return time.Time{}
+}
+
+// RecordBytes records that bytes were received from an address on a connection that is not the
+// pool's.
+func (p *Pool) RecordBytes(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peerOf(addr).lastBytes.Store(time.Now().UnixNano())
+}
+
 // sweepPeers forgets addresses that were not used for a long time. The caller holds p.mu.
 func (p *Pool) sweepPeers(now time.Time) {
 	for addr, s := range p.peers {
