Soak: a blocked link discards the bytes of a reset connection

Cause: a blocked TCP link delivered what it had read, or found in its socket, although the sender had reset the connection; no network does that. Change: before it delivers, the link asks the sender's socket for a reset. Result: TestABlockedLinkDiscardsTheBytesOfAResetConnection fails before ("x" delivered) and passes after, 10 runs with -race.

--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -12,7 +13,7 @@
 type LinkMode string
 
 // Link modes. A blocked TCP link holds back bytes and delivers them when it is open
-// again, as retransmission would.
+// again, as retransmission would, unless their sender has reset its connection.
 const (
 	ModeOpen      LinkMode = "open"
 	ModeDelayed   LinkMode = "delayed"
@@ -156,6 +157,25 @@
 	_ = c.Close()
 }
 
+// wasReset reports whether the peer has reset a connection. A read shows that only after the bytes
+// that were received before the reset.
+func wasReset(c net.Conn) bool {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var pending int
+	err = raw.Control(func(fd uintptr) {
+		// A socket without the option has no error to report.
+		pending, _ = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
+	})
+	return err == nil && pending != 0
+}
+
 func (l *Link) accept(listen net.Listener) {
 	for {
 		c, err := listen.Accept()
@@ -184,7 +204,7 @@
 func (l *Link) serve(c net.Conn) {
 	defer reset(c)
 	done := make(chan struct{})
-	if !l.mode.waitOpen(true, done) {
+	if !l.mode.waitOpen(true, done) || wasReset(c) {
 		return
 	}
 	s, err := net.DialTimeout("tcp", l.target, dialTimeout)
@@ -207,7 +227,7 @@
 	buf := make([]byte, copyBufferBytes)
 	for {
 		n, err := from.Read(buf)
-		if !l.mode.waitOpen(toServer, done) {
+		if !l.mode.waitOpen(toServer, done) || wasReset(from) {
 			reset(to)
 			reset(from)
 			return
