--- a/internal/transport/lenientjson/lenientjson.go
+++ b/internal/transport/lenientjson/lenientjson.go
@@ -62,6 +62,10 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (s *Slice[T]) UnmarshalJSON(data []byte) error {
+	*s = Slice[T]{}
+	if json.Unmarshal(data, &s.Values) == nil && s.Values != nil { // the usual case takes a single pass
+		return nil
+	}
 	var list []json.RawMessage
 	if err := json.Unmarshal(data, &list); err != nil {
 		return err
