--- a/internal/node/gateway/account_test.go
+++ b/internal/node/gateway/account_test.go
@@ -120,7 +120,7 @@
 func TestAnUnknownKeyIsNotRefusedForGoodByAnOldConfiguration(t *testing.T) {
 	boot := time.Duration(0)
 	opts := fleet.ViewOptions{ConfigApplyTime: 3 * time.Second, BootClock: func() time.Duration { return boot }}
-	w := newFixtureWith(t, opts, serveUpstream(t, "a", func(_ int, r *http.Request, w net.Conn) { ok(r, w, "x") }))
+	w := newFixtureWith(t, opts, nil, serveUpstream(t, "a", func(_ int, r *http.Request, w net.Conn) { ok(r, w, "x") }))
 	w.setAccounts(account("acme", secret))
 	status := func(key string) int {
 		resp := w.doWith("/plain/x", "Bearer "+key)
--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -132,11 +132,17 @@
 // /stream/ (a resumable stream) and /fixed/ (a stream that is not resumable). Without
 // upstreams it has no configuration.
 func newFixture(t *testing.T, list ...*upstream) *fixture {
-	return newFixtureWith(t, fleet.ViewOptions{}, list...)
+	return newFixtureWith(t, fleet.ViewOptions{}, nil, list...)
 }
 
-// newFixtureWith is newFixture with options of the view, apart from those that all fixtures share.
-func newFixtureWith(t *testing.T, opts fleet.ViewOptions, list ...*upstream) *fixture {
+// newProbingFixture is like newFixture, with a probe of engines.
+func newProbingFixture(t *testing.T, probe func(context.Context, string) error, list ...*upstream) *fixture {
+	return newFixtureWith(t, fleet.ViewOptions{}, probe, list...)
+}
+
+// newFixtureWith is newFixture with options of the view, apart from those that all fixtures share,
+// and a probe of engines.
+func newFixtureWith(t *testing.T, opts fleet.ViewOptions, probe func(context.Context, string) error, list ...*upstream) *fixture {
 	c := qt.New(t)
 	log := decisionlog.New(io.Discard, "vm")
 	t.Cleanup(log.Close)
@@ -145,7 +151,7 @@
 	view := fleet.NewView(opts)
 	w := &fixture{C: c, view: view, loader: &loader{}}
 	w.gateway = gateway.New(gateway.Options{
-		View: view, Loader: w.loader, Pool: httpconn.NewPool(), HeaderCodec: platform.Dialect{}, Log: log, Metrics: noMetrics{}, Clock: time.Now,
+		View: view, Loader: w.loader, Pool: httpconn.NewPool(), HeaderCodec: platform.Dialect{}, Log: log, Metrics: noMetrics{}, Clock: time.Now, Probe: probe,
 	})
 	w.server = httptest.NewServer(w.gateway)
 	t.Cleanup(w.server.Close)
