--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -260,9 +260,6 @@
 	}
 }
 
-// maxSends is the number of attempts after which a request that an upstream rejects is not
-// sent again.
-
 // maxSends is the number of attempts after which a request that an upstream rejects is not
 // sent again.
 const maxSends = 4
