Routes: the account's priority goes before the route's

Cause: accounts may have a priority, which decides before that of the route. Change: the table ranks the pairs of account and route priority that occur in the configuration, compressed to the ranks of the balancer and the priorities of engines. Requests without an account priority are placed by their route's. Every decision that read the route's rank reads this one. Without an account priority all ranks are as before. Tables are built outside the lock of the view.

--- a/internal/coordination/routes/routes.go
+++ b/internal/coordination/routes/routes.go
@@ -145,11 +145,13 @@
 	Config   *Config
 	byHost   map[string][]*Route // longest prefix first
 	accounts *accounts.Catalogue
+
+	precedences *precedences // nil if no account has a priority
 }
 
 // NewTable builds the table of a configuration.
 func NewTable(c *Config) *Table {
-	t := &Table{Config: c, byHost: make(map[string][]*Route), accounts: accounts.NewCatalogue(c.Accounts)}
+	t := &Table{Config: c, byHost: make(map[string][]*Route), accounts: accounts.NewCatalogue(c.Accounts), precedences: newPrecedences(c)}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -157,12 +157,20 @@
 // SetConfig puts a configuration in force if it is newer than the current configuration. It
 // reports whether it did.
 func (v *View) SetConfig(c *routes.Config) bool {
+	isNewer := func() bool {
+		t := v.table.Load()
+		return t == nil || t.Config.Version < c.Version
+	}
+	if !isNewer() {
+		return false
+	}
+	table := routes.NewTable(c) // takes long with many accounts
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if t := v.table.Load(); t != nil && t.Config.Version >= c.Version {
+	if !isNewer() {
 		return false
 	}
-	v.table.Store(routes.NewTable(c))
+	v.table.Store(table)
 	v.opts.Log.Event("configuration in force", slog.Uint64("version", c.Version), slog.Int("routes", len(c.Routes)))
 	if list := unusableAccounts(c); len(list) > 0 {
 		v.opts.Log.Event("unusable account entries", slog.Uint64("version", c.Version), slog.Any("positions", list))
--- a/internal/node/gateway/account_test.go
+++ b/internal/node/gateway/account_test.go
@@ -90,6 +90,23 @@
 	}
 }
 
+// Guards against an engine that runs a less urgent account's requests first.
+func TestTheAccountsPriorityReachesTheEngine(t *testing.T) {
+	u := serveUpstream(t, "a", func(_ int, r *http.Request, w net.Conn) {
+		streamHead(r, w)
+		chunk(w, "id: 0\ndata: x\n\n")
+		chunk(w, "")
+	})
+	w := newFixture(t, u)
+	later, urgent := account("later", "sk-2"), account("urgent", "sk-1")
+	later.Priority, later.HasPriority, urgent.HasPriority = 5, true, true
+	w.setAccounts(later, urgent)
+	for i, key := range []string{"sk-1", "sk-2"} {
+		w.Assert(w.doWith("/stream/x", "Bearer "+key).StatusCode, qt.Equals, http.StatusOK)
+		w.Assert(u.seen[i].Header.Get("X-Request-Priority"), qt.Equals, []string{"0", "2"}[i])
+	}
+}
+
 // Guards against a refusal that waits for the request body, and against the rest of a body that is
 // taken for a request.
 func TestAnUnknownKeyIsRefusedBeforeTheBodyArrives(t *testing.T) {
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -32,6 +32,7 @@
 	route      *routes.Route
 	account    *accounts.Account // nil on public routes, and if the configuration has no accounts
 	credential credential
+	precedence routes.Precedence
 	service    string
 	engine     *routes.EngineSpec
 	body       []byte
@@ -117,9 +118,10 @@
 	c.engine = table.Config.Services[c.service].Engine
 	c.configVersion = table.Config.Version
 	c.lastEvent = c.meta.LastEvent
-	c.request = balance.Request{Rank: c.route.Rank, TokensIn: c.meta.TokensIn, TokensOut: c.meta.TokensOut, Ticket: c.g.tickets.Add(1)}
+	c.precedence = table.Precedence(c.account, c.route)
+	c.request = balance.Request{Rank: c.precedence.Rank, TokensIn: c.meta.TokensIn, TokensOut: c.meta.TokensOut, Ticket: c.g.tickets.Add(1)}
 	// Less urgent ranks yield to more urgent ones that arrive somewhat later.
-	c.request.StartBy = c.arrival.Add(c.route.Goal * time.Duration(2+c.route.Rank) / 2)
+	c.request.StartBy = c.arrival.Add(c.route.Goal * time.Duration(2+c.precedence.Rank) / 2)
 	c.excluded = make(map[state.UpstreamID]bool)
 }
 
--- a/internal/node/gateway/loadwait.go
+++ b/internal/node/gateway/loadwait.go
@@ -33,7 +33,7 @@
 	if placement.Load {
 		ctx, cancel := context.WithTimeout(c.ctx, c.orderWait())
 		reply := c.g.opts.Loader.RequestLoad(ctx, protocol.LoadRequest{
-			Upstream: placement.Upstream.ID, Adapter: c.meta.Adapter, Version: placement.Version, Rank: c.route.Rank, Slack: c.timeToObjective() - firstEventAfterLoad,
+			Upstream: placement.Upstream.ID, Adapter: c.meta.Adapter, Version: placement.Version, Rank: c.precedence.Rank, Slack: c.timeToObjective() - firstEventAfterLoad,
 			OrderTimeout: c.orderWait(),
 		})
 		cancel()
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -241,16 +241,12 @@
 // priority returns the request's priority at a model engine. Among requests of the same rank,
 // requests that have missed their latency objective come last.
 func (c *call) priority() int {
-	p := 2 * c.route.Rank
 	if c.timeToObjective() < 0 && !c.responseStarted {
-		p++
+		return c.precedence.LatePriority
 	}
-	return min(p, maxPriority)
+	return c.precedence.EnginePriority
 }
 
-// maxPriority is the least urgent priority that engines accept.
-const maxPriority = 9
-
 // abort ends an attempt without a complete response, in which the request may have run. Unless
 // the caller has left, it excludes the upstream and records a failure. If the deadline has not
 // passed and the run was not past its beginning, it also starts a check whether the upstream has
