Gateway: check keys again before each send, end requests of removed keys

Cause: a key may be removed while a request waits or runs. Change: before each send the key is looked up in the configuration in force. A request whose key is gone gets 401, or 502 if it may have run. With bounds.strict_revoke, requests in progress end as soon as the configuration is in force; a caller that does not read has half of bounds.revoke_ms left.

--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -293,9 +293,10 @@
 	return r
 }
 
-func newEdgeGateway(view *fleet.View, n *fleet.Node, pool *httpconn.Pool, log *decisionlog.Log, r *metrics.Recorder) *gateway.Gateway {
+func newEdgeGateway(s platform.Settings, view *fleet.View, n *fleet.Node, pool *httpconn.Pool, log *decisionlog.Log, r *metrics.Recorder) *gateway.Gateway {
 	return gateway.New(gateway.Options{
 		View: view, Loader: n, Pool: pool, HeaderCodec: platform.Dialect{}, Log: log, Metrics: r.Routes(), Clock: time.Now,
+		StrictRevoke: s.Bounds.StrictRevoke, RevokeTime: s.Bounds.Revoke,
 	})
 }
 
--- a/internal/decisionlog/trace.go
+++ b/internal/decisionlog/trace.go
@@ -204,7 +204,7 @@
 		return parts
 	case NoCapacity:
 		return []string{fmt.Sprintf("the best one would have begun in %s", end.duration("estimate").Round(time.Millisecond)), engineCounts(end)}
-	case UnknownKey, UnconfirmedKey:
+	case UnknownKey, UnconfirmedKey, KeyRemoved:
 		return []string{fmt.Sprintf("the key has the fingerprint %s, and version %d of the configuration was in force", end.text("key"), end.number("config"))}
 	case NoEngine:
 		return []string{engineCounts(end)}
@@ -246,6 +246,7 @@
 	BodyMemoryExhausted  = "memory for bodies is taken"
 	NoKey                = "no usable key"
 	UnknownKey           = "unknown key"
+	KeyRemoved           = "key removed"
 	UnconfirmedKey       = "unknown key, old configuration"
 )
 
@@ -270,5 +271,6 @@
 	BodyMemoryExhausted:  "the daemon held too many bodies at that moment; the request did not run",
 	NoKey:                "the route needs an API key, and the request had no Authorization header, several, or one that is not of the form Bearer KEY; the request did not run",
 	UnknownKey:           "no client account of the configuration in force holds the key; the request did not run",
+	KeyRemoved:           "the key was removed from the configuration after the request had come",
 	UnconfirmedKey:       "no client account of the configuration in force holds the key, but the daemon was cut off from the store and its peers and could not know whether a newer one does; the request did not run",
 }
--- a/internal/node/fleet/accounts.go
+++ b/internal/node/fleet/accounts.go
@@ -53,6 +53,10 @@
 	return t != nil && t.Config.Version == version && (v.opts.ConfigApplyTime <= 0 || v.ConfigAge() <= v.opts.ConfigApplyTime)
 }
 
+// OnConfig sets a function that is called, on a goroutine of its own, after a configuration came into
+// force. It must be set before the view is used.
+func (v *View) OnConfig(do func(*routes.Table)) { v.onConfig = do }
+
 // configWait returns how long a watch of the configuration waits. Confirmations must be frequent
 // enough to reach the daemons that do not read the store within ConfigApplyTime.
 func (v *View) configWait() time.Duration {
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -96,6 +96,7 @@
 	table atomic.Pointer[routes.Table]
 
 	confirmation configConfirmation
+	onConfig     func(*routes.Table)
 
 	mu              sync.Mutex // guards the fields below; not held across I/O
 	listConfirmedAt time.Time  // when byID last agreed with the store
@@ -171,6 +172,9 @@
 		return false
 	}
 	v.table.Store(table)
+	if v.onConfig != nil {
+		go v.onConfig(table) // it may take long, and must not run under the lock
+	}
 	v.opts.Log.Event("configuration in force", slog.Uint64("version", c.Version), slog.Int("routes", len(c.Routes)))
 	if list := unusableAccounts(c); len(list) > 0 {
 		v.opts.Log.Event("unusable account entries", slog.Uint64("version", c.Version), slog.Any("positions", list))
--- a/internal/node/gateway/account.go
+++ b/internal/node/gateway/account.go
@@ -26,6 +26,7 @@
 	isRequired bool            // a configuration with client accounts was in force
 	key        accounts.Digest // of the caller's key, valid if hasKey
 	hasKey     bool            // the request has one well-formed key
+	checkedIn  uint64          // version of the configuration in which the account was last found
 }
 
 // fingerprint returns what stands for the key in logs, or "" without a key.
@@ -64,14 +65,14 @@
 
 // findAccount sets the account that holds the caller's key in a configuration. It returns the
 // outcome of a request that has no such account but needs one, or "".
-func (c *call) findAccount(table *routes.Table) (refusal string) {
+func (c *call) findAccount(table *routes.Table, isPublic bool) (refusal string) {
+	c.credential.checkedIn = table.Config.Version
 	catalogue := table.Accounts()
-	if catalogue == nil {
-		c.account = nil
-		return ""
+	if catalogue != nil {
+		c.takeKey()
 	}
-	c.takeKey()
-	if c.route.Public {
+	if catalogue == nil || isPublic {
+		c.account = nil
 		return ""
 	}
 	if !c.credential.hasKey {
@@ -87,7 +88,7 @@
 
 // authenticate finds the account of the request. It returns false if it has refused the request.
 func (c *call) authenticate(table *routes.Table) bool {
-	refusal := c.findAccount(table)
+	refusal := c.findAccount(table, c.route.Public)
 	if refusal == "" {
 		return true
 	}
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -179,6 +179,9 @@
 			c.logOutcome(decisionlog.CallerLeft, 0)
 			return
 		}
+		if c.refuseRevoked() {
+			return
+		}
 		if c.ctx.Err() != nil {
 			c.endWithDaemon()
 			return
@@ -226,7 +229,7 @@
 			}
 			continue
 		}
-		if c.refuseQuarantined() { // the request may have waited for a load
+		if c.refuseQuarantined() || c.refuseRevoked() { // the request may have waited for a load
 			return
 		}
 		if c.hasLeft(placement) {
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -91,6 +91,9 @@
 	Log         *decisionlog.Log
 	Metrics     Metrics
 	Clock       func() time.Time
+	// StrictRevoke is whether requests end whose key is removed while they run, within RevokeTime.
+	StrictRevoke bool
+	RevokeTime   time.Duration
 }
 
 // Metrics counts and times completed requests.
@@ -108,6 +111,7 @@
 	leaving    atomic.Bool
 	mustEndBy  atomic.Int64 // Unix nanoseconds, see RefuseLongRequests; zero for no limit
 	refusesAll atomic.Bool
+	keyed      keyedCalls
 	ended      context.Context // done once EndAll was called
 	end        context.CancelFunc
 }
@@ -116,6 +120,9 @@
 func New(opts Options) *Gateway {
 	g := &Gateway{opts: opts}
 	g.ended, g.end = context.WithCancel(context.Background())
+	if opts.StrictRevoke {
+		opts.View.OnConfig(g.endRevoked)
+	}
 	return g
 }
 
@@ -147,6 +154,7 @@
 	if !c.authenticate(table) {
 		return
 	}
+	defer c.trackKey()()
 	c.setDeadline()
 	if !c.readBody(table.Config.Limits.BodyBytes) {
 		return
