--- a/internal/app/edge_test.go
+++ b/internal/app/edge_test.go
@@ -28,6 +28,7 @@
 	engines []*modelengine.Engine
 	edges   []*Edge
 	addr    string // of the store
+	logs    logBuffer
 }
 
 func newEdgeCluster(t *testing.T, daemons, engines int) *edgeCluster {
@@ -62,7 +63,11 @@
 }
 
 func (w *edgeCluster) configure(version int, prefix string) {
-	w.store.Put("config", "main", map[string]any{
+	w.store.Put("config", "main", edgeConfig(version, prefix))
+}
+
+func edgeConfig(version int, prefix string) map[string]any {
+	return map[string]any{
 		"version": version,
 		"routes": []any{map[string]any{
 			"name": "r", "host": "127.0.0.1", "path_prefix": prefix, "kind": "stream", "timeout_ms": 5000, "goal_ms": 2000,
@@ -73,7 +78,7 @@
 			"models": []any{map[string]any{"name": "base", "weights_mb": 500, "lora_mb": 10, "load_time_s": 1}},
 		}}},
 		"limits": map[string]any{"header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
+	}
 }
 
 // start starts a daemon on free loopback ports.
@@ -85,7 +90,7 @@
 		"provider.address=%s\nbounds.lease_ms=300\nfuture.key=ignored\n", vm, front, ready, first, first+rangeSize-1, w.addr)
 	settings, err := platform.ParseSettings([]byte(text))
 	w.Assert(err, qt.IsNil)
-	log := decisionlog.New(io.Discard, vm)
+	log := decisionlog.New(&w.logs, vm)
 	e, err := StartEdge(settings, log)
 	w.Assert(err, qt.IsNil)
 	t.Cleanup(func() {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -73,6 +73,7 @@
 	for i := range 500 {
 		routes.Request(fmt.Sprintf("route-%d", i), "answered", time.Millisecond)
 		routes.LongestPause(fmt.Sprintf("route-%d", i), time.Millisecond)
+		routes.AccountRefused(fmt.Sprintf("account-%d", i), "unknown key")
 	}
 	r.Loaded(time.Second, false)
 	r.SetOwned(2)
@@ -86,6 +87,8 @@
 	qt.Assert(t, text, qt.Contains, `celerydeck_wait_seconds_count{customer="club-3.x_y",rank="rank-0",service="advice"} 1`)
 	qt.Assert(t, strings.Count(text, "celerydeck_route_seconds_count{"), qt.Equals, 65)
 	qt.Assert(t, text, qt.Contains, `celerydeck_route_requests_total{outcome="answered",route="other"} 436`)
+	qt.Assert(t, strings.Count(text, "celerydeck_account_refusals_total{"), qt.Equals, 65)
+	qt.Assert(t, text, qt.Contains, `celerydeck_account_refusals_total{account="other",outcome="unknown_key"} 436`)
 	qt.Assert(t, len(r.Classes(c.now, ranks)) <= 20, qt.IsTrue)
 	for _, name := range metrics.Names() {
 		qt.Check(t, strings.Contains(text, "# TYPE "+name+" "), qt.IsTrue, qt.Commentf(name))
--- a/internal/metrics/routes.go
+++ b/internal/metrics/routes.go
@@ -19,12 +19,15 @@
 type Routes struct {
 	scope tally.Scope
 
-	mu      sync.Mutex
-	labeled map[string]bool
+	mu       sync.Mutex
+	labeled  map[string]bool
+	accounts map[string]bool // with labels of their own
 }
 
 // Routes returns the metrics of routes.
-func (r *Recorder) Routes() *Routes { return &Routes{scope: r.scope, labeled: make(map[string]bool)} }
+func (r *Recorder) Routes() *Routes {
+	return &Routes{scope: r.scope, labeled: make(map[string]bool), accounts: make(map[string]bool)}
+}
 
 // Request records the outcome and the duration of a request that ended.
 func (r *Routes) Request(route, outcome string, took time.Duration) {
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -100,6 +100,7 @@
 type Metrics interface {
 	Request(route, outcome string, took time.Duration)
 	LongestPause(route string, pause time.Duration)
+	AccountRefused(account, outcome string) // account is empty if it is not known
 }
 
 // Gateway is an http.Handler for callers. It is safe for concurrent use.
--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -119,6 +119,8 @@
 
 func (noMetrics) LongestPause(string, time.Duration) {}
 
+func (noMetrics) AccountRefused(string, string) {}
+
 // fixture is a gateway with its view, its loader and an HTTP server in front.
 type fixture struct {
 	*qt.C
--- a/internal/node/gateway/outcome.go
+++ b/internal/node/gateway/outcome.go
@@ -46,9 +46,20 @@
 	c.w.Header().Set("X-Celerydeck-Reason", reason)
 	c.w.WriteHeader(status)
 	_, _ = io.WriteString(c.w, reason+"\n") // the caller may have left
+	if c.credential.isRequired {
+		c.g.opts.Metrics.AccountRefused(c.accountName(), reason)
+	}
 	c.logOutcome(reason, status)
 }
 
+// accountName returns the name of the caller's account, or "" if there is none.
+func (c *call) accountName() string {
+	if c.account == nil {
+		return ""
+	}
+	return c.account.Name
+}
+
 // isStalled reports whether the stream had a longer pause than its route allows.
 func (c *call) isStalled() bool {
 	return c.route != nil && c.route.GapGoal > 0 && c.longestPause > c.route.GapGoal
@@ -71,13 +82,9 @@
 	if !c.lastWrite.IsZero() {
 		c.g.opts.Metrics.LongestPause(routeName, c.longestPause)
 	}
-	accountName := ""
-	if c.account != nil {
-		accountName = c.account.Name
-	}
 	c.g.opts.Log.Request(
 		decisionlog.End{Request: c.meta.RequestID, Route: routeName, Outcome: outcome, Answered: status >= 200 && status < 300},
-		slog.String("account", accountName), slog.String("key", c.credential.fingerprint()), slog.String("service", c.service), slog.String("adapter", c.meta.Adapter.String()), slog.Int("status", status),
+		slog.String("account", c.accountName()), slog.String("key", c.credential.fingerprint()), slog.String("service", c.service), slog.String("adapter", c.meta.Adapter.String()), slog.Int("status", status),
 		slog.Int("sends", c.sends), slog.Int("runs", c.runs), slog.String("upstream", string(c.upstream)),
 		slog.Duration("took", took), slog.Duration("first", c.firstEventDelay), slog.Duration("load_wait", c.loadWait),
 		slog.Duration("estimate", c.placement.Estimate), slog.Uint64("config", c.configVersion), slog.Duration("list_age", c.placement.ListAge),
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -200,10 +200,7 @@
 	c := x.c
 	h := c.r.Header.Clone()
 	stripHopByHop(h)
-	s := UpstreamMetadata{Upstream: x.u.ID, TimeLeft: c.timeLeft(), Priority: -1, LastEvent: -1, HasAccounts: c.credential.isRequired}
-	if c.account != nil {
-		s.Account = c.account.Name
-	}
+	s := UpstreamMetadata{Upstream: x.u.ID, TimeLeft: c.timeLeft(), Priority: -1, LastEvent: -1, HasAccounts: c.credential.isRequired, Account: c.accountName()}
 	if c.engine != nil {
 		s.Priority = c.priority()
 		s.Version = version
