--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -94,12 +94,16 @@
 	Clock       func() time.Time
 	// Probe asks the engine at an address for a short answer. Nil if engines can't be probed.
 	Probe func(ctx context.Context, addr string) error
+	// StrictRevoke is whether requests end whose key is removed while they run, within RevokeTime.
+	StrictRevoke bool
+	RevokeTime   time.Duration
 }
 
 // Metrics counts and times completed requests.
 type Metrics interface {
 	Request(route, outcome string, took time.Duration)
 	LongestPause(route string, pause time.Duration)
+	AccountRefused(account, outcome string) // account is empty if it is not known
 }
 
 // Gateway is an http.Handler for callers. It is safe for concurrent use.
@@ -112,6 +116,7 @@
 	leaving    atomic.Bool
 	mustEndBy  atomic.Int64 // Unix nanoseconds, see RefuseLongRequests; zero for no limit
 	refusesAll atomic.Bool
+	keyed      keyedCalls
 	ended      context.Context // done once EndAll was called
 	end        context.CancelFunc
 }
@@ -120,6 +125,9 @@
 func New(opts Options) *Gateway {
 	g := &Gateway{opts: opts}
 	g.ended, g.end = context.WithCancel(context.Background())
+	if opts.StrictRevoke {
+		opts.View.OnConfig(g.endRevoked)
+	}
 	return g
 }
 
@@ -151,6 +159,7 @@
 	if !c.authenticate(table) {
 		return
 	}
+	defer c.trackKey()()
 	c.setDeadline()
 	if !c.readBody(table.Config.Limits.BodyBytes) {
 		return
--- a/internal/node/gateway/quota_test.go
+++ b/internal/node/gateway/quota_test.go
@@ -34,6 +34,7 @@
 type quotaMetrics struct{}
 
 func (quotaMetrics) Request(string, string, time.Duration) {}
+func (quotaMetrics) AccountRefused(string, string)         {}
 func (quotaMetrics) LongestPause(string, time.Duration)    {}
 
 // quotaFixture serves requests of an account of which a daemon without reports admits two.
