--- a/internal/node/fleet/unusableconfig_test.go
+++ b/internal/node/fleet/unusableconfig_test.go
@@ -14,9 +14,9 @@
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
 )
 
-// configStore returns configurations and errors in turn. It records after which revisions it was
+// unusableConfigStore returns configurations and errors in turn. It records after which revisions it was
 // watched, 0 for a read.
-type configStore struct {
+type unusableConfigStore struct {
 	Store
 	replies []configReply
 	calls   []uint64
@@ -28,11 +28,11 @@
 	err    error
 }
 
-func (s *configStore) Config(ctx context.Context) (*routes.Config, uint64, error) {
+func (s *unusableConfigStore) Config(ctx context.Context) (*routes.Config, uint64, error) {
 	return s.WatchConfig(ctx, 0, 0)
 }
 
-func (s *configStore) WatchConfig(_ context.Context, after uint64, _ time.Duration) (*routes.Config, uint64, error) {
+func (s *unusableConfigStore) WatchConfig(_ context.Context, after uint64, _ time.Duration) (*routes.Config, uint64, error) {
 	s.calls = append(s.calls, after)
 	if len(s.calls) > len(s.replies) {
 		s.end()
@@ -54,7 +54,7 @@
 	var cancel context.CancelFunc
 	n.ctx, cancel = context.WithCancel(context.Background())
 	unusable := fmt.Errorf("%w: test", ErrUnusableConfig)
-	store := &configStore{end: cancel, replies: []configReply{
+	store := &unusableConfigStore{end: cancel, replies: []configReply{
 		{config: &routes.Config{Version: 1}}, {err: unusable}, {err: unusable}, {config: &routes.Config{Version: 2}, err: unusable}, {},
 	}}
 	n.opts.Store = store
