Gateway, fleet: keep requests and orders from upstreams that leave or wait

Cause: an upstream that answers Server-Leaving: 1, or 503 with a Retry-After, got requests until its entry in the store changed.

Change: both headers are read in every response to a request, in answers to orders and in reports, before the body is read. Choose, the begin of an attempt, the moment before the request is written, waits for a load, load requests and the workers of lease holders ask the decision of package eligibility. If every upstream that may serve a request waits or leaves, the request is refused at once; its Retry-After is the earliest end with jitter, at most a third of the caller's time left. A named wait counts as no failure.

--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -265,8 +265,10 @@
 	self := p.Self
 	self.CertificateHash = p.Hash
 	b := p.Settings.Bounds
+	engines := platform.NewEngines()
+	engines.OnOrderSignals = p.View.RecordOrderSignals
 	n := fleet.New(fleet.Options{
-		Self: self, View: p.View, Store: platform.NewStore(p.Settings.StoreAddr), Engines: platform.NewEngines(),
+		Self: self, View: p.View, Store: platform.NewStore(p.Settings.StoreAddr), Engines: engines,
 		Pool: p.Pool, Pins: p.Pins, Log: p.Log, Clock: time.Now, BootClock: bootClock,
 		MinHandoverInterval: b.MinHandoverInterval, LapsedGracePeriod: b.LapsedGracePeriod, UpstreamHeartbeat: b.Heartbeat, ModelLoadWindow: b.LoadWindow, ModelLoadBurst: b.LoadBurst,
 		FirstStart: p.Settings.FirstStart,
--- a/internal/decisionlog/trace.go
+++ b/internal/decisionlog/trace.go
@@ -204,6 +204,8 @@
 		return parts
 	case NoCapacity:
 		return []string{fmt.Sprintf("the best one would have begun in %s", end.duration("estimate").Round(time.Millisecond)), engineCounts(end)}
+	case UpstreamsWait, UpstreamsLeave:
+		return []string{fmt.Sprintf("%d could have served it", end.number("candidates"))}
 	case NoEngine:
 		return []string{engineCounts(end)}
 	case CallerLeft:
@@ -242,6 +244,8 @@
 	DaemonStopped        = "daemon stopped"
 	BodyTooLarge         = "body too large"
 	BodyMemoryExhausted  = "memory for bodies is taken"
+	UpstreamsWait        = "upstreams wait"
+	UpstreamsLeave       = "upstreams leave"
 )
 
 // Causes maps each outcome to its explanation for operators.
@@ -263,4 +267,6 @@
 	DaemonStopped:        "the grace period of a shutdown ended while the request may have been running",
 	BodyTooLarge:         "the body is longer than the configuration allows",
 	BodyMemoryExhausted:  "the daemon held too many bodies at that moment; the request did not run",
+	UpstreamsWait:        "every upstream that could serve it had answered 503 with a Retry-After, or leaves; the request did not run",
+	UpstreamsLeave:       "every upstream that could serve it had said that it leaves; the request did not run",
 }
--- a/internal/node/fleet/choose.go
+++ b/internal/node/fleet/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
+	"github.com/celerydeck/celerydeck/internal/coordination/eligibility"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/state/upstreams"
@@ -18,6 +19,7 @@
 	Request  balance.Request
 	Adapter  upstreams.Adapter
 	Limits   balance.Limits
+	TimeLeft time.Duration               // until the caller's deadline
 	Excluded func(state.UpstreamID) bool // reports whether an upstream must not be chosen
 }
 
@@ -43,8 +45,13 @@
 	newest := v.newestVersions[req.Adapter]
 	outdatedOK := now.Sub(newest.at) < v.opts.OutdatedGracePeriod
 	var list, outdated []balance.Candidate
+	var barred barred
 	for _, u := range v.byService[req.Service] {
-		if u.Draining || req.Excluded(u.ID) {
+		in := eligibility.Input{Run: runOf(u), Draining: u.Draining, Excluded: req.Excluded(u.ID), ListAge: now.Sub(v.listConfirmedAt)}
+		if d := v.signals.Decide(now, in); d.IsBarred() {
+			if barred.concerns(d) && (req.Engine == nil || v.mayServe(now, u, req.Adapter)) {
+				barred.add(d)
+			}
 			continue
 		}
 		if req.Engine == nil {
@@ -67,6 +74,9 @@
 		v.modelRequests[req.Adapter.Model]++
 	}
 	draw := rand.Float64()
+	if d, ok := barred.decision(req.TimeLeft, draw); ok && len(list)+len(outdated) == 0 {
+		return v.placement(now, req.Adapter, d, 0)
+	}
 	if req.Engine == nil {
 		return v.placement(now, req.Adapter, v.tracker.ChoosePlain(now, req.Request, list, req.Limits, draw), 0)
 	}
@@ -93,6 +103,12 @@
 	return p
 }
 
+// mayServe reports whether an engine has an adapter or can load it. The caller holds the lock.
+func (v *View) mayServe(now time.Time, u *upstreams.Upstream, a upstreams.Adapter) bool {
+	c, _ := v.candidate(now, u, a)
+	return c.Resident || c.Loadable
+}
+
 // candidate returns whether an engine has an adapter or can load it, and the version of the
 // adapter there. The lease holder's report is used while it is younger than engineStateTTL,
 // otherwise the engine's entry in the store.
--- a/internal/node/fleet/store.go
+++ b/internal/node/fleet/store.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/eligibility"
 	"github.com/celerydeck/celerydeck/internal/coordination/residency"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
 	"github.com/celerydeck/celerydeck/internal/protocol"
@@ -83,6 +84,7 @@
 	AcceptedOrders int   // number of orders that this boot has accepted
 	Holding        upstreams.Residency
 	LoadsInFlight  []upstreams.Adapter
+	Signals        eligibility.Signals // of the response; also set if the call failed with a response
 }
 
 // Engines reads the reports of model engines and sends them orders.
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
+	"github.com/celerydeck/celerydeck/internal/coordination/eligibility"
 	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
 	"github.com/celerydeck/celerydeck/internal/coordination/residency"
 	"github.com/celerydeck/celerydeck/internal/coordination/retrybudget"
@@ -98,6 +99,7 @@
 	missedAt        map[engineAdapter]time.Time // when a request last found the adapter missing
 	newestVersions  map[upstreams.Adapter]announcedVersion
 	tracker         *balance.Tracker
+	signals         *eligibility.Table // what upstreams said in their responses
 	crashes         *quarantine.Table
 	newCrashes      []crashReport                            // not yet sent to the peers
 	newSurvivals    map[quarantine.Trait]time.Time           // when they came; not yet sent to the peers
@@ -125,6 +127,7 @@
 		missedAt:        make(map[engineAdapter]time.Time),
 		newestVersions:  make(map[upstreams.Adapter]announcedVersion),
 		tracker:         balance.NewTracker(),
+		signals:         eligibility.NewTable(),
 		crashes:         quarantine.New(),
 		newSurvivals:    make(map[quarantine.Trait]time.Time),
 		adapterRequests: make(map[engineAdapter]int),
@@ -200,6 +203,10 @@
 		}
 	}
 	v.tracker.Retain(func(id state.UpstreamID) bool { return v.byID[id] != nil })
+	v.signals.Retain(now, func(run eligibility.Run) bool {
+		u := v.byID[run.ID]
+		return u != nil && u.StartTime == run.StartTime
+	})
 }
 
 // ConfirmUpstreams records that the list of upstreams agreed with the store at the given time.
--- a/internal/node/fleet/worker.go
+++ b/internal/node/fleet/worker.go
@@ -137,6 +137,9 @@
 
 // requestLoad requests a load and returns when the load has been ordered, refused or given up.
 func (w *worker) requestLoad(ctx context.Context, msg protocol.LoadRequest) protocol.LoadReply {
+	if reason := w.barredReason(); reason != "" && !msg.UsageOnly {
+		return protocol.LoadReply{Reason: reason}
+	}
 	if reply, done := w.enqueueLoad(msg); done {
 		return reply
 	}
@@ -147,6 +150,9 @@
 	}()
 	w.wakeUp()
 	for {
+		if reason := w.barredReason(); reason != "" {
+			return protocol.LoadReply{Reason: reason}
+		}
 		w.mu.Lock()
 		now := w.node.opts.Clock()
 		readyIn, isOrdered := w.planner.TimeUntilReady(now, msg.Adapter, msg.Version)
@@ -231,7 +237,7 @@
 func (w *worker) step(ctx context.Context) bool {
 	u := w.node.opts.View.Upstream(w.id)
 	table := w.node.opts.View.Table()
-	if u == nil || table == nil || u.Draining || ctx.Err() != nil {
+	if u == nil || table == nil || w.isBarred(u) || ctx.Err() != nil {
 		return false
 	}
 	spec := table.Config.Services[u.Service].Engine
@@ -264,6 +270,7 @@
 // report.
 func (w *worker) readReport(ctx context.Context, u *upstreams.Upstream) bool {
 	r, err := w.node.opts.Engines.Report(ctx, u.Addr)
+	w.node.opts.View.RecordSignals(reportingRun(u, r.StartTime), r.Signals, false, ResponseCause{Request: "report"})
 	now := w.node.opts.Clock()
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/node/gateway/crash.go
+++ b/internal/node/gateway/crash.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/eligibility"
 	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/state/upstreams"
@@ -115,7 +116,7 @@
 	if !errors.Is(err, syscall.ECONNREFUSED) { // cut off, or out of connections
 		return
 	}
-	if listed := g.opts.View.Upstream(u.ID); listed == nil || listed.Draining {
+	if listed := g.opts.View.Upstream(u.ID); listed == nil || listed.Draining || g.opts.View.Eligibility(u, true).Reason == eligibility.Leaving {
 		return
 	}
 	g.opts.Log.Event("upstream crashed under a request", slog.String("upstream", string(u.ID)), slog.Int64("boot", u.StartTime),
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
+	"github.com/celerydeck/celerydeck/internal/coordination/eligibility"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/node/fleet"
 	"github.com/celerydeck/celerydeck/internal/protocol"
@@ -66,7 +67,8 @@
 	RateLimit    float64
 	HasRateLimit bool
 	RateLimitErr error // the upstream named a malformed limit
-	KeepAlive    time.Duration
+	eligibility.Signals
+	KeepAlive time.Duration
 }
 
 // HeaderCodec decodes metadata from headers, and encodes metadata and refusals in headers.
--- a/internal/node/gateway/loadwait.go
+++ b/internal/node/gateway/loadwait.go
@@ -55,16 +55,17 @@
 	return true
 }
 
-// hasLeft reports whether the upstream of a placement began to leave, or left, while the request
-// waited for a load there.
+// hasLeft reports whether the upstream of a placement began to leave, left, or named a wait, while
+// the request waited for a load there.
 func (c *call) hasLeft(placement fleet.Placement) bool {
 	if !placement.Load && placement.ReadyIn == 0 {
 		return false
 	}
-	if u := c.g.opts.View.Upstream(placement.Upstream.ID); u != nil && !u.Draining {
+	d := c.g.opts.View.Eligibility(placement.Upstream, true)
+	if !d.IsBarred() {
 		return false
 	}
-	c.logStep("upstream left during a load", placement.Upstream, nil)
+	c.logStep("upstream left during a load: "+d.Reason.String(), placement.Upstream, nil)
 	return true
 }
 
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -26,7 +26,7 @@
 
 const (
 	delivered outcome = iota // the caller has a response, or has left
-	held                     // the request was not sent, as the upstream has no room for its prompt
+	held                     // the request was not sent: the upstream has no room for its prompt, or is barred
 	notRun                   // the upstream did not run the request
 	broken                   // the request may have run
 )
@@ -96,6 +96,11 @@
 	view := c.g.opts.View
 	c.upstream = u.ID
 	x := &exchange{c: c, u: u}
+	c.hold = 0
+	if !x.mayBegin() {
+		return held
+	}
+	defer view.EndSend(u)
 	if c.hold = view.Admit(u, c.request, c.meta.Adapter); c.hold > 0 {
 		return held
 	}
@@ -112,6 +117,10 @@
 		c.logStep("no connection", u, err)
 		return notRun
 	}
+	if x.isBarred() { // the upstream may have said so while the connection was set up
+		_ = conn.Close()
+		return held
+	}
 	c.usedConns = append(c.usedConns, conn)
 	c.sends++
 	if c.sends == 1 {
@@ -155,6 +164,7 @@
 	}
 	defer resp.Body.Close()
 	a := c.g.opts.HeaderCodec.DecodeResponse(resp.StatusCode, resp.Header)
+	x.recordSignals(resp.StatusCode, a)
 	if a.RequestID == c.meta.RequestID || a.RequestID == "" && !x.conn.Reused {
 		return x.handleResponse(resp, a), true
 	}
@@ -298,6 +308,7 @@
 	if a.NotRun {
 		return x.handleRejection(resp, a)
 	}
+	x.recordAnswered(resp.StatusCode)
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	if success && (!a.Signed || resp.Header.Get("Content-Encoding") != "") {
 		return x.abort("check answer", errors.New("gateway: the response is unsigned or has a content encoding"))
@@ -315,7 +326,9 @@
 	if resp.StatusCode >= 500 {
 		c.runs++
 		c.excluded[x.u.ID] = true
-		c.g.opts.View.WithTracker(func(t *balance.Tracker) { t.RecordFailure(now, x.u.ID, false) })
+		if !a.HasRetryAfter { // a named wait is no fault
+			c.g.opts.View.WithTracker(func(t *balance.Tracker) { t.RecordFailure(now, x.u.ID, false) })
+		}
 		if c.route.Repeatable() && c.runs < c.route.Attempts && c.timeLeft() > minTimeLeft && !c.responseStarted {
 			c.logStep("upstream failed", x.u, errors.New(resp.Status))
 			return broken
