Fleet: tell peers which upstreams leave; report barred upstreams

Cause: each daemon had to send a request to learn that an upstream leaves, and operators couldn't see which upstreams get no requests.

The fleet report, status and explain show barred upstreams with the reason and the time left; the gauge celerydeck_barred_upstreams counts them by reason.

--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -148,7 +148,7 @@
 		fx.Supply(settings, log, e, new(peer.Pins)),
 		fx.Provide(newEdgeMember, newEdgeView, newEdgeKeys, newEdgePeerPool, newEdgeNode, newEdgeGateway, newEdgeMetrics, newEdgeFront, httpconn.NewPool),
 		fx.Populate(&parts),
-		fx.Invoke(serveEdgePeers, serveEdgeMetrics, serveEdgeReady, serveEdgeFront),
+		fx.Invoke(serveEdgePeers, serveEdgeMetrics, serveEdgeReady, serveEdgeFront, countBarredUpstreams),
 	)
 	if err := e.app.Err(); err != nil {
 		return nil, err
--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -78,6 +78,7 @@
 //   - a daemon is silent;
 //   - a service has no upstream that takes requests;
 //   - no daemon may order loads at an engine;
+//   - an upstream is barred for another reason than draining;
 //   - an upstream limits its requests;
 //   - requests are quarantined.
 func edgeWarnings(r *protocol.FleetReport) []string {
@@ -107,6 +108,9 @@
 		if isEngineService[u.Service] && !u.Draining && (u.LeaseHolder == "" || !u.CanOrder) {
 			warnings = append(warnings, fmt.Sprintf("no daemon may order loads at engine %s; lease holder %q", u.ID, u.LeaseHolder))
 		}
+		if u.Barred != nil && !u.Draining {
+			warnings = append(warnings, fmt.Sprintf("upstream %s gets no new requests: %s", u.ID, barredState(u.Barred)))
+		}
 		if u.RequestLimit != nil {
 			warnings = append(warnings, fmt.Sprintf("upstream %s accepts only %.1f requests/s from all daemons", u.ID, *u.RequestLimit))
 		}
@@ -117,6 +121,14 @@
 	return warnings
 }
 
+// barredState describes why an upstream is barred, and for how long.
+func barredState(b *protocol.BarredReport) string {
+	if b.TimeLeft <= 0 {
+		return b.Reason
+	}
+	return fmt.Sprintf("%s, %s left", b.Reason, b.TimeLeft.Round(100*time.Millisecond))
+}
+
 func printEdgePeers(t io.Writer, r *protocol.FleetReport) {
 	fmt.Fprintln(t, "DAEMON\tZONE\tSILENT FOR\tSTATE")
 	fmt.Fprintf(t, "%s\t%s\t-\tthis daemon\n", r.VM, r.Zone)
@@ -136,6 +148,9 @@
 		if u.Draining {
 			state = "draining"
 		}
+		if u.Barred != nil {
+			state = barredState(u.Barred)
+		}
 		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\n", u.ID, u.Service, u.Zone, u.Addr, state, u.LeaseHolder, u.Adapters, u.LoadCapacity, u.Requests)
 	}
 }
--- a/internal/cli/edge_test.go
+++ b/internal/cli/edge_test.go
@@ -24,7 +24,7 @@
 		Routes:    []protocol.RouteReport{{Name: "chat", Host: "deck.example", Prefix: "/chat/", Kind: "stream", Rank: 1, Target: 600 * time.Millisecond, Timeout: 12 * time.Second, Attempts: 2, Services: []string{"llm"}}},
 		Services:  []protocol.ServiceReport{{Name: "llm", Models: []string{"base"}, AdapterSlots: 10, Upstreams: 2}, {Name: "booking"}},
 		Adapters:  []protocol.AdapterReport{{Adapter: "base/a1", Newest: 4, Replicas: map[int][]state.UpstreamID{3: {"i-1"}, 4: {"i-2"}}}},
-		Upstreams: []protocol.UpstreamReport{{ID: "i-1", Service: "llm", LeaseHolder: "edge-1", CanOrder: true, Adapters: 3, RequestLimit: &limit}, {ID: "i-2", Service: "llm"}},
+		Upstreams: []protocol.UpstreamReport{{ID: "i-1", Service: "llm", LeaseHolder: "edge-1", CanOrder: true, Adapters: 3, RequestLimit: &limit}, {ID: "i-2", Service: "llm", Barred: &protocol.BarredReport{Reason: "retry-after", TimeLeft: 2100 * time.Millisecond}}},
 		Peers:     []protocol.PeerReport{{VM: "edge-2", Zone: "b", MessageAge: 8 * time.Second, Lost: true}},
 
 		Quarantined: []protocol.QuarantineReport{{Kind: "prompt part", ID: "91bd3f06", EndsIn: 9 * time.Minute}},
@@ -48,7 +48,7 @@
 	c.Assert(code, qt.Equals, ExitOK, qt.Commentf("%s", text))
 	for _, want := range []string{
 		"warning: the list of upstreams is 9s old", "warning: daemon edge-2 has been silent for 8s", "warning: service booking has no upstream",
-		`warning: no daemon may order loads at engine i-2; lease holder ""`, "upstream i-1 accepts only 5.2 requests/s", "requests with prompt part 91bd3f06 are refused for another 9m0s", "/chat/", "600ms", "version 3 at 1 engines, version 4 at 1 engines",
+		`warning: no daemon may order loads at engine i-2; lease holder ""`, "upstream i-1 accepts only 5.2 requests/s", "upstream i-2 gets no new requests: retry-after, 2.1s left", "requests with prompt part 91bd3f06 are refused for another 9m0s", "/chat/", "600ms", "version 3 at 1 engines, version 4 at 1 engines",
 	} {
 		c.Check(text, qt.Contains, want)
 	}
@@ -62,6 +62,8 @@
 	c.Check(text, qt.Contains, "i-2")
 	_, text = runEdge(t, "explain", "--edge", addr, "base/rare")
 	c.Check(text, qt.Contains, "base/rare is resident at no engine")
+	_, text = runEdge(t, "explain", "--edge", addr, "--upstream", "i-2")
+	c.Check(text, qt.Contains, "retry-after, 2.1s left")
 	code, _ = runEdge(t, "explain", "--edge", addr, "--upstream", "i-9")
 	c.Check(code, qt.Not(qt.Equals), ExitOK)
 	code, text = runEdge(t, "status", "--edge", addr)
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -77,6 +77,7 @@
 	r.Loaded(time.Second, false)
 	r.SetOwned(2)
 	r.SetRevision(7)
+	r.SetBarredUpstreams(map[string]int{"leaving": 1})
 	r.Close() // reports what was counted
 	response := httptest.NewRecorder()
 	r.Handler().ServeHTTP(response, httptest.NewRequest("GET", "/metrics", nil))
--- a/internal/node/fleet/eligibility.go
+++ b/internal/node/fleet/eligibility.go
@@ -170,3 +170,27 @@
 	}
 	return d, b.waiting+b.leaving > 0
 }
+
+// standing returns why a listed upstream is not simply sent to, for any request. The caller holds the
+// lock.
+func (v *View) standing(now time.Time, u *upstreams.Upstream) eligibility.Decision {
+	in := v.eligibilityInput(now, u, false)
+	in.Ejected = v.tracker.IsEjected(now, u.ID)
+	return v.signals.Decide(now, in)
+}
+
+// BarredUpstreams returns the number of listed upstreams that are not simply sent to, by reason.
+func (v *View) BarredUpstreams() map[string]int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.opts.Clock()
+	var counts [eligibility.ReasonCount]int
+	for _, u := range v.byID {
+		counts[v.standing(now, u).Reason]++
+	}
+	list := make(map[string]int)
+	for _, r := range []eligibility.Reason{eligibility.Leaving, eligibility.NamedWait, eligibility.Draining, eligibility.Returning, eligibility.Ejected} {
+		list[r.String()] = counts[r]
+	}
+	return list
+}
--- a/internal/node/fleet/gossip.go
+++ b/internal/node/fleet/gossip.go
@@ -202,7 +202,7 @@
 	n.seq++
 	s := protocol.DaemonState{
 		VM: n.opts.Self.VM, Incarnation: n.opts.Self.Incarnation, Sequence: n.seq, InFlight: inFlight, StoreUnreachable: !n.storeReachable, Leaving: n.leaving,
-		RateLimits: n.opts.View.OwnRateLimits(),
+		RateLimits: n.opts.View.OwnRateLimits(), LeavingUpstreams: n.opts.View.OwnLeaving(),
 	}
 	backlog := n.pendingLoadsLocked()
 	for _, w := range n.workers {
--- a/internal/node/fleet/push.go
+++ b/internal/node/fleet/push.go
@@ -43,6 +43,7 @@
 	} else {
 		reply.TotalInFlight, reply.Engines, reply.MessageAges = n.digest(now, caller.VM)
 		reply.RateLimits = n.rateLimits(now)
+		reply.LeavingUpstreams = n.leavingUpstreams(now)
 	}
 	reply.Update = n.objectsNewerThan(push.Revisions)
 	return reply
@@ -190,6 +191,7 @@
 	}
 	n.opts.View.SetPeerInFlight(relayTotalsID, reply.TotalInFlight)
 	n.opts.View.MergeRateLimits(m.VM, reply.RateLimits)
+	n.opts.View.MergeLeaving(m.VM, reply.LeavingUpstreams)
 	for _, e := range reply.Engines {
 		n.opts.View.SetEngineState(e)
 	}
@@ -214,6 +216,7 @@
 		m.state, m.lastHeard, m.contacted = s, now, true
 		n.opts.View.SetPeerInFlight(m.ID(), s.InFlight)
 		n.opts.View.MergeRateLimits(s.VM, s.RateLimits)
+		n.opts.View.MergeLeaving(s.VM, s.LeavingUpstreams)
 		for _, e := range s.Engines {
 			n.opts.View.SetEngineState(e)
 		}
--- a/internal/node/fleet/report.go
+++ b/internal/node/fleet/report.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/eligibility"
 	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
 	"github.com/celerydeck/celerydeck/internal/protocol"
@@ -77,6 +78,9 @@
 		if limit, ok := v.tracker.RateLimit(id); ok {
 			e.RequestLimit = &limit
 		}
+		if d := v.standing(now, u); d.Reason != eligibility.None {
+			e.Barred = &protocol.BarredReport{Reason: d.Reason.String(), TimeLeft: d.Wait, Age: d.Age}
+		}
 		r.Upstreams = append(r.Upstreams, e)
 		for a, item := range v.engineStates[id].adapters {
 			if byVersion[a] == nil {
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -23,6 +23,9 @@
 	Leaving          bool `cbor:"7,keyasint,omitempty"`
 	// RateLimits are the limits that upstreams have recently named in responses to the daemon.
 	RateLimits map[state.UpstreamID]balance.RateLimit `cbor:"8,keyasint,omitempty"`
+	// LeavingUpstreams are the listed upstreams that said in responses to the daemon that they
+	// leave, with the start time of the run.
+	LeavingUpstreams map[state.UpstreamID]int64 `cbor:"20,keyasint,omitempty"`
 }
 
 // EngineState is the state of an engine as its lease holder reports it.
@@ -94,6 +97,8 @@
 	// RateLimits are the limits that upstreams have recently named in responses to any daemon.
 	// It is empty in replies to a relay.
 	RateLimits map[state.UpstreamID]balance.RateLimit `cbor:"11,keyasint,omitempty"`
+	// LeavingUpstreams are those of all daemons. It is empty in replies to a relay.
+	LeavingUpstreams map[state.UpstreamID]int64 `cbor:"20,keyasint,omitempty"`
 }
 
 // StoreUpdate contains the objects of the object store of which its receiver has no copy
--- a/internal/protocol/fleetreport.go
+++ b/internal/protocol/fleetreport.go
@@ -76,6 +76,17 @@
 	// RequestLimit is how many requests per second the upstream accepts from all daemons
 	// together, nil without a limit.
 	RequestLimit *float64 `json:"request_limit,omitempty"`
+	// Barred is why the daemon sends nothing to the upstream, or only if it must. It is nil if there
+	// is no reason.
+	Barred *BarredReport `json:"barred,omitempty"`
+}
+
+// BarredReport is why a daemon sends nothing to an upstream, or only if no other one can serve a
+// request.
+type BarredReport struct {
+	Reason   string        `json:"reason"`
+	TimeLeft time.Duration `json:"time_left,omitempty"` // until the reason ends; zero if it is not known
+	Age      time.Duration `json:"age,omitempty"`       // of the information
 }
 
 // PeerReport is another daemon of the fleet.
