Tests: engines that leave or wait, in a cluster and as a load pattern

Cause: nothing showed how daemons treat an engine that signals in its reports and answers to orders, nor what a service does when half of its engines name waits.

Change: the stand-in engine can leave and name waits, and counts the calls that it did not want.

--- a/internal/standin/modelengine/modelengine.go
+++ b/internal/standin/modelengine/modelengine.go
@@ -63,6 +63,7 @@
 	crashingPart  string // of prompts; empty for none
 	onCrash       func()
 	isCrashed     bool
+	signals       signals
 }
 
 // New returns an engine of a model with slots for adapters. Loading an adapter takes
@@ -96,10 +97,13 @@
 		panic(http.ErrAbortHandler)
 	}
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != e.identity() {
+		_ = e.sendSignals(w, false)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	e.router.ServeHTTP(w, r)
+	if e.sendSignals(w, r.URL.Path != "/v1/report" && r.URL.Path != "/v1/order") {
+		e.router.ServeHTTP(w, r)
+	}
 }
 
 func (e *Engine) identity() string {
@@ -116,6 +120,7 @@
 	e.boot++
 	e.orderSeq = 0
 	e.isCrashed = false
+	e.signals = signals{}
 	e.resident, e.readyAt = make(map[string]int), make(map[string]time.Time)
 }
 
