--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -26,6 +26,9 @@
 	RateLimits map[state.UpstreamID]balance.RateLimit `cbor:"8,keyasint,omitempty"`
 	// Accounts is the use of client accounts that have recently had requests at the daemon.
 	Accounts map[string]quota.Use `cbor:"9,keyasint,omitempty"`
+	// LeavingUpstreams are the listed upstreams that said in responses to the daemon that they
+	// leave, with the start time of the run.
+	LeavingUpstreams map[state.UpstreamID]int64 `cbor:"20,keyasint,omitempty"`
 }
 
 // EngineState is the state of an engine as its lease holder reports it.
@@ -105,6 +108,8 @@
 	Accounts map[string]quota.Others `cbor:"12,keyasint,omitempty"`
 	// AllBusyAccounts is whether Accounts contains all busy accounts.
 	AllBusyAccounts bool `cbor:"13,keyasint,omitempty"`
+	// LeavingUpstreams are those of all daemons. It is empty in replies to a relay.
+	LeavingUpstreams map[state.UpstreamID]int64 `cbor:"20,keyasint,omitempty"`
 }
 
 // StoreUpdate contains the objects of the object store of which its receiver has no copy
