Quota: start from the relay's estimate, admit by chance beyond the share

A daemon with few requests refused usual traffic, as its share fell below one request. A daemon that learned of an account late guessed its level from noisy sums. Relays forgot levels after 30 s and drained them at the former rate after a change of a quota. At a surge each daemon admitted one request at a time beyond its share. Change: offered sums decay over 6 s; replies contain the relay's level; quotas come from the configuration; requests beyond the share are admitted as far as there is room if all daemons do the same; after a start buckets count as empty.

--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -12,10 +12,13 @@
 )
 
 const (
-	// decayTime is the time constant of the sums that daemons report. A report shows the
-	// admissions since the preceding one as the difference of two decayed sums, so a lost or
-	// repeated report does no harm.
+	// decayTime is the time constant of the sums of admitted tokens that daemons report. A report
+	// shows the admissions since the preceding one as the difference of two decayed sums, so a
+	// lost or repeated report does no harm.
 	decayTime = 2 * time.Second
+	// offeredTime is the time constant of the sums of offered tokens. With 2 s, the share of a
+	// daemon with few requests fell below one request between two of them.
+	offeredTime = 6 * time.Second
 	// reportTTL is how long the reports of other daemons allow admissions beyond this daemon's
 	// share.
 	reportTTL = 2 * time.Second
@@ -26,9 +29,13 @@
 	// may exceed the burst by the second. The rest is for errors of the shares.
 	capacityShare = 0.25
 	ceilingShare  = 0.6
-	// usualUse is the share of its rate that an account uses when its bucket is presumably full.
-	usualUse = 0.6
-	// idleTTL is how long an account without requests is kept.
+	// reportDelay and surgeFactor bound what arrives before the daemons know of a surge: the
+	// traffic of reportDelay at surgeFactor times the rate.
+	reportDelay = 500 * time.Millisecond
+	surgeFactor = 6.0
+	// maxOvercommit is the factor on a daemon's share if a whole surge fits below the ceiling.
+	maxOvercommit = 50.0
+	// idleTTL is how long an account is kept without requests and reports.
 	idleTTL = 30 * time.Second
 
 	minRetryAfter     = 50 * time.Millisecond
@@ -69,6 +76,9 @@
 	// Lost is the last Offered of daemons that are listed and silent. They may be serving behind
 	// a cut.
 	Lost float32 `cbor:"3,keyasint,omitempty"`
+	// Level is the estimate of the relay for the tokens in use at all daemons. A daemon that has no
+	// estimate of its own starts from it.
+	Level float32 `cbor:"4,keyasint,omitempty"`
 }
 
 // Decision is the result of Take.
@@ -84,7 +94,11 @@
 
 // generations is how many reports it takes until the other daemons know this daemon's
 // admissions.
-const generations = 3
+const generations = 2
+
+// chanceFactor is how many standard deviations of the tokens that arrive by chance within
+// reportDelay a daemon may admit beyond its share.
+const chanceFactor = 1.2
 
 // entry is the state of an account.
 type entry struct {
@@ -94,6 +108,8 @@
 	admitted float64 // decaying, of this daemon
 	level    float64 // estimated tokens in use, over all reachable daemons
 	ownLevel float64 // tokens in use that this daemon admitted, as a bucket of its share
+	size     float64 // moving average of the tokens of a request
+	chance   float64 // part of a request beyond the share that may be admitted, up to 1
 	share    float64
 	lost     float64 // share of the traffic that silent daemons had when they fell silent
 
@@ -113,25 +129,40 @@
 // Ledger decides for the accounts of a daemon. It is not safe for concurrent use.
 type Ledger struct {
 	opts     Options
+	started  time.Time
 	daemons  int
+	quotas   map[string]accounts.Quota
 	entries  map[string]*entry
 	reportAt time.Time // of any account
 	complete bool      // the last report named all accounts that are close to their quota
 }
 
-// New returns a ledger without accounts.
-func New(opts Options) *Ledger {
-	return &Ledger{opts: opts, daemons: 1, entries: make(map[string]*entry)}
+// New returns a ledger without accounts. It assumes that all buckets were empty when the daemon
+// started: all daemons may have restarted.
+func New(now time.Time, opts Options) *Ledger {
+	return &Ledger{opts: opts, started: now, daemons: 1, entries: make(map[string]*entry)}
 }
 
 // SetDaemons sets the number of listed daemons.
 func (l *Ledger) SetDaemons(n int) { l.daemons = max(n, 1) }
 
+// SetQuotas sets the quotas of the accounts, which the caller must not change afterwards.
+func (l *Ledger) SetQuotas(now time.Time, quotas map[string]accounts.Quota) {
+	l.quotas = quotas
+	for name, e := range l.entries {
+		l.advance(now, e)
+		e.quota = quotas[name]
+	}
+}
+
 // limits are the tokens that may be in use.
 type limits struct {
 	rate     float64
 	capacity float64 // above which nothing is admitted
 	ceiling  float64 // which unconfirmed admissions of all daemons may reach
+	// overcommit is the factor on the shares of the room below the ceiling. It is 1 if a surge at
+	// all daemons would exceed the ceiling before they know of each other.
+	overcommit float64
 }
 
 // limitsOf returns the limits of a quota for a part of the fleet.
@@ -147,36 +178,48 @@
 	if q.InTokens {
 		tolerance += l.opts.Slack
 	}
-	return limits{rate: q.PerSecond * part, capacity: (burst + capacityShare*tolerance) * part, ceiling: (burst + ceilingShare*tolerance) * part}
+	lim := limits{rate: q.PerSecond * part, capacity: (burst + capacityShare*tolerance) * part, ceiling: (burst + ceilingShare*tolerance) * part}
+	excess := 1 - lim.ceiling/(surgeFactor*reportDelay.Seconds()*lim.rate)
+	lim.overcommit = min(maxOvercommit, max(1, fullShareExcess/max(excess, 1e-9)))
+	return lim
 }
 
+// sizeGain is the weight of a request in the average size.
+const sizeGain = 0.1
+
+// fullShareExcess is the part of a surge that exceeds the ceiling from which on daemons keep to
+// their shares exactly.
+const fullShareExcess = 0.3
+
 func decay(d time.Duration) float64 { return math.Exp(-max(0, d).Seconds() / decayTime.Seconds()) }
 
 // entryOf returns the state of an account as of now.
 func (l *Ledger) entryOf(now time.Time, name string, q accounts.Quota) *entry {
 	e := l.entries[name]
 	if e == nil {
-		e = &entry{at: now, lastTaken: now, share: 1 / float64(l.daemons)}
-		l.entries[name] = e
+		e = l.newEntry(now, name, q)
 	}
 	l.advance(now, e)
-	if e.quota.PerSecond <= 0 && !e.reportedAt.IsZero() { // reported before the account had requests here
-		e.quota = q
-		e.level += l.firstLevel(e, e.others)
-	}
 	e.quota = q
 	return e
 }
 
+func (l *Ledger) newEntry(now time.Time, name string, q accounts.Quota) *entry {
+	e := &entry{at: now, lastTaken: now, quota: q, share: 1 / float64(l.daemons)}
+	lim := l.limitsOf(e.quota, 1)
+	e.level = max(0, lim.capacity-lim.rate*now.Sub(l.started).Seconds())
+	l.entries[name] = e
+	return e
+}
+
 // advance lets the time pass for an account: its sums decay, and its buckets drain.
 func (l *Ledger) advance(now time.Time, e *entry) {
 	d := now.Sub(e.at)
 	if d <= 0 {
 		return
 	}
-	f := decay(d)
-	e.offered *= f
-	e.admitted *= f
+	e.offered *= math.Exp(-d.Seconds() / offeredTime.Seconds())
+	e.admitted *= decay(d)
 	lim := l.limitsOf(e.quota, 1-e.lost)
 	inflow := e.assumed(now) - e.assumed(e.at)
 	e.level = max(0, e.level-lim.rate*d.Seconds()+inflow)
@@ -203,7 +246,12 @@
 	e := l.entryOf(now, account.Name, account.Quota)
 	e.lastTaken = now
 	// A request that names an absurd number of tokens must not count for the share.
-	e.offered += min(tokens, l.limitsOf(e.quota, 1).ceiling)
+	counted := min(tokens, l.limitsOf(e.quota, 1).ceiling)
+	e.offered += counted
+	if e.size == 0 {
+		e.size = counted
+	}
+	e.size += sizeGain * (counted - e.size)
 	d := l.decide(now, e, tokens)
 	if !d.Admitted {
 		e.refused++
@@ -246,23 +294,38 @@
 		return d
 	}
 	// The other daemons admit requests at the same time. Each one may use its share of what is
-	// left up to the ceiling, and one request.
-	ahead := 0.0
-	for _, n := range e.unconfirmed {
-		ahead += n
-	}
-	if ahead > 0 && ahead >= e.share*(lim.ceiling-(e.level-ahead)) {
-		d.Reason, d.RetryAfter = ReasonAhead, unknownRetryAfter
-		return d
+	// left below the ceiling. Beyond that, only as many requests are admitted as there is room for
+	// if all daemons do the same.
+	ahead := e.ahead()
+	part := lim.overcommit * e.share * (lim.ceiling - (e.level - ahead))
+	if ahead+tokens > part {
+		margin := chanceFactor * math.Sqrt(max(0, e.share*lim.rate*reportDelay.Seconds()*e.size))
+		arriving := (e.offered + float64(e.others.Offered)) / offeredTime.Seconds() * reportDelay.Seconds()
+		e.chance = min(1, e.chance+(lim.ceiling-e.level)/max(arriving, 1))
+		if ahead > part+margin || e.chance < 1 {
+			d.Reason, d.RetryAfter = ReasonAhead, unknownRetryAfter
+			return d
+		}
+		e.chance--
 	}
 	d.Admitted, d.Reason = true, ReasonRoom
 	return d
 }
 
+// ahead returns the admissions of this daemon that others may not know of.
+func (e *entry) ahead() float64 {
+	sum := 0.0
+	for _, n := range e.unconfirmed {
+		sum += n
+	}
+	return sum
+}
+
 // isKnownQuiet reports whether an account of which no report came is known to be far from its
-// quota: reports name all accounts that are not.
+// quota: reports name all accounts that are not. After a restart of all daemons, their reports
+// don't show yet what was admitted before.
 func (l *Ledger) isKnownQuiet(now time.Time) bool {
-	return l.complete && !l.reportAt.IsZero() && now.Sub(l.reportAt) <= reportTTL
+	return l.complete && now.Sub(l.reportAt) <= reportTTL && now.Sub(l.started) > reportTTL
 }
 
 func seconds(s float64) time.Duration {
@@ -289,7 +352,7 @@
 func (l *Ledger) Own(now time.Time) map[string]Use {
 	var out map[string]Use
 	for name, e := range l.entries {
-		if now.Sub(e.lastTaken) > idleTTL {
+		if now.Sub(e.lastTaken) > idleTTL && now.Sub(e.reportedAt) > idleTTL {
 			delete(l.entries, name)
 			continue
 		}
@@ -316,8 +379,7 @@
 	for name, o := range reported {
 		e := l.entries[name]
 		if e == nil {
-			e = &entry{at: now, lastTaken: now, share: 1 / float64(l.daemons)}
-			l.entries[name] = e
+			e = l.newEntry(now, name, l.quotas[name])
 		}
 		l.setOthers(now, e, o)
 	}
@@ -325,9 +387,12 @@
 
 func (l *Ledger) setOthers(now time.Time, e *entry, o Others) {
 	l.advance(now, e)
-	if e.reportedAt.IsZero() {
-		e.level += l.firstLevel(e, o)
-	} else {
+	switch {
+	case e.quota.PerSecond <= 0: // unknown, so nothing drains
+		e.level = float64(o.Level)
+	case !l.isFresh(now, e):
+		e.level = float64(o.Level) + e.ahead()
+	default:
 		admitted := float64(o.Admitted) - float64(e.others.Admitted)*decay(now.Sub(e.reportedAt))
 		e.level = max(0, e.level+admitted-e.assumed(now))
 	}
@@ -354,15 +419,6 @@
 	}
 }
 
-// firstLevel estimates the level of an account from its first report.
-func (l *Ledger) firstLevel(e *entry, o Others) float64 {
-	if e.quota.PerSecond <= 0 {
-		return 0
-	}
-	use := float64(o.Admitted) / (e.quota.PerSecond * decayTime.Seconds())
-	return l.limitsOf(e.quota, 1).capacity * min(1, max(0, (use-usualUse)/(1-usualUse)))
-}
-
 // setLost sets the share of daemons that are silent, by the traffic before they fell silent. The
 // reachable daemons keep theirs, also if their traffic grows.
 func (e *entry) setLost(o Others) {
@@ -393,7 +449,17 @@
 	if q.PerSecond <= 0 {
 		return 0
 	}
-	return float64(max(o.Offered, o.Admitted)+o.Lost) / (q.PerSecond * decayTime.Seconds())
+	return max(float64(o.Offered+o.Lost)/offeredTime.Seconds(), float64(o.Admitted)/decayTime.Seconds()) / q.PerSecond
+}
+
+// Level returns the estimated tokens in use of an account.
+func (l *Ledger) Level(now time.Time, account string) float64 {
+	e := l.entries[account]
+	if e == nil {
+		return 0
+	}
+	l.advance(now, e)
+	return e.level
 }
 
 // Others returns the last sums of the other daemons for an account. It returns false if none was
--- a/internal/node/fleet/accounts.go
+++ b/internal/node/fleet/accounts.go
@@ -26,6 +26,28 @@
 type quotaLedger struct {
 	mu     sync.Mutex // not held across I/O; taken after the locks of the node and of the view
 	ledger *quota.Ledger
+	quotas map[string]accounts.Quota // in force, by account; replaced as a whole
+}
+
+// setAccounts sets the accounts of a configuration that comes into force.
+func (q *quotaLedger) setAccounts(now time.Time, list []accounts.Account) {
+	quotas := make(map[string]accounts.Quota)
+	for i := range list {
+		if list[i].Quota.PerSecond > 0 {
+			quotas[list[i].Name] = list[i].Quota
+		}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.quotas = quotas
+	q.ledger.SetQuotas(now, quotas)
+}
+
+// inForce returns the quotas in force, which must not be changed.
+func (q *quotaLedger) inForce() map[string]accounts.Quota {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.quotas
 }
 
 func (q *quotaLedger) setDaemons(count int) {
@@ -49,52 +71,33 @@
 	v.quotas.ledger.Return(v.opts.Clock(), a, tokens, takenAt)
 }
 
-// accountQuotas returns the quotas in force by account, or nil if there are none.
-func (v *View) accountQuotas() map[string]accounts.Quota {
-	t := v.Table()
-	if t == nil {
-		return nil
-	}
-	var list map[string]accounts.Quota
-	for i := range t.Config.Accounts {
-		a := &t.Config.Accounts[i]
-		if a.Quota.PerSecond <= 0 {
-			continue
-		}
-		if list == nil {
-			list = make(map[string]accounts.Quota, len(t.Config.Accounts))
-		}
-		list[a.Name] = a.Quota
-	}
-	return list
-}
-
-// hasQuotas reports whether an account of the configuration has a quota.
-func (v *View) hasQuotas() bool {
-	t := v.Table()
-	return t != nil && slices.ContainsFunc(t.Config.Accounts, func(a accounts.Account) bool { return a.Quota.PerSecond > 0 })
-}
-
 // ownAccountUse returns what this daemon reports of accounts, nil if no account has a quota.
 func (v *View) ownAccountUse() map[string]quota.Use {
-	if !v.hasQuotas() {
-		return nil
-	}
 	v.quotas.mu.Lock()
 	defer v.quotas.mu.Unlock()
+	if len(v.quotas.quotas) == 0 {
+		return nil
+	}
 	return v.quotas.ledger.Own(v.opts.Clock())
 }
 
 // setOthersUse replaces the sums of the other daemons.
 func (v *View) setOthersUse(now time.Time, others map[string]quota.Others, complete bool) {
-	if !v.hasQuotas() {
-		return
-	}
 	v.quotas.mu.Lock()
 	defer v.quotas.mu.Unlock()
 	v.quotas.ledger.SetOthers(now, others, complete)
 }
 
+// setLevels sets the levels in a reply to this daemon's estimates.
+func (v *View) setLevels(now time.Time, reply map[string]quota.Others) {
+	v.quotas.mu.Lock()
+	defer v.quotas.mu.Unlock()
+	for name, o := range reply {
+		o.Level = float32(v.quotas.ledger.Level(now, name))
+		reply[name] = o
+	}
+}
+
 // accountSums are the sums of the reports of all other daemons, for the replies of a relay.
 type accountSums struct {
 	at      time.Time
@@ -118,6 +121,7 @@
 	for name := range to.state.Accounts {
 		out[name] = n.accounts.without(name, to.VM)
 	}
+	n.opts.View.setLevels(now, out)
 	return out, n.accounts.allBusy
 }
 
@@ -138,7 +142,7 @@
 // knowsAccounts reports whether this daemon knows the use of accounts at the other daemons: in
 // the first second after its start it must have heard from all of them. The caller holds the lock.
 func (n *Node) knowsAccounts(now time.Time) bool {
-	if !n.opts.View.hasQuotas() {
+	if len(n.opts.View.quotas.inForce()) == 0 {
 		return false
 	}
 	if now.Sub(n.started) >= accountLostAfter {
@@ -194,7 +198,7 @@
 			s.byName[name] = o
 		}
 	}
-	s.findBusy(n.opts.View.accountQuotas())
+	s.findBusy(n.opts.View.quotas.inForce())
 }
 
 // findBusy finds the accounts that use a large part of their quota, or of which daemons are
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -141,7 +141,7 @@
 		noticePending:   make(chan struct{}, 1),
 	}
 	v.tracker.SetDaemons(minDaemonCount, 0)
-	v.quotas.ledger = quota.New(opts.Quotas)
+	v.quotas.ledger = quota.New(opts.Clock(), opts.Quotas)
 	v.quotas.ledger.SetDaemons(minDaemonCount)
 	return v
 }
@@ -158,6 +158,7 @@
 		return false
 	}
 	v.table.Store(routes.NewTable(c))
+	v.quotas.setAccounts(v.opts.Clock(), c.Accounts)
 	v.opts.Log.Event("configuration in force", slog.Uint64("version", c.Version), slog.Int("routes", len(c.Routes)))
 	return true
 }
