--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -22,6 +22,9 @@
 	// reportTTL is how long the reports of other daemons allow admissions beyond this daemon's
 	// share.
 	reportTTL = 2 * time.Second
+	// warmUp is how long a daemon keeps to an equal share after its start. The first sums of
+	// offered tokens are small and of unequal age, so the shares would sum to more than 1.
+	warmUp = 1500 * time.Millisecond
 	// minReportInterval separates two generations of unconfirmed admissions.
 	minReportInterval = 150 * time.Millisecond
 	// capacityShare and ceilingShare divide the tolerance of a quota: the bucket is larger than
@@ -160,6 +163,7 @@
 	rate     float64
 	capacity float64 // above which nothing is admitted
 	ceiling  float64 // which unconfirmed admissions of all daemons may reach
+	most     float64 // that the rule allows
 	// overcommit is the factor on the shares of the room below the ceiling. It is 1 if a surge at
 	// all daemons would exceed the ceiling before they know of each other.
 	overcommit float64
@@ -178,7 +182,7 @@
 	if q.InTokens {
 		tolerance += l.opts.Slack
 	}
-	lim := limits{rate: q.PerSecond * part, capacity: (burst + capacityShare*tolerance) * part, ceiling: (burst + ceilingShare*tolerance) * part}
+	lim := limits{rate: q.PerSecond * part, capacity: (burst + capacityShare*tolerance) * part, ceiling: (burst + ceilingShare*tolerance) * part, most: (burst + tolerance) * part}
 	excess := 1 - lim.ceiling/(surgeFactor*reportDelay.Seconds()*lim.rate)
 	lim.overcommit = min(maxOvercommit, max(1, fullShareExcess/max(excess, 1e-9)))
 	return lim
@@ -207,7 +211,7 @@
 func (l *Ledger) newEntry(now time.Time, name string, q accounts.Quota) *entry {
 	e := &entry{at: now, lastTaken: now, quota: q, share: 1 / float64(l.daemons)}
 	lim := l.limitsOf(e.quota, 1)
-	e.level = max(0, lim.capacity-lim.rate*now.Sub(l.started).Seconds())
+	e.level = max(0, lim.most-lim.rate*now.Sub(l.started).Seconds())
 	l.entries[name] = e
 	return e
 }
@@ -237,7 +241,7 @@
 }
 
 func (l *Ledger) isFresh(now time.Time, e *entry) bool {
-	return !e.reportedAt.IsZero() && now.Sub(e.reportedAt) <= reportTTL
+	return !e.reportedAt.IsZero() && now.Sub(e.reportedAt) <= reportTTL && now.Sub(l.started) >= warmUp
 }
 
 // Take decides about a request for a number of tokens and, if it is within the quota, takes
@@ -325,7 +329,7 @@
 // quota: reports name all accounts that are not. After a restart of all daemons, their reports
 // don't show yet what was admitted before.
 func (l *Ledger) isKnownQuiet(now time.Time) bool {
-	return l.complete && now.Sub(l.reportAt) <= reportTTL && now.Sub(l.started) > reportTTL
+	return l.complete && now.Sub(l.reportAt) <= reportTTL && now.Sub(l.started) >= warmUp
 }
 
 func seconds(s float64) time.Duration {
@@ -357,7 +361,7 @@
 			continue
 		}
 		l.advance(now, e)
-		if e.offered < minReported {
+		if e.offered < minReported*e.size {
 			continue
 		}
 		if out == nil {
@@ -368,31 +372,41 @@
 	return out
 }
 
-// minReported is the least sum of offered tokens or requests with which an account is reported.
-// A request that counts 1 is reported for nine seconds.
-const minReported = 0.01
+// minReported is the least sum of offered tokens with which an account is reported, as a part of a
+// request. A request is reported for 24 s.
+const minReported = 0.02
 
 // SetOthers replaces the sums of the other daemons. Complete is whether the report names all
 // accounts that are close to their quotas, beside those that this daemon had reported.
 func (l *Ledger) SetOthers(now time.Time, reported map[string]Others, complete bool) {
+	l.setAll(now, reported, complete, false)
+}
+
+// SumOthers does the same for a relay, which has summed up the reports of all daemons itself. Its
+// own estimates of the levels stay.
+func (l *Ledger) SumOthers(now time.Time, summed map[string]Others) {
+	l.setAll(now, summed, true, true)
+}
+
+func (l *Ledger) setAll(now time.Time, reported map[string]Others, complete, isRelay bool) {
 	l.reportAt, l.complete = now, complete
 	for name, o := range reported {
 		e := l.entries[name]
 		if e == nil {
 			e = l.newEntry(now, name, l.quotas[name])
 		}
-		l.setOthers(now, e, o)
+		l.setOthers(now, e, o, isRelay)
 	}
 }
 
-func (l *Ledger) setOthers(now time.Time, e *entry, o Others) {
+func (l *Ledger) setOthers(now time.Time, e *entry, o Others, isRelay bool) {
 	l.advance(now, e)
-	switch {
+	switch isKnown := !e.reportedAt.IsZero() && now.Sub(e.reportedAt) <= reportTTL; {
 	case e.quota.PerSecond <= 0: // unknown, so nothing drains
 		e.level = float64(o.Level)
-	case !l.isFresh(now, e):
+	case !isRelay && !l.isFresh(now, e):
 		e.level = float64(o.Level) + e.ahead()
-	default:
+	case isKnown:
 		admitted := float64(o.Admitted) - float64(e.others.Admitted)*decay(now.Sub(e.reportedAt))
 		e.level = max(0, e.level+admitted-e.assumed(now))
 	}
--- a/internal/node/fleet/accounts.go
+++ b/internal/node/fleet/accounts.go
@@ -136,7 +136,10 @@
 	for name := range n.accounts.byName {
 		out[name] = n.accounts.without(name, n.opts.Self.VM)
 	}
-	n.opts.View.setOthersUse(now, out, true)
+	q := &n.opts.View.quotas
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.ledger.SumOthers(now, out)
 }
 
 // knowsAccounts reports whether this daemon knows the use of accounts at the other daemons: in
