--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -156,7 +156,7 @@
 		v.opts.BootClock = func() time.Duration { return 0 }
 	}
 	v.tracker.SetDaemons(minDaemonCount, 0)
-	v.quotas.ledger = quota.New(opts.Quotas)
+	v.quotas.ledger = quota.New(opts.Clock(), opts.Quotas)
 	v.quotas.ledger.SetDaemons(minDaemonCount)
 	return v
 }
@@ -184,6 +184,7 @@
 	if v.onConfig != nil {
 		go v.onConfig(table) // it may take long, and must not run under the lock
 	}
+	v.quotas.setAccounts(v.opts.Clock(), c.Accounts)
 	v.opts.Log.Event("configuration in force", slog.Uint64("version", c.Version), slog.Int("routes", len(c.Routes)))
 	if list := unusableAccounts(c); len(list) > 0 {
 		v.opts.Log.Event("unusable account entries", slog.Uint64("version", c.Version), slog.Any("positions", list))
