--- a/internal/coordination/accounts/accounts.go
+++ b/internal/coordination/accounts/accounts.go
@@ -73,7 +73,7 @@
 	if len(list) == 0 {
 		return nil
 	}
-	c := &Catalogue{byKey: make(map[Digest]*Account)}
+	c := &Catalogue{byKey: make(map[Digest]*Account, len(list))}
 	for i := range list {
 		for _, key := range list[i].Keys {
 			if c.byKey[key] == nil {
--- a/internal/coordination/accounts/accounts_test.go
+++ b/internal/coordination/accounts/accounts_test.go
@@ -30,15 +30,32 @@
 	c.Assert(DigestOf("a1").Fingerprint(), qt.Equals, "f55ff16f")
 }
 
-func BenchmarkLookup(b *testing.B) {
+// benchAccounts returns accounts with one key each, and the keys.
+func benchAccounts(n int) ([]Account, []string) {
+	list, keys := make([]Account, n), make([]string, n)
+	for i := range list {
+		keys[i] = fmt.Sprintf("sk-%040d", i)
+		list[i] = Account{Name: fmt.Sprint(i), Keys: []Digest{DigestOf(keys[i])}}
+	}
+	return list, keys
+}
+
+func BenchmarkNewCatalogue(b *testing.B) {
 	for _, n := range []int{16, 1000, 100_000} {
 		b.Run(fmt.Sprintf("accounts=%d", n), func(b *testing.B) {
-			list := make([]Account, n)
-			keys := make([]string, n)
-			for i := range list {
-				keys[i] = fmt.Sprintf("sk-%040d", i)
-				list[i] = Account{Name: fmt.Sprint(i), Keys: []Digest{DigestOf(keys[i])}}
+			list, _ := benchAccounts(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				NewCatalogue(list)
 			}
+		})
+	}
+}
+
+func BenchmarkLookup(b *testing.B) {
+	for _, n := range []int{16, 1000, 100_000} {
+		b.Run(fmt.Sprintf("accounts=%d", n), func(b *testing.B) {
+			list, keys := benchAccounts(n)
 			catalogue := NewCatalogue(list)
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
