Balance: bound the memory of engines over all daemons

Cause: an engine that holds requests beyond its memory may crash with all of them. The memory only added one second to the estimate of an engine.

Change: an engine is no candidate, and a request isn't admitted there, while the requests in flight of this daemon and those that peers report would fill more than twice its memory. The outcome is "no memory at engines". Numbers of tokens that callers name are bounded by the memory of an engine, as a false one would block the engine.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -139,6 +139,7 @@
 	waiters        map[state.UpstreamID][]waiter     // by engine
 	waitsFor       map[uint64]state.UpstreamID       // engine by ticket
 	rates          map[state.UpstreamID]*rateLimit   // that upstreams named
+	memory         map[string]int                    // of an engine in tokens, by service
 	daemons        int                               // that share the limits of upstreams
 	position       int                               // of this daemon among them, from 0
 }
@@ -157,6 +158,7 @@
 		waiters:        make(map[state.UpstreamID][]waiter),
 		waitsFor:       make(map[uint64]state.UpstreamID),
 		rates:          make(map[state.UpstreamID]*rateLimit),
+		memory:         make(map[string]int),
 	}
 }
 
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -121,7 +121,7 @@
 	var bestEstimate time.Duration
 	positions := rendezvousPositions(adapter, list)
 	replicas := make([]replica, 0, typicalReplicas)
-	atCapacity, notPreferred := 0, 0
+	atCapacity, notPreferred, overfilled := 0, 0, 0
 	for pass := 0; pass < 2 && best == nil; pass++ { // the second pass includes ejected upstreams
 		for i := range list {
 			c := &list[i]
@@ -140,6 +140,10 @@
 				}
 				continue
 			}
+			if t.overfills(now, c.Upstream, kvTokens, &r) {
+				overfilled++
+				continue
+			}
 			estimate := t.EstimateFirstEvent(now, c.Upstream, kvTokens, r) + t.startDelay(now, c.Upstream, &r)
 			cost := estimate + t.Penalty(c.Upstream, r.Zone)
 			if c.Resident {
@@ -163,6 +167,9 @@
 			}
 		}
 	}
+	if best == nil && overfilled > 0 {
+		return Decision{RetryAfter: addJitter(NoEngineRetryAfter, draw), Reason: "no memory at engines", Candidates: len(list), AtCapacity: atCapacity, NotPreferred: notPreferred}
+	}
 	if best == nil {
 		return Decision{RetryAfter: addJitter(NoEngineRetryAfter, draw), Reason: "no engine", Candidates: len(list), AtCapacity: atCapacity, NotPreferred: notPreferred}
 	}
--- a/internal/coordination/balance/pacing.go
+++ b/internal/coordination/balance/pacing.go
@@ -138,6 +138,9 @@
 func (t *Tracker) Admit(now time.Time, u *upstreams.Upstream, r Request) time.Duration {
 	wait := min(t.holdTime(now, u, &r), maxHold)
 	wait = max(wait, min(t.rateWait(now, u.ID, &r), maxRateHold))
+	if t.overfills(now, u, t.memory[u.Service], &r) {
+		wait = maxHold
+	}
 	t.Withdraw(r)
 	if wait == 0 {
 		t.Begin(now, u.ID, r)
--- a/internal/decisionlog/trace.go
+++ b/internal/decisionlog/trace.go
@@ -204,7 +204,7 @@
 		return parts
 	case NoCapacity:
 		return []string{fmt.Sprintf("the best one would have begun in %s", end.duration("estimate").Round(time.Millisecond)), engineCounts(end)}
-	case UpstreamsWait, UpstreamsLeave:
+	case UpstreamsWait, UpstreamsLeave, EngineMemory:
 		return []string{fmt.Sprintf("%d could have served it", end.number("candidates"))}
 	case NoEngine:
 		return []string{engineCounts(end)}
@@ -246,6 +246,7 @@
 	BodyMemoryExhausted  = "memory for bodies is taken"
 	UpstreamsWait        = "upstreams wait"
 	UpstreamsLeave       = "upstreams leave"
+	EngineMemory         = "no memory at engines"
 )
 
 // Causes maps each outcome to its explanation for operators.
@@ -268,5 +269,6 @@
 	BodyTooLarge:         "the body is longer than the configuration allows",
 	BodyMemoryExhausted:  "the daemon held too many bodies at that moment; the request did not run",
 	UpstreamsWait:        "every upstream that could serve it had answered 503 with a Retry-After, or leaves; the request did not run",
+	EngineMemory:         "the requests of all daemons fill twice the memory of each engine that could serve it; the request did not run",
 	UpstreamsLeave:       "every upstream that could serve it had said that it leaves; the request did not run",
 }
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -155,6 +155,11 @@
 		return false
 	}
 	v.table.Store(routes.NewTable(c))
+	for name, s := range c.Services {
+		if s.Engine != nil {
+			v.tracker.SetMemory(name, s.Engine.KVTokens)
+		}
+	}
 	v.opts.Log.Event("configuration in force", slog.Uint64("version", c.Version), slog.Int("routes", len(c.Routes)))
 	return true
 }
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -117,11 +117,21 @@
 	c.configVersion = table.Config.Version
 	c.lastEvent = c.meta.LastEvent
 	c.request = balance.Request{Rank: c.route.Rank, TokensIn: c.meta.TokensIn, TokensOut: c.meta.TokensOut, Ticket: c.g.tickets.Add(1)}
+	c.request.TokensIn, c.request.TokensOut = c.plausibleTokens(c.meta.TokensIn), c.plausibleTokens(c.meta.TokensOut)
 	// Less urgent ranks yield to more urgent ones that arrive somewhat later.
 	c.request.StartBy = c.arrival.Add(c.route.Goal * time.Duration(2+c.route.Rank) / 2)
 	c.excluded = make(map[state.UpstreamID]bool)
 }
 
+// plausibleTokens bounds a number of tokens that the caller names by the memory of an engine. A false
+// number could otherwise keep the requests of others from the engine.
+func (c *call) plausibleTokens(n int) int {
+	if c.engine != nil && c.engine.KVTokens > 0 {
+		n = min(n, c.engine.KVTokens)
+	}
+	return max(n, 0)
+}
+
 // timeLeft returns the time until the deadline.
 func (c *call) timeLeft() time.Duration { return c.deadline.Sub(c.g.opts.Clock()) }
 
