--- a/internal/node/fleet/leaving_test.go
+++ b/internal/node/fleet/leaving_test.go
@@ -45,3 +45,19 @@
 		}
 	}
 }
+
+// Guards against an upstream that took the address of another one and leaves, but stays in use because a
+// 421 was meant for the other one.
+func TestA421SaysThatTheUpstreamAtItsAddressLeaves(t *testing.T) {
+	s := newSim(t, 1, 1)
+	v := s.nodes["z0-00"].opts.View
+	old := upstreams.Upstream{ID: "old", Service: "llm", Addr: "10.0.0.1:1", StartTime: 1}
+	present := upstreams.Upstream{ID: "present", Service: "llm", Addr: old.Addr, StartTime: 2}
+	other := upstreams.Upstream{ID: "other", Service: "llm", Addr: "10.0.0.2:1", StartTime: 3}
+	v.SetUpstreams(s.now, []upstreams.Upstream{present, other})
+	v.RecordSignals(&old, eligibility.Signals{Leaving: true}, false, ResponseCause{Status: 200})
+	s.Check(v.Eligibility(&present, false).IsBarred(), qt.IsFalse)
+	v.RecordSignals(&old, eligibility.Signals{Leaving: true}, true, ResponseCause{Status: 421})
+	s.Check(v.Eligibility(&present, false).Reason, qt.Equals, eligibility.Leaving)
+	s.Check(v.Eligibility(&other, false).IsBarred(), qt.IsFalse)
+}
--- a/internal/node/gateway/eligibility_test.go
+++ b/internal/node/gateway/eligibility_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,8 @@
 
 	"github.com/celerydeck/celerydeck/internal/coordination/eligibility"
 	"github.com/celerydeck/celerydeck/internal/node/fleet"
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/state/upstreams"
 )
 
@@ -149,6 +152,33 @@
 	}
 }
 
+// TestARequestThatWaitedForALoadIsNotSentToAnEngineThatSignals guards against a request that reaches an
+// engine which said during the request's load that it leaves or waits.
+func TestARequestThatWaitedForALoadIsNotSentToAnEngineThatSignals(t *testing.T) {
+	for _, s := range []eligibility.Signals{{Leaving: true}, {HasRetryAfter: true, RetryAfter: 10 * time.Second}} {
+		respond := func(_ int, r *http.Request, w net.Conn) { stream(r, w) }
+		servers := map[state.UpstreamID]*upstream{"a-llm": serveUpstream(t, "a", respond), "b-llm": serveUpstream(t, "b", respond)}
+		w := newFixture(t, servers["a-llm"], servers["b-llm"])
+		w.view.SetLoadable(map[state.UpstreamID]bool{"a-llm": true, "b-llm": true})
+		var first state.UpstreamID
+		w.loader.requestLoad = func(_ context.Context, msg protocol.LoadRequest) protocol.LoadReply {
+			if first != "" {
+				return protocol.LoadReply{Accepted: true}
+			}
+			first = msg.Upstream
+			w.view.RecordSignals(w.view.Upstream(first), s, false, fleet.ResponseCause{Status: 200, Request: "other"})
+			return protocol.LoadReply{Accepted: true, ReadyIn: 100 * time.Millisecond}
+		}
+		r := w.request("/fixed/", "x")
+		r.Header.Set("X-Model", model+"/rare")
+		resp, err := http.DefaultClient.Do(r)
+		w.Assert(err, qt.IsNil)
+		_ = resp.Body.Close()
+		w.Check(resp.StatusCode, qt.Equals, http.StatusOK)
+		w.Check(servers[first].arrivals(), qt.Equals, 0)
+	}
+}
+
 // TestARequestThatNoUpstreamWantsIsRefusedAtOnce guards against a request that waits for its deadline,
 // and against a Retry-After that its caller would ignore.
 func TestARequestThatNoUpstreamWantsIsRefusedAtOnce(t *testing.T) {
