--- a/internal/decisionlog/trace.go
+++ b/internal/decisionlog/trace.go
@@ -207,6 +207,7 @@
 	case UnknownKey, UnconfirmedKey, KeyRemoved:
 		return []string{fmt.Sprintf("the key has the fingerprint %s, and version %d of the configuration was in force", end.text("key"), end.number("config"))}
 	case UpstreamsWait, UpstreamsLeave:
+	case UpstreamsWait, UpstreamsLeave, EngineMemory:
 		return []string{fmt.Sprintf("%d could have served it", end.number("candidates"))}
 	case NoEngine:
 		return []string{engineCounts(end)}
@@ -253,6 +254,7 @@
 	QuotaExceeded        = "quota exceeded"
 	UpstreamsWait        = "upstreams wait"
 	UpstreamsLeave       = "upstreams leave"
+	EngineMemory         = "no memory at engines"
 )
 
 // Causes maps each outcome to its explanation for operators.
@@ -280,5 +282,6 @@
 	UnconfirmedKey:       "no client account of the configuration in force holds the key, but the daemon was cut off from the store and its peers and could not know whether a newer one does; the request did not run",
 	QuotaExceeded:        "the client account has used up its quota for the moment; the request did not run",
 	UpstreamsWait:        "every upstream that could serve it had answered 503 with a Retry-After, or leaves; the request did not run",
+	EngineMemory:         "the requests of all daemons fill twice the memory of each engine that could serve it; the request did not run",
 	UpstreamsLeave:       "every upstream that could serve it had said that it leaves; the request did not run",
 }
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -185,6 +185,12 @@
 		go v.onConfig(table) // it may take long, and must not run under the lock
 	}
 	v.quotas.setAccounts(v.opts.Clock(), c.Accounts)
+	v.table.Store(routes.NewTable(c))
+	for name, s := range c.Services {
+		if s.Engine != nil {
+			v.tracker.SetMemory(name, s.Engine.KVTokens)
+		}
+	}
 	v.opts.Log.Event("configuration in force", slog.Uint64("version", c.Version), slog.Int("routes", len(c.Routes)))
 	if list := unusableAccounts(c); len(list) > 0 {
 		v.opts.Log.Event("unusable account entries", slog.Uint64("version", c.Version), slog.Any("positions", list))
