Fair shares among accounts under load

Change: relays compute, from the sums of the quotas, the level up to which each account of a priority may be served, by weighted max-min fairness. An account above it gets a lower limit on the start delay, never below the latency objective.

--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -476,6 +476,22 @@
 	return e.level
 }
 
+// Served returns the tokens per second that an account is served at all daemons, the mean size of
+// its requests here, and the averaging time.
+func (l *Ledger) Served(now time.Time, account string) (perSecond, size float64, averaging time.Duration) {
+	e := l.entries[account]
+	if e == nil {
+		return 0, 0, decayTime
+	}
+	l.advance(now, e)
+	return (e.admitted + float64(e.others.Admitted)) / decayTime.Seconds(), e.size, decayTime
+}
+
+// Rates returns the tokens per second that sums mean: those asked for, and those served.
+func (o Others) Rates() (offered, admitted float64) {
+	return float64(o.Offered) / offeredTime.Seconds(), float64(o.Admitted) / decayTime.Seconds()
+}
+
 // Others returns the last sums of the other daemons for an account. It returns false if none was
 // reported.
 func (l *Ledger) Others(account string) (Others, bool) {
--- a/internal/node/fleet/accounts.go
+++ b/internal/node/fleet/accounts.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/accounts"
+	"github.com/celerydeck/celerydeck/internal/coordination/fairshare"
 	"github.com/celerydeck/celerydeck/internal/coordination/quota"
 )
 
@@ -27,6 +28,10 @@
 	mu     sync.Mutex // not held across I/O; taken after the locks of the node and of the view
 	ledger *quota.Ledger
 	quotas map[string]accounts.Quota // in force, by account; replaced as a whole
+
+	meanWeight float64         // for fair shares, of accounts without a quota
+	fairLevels map[int]float32 // by priority
+	fairAt     time.Time       // when fairLevels came
 }
 
 // setAccounts sets the accounts of a configuration that comes into force.
@@ -40,6 +45,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.quotas = quotas
+	q.meanWeight = meanWeight(list)
 	q.ledger.SetQuotas(now, quotas)
 }
 
@@ -105,12 +111,16 @@
 	summed  map[string]map[string]quota.Use // what each VM contributed to byName
 	busy    []string
 	allBusy bool // busy is not cut off
+
+	meters     map[int]*fairshare.Meter // by priority
+	fairLevels map[int]float32          // by priority; replaced as a whole
 }
 
 // accountsFor returns the sums for a daemon that is not a relay: of the accounts that it
 // reported, and of busy ones. The caller holds the lock.
 func (n *Node) accountsFor(now time.Time, to *member) (map[string]quota.Others, bool) {
 	if !n.knowsAccounts(now) {
+		n.accounts.fairLevels = nil
 		return nil, false
 	}
 	n.sumAccounts(now)
@@ -140,6 +150,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.ledger.SumOthers(now, out)
+	q.setFairLevels(now, n.accounts.fairLevels)
 }
 
 // knowsAccounts reports whether this daemon knows the use of accounts at the other daemons: in
@@ -202,6 +213,7 @@
 		}
 	}
 	s.findBusy(n.opts.View.quotas.inForce())
+	s.computeFairLevels(now, n.opts.View.Table().Config.Accounts)
 }
 
 // findBusy finds the accounts that use a large part of their quota, or of which daemons are
--- a/internal/node/fleet/accounts_test.go
+++ b/internal/node/fleet/accounts_test.go
@@ -119,3 +119,25 @@
 	s.Assert(n.knowsAccounts(s.now), qt.IsFalse)
 	s.Assert(n.knowsAccounts(s.now.Add(time.Second)), qt.IsTrue)
 }
+
+// Guards against an account that keeps the others of its priority from being served.
+func TestDaemonsKnowWhichAccountIsServedMoreThanItsShare(t *testing.T) {
+	hot, calm := bigQuota, bigQuota
+	hot.Name, calm.Name = "hot", "calm"
+	for _, each := range []int{1, 12} {
+		s := newAccountSim(t, 2, each, hot, calm)
+		for range 40 {
+			for _, n := range s.nodes {
+				tokens := 18_000 / float64(2*each)
+				n.opts.View.TakeQuota(&hot, tokens)
+				n.opts.View.TakeQuota(&calm, tokens)
+				n.opts.View.ReturnQuota(&calm, tokens*2/3, s.now) // upstreams had no room for the rest
+			}
+			s.rounds(1)
+		}
+		for vm, n := range s.nodes {
+			s.Check(n.opts.View.FairExcess(&hot) > 1.15, qt.IsTrue, qt.Commentf("%s: %v", vm, n.opts.View.FairExcess(&hot)))
+			s.Check(n.opts.View.FairExcess(&calm) < 1, qt.IsTrue, qt.Commentf("%s: %v", vm, n.opts.View.FairExcess(&calm)))
+		}
+	}
+}
--- a/internal/node/fleet/push.go
+++ b/internal/node/fleet/push.go
@@ -44,6 +44,7 @@
 		reply.TotalInFlight, reply.Engines, reply.MessageAges = n.digest(now, caller.VM)
 		reply.RateLimits = n.rateLimits(now)
 		reply.Accounts, reply.AllBusyAccounts = n.accountsFor(now, caller)
+		reply.FairLevels = n.accounts.fairLevels
 	}
 	reply.Update = n.objectsNewerThan(push.Revisions)
 	return reply
@@ -193,6 +194,7 @@
 	n.opts.View.SetPeerInFlight(relayTotalsID, reply.TotalInFlight)
 	n.opts.View.MergeRateLimits(m.VM, reply.RateLimits)
 	n.opts.View.setOthersUse(now, reply.Accounts, reply.AllBusyAccounts)
+	n.opts.View.SetFairLevels(reply.FairLevels)
 	for _, e := range reply.Engines {
 		n.opts.View.SetEngineState(e)
 	}
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -162,7 +162,7 @@
 // placementRequest returns the description of the request for the next placement.
 func (c *call) placementRequest() fleet.PlacementRequest {
 	return fleet.PlacementRequest{
-		Service: c.service, Engine: c.engine, Request: c.request, Adapter: c.meta.Adapter, Limits: c.limits(),
+		Service: c.service, Engine: c.engine, Request: c.request, Adapter: c.meta.Adapter, Limits: c.fairLimits(c.limits()),
 		Excluded: func(id state.UpstreamID) bool { return c.excluded[id] },
 	}
 }
--- a/internal/node/gateway/quota.go
+++ b/internal/node/gateway/quota.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/accounts"
+	"github.com/celerydeck/celerydeck/internal/coordination/balance"
+	"github.com/celerydeck/celerydeck/internal/coordination/fairshare"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
 )
 
@@ -52,10 +54,21 @@
 	c.g.opts.View.ReturnQuota(c.account, c.quota.tokens, c.quota.takenAt)
 }
 
-// quotaTokens returns what a request counts for a quota.
+// fairLimits lowers the limit on the start delay of a request whose account is served more than its
+// fair share: where upstreams have too little capacity, it is refused before requests of others.
+func (c *call) fairLimits(l balance.Limits) balance.Limits {
+	if c.account == nil || c.responseStarted {
+		return l
+	}
+	l.MaxStartDelay = fairshare.Limit(l.MaxStartDelay, c.timeToObjective(), c.g.opts.View.FairExcess(c.account))
+	return l
+}
+
+// quotaTokens returns what a request counts for a quota. Without a quota it counts its tokens, for
+// fair shares.
 func quotaTokens(q *accounts.Quota, m *Metadata) float64 {
 	switch {
-	case !q.InTokens:
+	case q.PerSecond > 0 && !q.InTokens:
 		return 1
 	case m.HasTokens:
 		return float64(m.TokensIn) + float64(m.TokensOut)
--- a/internal/node/gateway/quota_test.go
+++ b/internal/node/gateway/quota_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/accounts"
+	"github.com/celerydeck/celerydeck/internal/coordination/balance"
 	"github.com/celerydeck/celerydeck/internal/coordination/quota"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
@@ -114,3 +115,25 @@
 	}
 	f.Assert(f.serve().Code, qt.Equals, http.StatusTooManyRequests)
 }
+
+// Guards against an account above its share that is admitted as others are, and against one that is
+// refused although the upstream could answer in time.
+func TestWithoutRoomAnAccountAboveItsShareIsRefusedFirst(t *testing.T) {
+	f := newQuotaFixture(t, http.StatusOK)
+	view := f.gateway.opts.View
+	f.account.Quota = accounts.Quota{PerSecond: 1e6, Burst: 1e6, InTokens: true, PlainTokens: 50_000}
+	f.route.Goal = 200 * time.Millisecond
+	f.Assert(f.serve().Code, qt.Equals, http.StatusOK)
+	view.SetFairLevels(map[int]float32{noPriorityGroup: 0.001})
+	f.Assert(f.serve().Code, qt.Equals, http.StatusOK, qt.Commentf("the upstream has room"))
+	view.WithTracker(func(t *balance.Tracker) { // the estimate is between the objective and the deadline
+		for range 48 {
+			t.Begin(time.Now(), "u", balance.Request{})
+		}
+	})
+	f.Assert(f.serve().Code, qt.Equals, http.StatusServiceUnavailable)
+	view.SetFairLevels(nil)
+	f.Assert(f.serve().Code, qt.Equals, http.StatusOK)
+}
+
+const noPriorityGroup = -1
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -103,6 +103,9 @@
 	Accounts map[string]quota.Others `cbor:"12,keyasint,omitempty"`
 	// AllBusyAccounts is whether Accounts contains all busy accounts.
 	AllBusyAccounts bool `cbor:"13,keyasint,omitempty"`
+	// FairLevels are, by priority of accounts, the tokens per second and unit of weight from which
+	// an account is served more than its fair share. It is empty in replies to a relay.
+	FairLevels map[int]float32 `cbor:"14,keyasint,omitempty"`
 }
 
 // StoreUpdate contains the objects of the object store of which its receiver has no copy
