--- a/internal/node/fleet/push.go
+++ b/internal/node/fleet/push.go
@@ -46,6 +46,7 @@
 		reply.RateLimits = n.rateLimits(now)
 		reply.Accounts, reply.AllBusyAccounts = n.accountsFor(now, caller)
 		reply.LeavingUpstreams = n.leavingUpstreams(now)
+		reply.FairLevels = n.accounts.fairLevels
 	}
 	reply.Update = n.objectsNewerThan(push.Revisions)
 	return reply
@@ -196,6 +197,7 @@
 	n.opts.View.MergeRateLimits(m.VM, reply.RateLimits)
 	n.opts.View.setOthersUse(now, reply.Accounts, reply.AllBusyAccounts)
 	n.opts.View.MergeLeaving(m.VM, reply.LeavingUpstreams)
+	n.opts.View.SetFairLevels(reply.FairLevels)
 	for _, e := range reply.Engines {
 		n.opts.View.SetEngineState(e)
 	}
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -178,6 +178,7 @@
 func (c *call) placementRequest() fleet.PlacementRequest {
 	return fleet.PlacementRequest{
 		Service: c.service, Engine: c.engine, Request: c.request, Adapter: c.meta.Adapter, Limits: c.limits(), TimeLeft: c.timeLeft(),
+		Service: c.service, Engine: c.engine, Request: c.request, Adapter: c.meta.Adapter, Limits: c.fairLimits(c.limits()),
 		Excluded: func(id state.UpstreamID) bool { return c.excluded[id] },
 	}
 }
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -110,6 +110,9 @@
 	AllBusyAccounts bool `cbor:"13,keyasint,omitempty"`
 	// LeavingUpstreams are those of all daemons. It is empty in replies to a relay.
 	LeavingUpstreams map[state.UpstreamID]int64 `cbor:"20,keyasint,omitempty"`
+	// FairLevels are, by priority of accounts, the tokens per second and unit of weight from which
+	// an account is served more than its fair share. It is empty in replies to a relay.
+	FairLevels map[int]float32 `cbor:"14,keyasint,omitempty"`
 }
 
 // StoreUpdate contains the objects of the object store of which its receiver has no copy
