--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -293,7 +293,7 @@
 
 func newEdgeGateway(view *fleet.View, n *fleet.Node, pool *httpconn.Pool, log *decisionlog.Log, r *metrics.Recorder) *gateway.Gateway {
 	return gateway.New(gateway.Options{
-		View: view, Loader: n, Pool: pool, HeaderCodec: platform.Dialect{}, Log: log, Metrics: r.Routes(), Clock: time.Now,
+		View: view, Loader: n, Pacer: n, Pool: pool, HeaderCodec: platform.Dialect{}, Log: log, Metrics: r.Routes(), Clock: time.Now,
 	})
 }
 
@@ -329,6 +329,13 @@
 		}
 		return protocol.MsgLoadReply, p.node.ServeLoadRequest(ctx, msg), nil
 	}
+	if frame.Kind == protocol.MsgPromptReservation {
+		var msg protocol.PromptReservation
+		if err := frame.Decode(&msg); err != nil {
+			return 0, nil, err
+		}
+		return protocol.MsgPromptReservationReply, p.node.ServePromptReservation(msg), nil
+	}
 	return 0, nil, errNotServed
 }
 
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -94,7 +94,13 @@
 	TokensOut int
 	Zone      state.Zone
 	StartBy   time.Time // when the first event is due; requests that wait for an engine are admitted in this order
-	Ticket    uint64    // grows with the arrival of requests; unique at this daemon
+	// IsScheduled is set if the engine's lease holder has scheduled the prompt, so that the prompt
+	// limit of this daemon does not apply.
+	IsScheduled bool
+	// ReplicaRatio is how many replicas the adapter should have for each one that it has. Values of
+	// 1 and below ask for none.
+	ReplicaRatio float64
+	Ticket       uint64 // grows with the arrival of requests; unique at this daemon
 }
 
 func (r *Request) rank() int { return min(max(r.Rank, 0), RankCount-1) }
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -75,6 +75,7 @@
 	Reason       string              // set if the request is refused
 	Candidates   int                 // number of upstreams that have the adapter or could load it
 	AtCapacity   int                 // candidates that accept no load at present
+	Replicas     int                 // candidates that have the adapter and are not ejected
 	NotPreferred int                 // candidates that may not load the adapter because of their rendezvous position
 }
 
@@ -171,10 +172,13 @@
 			best, bestEstimate = drawn.candidate, drawn.estimate
 		}
 	}
-	d := Decision{Upstream: best.Upstream, Load: !best.Resident, ReadyIn: best.ReadyIn, AnnounceUse: best.Resident && best.AdapterIdle, Estimate: bestEstimate, Candidates: len(list), AtCapacity: atCapacity, NotPreferred: notPreferred}
+	d := Decision{Upstream: best.Upstream, Replicas: len(replicas), Load: !best.Resident, ReadyIn: best.ReadyIn, AnnounceUse: best.Resident && best.AdapterIdle, Estimate: bestEstimate, Candidates: len(list), AtCapacity: atCapacity, NotPreferred: notPreferred}
 	if best.Resident && bestWithout != nil && busy && costWithout < bestResident.cost/2 {
 		d.ReplicateTo = bestWithout.Upstream
 	}
+	if best.Resident && d.ReplicateTo == nil {
+		d.ReplicateTo = t.replicaTarget(now, r.ReplicaRatio, list, positions, draw)
+	}
 	if bestEstimate > lim.MaxStartDelay {
 		wait := min(max(bestEstimate-lim.LatencyObjective/2, minRetryAfter), maxRetryAfter)
 		return Decision{Estimate: bestEstimate, RetryAfter: addJitter(wait, draw), Reason: "no room in time", ReplicateTo: d.ReplicateTo, Candidates: len(list), AtCapacity: atCapacity, NotPreferred: notPreferred}
--- a/internal/coordination/balance/pacing.go
+++ b/internal/coordination/balance/pacing.go
@@ -120,7 +120,7 @@
 // is zero if the prompt may be sent now.
 func (t *Tracker) holdTime(now time.Time, u *upstreams.Upstream, r *Request) time.Duration {
 	limit := t.limits[u.Service]
-	if limit == nil || r.TokensIn == 0 {
+	if limit == nil || r.TokensIn == 0 || r.IsScheduled {
 		return 0
 	}
 	tokens := limit.tokens * t.slowdownFactor(now, u.ID)
--- /dev/null
+++ b/internal/coordination/pacing/pacing.go
@@ -0,0 +1,108 @@
+// Package pacing schedules the prompts that all daemons send to one engine.
+//
+// Load pattern: many daemons send prompts to the same engine, each only now and then. An engine
+// reads prompts between the steps of its running streams, so prompts that arrive together delay
+// the events of all streams there. No daemon sees enough of the others' prompts in time to avoid
+// that. The engine's lease holder therefore keeps a ledger, and each daemon asks it when a
+// prompt may be sent.
+package pacing
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// RankShares are the shares of the limit that requests may use, by rank; further ranks use the
+// last one. The rest is left to more urgent requests that arrive later.
+var RankShares = [...]float64{1, 0.85, 0.7}
+
+// Limit is the number of prompt tokens that may be sent to the engine within any window.
+type Limit struct {
+	Tokens float64
+	// SmoothTokens is a lower limit. It applies as long as requests need not wait longer than
+	// their SmoothDelay for it.
+	SmoothTokens float64
+	Window       time.Duration
+}
+
+// Request describes a prompt to be scheduled.
+type Request struct {
+	Tokens      int
+	Rank        int
+	SmoothDelay time.Duration
+	MaxDelay    time.Duration // a request that would have to wait longer is not scheduled
+}
+
+// slot is a scheduled prompt.
+type slot struct {
+	at     time.Time
+	tokens int
+}
+
+// Ledger holds the prompts that were scheduled at one engine. It is not safe for concurrent use.
+type Ledger struct {
+	slots []slot // by time
+}
+
+// Reserve schedules a prompt at the earliest time at which no window exceeds the limit, and
+// returns the time until then. A prompt longer than the limit is scheduled in a window of its
+// own. If the delay would exceed MaxDelay, Reserve schedules nothing and returns the delay and
+// false.
+func (l *Ledger) Reserve(now time.Time, limit Limit, r Request) (time.Duration, bool) {
+	l.slots = slices.DeleteFunc(l.slots, func(s slot) bool { return now.Sub(s.at) >= limit.Window })
+	smooth := Limit{Tokens: limit.SmoothTokens, Window: limit.Window}
+	at := l.earliest(now, smooth, r)
+	if at.Sub(now) > min(r.SmoothDelay, r.MaxDelay) {
+		at = l.earliest(now, limit, r)
+	}
+	delay := at.Sub(now)
+	if delay > r.MaxDelay {
+		return delay, false
+	}
+	i, _ := slices.BinarySearchFunc(l.slots, at, func(s slot, at time.Time) int {
+		return cmp.Or(s.at.Compare(at), -1) // after the slots of the same time
+	})
+	l.slots = slices.Insert(l.slots, i, slot{at, r.Tokens})
+	return delay, true
+}
+
+// earliest returns the earliest time at which a prompt fits within a limit.
+func (l *Ledger) earliest(now time.Time, limit Limit, r Request) time.Time {
+	at := now
+	if l.fits(at, limit, r) {
+		return at
+	}
+	for _, s := range l.slots {
+		if at = s.at.Add(limit.Window); l.fits(at, limit, r) {
+			break
+		}
+	}
+	return at
+}
+
+// fits reports whether a prompt may be sent at a time: neither the window that ends then nor a
+// window that ends with a prompt scheduled later may exceed its limit.
+func (l *Ledger) fits(at time.Time, limit Limit, r Request) bool {
+	share := RankShares[min(max(r.Rank, 0), len(RankShares)-1)]
+	if sum := l.sum(at, limit.Window); sum > 0 && float64(sum+r.Tokens) > share*limit.Tokens {
+		return false
+	}
+	for _, s := range l.slots {
+		if s.at.After(at) && s.at.Before(at.Add(limit.Window)) && float64(l.sum(s.at, limit.Window)+r.Tokens) > limit.Tokens {
+			return false
+		}
+	}
+	return true
+}
+
+// sum returns the tokens scheduled in the window that ends at a time.
+func (l *Ledger) sum(end time.Time, window time.Duration) int {
+	sum := 0
+	for _, s := range l.slots {
+		if !s.at.After(end) && end.Sub(s.at) < window {
+			sum += s.tokens
+		}
+	}
+	return sum
+}
--- a/internal/node/fleet/choose.go
+++ b/internal/node/fleet/choose.go
@@ -40,6 +40,7 @@
 	defer v.mu.Unlock()
 	now := v.opts.Clock()
 	req.Request.Zone = v.opts.Zone
+	req.Request.ReplicaRatio = v.replicaRatio(now, req.Adapter)
 	newest := v.newestVersions[req.Adapter]
 	outdatedOK := now.Sub(newest.at) < v.opts.OutdatedGracePeriod
 	var list, outdated []balance.Candidate
--- /dev/null
+++ b/internal/node/fleet/reservation.go
@@ -0,0 +1,115 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/pacing"
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/state/upstreams"
+	"github.com/celerydeck/celerydeck/internal/transport/peer"
+)
+
+const (
+	// reservationTimeout limits the wait for a lease holder's reply. A request whose prompt is not
+	// scheduled by then is sent without a schedule.
+	reservationTimeout = 40 * time.Millisecond
+	// promptTokensPerMS is the limit of the scheduled prompt tokens for each millisecond of the
+	// longest pause that the streams allow. Engines read 20 to 26 tokens in a millisecond; the rest
+	// of the pause is for the steps of the running streams.
+	promptTokensPerMS = 14
+	// smoothTokensPerMS is the limit while prompts can wait for their turn without missing their
+	// latency objective.
+	smoothTokensPerMS = 8
+	// replicaRatioTTL is how long a lease holder's figure on the replicas of an adapter is used.
+	replicaRatioTTL = 400 * time.Millisecond
+)
+
+// replicaRatio is a lease holder's figure on the replicas of an adapter.
+type replicaRatio struct {
+	ratio float64
+	at    time.Time
+}
+
+// SetReplicaRatio records how many replicas an adapter should have for each one that it has.
+func (v *View) SetReplicaRatio(a upstreams.Adapter, ratio float64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if ratio <= 1 {
+		return
+	}
+	v.replicaRatios[a] = replicaRatio{ratio, v.opts.Clock()}
+}
+
+// replicaRatio returns how many replicas an adapter should have for each one that it has, or 1 if
+// that is not known. The caller holds the lock.
+func (v *View) replicaRatio(now time.Time, a upstreams.Adapter) float64 {
+	r, ok := v.replicaRatios[a]
+	if !ok {
+		return 1
+	}
+	if now.Sub(r.at) > replicaRatioTTL {
+		delete(v.replicaRatios, a)
+		return 1
+	}
+	return r.ratio
+}
+
+// ReservePrompt asks the lease holder of an engine when a prompt may be sent there. It returns
+// false if the lease holder is unknown or does not answer in time, and in a small fleet, where
+// daemons notify each other of each prompt.
+func (n *Node) ReservePrompt(ctx context.Context, msg protocol.PromptReservation) (protocol.PromptReservationReply, bool) {
+	n.mu.Lock()
+	isSmall := n.isSmall()
+	w := n.workers[msg.Upstream]
+	var to *peer.Peer
+	if m := n.members[n.holders[msg.Upstream].VM]; m != nil && !m.lost && m.contacted {
+		to = &peer.Peer{ID: m.ID(), Addr: m.Addr}
+	}
+	n.mu.Unlock()
+	if isSmall {
+		return protocol.PromptReservationReply{}, false
+	}
+	if w != nil {
+		reply := w.reservePrompt(msg)
+		return reply, reply.Known
+	}
+	if to == nil {
+		return protocol.PromptReservationReply{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, reservationTimeout)
+	defer cancel()
+	var reply protocol.PromptReservationReply
+	if err := n.opts.Pool.Exchange(ctx, *to, protocol.MsgPromptReservation, msg, &reply); err != nil {
+		return protocol.PromptReservationReply{}, false
+	}
+	return reply, reply.Known
+}
+
+// ServePromptReservation schedules a peer's prompt at an engine of this daemon.
+func (n *Node) ServePromptReservation(msg protocol.PromptReservation) protocol.PromptReservationReply {
+	n.mu.Lock()
+	w := n.workers[msg.Upstream]
+	n.mu.Unlock()
+	if w == nil {
+		return protocol.PromptReservationReply{}
+	}
+	return w.reservePrompt(msg)
+}
+
+// reservePrompt schedules a prompt at the worker's engine.
+func (w *worker) reservePrompt(msg protocol.PromptReservation) protocol.PromptReservationReply {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.lease.Valid(w.node.opts.BootClock()) || msg.GapGoal <= 0 {
+		return protocol.PromptReservationReply{}
+	}
+	now, ms := w.node.opts.Clock(), float64(msg.GapGoal.Milliseconds())
+	limit := pacing.Limit{Tokens: promptTokensPerMS * ms, SmoothTokens: smoothTokensPerMS * ms, Window: msg.GapGoal}
+	delay, ok := w.prompts.Reserve(now, limit, pacing.Request{Tokens: msg.Tokens, Rank: msg.Rank, SmoothDelay: msg.SmoothDelay, MaxDelay: msg.MaxDelay})
+	reply := protocol.PromptReservationReply{Known: true, Accepted: ok, Delay: delay, ReplicaRatio: 1}
+	if u := w.node.opts.View.Upstream(w.id); u != nil && msg.Adapter.Name != "" {
+		reply.ReplicaRatio = w.use.Record(now, msg.Adapter, w.node.opts.View.MeanStreamTime(), u.Slots)
+	}
+	return reply
+}
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -105,6 +105,7 @@
 	newlyUsed       map[state.UpstreamID][]upstreams.Adapter // not yet sent to the lease holders
 	newlyMissing    map[state.UpstreamID][]upstreams.Adapter // not yet sent to the lease holders
 	lastReplicated  map[upstreams.Adapter]time.Time
+	replicaRatios   map[upstreams.Adapter]replicaRatio
 	modelRequests   map[string]float64 // decaying count of requests by model
 	useNotifiedAt   map[engineAdapter]time.Time
 	retryBudgets    map[string]*retrybudget.Budget // by service
@@ -131,6 +132,7 @@
 		newlyUsed:       make(map[state.UpstreamID][]upstreams.Adapter),
 		newlyMissing:    make(map[state.UpstreamID][]upstreams.Adapter),
 		lastReplicated:  make(map[upstreams.Adapter]time.Time),
+		replicaRatios:   make(map[upstreams.Adapter]replicaRatio),
 		modelRequests:   make(map[string]float64),
 		useNotifiedAt:   make(map[engineAdapter]time.Time),
 		retryBudgets:    make(map[string]*retrybudget.Budget),
--- a/internal/node/fleet/viewrequests.go
+++ b/internal/node/fleet/viewrequests.go
@@ -31,6 +31,13 @@
 	return 0
 }
 
+// MeanStreamTime returns the mean time of streams from the first event to the last one.
+func (v *View) MeanStreamTime() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.tracker.MeanStreamTime()
+}
+
 // SetPromptNotices sets whether the daemons notify each other of each prompt. Otherwise the
 // prompts are part of the reports of requests in flight.
 func (v *View) SetPromptNotices(on bool) {
--- a/internal/node/fleet/worker.go
+++ b/internal/node/fleet/worker.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/holders"
+	"github.com/celerydeck/celerydeck/internal/coordination/pacing"
 	"github.com/celerydeck/celerydeck/internal/coordination/residency"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
 	"github.com/celerydeck/celerydeck/internal/protocol"
@@ -32,6 +33,8 @@
 	hasReport bool // a report was read under the present lease
 	// orderDone is closed and replaced after the outcome of each order was recorded.
 	orderDone chan struct{}
+	prompts   pacing.Ledger
+	use       pacing.Use
 }
 
 // startWorker starts the worker of an engine and stops the engine's previous worker. The caller holds the node's lock.
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -38,6 +38,7 @@
 	deadline time.Time
 	request  balance.Request
 
+	pacing  pacingState
 	isTrial bool // admitted as a trial of refused prompt parts
 	sends   int  // attempts that got a connection to an upstream
 	runs    int  // attempts in which the request may have run
@@ -162,7 +163,7 @@
 func (c *call) placementRequest() fleet.PlacementRequest {
 	return fleet.PlacementRequest{
 		Service: c.service, Engine: c.engine, Request: c.request, Adapter: c.meta.Adapter, Limits: c.limits(),
-		Excluded: func(id state.UpstreamID) bool { return c.excluded[id] },
+		Excluded: func(id state.UpstreamID) bool { return c.excluded[id] || c.isFull(id) },
 	}
 }
 
@@ -230,6 +231,13 @@
 			c.retryTaken.Store(c.sends > 0)
 			continue
 		}
+		switch c.awaitPromptSlot(placement) {
+		case slotNowhere:
+			return
+		case slotRefused:
+			c.retryTaken.Store(c.sends > 0)
+			continue
+		}
 		switch c.send(placement) {
 		case delivered:
 			return
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -82,10 +82,17 @@
 	RequestLoad(ctx context.Context, msg protocol.LoadRequest) protocol.LoadReply
 }
 
+// Pacer schedules prompts with the lease holders of engines. It returns false if no lease holder
+// has answered.
+type Pacer interface {
+	ReservePrompt(ctx context.Context, msg protocol.PromptReservation) (protocol.PromptReservationReply, bool)
+}
+
 // Options configures a Gateway.
 type Options struct {
 	View        *fleet.View
 	Loader      Loader
+	Pacer       Pacer // nil if prompts are not scheduled
 	Pool        *httpconn.Pool
 	HeaderCodec HeaderCodec
 	Log         *decisionlog.Log
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -155,6 +155,30 @@
 // PromptNoticeReply answers a PromptNotice.
 type PromptNoticeReply struct{}
 
+// PromptReservation asks the lease holder of an engine when a prompt may be sent there.
+type PromptReservation struct {
+	Upstream state.UpstreamID `cbor:"1,keyasint"`
+	Tokens   int              `cbor:"2,keyasint"`
+	Rank     int              `cbor:"3,keyasint,omitempty"`
+	MaxDelay time.Duration    `cbor:"4,keyasint"` // the prompt is not sent there if it would have to wait longer
+	GapGoal  time.Duration    `cbor:"5,keyasint"` // longest pause that the streams of the request's route allow
+	// SmoothDelay is how long the prompt may wait for the sake of running streams alone.
+	SmoothDelay time.Duration     `cbor:"6,keyasint"`
+	Adapter     upstreams.Adapter `cbor:"7,keyasint"`
+}
+
+// PromptReservationReply answers a PromptReservation.
+type PromptReservationReply struct {
+	// Known is whether the receiver holds the engine's lease. If not, the other fields have no
+	// meaning.
+	Known    bool          `cbor:"1,keyasint"`
+	Accepted bool          `cbor:"2,keyasint"`
+	Delay    time.Duration `cbor:"3,keyasint"`
+	// ReplicaRatio is how many replicas the adapter should have for each one that it has, by its
+	// use at this engine; at least 1.
+	ReplicaRatio float64 `cbor:"4,keyasint,omitempty"`
+}
+
 // LoadReply answers a LoadRequest.
 type LoadReply struct {
 	Accepted bool          `cbor:"1,keyasint"`
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -38,6 +38,8 @@
 	MsgLoadReply
 	MsgPromptNotice
 	MsgPromptNoticeReply
+	MsgPromptReservation
+	MsgPromptReservationReply
 )
 
 // Call asks the owner of an upstream to run a request. Either Model or Plain is set.
