--- a/internal/node/gateway/outcome.go
+++ b/internal/node/gateway/outcome.go
@@ -4,6 +4,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
@@ -41,6 +42,7 @@
 // respond sends a response of the gateway itself and logs the outcome.
 func (c *call) respond(status int, reason string) {
 	c.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	c.w.Header().Set("Content-Length", strconv.Itoa(len(reason)+1)) // the response may be flushed before it ends
 	c.w.Header().Set("X-Celerydeck-Reason", reason)
 	c.w.WriteHeader(status)
 	_, _ = io.WriteString(c.w, reason+"\n") // the caller may have left
@@ -75,7 +77,7 @@
 	}
 	c.g.opts.Log.Request(
 		decisionlog.End{Request: c.meta.RequestID, Route: routeName, Outcome: outcome, Answered: status >= 200 && status < 300},
-		slog.String("account", accountName), slog.String("service", c.service), slog.String("adapter", c.meta.Adapter.String()), slog.Int("status", status),
+		slog.String("account", accountName), slog.String("key", c.credential.fingerprint()), slog.String("service", c.service), slog.String("adapter", c.meta.Adapter.String()), slog.Int("status", status),
 		slog.Int("sends", c.sends), slog.Int("runs", c.runs), slog.String("upstream", string(c.upstream)),
 		slog.Duration("took", took), slog.Duration("first", c.firstEventDelay), slog.Duration("load_wait", c.loadWait),
 		slog.Duration("estimate", c.placement.Estimate), slog.Uint64("config", c.configVersion), slog.Duration("list_age", c.placement.ListAge),
