--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -23,6 +23,7 @@
 	"go.uber.org/fx/fxevent"
 	"golang.org/x/sys/unix"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/quota"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/metrics"
 	"github.com/celerydeck/celerydeck/internal/node/fleet"
@@ -216,6 +217,7 @@
 		Retries:             fleet.RetryLimits{Ratio: s.Bounds.RetryRatio, Burst: s.Bounds.RetryBurst, Window: s.Bounds.RetryWindow},
 		OutdatedGracePeriod: time.Duration(float64(s.Bounds.AdapterVersion) * outdatedGraceShare),
 		ConfigApplyTime:     s.Bounds.ConfigApply,
+		Quotas:              quota.Options{Window: s.Bounds.QuotaWindow, Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack},
 		Log:                 log,
 		Clock:               time.Now,
 		BootClock:           bootClock,
@@ -293,9 +295,12 @@
 	return r
 }
 
-func newEdgeGateway(view *fleet.View, n *fleet.Node, pool *httpconn.Pool, log *decisionlog.Log, r *metrics.Recorder) *gateway.Gateway {
+func newEdgeGateway(s platform.Settings, view *fleet.View, n *fleet.Node, pool *httpconn.Pool, log *decisionlog.Log, r *metrics.Recorder) *gateway.Gateway {
+	engines := platform.NewEngines() // with connections of its own: a probe must not wait for an order
 	return gateway.New(gateway.Options{
 		View: view, Loader: n, Pacer: n, Pool: pool, HeaderCodec: platform.Dialect{}, Log: log, Metrics: r.Routes(), Clock: time.Now,
+		Probe:        func(ctx context.Context, addr string) error { _, err := engines.Report(ctx, addr); return err },
+		StrictRevoke: s.Bounds.StrictRevoke, RevokeTime: s.Bounds.Revoke,
 	})
 }
 
--- a/internal/decisionlog/trace.go
+++ b/internal/decisionlog/trace.go
@@ -29,7 +29,7 @@
 }
 
 // durationKeys are the keys of attributes with values in nanoseconds.
-var durationKeys = []string{"took", "first", "load_wait", "estimate", "list_age", "held_age", "ready_in", "left", "after", "pause", "longest_pause", "hold"}
+var durationKeys = []string{"took", "first", "load_wait", "estimate", "report_age", "retry_after", "list_age", "held_age", "ready_in", "left", "after", "pause", "longest_pause", "hold"}
 
 // Text formats the attributes as key=value, sorted by key. It omits empty values.
 func (l *Line) Text() string {
@@ -204,7 +204,7 @@
 		return parts
 	case NoCapacity:
 		return []string{fmt.Sprintf("the best one would have begun in %s", end.duration("estimate").Round(time.Millisecond)), engineCounts(end)}
-	case UnknownKey, UnconfirmedKey:
+	case UnknownKey, UnconfirmedKey, KeyRemoved:
 		return []string{fmt.Sprintf("the key has the fingerprint %s, and version %d of the configuration was in force", end.text("key"), end.number("config"))}
 	case NoEngine:
 		return []string{engineCounts(end)}
@@ -247,7 +247,9 @@
 	BodyMemoryExhausted  = "memory for bodies is taken"
 	NoKey                = "no usable key"
 	UnknownKey           = "unknown key"
+	KeyRemoved           = "key removed"
 	UnconfirmedKey       = "unknown key, old configuration"
+	QuotaExceeded        = "quota exceeded"
 )
 
 // Causes maps each outcome to its explanation for operators.
@@ -272,5 +274,7 @@
 	BodyMemoryExhausted:  "the daemon held too many bodies at that moment; the request did not run",
 	NoKey:                "the route needs an API key, and the request had no Authorization header, several, or one that is not of the form Bearer KEY; the request did not run",
 	UnknownKey:           "no client account of the configuration in force holds the key; the request did not run",
+	KeyRemoved:           "the key was removed from the configuration after the request had come",
 	UnconfirmedKey:       "no client account of the configuration in force holds the key, but the daemon was cut off from the store and its peers and could not know whether a newer one does; the request did not run",
+	QuotaExceeded:        "the client account has used up its quota for the moment; the request did not run",
 }
--- a/internal/node/fleet/accounts.go
+++ b/internal/node/fleet/accounts.go
@@ -1,102 +1,216 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/celerydeck/celerydeck/internal/coordination/routes"
-	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/coordination/accounts"
+	"github.com/celerydeck/celerydeck/internal/coordination/quota"
 )
 
 const (
-	// neverConfirmed is the time of the last confirmation before the first one. Differences from
-	// it don't overflow.
-	neverConfirmed time.Duration = -1 << 62
-	// maxReplyDelay is the time that the store's reply to a watch may have been on its way, if the
-	// reply does not end the whole wait.
-	maxReplyDelay = 500 * time.Millisecond
-	// maxPushDelay is the time that a peer's message may have been on its way.
-	maxPushDelay = 300 * time.Millisecond
-	// minConfigWait is the shortest wait of a watch of the configuration.
-	minConfigWait = 250 * time.Millisecond
+	// accountLostAfter is the silence after which the quotas of accounts are divided between this
+	// part of the fleet and the silent daemon. It spans two messages between zones of a large
+	// fleet, and a lost one.
+	accountLostAfter = time.Second
+	// accountSumsTTL is how long the sums over all daemons serve for replies.
+	accountSumsTTL = 50 * time.Millisecond
+	// maxBusyAccounts is the maximum number of accounts in a reply that its receiver did not
+	// report.
+	maxBusyAccounts = 32
 )
 
-// configConfirmation is when the store was last known to hold no configuration newer than the one
-// in force. It uses a clock that advances while the machine is suspended.
-type configConfirmation struct {
-	mu sync.Mutex
-	at time.Duration // by ViewOptions.BootClock
+// quotaLedger is the quota decision of this daemon with its lock.
+type quotaLedger struct {
+	mu     sync.Mutex // not held across I/O; taken after the locks of the node and of the view
+	ledger *quota.Ledger
 }
 
-// ConfirmConfig records that a version was the newest one in the store at a time of the boot clock.
-// It has no effect if another version is in force.
-func (v *View) ConfirmConfig(version uint64, at time.Duration) {
-	if t := v.Table(); t == nil || t.Config.Version != version {
+func (q *quotaLedger) setDaemons(count int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.ledger.SetDaemons(max(count, minDaemonCount))
+}
+
+// TakeQuota decides whether a request is within the quota of its account, and takes its tokens if
+// so.
+func (v *View) TakeQuota(a *accounts.Account, tokens float64) quota.Decision {
+	v.quotas.mu.Lock()
+	defer v.quotas.mu.Unlock()
+	return v.quotas.ledger.Take(v.opts.Clock(), a, tokens)
+}
+
+// ReturnQuota gives back the tokens of a request that ran nowhere.
+func (v *View) ReturnQuota(a *accounts.Account, tokens float64, takenAt time.Time) {
+	v.quotas.mu.Lock()
+	defer v.quotas.mu.Unlock()
+	v.quotas.ledger.Return(v.opts.Clock(), a, tokens, takenAt)
+}
+
+// accountQuotas returns the quotas in force by account, or nil if there are none.
+func (v *View) accountQuotas() map[string]accounts.Quota {
+	t := v.Table()
+	if t == nil {
+		return nil
+	}
+	var list map[string]accounts.Quota
+	for i := range t.Config.Accounts {
+		a := &t.Config.Accounts[i]
+		if a.Quota.PerSecond <= 0 {
+			continue
+		}
+		if list == nil {
+			list = make(map[string]accounts.Quota, len(t.Config.Accounts))
+		}
+		list[a.Name] = a.Quota
+	}
+	return list
+}
+
+// hasQuotas reports whether an account of the configuration has a quota.
+func (v *View) hasQuotas() bool {
+	t := v.Table()
+	return t != nil && slices.ContainsFunc(t.Config.Accounts, func(a accounts.Account) bool { return a.Quota.PerSecond > 0 })
+}
+
+// ownAccountUse returns what this daemon reports of accounts, nil if no account has a quota.
+func (v *View) ownAccountUse() map[string]quota.Use {
+	if !v.hasQuotas() {
+		return nil
+	}
+	v.quotas.mu.Lock()
+	defer v.quotas.mu.Unlock()
+	return v.quotas.ledger.Own(v.opts.Clock())
+}
+
+// setOthersUse replaces the sums of the other daemons.
+func (v *View) setOthersUse(now time.Time, others map[string]quota.Others, complete bool) {
+	if !v.hasQuotas() {
 		return
 	}
-	v.confirmation.mu.Lock()
-	defer v.confirmation.mu.Unlock()
-	v.confirmation.at = max(v.confirmation.at, at)
+	v.quotas.mu.Lock()
+	defer v.quotas.mu.Unlock()
+	v.quotas.ledger.SetOthers(now, others, complete)
 }
 
-// ConfigAge returns the time since the configuration in force was last known to be the newest.
-func (v *View) ConfigAge() time.Duration {
-	v.confirmation.mu.Lock()
-	defer v.confirmation.mu.Unlock()
-	return v.opts.BootClock() - v.confirmation.at
+// accountSums are the sums of the reports of all other daemons, for the replies of a relay.
+type accountSums struct {
+	at      time.Time
+	byName  map[string]quota.Others         // of all daemons
+	summed  map[string]map[string]quota.Use // what each VM contributed to byName
+	busy    []string
+	allBusy bool // busy is not cut off
 }
 
-// IsConfigConfirmed reports whether a version is in force and was the newest one within
-// ConfigApplyTime. If not, a newer version may be in force elsewhere.
-func (v *View) IsConfigConfirmed(version uint64) bool {
-	t := v.Table()
-	return t != nil && t.Config.Version == version && (v.opts.ConfigApplyTime <= 0 || v.ConfigAge() <= v.opts.ConfigApplyTime)
+// accountsFor returns the sums for a daemon that is not a relay: of the accounts that it
+// reported, and of busy ones. The caller holds the lock.
+func (n *Node) accountsFor(now time.Time, to *member) (map[string]quota.Others, bool) {
+	if !n.knowsAccounts(now) {
+		return nil, false
+	}
+	n.sumAccounts(now)
+	out := make(map[string]quota.Others, len(to.state.Accounts)+len(n.accounts.busy))
+	for _, name := range n.accounts.busy {
+		out[name] = n.accounts.without(name, to.VM)
+	}
+	for name := range to.state.Accounts {
+		out[name] = n.accounts.without(name, to.VM)
+	}
+	return out, n.accounts.allBusy
 }
 
-// configWait returns how long a watch of the configuration waits. Confirmations must be frequent
-// enough to reach the daemons that do not read the store within ConfigApplyTime.
-func (v *View) configWait() time.Duration {
-	if t := v.Table(); v.opts.ConfigApplyTime <= 0 || t == nil || t.Accounts() == nil {
-		return watchTimeout
+// sumAccountsForSelf sets the sums of the other daemons from the states that this relay knows.
+// The caller holds the lock.
+func (n *Node) sumAccountsForSelf(now time.Time) {
+	if !n.knowsAccounts(now) {
+		return
 	}
-	return min(watchTimeout, max(minConfigWait, v.opts.ConfigApplyTime/2))
+	n.sumAccounts(now)
+	out := make(map[string]quota.Others, len(n.accounts.byName))
+	for name := range n.accounts.byName {
+		out[name] = n.accounts.without(name, n.opts.Self.VM)
+	}
+	n.opts.View.setOthersUse(now, out, true)
 }
 
-// confirmRead records that this daemon read the configuration. askedAt is when it sent the call, and
-// wait is the wait of a watch, or zero for a read of the whole object. inStore is the newest version
-// that it has read.
-func (n *Node) confirmRead(askedAt, wait time.Duration, hasChanged bool, inStore uint64) {
-	now := n.opts.BootClock()
-	at := askedAt
-	switch {
-	case wait > 0 && !hasChanged && now-askedAt >= wait:
-		at = askedAt + wait
-	case wait > 0:
-		at = max(askedAt, now-maxReplyDelay)
-	}
-	n.opts.View.ConfirmConfig(inStore, at)
+// knowsAccounts reports whether this daemon knows the use of accounts at the other daemons: in
+// the first second after its start it must have heard from all of them. The caller holds the lock.
+func (n *Node) knowsAccounts(now time.Time) bool {
+	if !n.opts.View.hasQuotas() {
+		return false
+	}
+	if now.Sub(n.started) >= accountLostAfter {
+		return true
+	}
+	for _, m := range n.members {
+		if !m.contacted {
+			return false
+		}
+	}
+	return true
 }
 
-// confirmByPeer takes over a peer's confirmation of the version in force here. sentAt is when this
-// daemon sent the message that the peer replied to. The age is counted from then, as a reply may be
-// delivered late.
-func (n *Node) confirmByPeer(sentAt time.Duration, k protocol.StoreRevisions) {
-	n.opts.View.ConfirmConfig(k.Config, sentAt-max(0, k.ConfigAge))
+// without returns the sums of an account without the use of one daemon.
+func (s *accountSums) without(name, vm string) quota.Others {
+	o, use := s.byName[name], s.summed[vm][name]
+	o.Offered = max(0, o.Offered-use.Offered)
+	o.Admitted = max(0, o.Admitted-use.Admitted)
+	return o
 }
 
-// confirmByPush is confirmByPeer for a message that this daemon did not ask for.
-func (n *Node) confirmByPush(k protocol.StoreRevisions) {
-	n.confirmByPeer(n.opts.BootClock()-maxPushDelay, k)
+// sumAccounts sums up the states of all daemons. The caller holds the lock.
+func (n *Node) sumAccounts(now time.Time) {
+	s := &n.accounts
+	if s.byName != nil && now.Sub(s.at) < accountSumsTTL {
+		return
+	}
+	own := n.opts.View.ownAccountUse()
+	s.at, s.byName = now, make(map[string]quota.Others)
+	s.summed = map[string]map[string]quota.Use{n.opts.Self.VM: own}
+	for name, use := range own {
+		s.byName[name] = quota.Others{Offered: use.Offered, Admitted: use.Admitted}
+	}
+	for _, m := range n.members {
+		if m.state.Incarnation != m.Incarnation {
+			continue
+		}
+		isLost := now.Sub(m.lastHeard) > accountLostAfter
+		if isLost && m.state.Leaving {
+			continue
+		}
+		if !isLost && len(m.state.Accounts) > 0 {
+			s.summed[m.VM] = m.state.Accounts
+		}
+		for name, use := range m.state.Accounts {
+			o := s.byName[name]
+			if isLost {
+				o.Lost += use.Offered
+			} else {
+				o.Offered += use.Offered
+				o.Admitted += use.Admitted
+			}
+			s.byName[name] = o
+		}
+	}
+	s.findBusy(n.opts.View.accountQuotas())
 }
 
-// unusableAccounts returns the positions, from 0, of the account entries that could not be decoded.
-// The entries have no name that could be trusted.
-func unusableAccounts(c *routes.Config) []int {
-	var list []int
-	for i := range c.Accounts {
-		if c.Accounts[i].Unusable {
-			list = append(list, i)
+// findBusy finds the accounts that use a large part of their quota, or of which daemons are
+// silent; the busiest first.
+func (s *accountSums) findBusy(quotas map[string]accounts.Quota) {
+	use := make(map[string]float64)
+	s.busy = s.busy[:0]
+	for name, o := range s.byName {
+		part := quota.UsedPart(quotas[name], o)
+		if part < quota.BusyPart {
+			continue
 		}
+		use[name] = part
+		s.busy = append(s.busy, name)
 	}
-	return list
+	slices.SortFunc(s.busy, func(a, b string) int { return cmp.Or(cmp.Compare(use[b], use[a]), cmp.Compare(a, b)) })
+	s.allBusy = len(s.busy) <= maxBusyAccounts
+	s.busy = s.busy[:min(len(s.busy), maxBusyAccounts)]
 }
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -11,6 +11,7 @@
 
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
 	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
+	"github.com/celerydeck/celerydeck/internal/coordination/quota"
 	"github.com/celerydeck/celerydeck/internal/coordination/residency"
 	"github.com/celerydeck/celerydeck/internal/coordination/retrybudget"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
@@ -61,6 +62,7 @@
 	// ConfigApplyTime is the time within which a configuration is in force at every daemon that
 	// reaches the store or its peers. Zero means that this daemon always has the newest one.
 	ConfigApplyTime time.Duration
+	Quotas          quota.Options
 	Log             *decisionlog.Log
 	Clock           func() time.Time
 	// BootClock also counts while the machine is suspended. It is needed with ConfigApplyTime.
@@ -96,6 +98,7 @@
 	table atomic.Pointer[routes.Table]
 
 	confirmation configConfirmation
+	onConfig     func(*routes.Table)
 
 	mu              sync.Mutex // guards the fields below; not held across I/O
 	listConfirmedAt time.Time  // when byID last agreed with the store
@@ -121,6 +124,8 @@
 	promptNotices   bool                  // whether the daemons send notices of prompts
 	notice          protocol.PromptNotice // not yet sent to the peers
 	noticePending   chan struct{}         // has an element if notice is not empty
+
+	quotas quotaLedger // has its own lock
 }
 
 // NewView returns an empty view.
@@ -150,6 +155,8 @@
 		v.opts.BootClock = func() time.Duration { return 0 }
 	}
 	v.tracker.SetDaemons(minDaemonCount, 0)
+	v.quotas.ledger = quota.New(opts.Quotas)
+	v.quotas.ledger.SetDaemons(minDaemonCount)
 	return v
 }
 
@@ -159,12 +166,23 @@
 // SetConfig puts a configuration in force if it is newer than the current configuration. It
 // reports whether it did.
 func (v *View) SetConfig(c *routes.Config) bool {
+	isNewer := func() bool {
+		t := v.table.Load()
+		return t == nil || t.Config.Version < c.Version
+	}
+	if !isNewer() {
+		return false
+	}
+	table := routes.NewTable(c) // takes long with many accounts
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if t := v.table.Load(); t != nil && t.Config.Version >= c.Version {
+	if !isNewer() {
 		return false
 	}
-	v.table.Store(routes.NewTable(c))
+	v.table.Store(table)
+	if v.onConfig != nil {
+		go v.onConfig(table) // it may take long, and must not run under the lock
+	}
 	v.opts.Log.Event("configuration in force", slog.Uint64("version", c.Version), slog.Int("routes", len(c.Routes)))
 	if list := unusableAccounts(c); len(list) > 0 {
 		v.opts.Log.Event("unusable account entries", slog.Uint64("version", c.Version), slog.Any("positions", list))
@@ -316,6 +334,7 @@
 	defer v.mu.Unlock()
 	v.daemonCount = count
 	v.tracker.SetDaemons(count, position)
+	v.quotas.setDaemons(count)
 }
 
 // Outgoing is what this daemon reports to its peers about its requests: those in flight, the
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -32,6 +32,7 @@
 	route      *routes.Route
 	account    *accounts.Account // nil on public routes, and if the configuration has no accounts
 	credential credential
+	precedence routes.Precedence
 	service    string
 	engine     *routes.EngineSpec
 	body       []byte
@@ -58,12 +59,14 @@
 	placement       fleet.Placement           // the last choice of an upstream
 	configVersion   uint64                    // of the configuration in force at the arrival
 	upstream        state.UpstreamID          // of the last attempt
+	attempt         *exchange                 // the last attempt that got a connection
 	loadingAt       state.UpstreamID          // where the request waited for a load
 	earlyRejections int                       // rejections by the engine loadingAt
 	firstEventDelay time.Duration             // from the arrival to the first event
 	loadWait        time.Duration             // total wait for loads
 	hold            time.Duration             // wait for room for the prompt at an engine
 	holdTime        time.Duration             // sum of these waits
+	quota           quotaUse
 }
 
 // setDeadline computes the deadline from the route's timeout and the time that the caller
@@ -118,9 +121,10 @@
 	c.engine = table.Config.Services[c.service].Engine
 	c.configVersion = table.Config.Version
 	c.lastEvent = c.meta.LastEvent
-	c.request = balance.Request{Rank: c.route.Rank, TokensIn: c.meta.TokensIn, TokensOut: c.meta.TokensOut, Ticket: c.g.tickets.Add(1)}
+	c.precedence = table.Precedence(c.account, c.route)
+	c.request = balance.Request{Rank: c.precedence.Rank, TokensIn: c.meta.TokensIn, TokensOut: c.meta.TokensOut, Ticket: c.g.tickets.Add(1)}
 	// Less urgent ranks yield to more urgent ones that arrive somewhat later.
-	c.request.StartBy = c.arrival.Add(c.route.Goal * time.Duration(2+c.route.Rank) / 2)
+	c.request.StartBy = c.arrival.Add(c.route.Goal * time.Duration(2+c.precedence.Rank) / 2)
 	c.excluded = make(map[state.UpstreamID]bool)
 }
 
@@ -173,11 +177,15 @@
 // that the choice of an upstream asks for.
 func (c *call) serve() {
 	defer c.g.opts.View.WithTracker(func(t *balance.Tracker) { t.Withdraw(c.request) })
+	defer c.returnQuota()
 	for {
 		if c.hasCallerLeft() {
 			c.logOutcome(decisionlog.CallerLeft, 0)
 			return
 		}
+		if c.refuseRevoked() {
+			return
+		}
 		if c.ctx.Err() != nil {
 			c.endWithDaemon()
 			return
@@ -193,6 +201,9 @@
 		if c.refuseQuarantined() {
 			return
 		}
+		if !c.takeQuota() {
+			return
+		}
 		placement := c.g.opts.View.Choose(c.placementRequest())
 		c.placement = placement
 		if placement.ReplicateTo != nil && c.g.opts.View.AllowReplication(c.meta.Adapter) {
@@ -225,7 +236,7 @@
 			}
 			continue
 		}
-		if c.refuseQuarantined() { // the request may have waited for a load
+		if c.refuseQuarantined() || c.refuseRevoked() { // the request may have waited for a load
 			return
 		}
 		if c.hasLeft(placement) {
@@ -241,6 +252,7 @@
 		}
 		switch c.send(placement) {
 		case delivered:
+			c.quota.isSpent = true
 			return
 		case held:
 			c.retryTaken.Store(c.sends > 0)
@@ -261,9 +273,6 @@
 	}
 }
 
-// maxSends is the number of attempts after which a request that an upstream rejects is not
-// sent again.
-
 // maxSends is the number of attempts after which a request that an upstream rejects is not
 // sent again.
 const maxSends = 4
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -33,6 +33,7 @@
 	Adapter   upstreams.Adapter
 	TokensIn  int
 	TokensOut int
+	HasTokens bool // the request names both numbers of tokens
 	// SharedParts identifies the parts of the prompt, in order, that other requests may share:
 	// all but the last one.
 	SharedParts []uint64
@@ -98,23 +99,31 @@
 	Log         *decisionlog.Log
 	Metrics     Metrics
 	Clock       func() time.Time
+	// Probe asks the engine at an address for a short answer. Nil if engines can't be probed.
+	Probe func(ctx context.Context, addr string) error
+	// StrictRevoke is whether requests end whose key is removed while they run, within RevokeTime.
+	StrictRevoke bool
+	RevokeTime   time.Duration
 }
 
 // Metrics counts and times completed requests.
 type Metrics interface {
 	Request(route, outcome string, took time.Duration)
 	LongestPause(route string, pause time.Duration)
+	AccountRefused(account, outcome string) // account is empty if it is not known
 }
 
 // Gateway is an http.Handler for callers. It is safe for concurrent use.
 type Gateway struct {
 	opts       Options
 	bodies     bodyMemory
+	probes     prober
 	active     atomic.Int64
 	tickets    atomic.Uint64 // of the last request
 	leaving    atomic.Bool
 	mustEndBy  atomic.Int64 // Unix nanoseconds, see RefuseLongRequests; zero for no limit
 	refusesAll atomic.Bool
+	keyed      keyedCalls
 	ended      context.Context // done once EndAll was called
 	end        context.CancelFunc
 }
@@ -123,6 +132,9 @@
 func New(opts Options) *Gateway {
 	g := &Gateway{opts: opts}
 	g.ended, g.end = context.WithCancel(context.Background())
+	if opts.StrictRevoke {
+		opts.View.OnConfig(g.endRevoked)
+	}
 	return g
 }
 
@@ -154,6 +166,7 @@
 	if !c.authenticate(table) {
 		return
 	}
+	defer c.trackKey()()
 	c.setDeadline()
 	if !c.readBody(table.Config.Limits.BodyBytes) {
 		return
