--- a/internal/node/fleet/storesync.go
+++ b/internal/node/fleet/storesync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -226,18 +227,34 @@
 		}
 		askedAt := n.opts.BootClock()
 		c, revision, err := read(ctx)
-		if err != nil {
+		isUnusable := errors.Is(err, ErrUnusableConfig)
+		if err != nil && !isUnusable {
 			return revision, err
 		}
 		if c != nil {
 			n.applyConfig(c)
 			inStore = c.Version
 		}
+		if isUnusable { // the version in force stays, and the watch goes on to the next one
+			n.recordUnusableConfig(err)
+			return revision, nil
+		}
 		n.confirmRead(askedAt, wait, c != nil, inStore)
 		return revision, nil
 	})
 }
 
+// recordUnusableConfig logs a configuration that can't be read, unless it was the last one logged:
+// a watch that is restarted reads it again.
+func (n *Node) recordUnusableConfig(err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if text := err.Error(); text != n.unusableConfig {
+		n.unusableConfig = text
+		n.opts.Log.Event("configuration unusable", slog.Uint64("version", n.revisions.Config), slog.String("err", text))
+	}
+}
+
 // applyConfig puts a configuration in force unless a newer configuration is in force.
 func (n *Node) applyConfig(c *routes.Config) {
 	n.opts.View.SetConfig(c)
