--- a/internal/node/fleet/reservation.go
+++ b/internal/node/fleet/reservation.go
@@ -17,7 +17,7 @@
 	// promptTokensPerMS is the limit of the scheduled prompt tokens for each millisecond of the
 	// longest pause that the streams allow. Engines read 20 to 26 tokens in a millisecond; the rest
 	// of the pause is for the steps of the running streams.
-	promptTokensPerMS = 14
+	promptTokensPerMS = 16
 	// smoothTokensPerMS is the limit while prompts can wait for their turn without missing their
 	// latency objective.
 	smoothTokensPerMS = 8
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -214,6 +214,9 @@
 			c.sleep(resumeRetryInterval)
 			continue
 		}
+		if placement.Upstream == nil && c.retryFull() {
+			continue
+		}
 		if placement.Upstream == nil {
 			c.failWithRetryAfter(placement.Reason, placement.RetryAfter)
 			return
--- a/internal/node/gateway/pacing.go
+++ b/internal/node/gateway/pacing.go
@@ -19,7 +19,7 @@
 	maxSlotWaitShare = 0.25
 	// maxSmoothShare is the share of the time left to the latency objective that a prompt may wait
 	// only for the sake of the streams that run at the engine.
-	maxSmoothShare = 0.3
+	maxSmoothShare = 0.5
 )
 
 // pacingState is what a call knows of the reservations for its prompt.
@@ -58,7 +58,7 @@
 		maxDelay = c.limits().MaxStartDelay // a load at another engine would take longer
 	}
 	reply, ok := c.g.opts.Pacer.ReservePrompt(c.ctx, protocol.PromptReservation{
-		Upstream: placement.Upstream.ID, Tokens: c.request.TokensIn, Rank: c.route.Rank, MaxDelay: maxDelay, GapGoal: c.route.GapGoal,
+		Upstream: placement.Upstream.ID, Tokens: c.request.TokensIn, Rank: c.precedence.Rank, MaxDelay: maxDelay, GapGoal: c.route.GapGoal,
 		SmoothDelay: min(maxDelay, time.Duration(maxSmoothShare*float64(c.timeToObjective()))), Adapter: c.meta.Adapter,
 	})
 	if !ok {
@@ -88,6 +88,17 @@
 	return slotTaken
 }
 
+// retryFull makes the engines that had no room for the prompt candidates again, if another choice has
+// found no other engine. It returns false if there are none, or if they were asked again already.
+func (c *call) retryFull() bool {
+	if len(c.pacing.full) == 0 || c.pacing.asked >= maxReservations {
+		return false
+	}
+	c.pacing.asked = maxReservations - 1
+	clear(c.pacing.full)
+	return true
+}
+
 // isFull reports whether an engine had no room for the prompt and another one may have.
 func (c *call) isFull(id state.UpstreamID) bool {
 	_, full := c.pacing.full[id]
