Prompts are scheduled by lease holders, replicas follow the use of adapters

Cause: in a large fleet no daemon sees the prompts that others send to an engine in time. Change: before a daemon sends a prompt, it asks the engine's lease holder when it may; the lease holder also says how many replicas the adapter should have.

--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -127,6 +127,7 @@
 	view    *fleet.View
 	gateway *gateway.Gateway
 	loader  *loader
+	pacer   *pacer
 	server  *httptest.Server
 }
 
@@ -151,9 +152,9 @@
 	opts.Zone, opts.OutdatedGracePeriod, opts.Log, opts.Clock = "z", 400*time.Millisecond, log, time.Now
 	opts.Retries = fleet.RetryLimits{Ratio: 0.2, Burst: 100, Window: 10 * time.Second}
 	view := fleet.NewView(opts)
-	w := &fixture{C: c, view: view, loader: &loader{}}
+	w := &fixture{C: c, view: view, loader: &loader{}, pacer: &pacer{}}
 	w.gateway = gateway.New(gateway.Options{
-		View: view, Loader: w.loader, Pool: httpconn.NewPool(), HeaderCodec: platform.Dialect{}, Log: log, Metrics: noMetrics{}, Clock: time.Now, Probe: probe,
+		View: view, Loader: w.loader, Pacer: w.pacer, Pool: httpconn.NewPool(), HeaderCodec: platform.Dialect{}, Log: log, Metrics: noMetrics{}, Clock: time.Now, Probe: probe,
 	})
 	w.server = httptest.NewServer(w.gateway)
 	t.Cleanup(w.server.Close)
