--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -211,12 +211,13 @@
 	}
 }
 
-func newEdgeView(s platform.Settings, log *decisionlog.Log) *fleet.View {
+func newEdgeView(s platform.Settings, pool *httpconn.Pool, log *decisionlog.Log) *fleet.View {
 	return fleet.NewView(fleet.ViewOptions{
 		Zone:                state.Zone(s.Zone),
 		Retries:             fleet.RetryLimits{Ratio: s.Bounds.RetryRatio, Burst: s.Bounds.RetryBurst, Window: s.Bounds.RetryWindow},
 		OutdatedGracePeriod: time.Duration(float64(s.Bounds.AdapterVersion) * outdatedGraceShare),
 		ConfigApplyTime:     s.Bounds.ConfigApply,
+		IsConnected:         pool.HasIdle,
 		Quotas:              quota.Options{Window: s.Bounds.QuotaWindow, Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack},
 		Log:                 log,
 		Clock:               time.Now,
--- a/internal/node/fleet/choose.go
+++ b/internal/node/fleet/choose.go
@@ -60,6 +60,9 @@
 			c.Resident = false
 			c.Loadable = false // a replacement would wait for the requests on the older version
 		}
+		if c.Resident && !v.promptNotices && v.opts.IsConnected != nil {
+			c.Connected = v.opts.IsConnected(u.Addr)
+		}
 		if c.Resident || c.Loadable {
 			list = append(list, c)
 		}
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -63,6 +63,9 @@
 	// reaches the store or its peers. Zero means that this daemon always has the newest one.
 	ConfigApplyTime time.Duration
 	Quotas          quota.Options
+	// IsConnected reports whether this daemon has an idle connection to an address. Nil if that is
+	// not known.
+	IsConnected func(addr string) bool
 	Log             *decisionlog.Log
 	Clock           func() time.Time
 	// BootClock also counts while the machine is suspended. It is needed with ConfigApplyTime.
@@ -155,7 +158,7 @@
 		v.opts.BootClock = func() time.Duration { return 0 }
 	}
 	v.tracker.SetDaemons(minDaemonCount, 0)
-	v.quotas.ledger = quota.New(opts.Quotas)
+	v.quotas.ledger = quota.New(opts.Clock(), opts.Quotas)
 	v.quotas.ledger.SetDaemons(minDaemonCount)
 	return v
 }
@@ -173,6 +176,7 @@
 	if !isNewer() {
 		return false
 	}
+<<<<<<< HEAD
 	table := routes.NewTable(c) // takes long with many accounts
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -183,6 +187,10 @@
 	if v.onConfig != nil {
 		go v.onConfig(table) // it may take long, and must not run under the lock
 	}
+=======
+	v.table.Store(routes.NewTable(c))
+	v.quotas.setAccounts(v.opts.Clock(), c.Accounts)
+>>>>>>> quota
 	v.opts.Log.Event("configuration in force", slog.Uint64("version", c.Version), slog.Int("routes", len(c.Routes)))
 	if list := unusableAccounts(c); len(list) > 0 {
 		v.opts.Log.Event("unusable account entries", slog.Uint64("version", c.Version), slog.Any("positions", list))
