--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -66,8 +66,8 @@
 	// IsConnected reports whether this daemon has an idle connection to an address. Nil if that is
 	// not known.
 	IsConnected func(addr string) bool
-	Log             *decisionlog.Log
-	Clock           func() time.Time
+	Log         *decisionlog.Log
+	Clock       func() time.Time
 	// BootClock also counts while the machine is suspended. It is needed with ConfigApplyTime.
 	BootClock func() time.Duration
 }
@@ -176,7 +176,6 @@
 	if !isNewer() {
 		return false
 	}
-<<<<<<< HEAD
 	table := routes.NewTable(c) // takes long with many accounts
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -187,10 +186,7 @@
 	if v.onConfig != nil {
 		go v.onConfig(table) // it may take long, and must not run under the lock
 	}
-=======
-	v.table.Store(routes.NewTable(c))
 	v.quotas.setAccounts(v.opts.Clock(), c.Accounts)
->>>>>>> quota
 	v.opts.Log.Event("configuration in force", slog.Uint64("version", c.Version), slog.Int("routes", len(c.Routes)))
 	if list := unusableAccounts(c); len(list) > 0 {
 		v.opts.Log.Event("unusable account entries", slog.Uint64("version", c.Version), slog.Any("positions", list))
