--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -149,7 +149,7 @@
 		fx.Supply(settings, log, e, new(peer.Pins)),
 		fx.Provide(newEdgeMember, newEdgeView, newEdgeKeys, newEdgePeerPool, newEdgeNode, newEdgeGateway, newEdgeMetrics, newEdgeFront, httpconn.NewPool),
 		fx.Populate(&parts),
-		fx.Invoke(serveEdgePeers, serveEdgeMetrics, serveEdgeReady, serveEdgeFront),
+		fx.Invoke(serveEdgePeers, serveEdgeMetrics, serveEdgeReady, serveEdgeFront, countBarredUpstreams),
 	)
 	if err := e.app.Err(); err != nil {
 		return nil, err
@@ -270,8 +270,10 @@
 	self := p.Self
 	self.CertificateHash = p.Hash
 	b := p.Settings.Bounds
+	engines := platform.NewEngines()
+	engines.OnOrderSignals = p.View.RecordOrderSignals
 	n := fleet.New(fleet.Options{
-		Self: self, View: p.View, Store: platform.NewStore(p.Settings.StoreAddr), Engines: platform.NewEngines(),
+		Self: self, View: p.View, Store: platform.NewStore(p.Settings.StoreAddr), Engines: engines,
 		Pool: p.Pool, Pins: p.Pins, Log: p.Log, Clock: time.Now, BootClock: bootClock,
 		MinHandoverInterval: b.MinHandoverInterval, LapsedGracePeriod: b.LapsedGracePeriod, UpstreamHeartbeat: b.Heartbeat, ModelLoadWindow: b.LoadWindow, ModelLoadBurst: b.LoadBurst,
 		FirstStart: p.Settings.FirstStart,
--- a/internal/decisionlog/trace.go
+++ b/internal/decisionlog/trace.go
@@ -206,6 +206,8 @@
 		return []string{fmt.Sprintf("the best one would have begun in %s", end.duration("estimate").Round(time.Millisecond)), engineCounts(end)}
 	case UnknownKey, UnconfirmedKey, KeyRemoved:
 		return []string{fmt.Sprintf("the key has the fingerprint %s, and version %d of the configuration was in force", end.text("key"), end.number("config"))}
+	case UpstreamsWait, UpstreamsLeave:
+		return []string{fmt.Sprintf("%d could have served it", end.number("candidates"))}
 	case NoEngine:
 		return []string{engineCounts(end)}
 	case CallerLeft:
@@ -250,6 +252,8 @@
 	KeyRemoved           = "key removed"
 	UnconfirmedKey       = "unknown key, old configuration"
 	QuotaExceeded        = "quota exceeded"
+	UpstreamsWait        = "upstreams wait"
+	UpstreamsLeave       = "upstreams leave"
 )
 
 // Causes maps each outcome to its explanation for operators.
@@ -277,4 +281,6 @@
 	KeyRemoved:           "the key was removed from the configuration after the request had come",
 	UnconfirmedKey:       "no client account of the configuration in force holds the key, but the daemon was cut off from the store and its peers and could not know whether a newer one does; the request did not run",
 	QuotaExceeded:        "the client account has used up its quota for the moment; the request did not run",
+	UpstreamsWait:        "every upstream that could serve it had answered 503 with a Retry-After, or leaves; the request did not run",
+	UpstreamsLeave:       "every upstream that could serve it had said that it leaves; the request did not run",
 }
