--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -211,12 +211,13 @@
 	}
 }
 
-func newEdgeView(s platform.Settings, log *decisionlog.Log) *fleet.View {
+func newEdgeView(s platform.Settings, pool *httpconn.Pool, log *decisionlog.Log) *fleet.View {
 	return fleet.NewView(fleet.ViewOptions{
 		Zone:                state.Zone(s.Zone),
 		Retries:             fleet.RetryLimits{Ratio: s.Bounds.RetryRatio, Burst: s.Bounds.RetryBurst, Window: s.Bounds.RetryWindow},
 		OutdatedGracePeriod: time.Duration(float64(s.Bounds.AdapterVersion) * outdatedGraceShare),
 		ConfigApplyTime:     s.Bounds.ConfigApply,
+		IsConnected:         pool.HasIdle,
 		Quotas:              quota.Options{Window: s.Bounds.QuotaWindow, Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack},
 		Log:                 log,
 		Clock:               time.Now,
@@ -300,7 +301,7 @@
 func newEdgeGateway(s platform.Settings, view *fleet.View, n *fleet.Node, pool *httpconn.Pool, log *decisionlog.Log, r *metrics.Recorder) *gateway.Gateway {
 	engines := platform.NewEngines() // with connections of its own: a probe must not wait for an order
 	return gateway.New(gateway.Options{
-		View: view, Loader: n, Pool: pool, HeaderCodec: platform.Dialect{}, Log: log, Metrics: r.Routes(), Clock: time.Now,
+		View: view, Loader: n, Pacer: n, Pool: pool, HeaderCodec: platform.Dialect{}, Log: log, Metrics: r.Routes(), Clock: time.Now,
 		Probe:        func(ctx context.Context, addr string) error { _, err := engines.Report(ctx, addr); return err },
 		StrictRevoke: s.Bounds.StrictRevoke, RevokeTime: s.Bounds.Revoke,
 	})
@@ -338,6 +339,13 @@
 		}
 		return protocol.MsgLoadReply, p.node.ServeLoadRequest(ctx, msg), nil
 	}
+	if frame.Kind == protocol.MsgPromptReservation {
+		var msg protocol.PromptReservation
+		if err := frame.Decode(&msg); err != nil {
+			return 0, nil, err
+		}
+		return protocol.MsgPromptReservationReply, p.node.ServePromptReservation(msg), nil
+	}
 	return 0, nil, errNotServed
 }
 
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -39,6 +39,8 @@
 	// similarCostRange is the cost difference up to which replicas are equivalent: about
 	// the time that an engine takes to read one prompt.
 	similarCostRange = 50 * time.Millisecond
+	// connectedCostRange is similarCostRange for a replica with an idle connection of this daemon.
+	connectedCostRange = 80 * time.Millisecond
 	// typicalReplicas is the usual number of replicas of an adapter.
 	typicalReplicas = 8
 
@@ -61,6 +63,7 @@
 	Loadable    bool          // a load of the adapter can be requested from the engine's lease holder
 	AtCapacity  bool          // the engine accepts no further load at present
 	LoadDelay   time.Duration // until a new load would start at the engine
+	Connected   bool          // this daemon has an idle connection to the engine
 }
 
 // Decision is where a request runs, or why it is refused.
@@ -75,6 +78,7 @@
 	Reason       string              // set if the request is refused
 	Candidates   int                 // number of upstreams that have the adapter or could load it
 	AtCapacity   int                 // candidates that accept no load at present
+	Replicas     int                 // candidates that have the adapter and are not ejected
 	NotPreferred int                 // candidates that may not load the adapter because of their rendezvous position
 }
 
@@ -122,10 +126,11 @@
 	positions := rendezvousPositions(adapter, list)
 	replicas := make([]replica, 0, typicalReplicas)
 	atCapacity, notPreferred, overfilled := 0, 0, 0
-	for pass := 0; pass < 2 && best == nil; pass++ { // the second pass includes ejected upstreams
+	// The second pass includes ejected upstreams, the third one engines behind the preferred ones.
+	for pass := 0; pass < 3 && best == nil; pass++ {
 		for i := range list {
 			c := &list[i]
-			if pass == 0 && t.IsEjected(now, c.Upstream.ID) || !c.Resident && !c.Loadable {
+			if pass != 1 && t.IsEjected(now, c.Upstream.ID) || !c.Resident && !c.Loadable {
 				continue
 			}
 			if pass == 0 && c.AtCapacity && !c.Resident {
@@ -134,7 +139,7 @@
 			if !c.Resident && c.AtCapacity {
 				continue
 			}
-			if !c.Resident && positions[i] >= preferredCount(c, busy) {
+			if !c.Resident && positions[i] >= preferredCount(c, busy) && !(pass == 2 && c.LoadDelay == 0) {
 				if pass == 0 {
 					notPreferred++
 				}
@@ -178,10 +183,13 @@
 			best, bestEstimate = drawn.candidate, drawn.estimate
 		}
 	}
-	d := Decision{Upstream: best.Upstream, Load: !best.Resident, ReadyIn: best.ReadyIn, AnnounceUse: best.Resident && best.AdapterIdle, Estimate: bestEstimate, Candidates: len(list), AtCapacity: atCapacity, NotPreferred: notPreferred}
+	d := Decision{Upstream: best.Upstream, Replicas: len(replicas), Load: !best.Resident, ReadyIn: best.ReadyIn, AnnounceUse: best.Resident && best.AdapterIdle, Estimate: bestEstimate, Candidates: len(list), AtCapacity: atCapacity, NotPreferred: notPreferred}
 	if best.Resident && bestWithout != nil && busy && costWithout < bestResident.cost/2 {
 		d.ReplicateTo = bestWithout.Upstream
 	}
+	if best.Resident && d.ReplicateTo == nil {
+		d.ReplicateTo = t.replicaTarget(now, r.ReplicaRatio, list, positions, draw)
+	}
 	if bestEstimate > lim.MaxStartDelay {
 		wait := min(max(bestEstimate-lim.LatencyObjective/2, minRetryAfter), maxRetryAfter)
 		return Decision{Estimate: bestEstimate, RetryAfter: addJitter(wait, draw), Reason: "no room in time", ReplicateTo: d.ReplicateTo, Candidates: len(list), AtCapacity: atCapacity, NotPreferred: notPreferred}
@@ -200,7 +208,8 @@
 }
 
 // pickSimilar draws one of the replicas whose cost is within similarCostRange of the lowest
-// cost, or returns nil if there is none. It overwrites the list. The daemons' view of each
+// cost, or returns nil if there is none. Replicas with an idle connection come first: in a large
+// fleet a daemon would otherwise open a connection for nearly each request. It overwrites the list. The daemons' view of each
 // other's requests is some tenths of a second old: if all daemons chose the best replica,
 // it would be overloaded before their views showed that.
 func pickSimilar(list []replica, draw float64) *replica {
@@ -208,9 +217,14 @@
 	for _, r := range list {
 		lowest = min(lowest, r.cost)
 	}
+	limit := lowest + similarCostRange
+	if slices.ContainsFunc(list, func(r replica) bool { return r.candidate.Connected && r.cost <= lowest+connectedCostRange }) {
+		list = slices.DeleteFunc(list, func(r replica) bool { return !r.candidate.Connected })
+		limit = lowest + connectedCostRange
+	}
 	kept := list[:0]
 	for _, r := range list {
-		if r.cost <= lowest+similarCostRange {
+		if r.cost <= limit {
 			kept = append(kept, r)
 		}
 	}
--- a/internal/node/fleet/choose.go
+++ b/internal/node/fleet/choose.go
@@ -42,6 +42,7 @@
 	defer v.mu.Unlock()
 	now := v.opts.Clock()
 	req.Request.Zone = v.opts.Zone
+	req.Request.ReplicaRatio = v.replicaRatio(now, req.Adapter)
 	newest := v.newestVersions[req.Adapter]
 	outdatedOK := now.Sub(newest.at) < v.opts.OutdatedGracePeriod
 	var list, outdated []balance.Candidate
@@ -66,6 +67,9 @@
 			c.Resident = false
 			c.Loadable = false // a replacement would wait for the requests on the older version
 		}
+		if c.Resident && !v.promptNotices && v.opts.IsConnected != nil {
+			c.Connected = v.opts.IsConnected(u.Addr)
+		}
 		if c.Resident || c.Loadable {
 			list = append(list, c)
 		}
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -64,8 +64,11 @@
 	// reaches the store or its peers. Zero means that this daemon always has the newest one.
 	ConfigApplyTime time.Duration
 	Quotas          quota.Options
-	Log             *decisionlog.Log
-	Clock           func() time.Time
+	// IsConnected reports whether this daemon has an idle connection to an address. Nil if that is
+	// not known.
+	IsConnected func(addr string) bool
+	Log         *decisionlog.Log
+	Clock       func() time.Time
 	// BootClock also counts while the machine is suspended. It is needed with ConfigApplyTime.
 	BootClock func() time.Duration
 }
@@ -117,6 +120,7 @@
 	newlyUsed       map[state.UpstreamID][]upstreams.Adapter // not yet sent to the lease holders
 	newlyMissing    map[state.UpstreamID][]upstreams.Adapter // not yet sent to the lease holders
 	lastReplicated  map[upstreams.Adapter]time.Time
+	replicaRatios   map[upstreams.Adapter]replicaRatio
 	modelRequests   map[string]float64 // decaying count of requests by model
 	useNotifiedAt   map[engineAdapter]time.Time
 	retryBudgets    map[string]*retrybudget.Budget // by service
@@ -146,6 +150,7 @@
 		newlyUsed:       make(map[state.UpstreamID][]upstreams.Adapter),
 		newlyMissing:    make(map[state.UpstreamID][]upstreams.Adapter),
 		lastReplicated:  make(map[upstreams.Adapter]time.Time),
+		replicaRatios:   make(map[upstreams.Adapter]replicaRatio),
 		modelRequests:   make(map[string]float64),
 		useNotifiedAt:   make(map[engineAdapter]time.Time),
 		retryBudgets:    make(map[string]*retrybudget.Budget),
@@ -185,7 +190,6 @@
 		go v.onConfig(table) // it may take long, and must not run under the lock
 	}
 	v.quotas.setAccounts(v.opts.Clock(), c.Accounts)
-	v.table.Store(routes.NewTable(c))
 	for name, s := range c.Services {
 		if s.Engine != nil {
 			v.tracker.SetMemory(name, s.Engine.KVTokens)
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -40,6 +40,7 @@
 	deadline   time.Time
 	request    balance.Request
 
+	pacing  pacingState
 	isTrial bool // admitted as a trial of refused prompt parts
 	sends   int  // attempts that got a connection to an upstream
 	runs    int  // attempts in which the request may have run
@@ -177,9 +178,8 @@
 // placementRequest returns the description of the request for the next placement.
 func (c *call) placementRequest() fleet.PlacementRequest {
 	return fleet.PlacementRequest{
-		Service: c.service, Engine: c.engine, Request: c.request, Adapter: c.meta.Adapter, Limits: c.limits(), TimeLeft: c.timeLeft(),
-		Service: c.service, Engine: c.engine, Request: c.request, Adapter: c.meta.Adapter, Limits: c.fairLimits(c.limits()),
-		Excluded: func(id state.UpstreamID) bool { return c.excluded[id] },
+		Service: c.service, Engine: c.engine, Request: c.request, Adapter: c.meta.Adapter, Limits: c.fairLimits(c.limits()), TimeLeft: c.timeLeft(),
+		Excluded: func(id state.UpstreamID) bool { return c.excluded[id] || c.isFull(id) },
 	}
 }
 
@@ -225,6 +225,9 @@
 			c.sleep(resumeRetryInterval)
 			continue
 		}
+		if placement.Upstream == nil && c.retryFull() {
+			continue
+		}
 		if placement.Upstream == nil {
 			c.failWithRetryAfter(placement.Reason, placement.RetryAfter)
 			return
@@ -247,7 +250,14 @@
 			}
 			continue
 		}
-		if c.refuseQuarantined() || c.refuseRevoked() { // the request may have waited for a load
+		switch c.awaitPromptSlot(placement) {
+		case slotNowhere:
+			return
+		case slotRefused:
+			c.retryTaken.Store(c.sends > 0)
+			continue
+		}
+		if c.refuseQuarantined() || c.refuseRevoked() { // the request may have waited for a load or for its turn
 			return
 		}
 		if c.hasLeft(placement) {
--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -155,6 +155,13 @@
 	p.idle[addr] = append(p.idle[addr], c)
 }
 
+// HasIdle reports whether the pool has an idle connection to an address, which may have expired.
+func (p *Pool) HasIdle(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[addr]) > 0
+}
+
 // Sweep closes connections whose idle time has expired.
 func (p *Pool) Sweep() {
 	now := time.Now()
