--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -295,7 +295,7 @@
 
 func newEdgeGateway(view *fleet.View, n *fleet.Node, pool *httpconn.Pool, log *decisionlog.Log, r *metrics.Recorder) *gateway.Gateway {
 	return gateway.New(gateway.Options{
-		View: view, Loader: n, Pool: pool, HeaderCodec: platform.Dialect{}, Log: log, Metrics: r.Routes(), Clock: time.Now,
+		View: view, Loader: n, Pool: pool, HeaderCodec: platform.Dialect{}, Log: log, Metrics: r.Routes(), Accounts: r.Accounts(), Clock: time.Now,
 	})
 }
 
--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -56,6 +56,9 @@
 		func(t io.Writer) { printEdgePeers(t, r) },
 		func(t io.Writer) { printEdgeUpstreams(t, r) },
 	}
+	if len(r.Accounts) > 0 {
+		sections = append(sections, func(t io.Writer) { printEdgeAccounts(t, r) })
+	}
 	if handover {
 		sections = append(sections, func(t io.Writer) { printEdgeConfig(t, r) }, func(t io.Writer) { printEdgeAdapters(t, r) })
 	}
@@ -79,6 +82,7 @@
 //   - a service has no upstream that takes requests;
 //   - no daemon may order loads at an engine;
 //   - an upstream limits its requests;
+//   - an account has used up its quota, or is served more than its fair share;
 //   - requests are quarantined.
 func edgeWarnings(r *protocol.FleetReport) []string {
 	var warnings []string
@@ -114,9 +118,38 @@
 	for _, q := range r.Quarantined {
 		warnings = append(warnings, fmt.Sprintf("requests with %s %s are refused for another %s: upstreams crashed under them", q.Kind, q.ID, q.EndsIn.Round(time.Second)))
 	}
+	for _, a := range r.Accounts {
+		if a.Rate > 0 && a.Level >= busyQuota*a.Capacity {
+			warnings = append(warnings, fmt.Sprintf("account %s has used up its quota of %.0f/s: requests beyond it get 429", a.Name, a.Rate))
+		}
+		if a.Excess > 1 {
+			warnings = append(warnings, fmt.Sprintf("account %s is served more than its fair share, so its requests are refused first while upstreams have too little capacity", a.Name))
+		}
+	}
 	return warnings
 }
 
+// busyQuota is the part of its capacity above which edgeWarnings reports an account.
+const busyQuota = 0.9
+
+func printEdgeAccounts(t io.Writer, r *protocol.FleetReport) {
+	fmt.Fprintln(t, "ACCOUNT\tQUOTA/S\tBURST\tUNIT\tSERVED/S\tIN USE\tSHARE HERE\tREFUSED HERE\tSUMS OLD")
+	for _, a := range r.Accounts {
+		quota, burst, unit, use, age := "none", "-", "tokens", "-", "-"
+		if a.Rate > 0 {
+			quota, burst = fmt.Sprintf("%.0f", a.Rate), fmt.Sprintf("%.0f", a.Burst)
+			use = fmt.Sprintf("%.0f of %.0f", a.Level, a.Capacity)
+			if !a.InTokens {
+				unit = "requests"
+			}
+		}
+		if a.ReportAge >= 0 {
+			age = a.ReportAge.Round(time.Millisecond).String()
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%.0f\t%s\t%.0f%%\t%d\t%s\n", a.Name, quota, burst, unit, a.Served, use, 100*a.Share, a.Refused, age)
+	}
+}
+
 func printEdgePeers(t io.Writer, r *protocol.FleetReport) {
 	fmt.Fprintln(t, "DAEMON\tZONE\tSILENT FOR\tSTATE")
 	fmt.Fprintf(t, "%s\t%s\t-\tthis daemon\n", r.VM, r.Zone)
--- a/internal/cli/edge_test.go
+++ b/internal/cli/edge_test.go
@@ -27,6 +27,7 @@
 		Upstreams: []protocol.UpstreamReport{{ID: "i-1", Service: "llm", LeaseHolder: "edge-1", CanOrder: true, Adapters: 3, RequestLimit: &limit}, {ID: "i-2", Service: "llm"}},
 		Peers:     []protocol.PeerReport{{VM: "edge-2", Zone: "b", MessageAge: 8 * time.Second, Lost: true}},
 
+		Accounts:    []protocol.AccountReport{{Name: "vendor", Rate: 2700, Burst: 2700, InTokens: true, Level: 6400, Capacity: 6729, Share: 0.25, Refused: 17, Excess: 1.3, ReportAge: 210 * time.Millisecond}, {Name: "free", ReportAge: -1}},
 		Quarantined: []protocol.QuarantineReport{{Kind: "prompt part", ID: "91bd3f06", EndsIn: 9 * time.Minute}},
 	}
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(report) }))
@@ -49,6 +50,7 @@
 	for _, want := range []string{
 		"warning: the list of upstreams is 9s old", "warning: daemon edge-2 has been silent for 8s", "warning: service booking has no upstream",
 		`warning: no daemon may order loads at engine i-2; lease holder ""`, "upstream i-1 accepts only 5.2 requests/s", "requests with prompt part 91bd3f06 are refused for another 9m0s", "/chat/", "600ms", "version 3 at 1 engines, version 4 at 1 engines",
+		"warning: account vendor has used up its quota of 2700/s", "warning: account vendor is served more than its fair share", "6400 of 6729", "25%", "210ms",
 	} {
 		c.Check(text, qt.Contains, want)
 	}
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -30,7 +30,7 @@
 	// capacityShare and ceilingShare divide the tolerance of a quota: the bucket is larger than
 	// the burst by the first share, and admissions that the daemons don't know of each other
 	// may exceed the burst by the second. The rest is for errors of the shares.
-	capacityShare = 0.25
+	capacityShare = 0.3
 	ceilingShare  = 0.6
 	// reportDelay and surgeFactor bound what arrives before the daemons know of a surge: the
 	// traffic of reportDelay at surgeFactor times the rate.
@@ -101,7 +101,7 @@
 
 // chanceFactor is how many standard deviations of the tokens that arrive by chance within
 // reportDelay a daemon may admit beyond its share.
-const chanceFactor = 1.2
+const chanceFactor = 2.5
 
 // entry is the state of an account.
 type entry struct {
@@ -140,7 +140,7 @@
 	complete bool      // the last report named all accounts that are close to their quota
 }
 
-// New returns a ledger without accounts. It assumes that all buckets were empty when the daemon
+// New returns a ledger without accounts. It assumes that the quotas were used up when the daemon
 // started: all daemons may have restarted.
 func New(now time.Time, opts Options) *Ledger {
 	return &Ledger{opts: opts, started: now, daemons: 1, entries: make(map[string]*entry)}
@@ -171,6 +171,9 @@
 
 // limitsOf returns the limits of a quota for a part of the fleet.
 func (l *Ledger) limitsOf(q accounts.Quota, part float64) limits {
+	if q.PerSecond <= 0 {
+		return limits{}
+	}
 	burst := q.Burst
 	if burst <= 0 {
 		burst = q.PerSecond // one second
@@ -188,6 +191,9 @@
 	return lim
 }
 
+// maxCounted is the most tokens that a request of an account without a quota counts.
+const maxCounted = 1e6
+
 // sizeGain is the weight of a request in the average size.
 const sizeGain = 0.1
 
@@ -250,7 +256,10 @@
 	e := l.entryOf(now, account.Name, account.Quota)
 	e.lastTaken = now
 	// A request that names an absurd number of tokens must not count for the share.
-	counted := min(tokens, l.limitsOf(e.quota, 1).ceiling)
+	counted := min(tokens, maxCounted)
+	if e.quota.PerSecond > 0 {
+		counted = min(tokens, l.limitsOf(e.quota, 1).ceiling)
+	}
 	e.offered += counted
 	if e.size == 0 {
 		e.size = counted
@@ -261,6 +270,10 @@
 		e.refused++
 		return d
 	}
+	if e.quota.PerSecond <= 0 {
+		e.admitted += counted
+		return d
+	}
 	e.admitted += tokens
 	e.level += tokens
 	e.ownLevel += tokens
@@ -351,153 +364,3 @@
 		left -= n
 	}
 }
-
-// Own returns what this daemon reports of its accounts, and forgets idle accounts.
-func (l *Ledger) Own(now time.Time) map[string]Use {
-	var out map[string]Use
-	for name, e := range l.entries {
-		if now.Sub(e.lastTaken) > idleTTL && now.Sub(e.reportedAt) > idleTTL {
-			delete(l.entries, name)
-			continue
-		}
-		l.advance(now, e)
-		if e.offered < minReported*e.size {
-			continue
-		}
-		if out == nil {
-			out = make(map[string]Use, len(l.entries))
-		}
-		out[name] = Use{Offered: float32(e.offered), Admitted: float32(e.admitted)}
-	}
-	return out
-}
-
-// minReported is the least sum of offered tokens with which an account is reported, as a part of a
-// request. A request is reported for 24 s.
-const minReported = 0.02
-
-// SetOthers replaces the sums of the other daemons. Complete is whether the report names all
-// accounts that are close to their quotas, beside those that this daemon had reported.
-func (l *Ledger) SetOthers(now time.Time, reported map[string]Others, complete bool) {
-	l.setAll(now, reported, complete, false)
-}
-
-// SumOthers does the same for a relay, which has summed up the reports of all daemons itself. Its
-// own estimates of the levels stay.
-func (l *Ledger) SumOthers(now time.Time, summed map[string]Others) {
-	l.setAll(now, summed, true, true)
-}
-
-func (l *Ledger) setAll(now time.Time, reported map[string]Others, complete, isRelay bool) {
-	l.reportAt, l.complete = now, complete
-	for name, o := range reported {
-		e := l.entries[name]
-		if e == nil {
-			e = l.newEntry(now, name, l.quotas[name])
-		}
-		l.setOthers(now, e, o, isRelay)
-	}
-}
-
-func (l *Ledger) setOthers(now time.Time, e *entry, o Others, isRelay bool) {
-	l.advance(now, e)
-	switch isKnown := !e.reportedAt.IsZero() && now.Sub(e.reportedAt) <= reportTTL; {
-	case e.quota.PerSecond <= 0: // unknown, so nothing drains
-		e.level = float64(o.Level)
-	case !isRelay && !l.isFresh(now, e):
-		e.level = float64(o.Level) + e.ahead()
-	case isKnown:
-		admitted := float64(o.Admitted) - float64(e.others.Admitted)*decay(now.Sub(e.reportedAt))
-		e.level = max(0, e.level+admitted-e.assumed(now))
-	}
-	e.setLost(o)
-	e.others, e.reportedAt = o, now
-	if now.Sub(e.generatedAt) >= minReportInterval {
-		e.generatedAt = now
-		copy(e.unconfirmed[1:], e.unconfirmed[:])
-		e.unconfirmed[0] = 0
-		copy(e.offeredAt[1:], e.offeredAt[:])
-		e.offeredAt[0] = e.offered
-		copy(e.totalAt[1:], e.totalAt[:])
-		e.totalAt[0] = e.offered + float64(o.Offered)
-	}
-	// The sums of the others are as old as the oldest of this daemon's own sums here.
-	own := e.offered
-	for _, n := range e.offeredAt {
-		if n > 0 {
-			own = n
-		}
-	}
-	if total := own + float64(o.Offered); total > 0 {
-		e.share = own / total
-	}
-}
-
-// setLost sets the share of daemons that are silent, by the traffic before they fell silent. The
-// reachable daemons keep theirs, also if their traffic grows.
-func (e *entry) setLost(o Others) {
-	if (o.Lost > 0) == (e.lost > 0) && o.Lost == e.others.Lost {
-		return
-	}
-	before := e.lost
-	e.lost = 0
-	if o.Lost > 0 {
-		total := e.totalAt[len(e.totalAt)-1] // it includes the daemons that are silent now
-		if total <= float64(o.Lost) {
-			total = e.offered + float64(o.Offered) + float64(o.Lost)
-		}
-		e.lost = min(float64(o.Lost)/total, maxLost)
-	}
-	e.level *= (1 - e.lost) / (1 - before)
-}
-
-// maxLost leaves some of the quota to the daemons that can be reached.
-const maxLost = 0.95
-
-// BusyPart is the part of its rate from which an account is busy. Daemons learn of busy accounts
-// although they have no requests of them.
-const BusyPart = 0.5
-
-// UsedPart returns the part of an account's rate that it uses, zero without a quota.
-func UsedPart(q accounts.Quota, o Others) float64 {
-	if q.PerSecond <= 0 {
-		return 0
-	}
-	return max(float64(o.Offered+o.Lost)/offeredTime.Seconds(), float64(o.Admitted)/decayTime.Seconds()) / q.PerSecond
-}
-
-// Level returns the estimated tokens in use of an account.
-func (l *Ledger) Level(now time.Time, account string) float64 {
-	e := l.entries[account]
-	if e == nil {
-		return 0
-	}
-	l.advance(now, e)
-	return e.level
-}
-
-// Served returns the tokens per second that an account is served at all daemons, the mean size of
-// its requests here, and the averaging time.
-func (l *Ledger) Served(now time.Time, account string) (perSecond, size float64, averaging time.Duration) {
-	e := l.entries[account]
-	if e == nil {
-		return 0, 0, decayTime
-	}
-	l.advance(now, e)
-	return (e.admitted + float64(e.others.Admitted)) / decayTime.Seconds(), e.size, decayTime
-}
-
-// Rates returns the tokens per second that sums mean: those asked for, and those served.
-func (o Others) Rates() (offered, admitted float64) {
-	return float64(o.Offered) / offeredTime.Seconds(), float64(o.Admitted) / decayTime.Seconds()
-}
-
-// Others returns the last sums of the other daemons for an account. It returns false if none was
-// reported.
-func (l *Ledger) Others(account string) (Others, bool) {
-	e := l.entries[account]
-	if e == nil || e.reportedAt.IsZero() {
-		return Others{}, false
-	}
-	return e.others, true
-}
--- a/internal/decisionlog/trace.go
+++ b/internal/decisionlog/trace.go
@@ -176,6 +176,8 @@
 		switch l.Event {
 		case "step":
 			parts = append(parts, fmt.Sprintf("%s at %s (%s)", l.text("step"), l.text("peer"), l.text(KeyErr)))
+		case "quota refused":
+			parts = append(parts, quotaInputs(&l))
 		case "load wanted":
 			if ok, _ := l.Attrs["ok"].(bool); !ok {
 				parts = append(parts, fmt.Sprintf("no load at %s (%s)", l.text("upstream"), l.text("reason")))
@@ -187,6 +189,20 @@
 	return outcome + ": " + strings.Join(parts, "; ")
 }
 
+// quotaInputs describes the inputs of a refusal because of a quota.
+func quotaInputs(l *Line) string {
+	number := func(key string) float64 {
+		n, _ := l.Attrs[key].(float64)
+		return n
+	}
+	text := fmt.Sprintf("account %s with a quota of %.0f/s had %.0f of %.0f in use and the request needed %.0f (%s)",
+		l.text("account"), number("quota"), number("in_use"), number("capacity"), number("tokens"), l.text("reason"))
+	if age := l.duration("report_age"); age >= 0 {
+		return fmt.Sprintf("%s; the other daemons' sums were %s old, this daemon's share was %.0f%%", text, age.Round(time.Millisecond), 100*number("share"))
+	}
+	return text + fmt.Sprintf("; the other daemons' sums were not known, this daemon's share was %.0f%%", 100*number("share"))
+}
+
 // decisionInputs describes the inputs of the decision that ended a request.
 func decisionInputs(outcome string, end *Line) []string {
 	switch outcome {
--- a/internal/decisionlog/trace_test.go
+++ b/internal/decisionlog/trace_test.go
@@ -19,6 +19,8 @@
 {"time":"2026-01-01T00:00:02Z","level":"INFO","msg":"order","vm":"vm-2","upstream":"i-1","adapter":"m/a5","unload":false}
 {"time":"2026-01-01T00:00:20Z","level":"INFO","msg":"load wanted","vm":"vm-1","request":"q2","upstream":"i-3","adapter":"m/a1","ok":false,"reason":"loads wait too long"}
 {"time":"2026-01-01T00:00:21Z","level":"INFO","msg":"request","vm":"vm-1","request":"q2","outcome":"no room in time","estimate":1504000000,"candidates":8,"full":3,"far":5}
+{"time":"2026-01-01T00:00:40Z","level":"INFO","msg":"quota refused","vm":"vm-1","request":"q6","account":"vendor","reason":"quota exceeded","tokens":1540,"quota":2700,"burst":2700,"in_use":6400,"capacity":6729,"share":0.25,"report_age":210000000}
+{"time":"2026-01-01T00:00:40Z","level":"INFO","msg":"request","vm":"vm-1","request":"q6","outcome":"quota exceeded","account":"vendor"}
 {"time":"2026-01-01T00:00:30Z","level":"INFO","msg":"request","vm":"vm-1","request":"q3","outcome":"caller left","last_event":4,"pause":2401000000,"took":2900000000}
 {"time":"2026-01-01T00:00:30Z","level":"INFO","msg":"request","vm":"vm-1","request":"q4","outcome":"answered","status":500,"took":2000000}
 {"time":"2026-01-01T00:00:40Z","level":"INFO","msg":"request","vm":"vm-1","request":"q5","outcome":"answered","status":200,"hold":120000000,"longest_pause":427000000,"longest_pause_at":"i-1","stalled":true}
@@ -57,6 +59,7 @@
 		"q2": "no room in time: no upstream could have begun in time; the request did not run; the best one would have begun in 1.504s; 8 could serve the adapter, 3 of them took no load, 5 might not take a copy before others; no load at i-3 (loads wait too long)",
 		"q3": "caller left: the caller closed its connection; event 4 had come 2.401s before",
 		"q5": "answered: an upstream's whole answer was passed on; it waited 120ms for room for its prompt; i-1 paused for 427ms between two events",
+		"q6": "quota exceeded: the client account has used up its quota for the moment; the request did not run; account vendor with a quota of 2700/s had 6400 of 6729 in use and the request needed 1540 (quota exceeded); the other daemons' sums were 210ms old, this daemon's share was 25%",
 		"q4": "answered: an upstream's whole answer was passed on; the upstream itself failed with status 500 after 2ms",
 	} {
 		c.Check(Trace(lines, request).Cause, qt.Equals, want)
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -74,6 +74,11 @@
 		routes.Request(fmt.Sprintf("route-%d", i), "answered", time.Millisecond)
 		routes.LongestPause(fmt.Sprintf("route-%d", i), time.Millisecond)
 	}
+	accounts := r.Accounts()
+	for i := range 500 {
+		accounts.Admitted(fmt.Sprintf("account-%d", i), 20)
+		accounts.Refused(fmt.Sprintf("account-%d", i))
+	}
 	r.Loaded(time.Second, false)
 	r.SetOwned(2)
 	r.SetRevision(7)
@@ -85,6 +90,8 @@
 	qt.Assert(t, text, qt.Contains, `celerydeck_wait_seconds_count{customer="other",rank="other",service="other"} 4990`)
 	qt.Assert(t, text, qt.Contains, `celerydeck_wait_seconds_count{customer="club-3.x_y",rank="rank-0",service="advice"} 1`)
 	qt.Assert(t, strings.Count(text, "celerydeck_route_seconds_count{"), qt.Equals, 65)
+	qt.Assert(t, text, qt.Contains, `celerydeck_account_tokens_total{account="other"} 8720`)
+	qt.Assert(t, strings.Count(text, "celerydeck_account_refusals_total{"), qt.Equals, 65)
 	qt.Assert(t, text, qt.Contains, `celerydeck_route_requests_total{outcome="answered",route="other"} 436`)
 	qt.Assert(t, len(r.Classes(c.now, ranks)) <= 20, qt.IsTrue)
 	for _, name := range metrics.Names() {
--- a/internal/node/fleet/accounts.go
+++ b/internal/node/fleet/accounts.go
@@ -27,7 +27,8 @@
 type quotaLedger struct {
 	mu     sync.Mutex // not held across I/O; taken after the locks of the node and of the view
 	ledger *quota.Ledger
-	quotas map[string]accounts.Quota // in force, by account; replaced as a whole
+	quotas map[string]accounts.Quota    // in force, by account; replaced as a whole
+	byName map[string]*accounts.Account // of the configuration in force; replaced as a whole
 
 	meanWeight float64         // for fair shares, of accounts without a quota
 	fairLevels map[int]float32 // by priority
@@ -37,23 +38,26 @@
 // setAccounts sets the accounts of a configuration that comes into force.
 func (q *quotaLedger) setAccounts(now time.Time, list []accounts.Account) {
 	quotas := make(map[string]accounts.Quota)
+	byName := make(map[string]*accounts.Account, len(list))
 	for i := range list {
+		byName[list[i].Name] = &list[i]
 		if list[i].Quota.PerSecond > 0 {
 			quotas[list[i].Name] = list[i].Quota
 		}
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.quotas = quotas
+	q.quotas, q.byName = quotas, byName
 	q.meanWeight = meanWeight(list)
 	q.ledger.SetQuotas(now, quotas)
 }
 
-// inForce returns the quotas in force, which must not be changed.
-func (q *quotaLedger) inForce() map[string]accounts.Quota {
+// inForce returns the quotas and the accounts in force, which must not be changed, and the weight
+// of accounts without a quota.
+func (q *quotaLedger) inForce() (quotas map[string]accounts.Quota, byName map[string]*accounts.Account, meanWeight float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.quotas
+	return q.quotas, q.byName, q.meanWeight
 }
 
 func (q *quotaLedger) setDaemons(count int) {
@@ -156,7 +160,7 @@
 // knowsAccounts reports whether this daemon knows the use of accounts at the other daemons: in
 // the first second after its start it must have heard from all of them. The caller holds the lock.
 func (n *Node) knowsAccounts(now time.Time) bool {
-	if len(n.opts.View.quotas.inForce()) == 0 {
+	if quotas, _, _ := n.opts.View.quotas.inForce(); len(quotas) == 0 {
 		return false
 	}
 	if now.Sub(n.started) >= accountLostAfter {
@@ -212,8 +216,9 @@
 			s.byName[name] = o
 		}
 	}
-	s.findBusy(n.opts.View.quotas.inForce())
-	s.computeFairLevels(now, n.opts.View.Table().Config.Accounts)
+	quotas, byName, mean := n.opts.View.quotas.inForce()
+	s.findBusy(quotas)
+	s.computeFairLevels(now, byName, mean)
 }
 
 // findBusy finds the accounts that use a large part of their quota, or of which daemons are
--- a/internal/node/fleet/fairness.go
+++ b/internal/node/fleet/fairness.go
@@ -1,11 +1,14 @@
 package fleet
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/accounts"
 	"github.com/celerydeck/celerydeck/internal/coordination/fairshare"
+	"github.com/celerydeck/celerydeck/internal/protocol"
 )
 
 const (
@@ -51,16 +54,16 @@
 	return noPriority
 }
 
-// computeFairLevels computes the level of fair shares for each priority.
-func (s *accountSums) computeFairLevels(now time.Time, list []accounts.Account) {
-	mean := meanWeight(list)
+// computeFairLevels computes the level of fair shares for each priority, from the accounts with
+// recent requests.
+func (s *accountSums) computeFairLevels(now time.Time, byName map[string]*accounts.Account, mean float64) {
 	uses := make(map[int][]fairshare.Use)
-	for i := range list {
-		a := &list[i]
-		if !countsTokens(&a.Quota) {
+	for name, sums := range s.byName {
+		a := byName[name]
+		if a == nil || !countsTokens(&a.Quota) {
 			continue
 		}
-		offered, served := s.byName[a.Name].Rates()
+		offered, served := sums.Rates()
 		if a.Quota.PerSecond > 0 {
 			offered = min(offered, a.Quota.PerSecond) // the quota refuses the rest
 		}
@@ -112,3 +115,22 @@
 	served, size, averaging := q.ledger.Served(now, a.Name)
 	return fairshare.Excess(served, fairWeight(&a.Quota, q.meanWeight), float64(level), size, averaging)
 }
+
+// reportAccounts adds the accounts of the configuration to a report.
+func (v *View) reportAccounts(now time.Time, list []accounts.Account, r *protocol.FleetReport) {
+	v.quotas.mu.Lock()
+	states := v.quotas.ledger.States(now)
+	v.quotas.mu.Unlock()
+	for i := range list {
+		a := &list[i]
+		s, ok := states[a.Name]
+		if !ok {
+			s.ReportAge = -1
+		}
+		r.Accounts = append(r.Accounts, protocol.AccountReport{
+			Name: a.Name, Rate: a.Quota.PerSecond, Burst: a.Quota.Burst, InTokens: a.Quota.InTokens, Served: s.Served, Share: s.Share,
+			Level: s.Level, Capacity: s.Capacity, Excess: v.FairExcess(a), Refused: s.Refused, ReportAge: s.ReportAge,
+		})
+	}
+	slices.SortFunc(r.Accounts, func(a, b protocol.AccountReport) int { return cmp.Compare(a.Name, b.Name) })
+}
--- a/internal/node/fleet/report.go
+++ b/internal/node/fleet/report.go
@@ -27,6 +27,7 @@
 	slices.SortFunc(r.Peers, func(a, b protocol.PeerReport) int { return cmp.Compare(a.VM, b.VM) })
 	if t := n.opts.View.Table(); t != nil {
 		reportConfig(&r, t.Config)
+		n.opts.View.reportAccounts(now, t.Config.Accounts, &r)
 	}
 	n.opts.View.report(now, &r)
 	for i := range r.Upstreams {
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -91,6 +91,7 @@
 	HeaderCodec HeaderCodec
 	Log         *decisionlog.Log
 	Metrics     Metrics
+	Accounts    AccountMetrics // nil for none
 	Clock       func() time.Time
 }
 
--- a/internal/node/gateway/quota.go
+++ b/internal/node/gateway/quota.go
@@ -16,6 +16,12 @@
 // account do not return at once.
 const quotaJitter = 0.25
 
+// AccountMetrics counts requests within and beyond the quotas of client accounts.
+type AccountMetrics interface {
+	Admitted(account string, tokens float64)
+	Refused(account string)
+}
+
 // quotaUse is what a request has taken from the quota of its account.
 type quotaUse struct {
 	isTaken bool
@@ -34,12 +40,18 @@
 	d := c.g.opts.View.TakeQuota(c.account, c.quota.tokens)
 	if d.Admitted {
 		c.quota.isTaken, c.quota.takenAt = true, c.g.opts.Clock()
+		if m := c.g.opts.Accounts; m != nil {
+			m.Admitted(c.account.Name, c.quota.tokens)
+		}
 		return true
 	}
+	if m := c.g.opts.Accounts; m != nil {
+		m.Refused(c.account.Name)
+	}
 	retryAfter := d.RetryAfter + time.Duration(rand.Float64()*quotaJitter*float64(d.RetryAfter))
 	c.g.opts.Log.Event("quota refused", slog.String(decisionlog.KeyRequest, c.meta.RequestID), slog.String("account", c.account.Name),
 		slog.String("reason", d.Reason), slog.Float64("tokens", c.quota.tokens), slog.Float64("quota", c.account.Quota.PerSecond), slog.Float64("burst", c.account.Quota.Burst),
-		slog.Float64("level", d.Level), slog.Float64("capacity", d.Capacity), slog.Float64("share", d.Share), slog.Duration("report_age", d.ReportAge), slog.Duration("retry_after", retryAfter))
+		slog.Float64("in_use", d.Level), slog.Float64("capacity", d.Capacity), slog.Float64("share", d.Share), slog.Duration("report_age", d.ReportAge), slog.Duration("retry_after", retryAfter))
 	c.g.opts.HeaderCodec.EncodeRefusal(c.w.Header(), retryAfter)
 	c.respond(http.StatusTooManyRequests, decisionlog.QuotaExceeded)
 	return false
--- a/internal/protocol/fleetreport.go
+++ b/internal/protocol/fleetreport.go
@@ -22,6 +22,26 @@
 	Peers           []PeerReport     `json:"peers"`
 	// Quarantined are the contents and prompt parts that the daemon refuses.
 	Quarantined []QuarantineReport `json:"quarantined"`
+	// Accounts are the client accounts of the configuration.
+	Accounts []AccountReport `json:"accounts,omitempty"`
+}
+
+// AccountReport is a client account with its use of its quota. Tokens are requests if the quota
+// counts requests.
+type AccountReport struct {
+	Name     string  `json:"name"`
+	Rate     float64 `json:"rate"` // tokens per second, 0 without a quota
+	Burst    float64 `json:"burst"`
+	InTokens bool    `json:"in_tokens"`
+	Served   float64 `json:"served"` // tokens per second at all daemons
+	Share    float64 `json:"share"`  // of the account's traffic that this daemon takes
+	Level    float64 `json:"level"`  // estimated tokens in use
+	Capacity float64 `json:"capacity"`
+	// Excess is what the account is served as a part of its fair share, zero while all demand is
+	// met.
+	Excess    float64       `json:"excess"`
+	Refused   uint64        `json:"refused"`    // requests beyond the quota at this daemon
+	ReportAge time.Duration `json:"report_age"` // of the other daemons' sums; negative without any
 }
 
 // QuarantineReport is a content or a prompt part under which upstreams crashed.
