--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -301,7 +301,7 @@
 func newEdgeGateway(s platform.Settings, view *fleet.View, n *fleet.Node, pool *httpconn.Pool, log *decisionlog.Log, r *metrics.Recorder) *gateway.Gateway {
 	engines := platform.NewEngines() // with connections of its own: a probe must not wait for an order
 	return gateway.New(gateway.Options{
-		View: view, Loader: n, Pacer: n, Pool: pool, HeaderCodec: platform.Dialect{}, Log: log, Metrics: r.Routes(), Clock: time.Now,
+		View: view, Loader: n, Pacer: n, Pool: pool, HeaderCodec: platform.Dialect{}, Log: log, Metrics: r.Routes(), Accounts: r.Routes(), Clock: time.Now,
 		Probe:        func(ctx context.Context, addr string) error { _, err := engines.Report(ctx, addr); return err },
 		StrictRevoke: s.Bounds.StrictRevoke, RevokeTime: s.Bounds.Revoke,
 	})
--- a/internal/metrics/accounts.go
+++ b/internal/metrics/accounts.go
@@ -2,6 +2,7 @@
 
 const (
 	nameAccountRefusals = "account_refusals_total"
+	nameAccountTokens   = "account_tokens_total"
 	// maxAccounts is the number of client accounts with labels of their own.
 	maxAccounts = 64
 	// noAccount is the label of refused requests whose account is not known.
@@ -17,6 +18,11 @@
 	r.scope.Tagged(map[string]string{"account": r.accountLabel(account), "outcome": outcome}).Counter(nameAccountRefusals).Inc(1)
 }
 
+// Admitted counts the tokens of a request within the quota of its account.
+func (r *Routes) Admitted(account string, tokens float64) {
+	r.scope.Tagged(map[string]string{"account": r.accountLabel(account)}).Counter(nameAccountTokens).Inc(int64(tokens))
+}
+
 func (r *Routes) accountLabel(account string) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -75,6 +75,9 @@
 		routes.LongestPause(fmt.Sprintf("route-%d", i), time.Millisecond)
 		routes.AccountRefused(fmt.Sprintf("account-%d", i), "unknown key")
 	}
+	for i := range 500 {
+		routes.Admitted(fmt.Sprintf("account-%d", i), 20)
+	}
 	r.Loaded(time.Second, false)
 	r.SetOwned(2)
 	r.SetRevision(7)
@@ -87,6 +90,7 @@
 	qt.Assert(t, text, qt.Contains, `celerydeck_wait_seconds_count{customer="other",rank="other",service="other"} 4990`)
 	qt.Assert(t, text, qt.Contains, `celerydeck_wait_seconds_count{customer="club-3.x_y",rank="rank-0",service="advice"} 1`)
 	qt.Assert(t, strings.Count(text, "celerydeck_route_seconds_count{"), qt.Equals, 65)
+	qt.Assert(t, text, qt.Contains, `celerydeck_account_tokens_total{account="other"} 8720`)
 	qt.Assert(t, text, qt.Contains, `celerydeck_route_requests_total{outcome="answered",route="other"} 436`)
 	qt.Assert(t, strings.Count(text, "celerydeck_account_refusals_total{"), qt.Equals, 65)
 	qt.Assert(t, text, qt.Contains, `celerydeck_account_refusals_total{account="other",outcome="unknown_key"} 436`)
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -100,6 +100,7 @@
 	HeaderCodec HeaderCodec
 	Log         *decisionlog.Log
 	Metrics     Metrics
+	Accounts    AccountMetrics // nil for none
 	Clock       func() time.Time
 	// Probe asks the engine at an address for a short answer. Nil if engines can't be probed.
 	Probe func(ctx context.Context, addr string) error
--- a/internal/node/gateway/quota.go
+++ b/internal/node/gateway/quota.go
@@ -16,12 +16,18 @@
 // account do not return at once.
 const quotaJitter = 0.25
 
+// AccountMetrics counts what was admitted within the quotas of client accounts.
+type AccountMetrics interface {
+	Admitted(account string, tokens float64)
+}
+
 // quotaUse is what a request has taken from the quota of its account.
 type quotaUse struct {
 	isTaken bool
 	isSpent bool // a response was passed on, so nothing is returned
 	tokens  float64
 	takenAt time.Time
+	account *accounts.Account // that was charged; the key may move to another one while the request waits
 }
 
 // takeQuota charges the request to its account before its first placement. It returns false if it
@@ -33,13 +39,16 @@
 	c.quota.tokens = quotaTokens(&c.account.Quota, &c.meta)
 	d := c.g.opts.View.TakeQuota(c.account, c.quota.tokens)
 	if d.Admitted {
-		c.quota.isTaken, c.quota.takenAt = true, c.g.opts.Clock()
+		c.quota.isTaken, c.quota.takenAt, c.quota.account = true, c.g.opts.Clock(), c.account
+		if m := c.g.opts.Accounts; m != nil {
+			m.Admitted(c.account.Name, c.quota.tokens)
+		}
 		return true
 	}
 	retryAfter := d.RetryAfter + time.Duration(rand.Float64()*quotaJitter*float64(d.RetryAfter))
 	c.g.opts.Log.Event("quota refused", slog.String(decisionlog.KeyRequest, c.meta.RequestID), slog.String("account", c.account.Name),
 		slog.String("reason", d.Reason), slog.Float64("tokens", c.quota.tokens), slog.Float64("quota", c.account.Quota.PerSecond), slog.Float64("burst", c.account.Quota.Burst),
-		slog.Float64("level", d.Level), slog.Float64("capacity", d.Capacity), slog.Float64("share", d.Share), slog.Duration("report_age", d.ReportAge), slog.Duration("retry_after", retryAfter))
+		slog.Float64("in_use", d.Level), slog.Float64("capacity", d.Capacity), slog.Float64("share", d.Share), slog.Duration("report_age", d.ReportAge), slog.Duration("retry_after", retryAfter))
 	c.g.opts.HeaderCodec.EncodeRefusal(c.w.Header(), retryAfter)
 	c.respond(http.StatusTooManyRequests, decisionlog.QuotaExceeded)
 	return false
@@ -51,7 +60,7 @@
 		return
 	}
 	c.quota.isSpent = true
-	c.g.opts.View.ReturnQuota(c.account, c.quota.tokens, c.quota.takenAt)
+	c.g.opts.View.ReturnQuota(c.quota.account, c.quota.tokens, c.quota.takenAt)
 }
 
 // fairLimits lowers the limit on the start delay of a request whose account is served more than its
--- a/internal/node/gateway/quota_test.go
+++ b/internal/node/gateway/quota_test.go
@@ -42,8 +42,19 @@
 type quotaFixture struct {
 	*qt.C
 	gateway *Gateway
-	account *accounts.Account
 	route   routes.Route
+	version uint64
+}
+
+const quotaKey = "a-key"
+
+// setQuota puts a configuration in force in which the account has a quota.
+func (f *quotaFixture) setQuota(q accounts.Quota) {
+	f.version++
+	f.gateway.opts.View.SetConfig(&routes.Config{
+		Version: f.version, Routes: []routes.Route{f.route}, Services: map[string]routes.Service{"app": {Name: "app"}},
+		Accounts: []accounts.Account{{Name: "a", Keys: []accounts.Digest{accounts.DigestOf(quotaKey)}, Quota: q}},
+	})
 }
 
 // newQuotaFixture starts an upstream that answers with a status, or none for status 0.
@@ -52,10 +63,10 @@
 	log := decisionlog.New(io.Discard, "vm")
 	t.Cleanup(log.Close)
 	view := fleet.NewView(fleet.ViewOptions{Zone: "z", Quotas: quota.Options{Window: 8 * time.Second}, Retries: fleet.RetryLimits{Ratio: 1, Burst: 100, Window: time.Second}, Log: log, Clock: time.Now})
-	f := &quotaFixture{C: c, account: &accounts.Account{Name: "a", Quota: accounts.Quota{PerSecond: 0.01, Burst: 8}}}
+	f := &quotaFixture{C: c}
 	f.route = routes.Route{Name: "r", Kind: routes.Idempotent, Timeout: time.Second, Goal: time.Second, Attempts: 1, Targets: []routes.Target{{Service: "app", Weight: 1}}}
-	view.SetConfig(&routes.Config{Version: 1, Routes: []routes.Route{f.route}, Services: map[string]routes.Service{"app": {Name: "app"}}})
 	f.gateway = New(Options{View: view, Pool: httpconn.NewPool(), HeaderCodec: quotaCodec{}, Log: log, Metrics: quotaMetrics{}, Clock: time.Now})
+	f.setQuota(accounts.Quota{PerSecond: 0.01, Burst: 8})
 	if status != 0 {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if status < 0 { // the request runs and its connection breaks
@@ -78,7 +89,9 @@
 	w := httptest.NewRecorder()
 	r := httptest.NewRequest(http.MethodGet, "/", nil)
 	r.Header.Set("X-Id", fmt.Sprint(time.Now()))
-	c := &call{g: f.gateway, w: w, r: r, ctx: r.Context(), arrival: time.Now(), account: f.account, route: &f.route, meta: Metadata{RequestID: r.Header.Get("X-Id")}}
+	c := &call{g: f.gateway, w: w, r: r, ctx: r.Context(), arrival: time.Now(), route: &f.route, meta: Metadata{RequestID: r.Header.Get("X-Id")}}
+	r.Header.Set("Authorization", "Bearer "+quotaKey)
+	f.Assert(c.findAccount(f.gateway.opts.View.Table(), f.route.Public), qt.Equals, "")
 	c.setDeadline()
 	c.prepare(f.gateway.opts.View.Table())
 	c.serve()
@@ -92,7 +105,7 @@
 	w := f.serve()
 	f.Assert(w.Code, qt.Equals, http.StatusTooManyRequests)
 	f.Assert(w.Header().Get("Retry-After"), qt.Not(qt.Equals), "")
-	f.account = nil
+	f.route.Public = true
 	f.Assert(f.serve().Code, qt.Equals, http.StatusOK, qt.Commentf("a request without an account"))
 }
 
@@ -122,8 +135,8 @@
 func TestWithoutRoomAnAccountAboveItsShareIsRefusedFirst(t *testing.T) {
 	f := newQuotaFixture(t, http.StatusOK)
 	view := f.gateway.opts.View
-	f.account.Quota = accounts.Quota{PerSecond: 1e6, Burst: 1e6, InTokens: true, PlainTokens: 50_000}
 	f.route.Goal = 200 * time.Millisecond
+	f.setQuota(accounts.Quota{PerSecond: 1e6, Burst: 1e6, InTokens: true, PlainTokens: 50_000})
 	f.Assert(f.serve().Code, qt.Equals, http.StatusOK)
 	view.SetFairLevels(map[int]float32{noPriorityGroup: 0.001})
 	f.Assert(f.serve().Code, qt.Equals, http.StatusOK, qt.Commentf("the upstream has room"))
