--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -33,6 +33,7 @@
 // Arguments declares the subcommands, flags and environment variables of the command.
 type Arguments struct {
 	Validate   *validateCmd   `arg:"subcommand:validate" help:"check a configuration without a daemon"`
+	Check      *checkCmd      `arg:"subcommand:check" help:"check a configuration of either format for faults and contradictions"`
 	Diff       *diffCmd       `arg:"subcommand:diff" help:"show what a configuration would change"`
 	Apply      *applyCmd      `arg:"subcommand:apply" help:"submit a configuration and wait until it is in force"`
 	Get        *getCmd        `arg:"subcommand:get" help:"print a revision of the configuration"`
