Configuration check: page for operators; priorities beyond the daemons' range

Cause: the check used a bound of account priorities of its own, so that priorities from 1,000,001 to 2^31-1, which daemons ignore, gave no finding. Change: the check compares the file with what daemons decode from it. A page for operators lists each kind of finding; docs_test.go compares it with the code.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -206,6 +206,12 @@
 	return kinds
 }
 
+func TestCheckPageListsEveryKindOfFinding(t *testing.T) {
+	kinds := findGroups(readFile(t, "../internal/configcheck/configcheck.go"), `\bKind\s+= "([a-z_]+)"`)
+	qt.Assert(t, len(kinds) > 20, qt.IsTrue)
+	checkSameNames(t, "kind", findGroups(readFile(t, "operators/check.md"), "(?m)^\\| `([a-z_]+)` \\|"), kinds)
+}
+
 func TestPageForOperatorsIsNotLinked(t *testing.T) {
 	pages, err := filepath.Glob("operators/*.md")
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/configcheck/configcheck_test.go
+++ b/internal/configcheck/configcheck_test.go
@@ -71,6 +71,7 @@
 		{`"priority": 3`, `"priority": -1`, "error priority 6 routes[2].priority"},
 		{`"priority": 3`, `"priority": 4`, "warning priority 6 routes[2].priority"},
 		{`"priority": 2`, `"priority": 2.5`, "error priority 15 tenants[1].priority"},
+		{`"priority": 2`, `"priority": 2000000`, "error priority 15 tenants[1].priority"},
 		{`16384`, `0`, "error header_limit 18 limits.header_bytes"},
 	},
 	"own.json": {
--- a/internal/configcheck/platform.go
+++ b/internal/configcheck/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"math"
 	"reflect"
 	"strings"
 	"time"
@@ -271,25 +270,26 @@
 			p.add(Error, DuplicateName, p.at("Accounts", i, "Name"), "two accounts have this name, so that they share a quota")
 		}
 		names[a.Name] = true
-		if q := a.Priority; q != nil && (*q < 0 || *q != math.Trunc(*q) || *q > math.MaxInt32) {
-			p.add(Error, Priority, p.at("Accounts", i, "Priority"), "is %v, must be a whole number of 0 or more; daemons use the priority of the route", *q)
-		}
 		p.checkQuota(i, &a)
 	}
-	p.checkUsableAccounts()
+	p.checkDecodedAccounts()
 	p.report.redact = redactor(secrets)
 }
 
-// checkUsableAccounts reports accounts that daemons mark as unusable although their types are right.
-func (p *platformChecker) checkUsableAccounts() {
+// checkDecodedAccounts reports accounts and priorities of the right type that daemons don't use.
+func (p *platformChecker) checkDecodedAccounts() {
 	config, err := platform.DecodeConfig(p.accountsOnly())
 	if err != nil {
 		return
 	}
 	for i, a := range config.Accounts {
 		var w platform.ConfigAccount
-		if a.Unusable && json.Unmarshal(p.config.Accounts[i], &w) == nil {
-			p.add(Error, UnusableAccount, p.at("Accounts", i, "Name"), "is empty or can't be sent in a header, so that daemons don't use the account")
+		switch {
+		case json.Unmarshal(p.config.Accounts[i], &w) != nil:
+		case a.Unusable:
+			p.add(Error, UnusableAccount, p.at("Accounts", i, "Name"), "is empty, too long or can't be sent in a header, so that daemons don't use the account")
+		case w.Priority != nil && !a.HasPriority:
+			p.add(Error, Priority, p.at("Accounts", i, "Priority"), "is %v, no whole number in the range of daemons, which use the priority of the route instead", *w.Priority)
 		}
 	}
 }
