Configuration check: a configuration without routes; stable names of routes

Cause: a whole object of the store passed as sound, as its configuration is one level deeper. A renamed route among several with one host and prefix was matched in the order of a map. Names in differences were printed with control characters. Change: a configuration without routes is an error; names are matched in order, and control characters are replaced. A finding at a missing top-level entry has the line of the document.

--- a/internal/configcheck/changes.go
+++ b/internal/configcheck/changes.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/accounts"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
@@ -74,7 +75,7 @@
 	}
 	for i := range changes {
 		for _, text := range []*string{&changes[i].Object, &changes[i].From, &changes[i].To} {
-			*text = redactWith(b.redact, redactWith(r.redact, *text))
+			*text = strings.Map(printable, redactWith(b.redact, redactWith(r.redact, *text)))
 		}
 	}
 	r.Compared, r.Changes = true, changes
@@ -83,6 +84,14 @@
 	return nil
 }
 
+// printable replaces characters that could change what a terminal shows.
+func printable(r rune) rune {
+	if unicode.IsPrint(r) {
+		return r
+	}
+	return unicode.ReplacementChar
+}
+
 // fields are the fields of an object with their values as text.
 type fields map[string]string
 
@@ -179,11 +188,11 @@
 // keepNames matches routes that were renamed: a route that is in one configuration only, by its
 // name, is the one with the same host and path prefix in the other.
 func keepNames(before, after map[string]object) {
-	match := func(o object) string { return o.fields["host"] + o.fields["prefix"] }
+	match := func(o object) string { return o.fields["host"] + " " + o.fields["prefix"] }
 	renamed := make(map[string]string)
-	for name, o := range before {
+	for _, name := range slices.Sorted(maps.Keys(before)) {
 		if _, ok := after[name]; !ok {
-			renamed[match(o)] = name
+			renamed[match(before[name])] = name
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(after)) {
--- a/internal/configcheck/configcheck.go
+++ b/internal/configcheck/configcheck.go
@@ -35,6 +35,7 @@
 	UnknownField          Kind = "unknown_field"
 	DuplicateField        Kind = "duplicate_field"
 	Invalid               Kind = "invalid"
+	NoRoute               Kind = "no_route"
 	UnknownKind           Kind = "unknown_kind"
 	UnknownService        Kind = "unknown_service"
 	OutOfRange            Kind = "out_of_range"
--- a/internal/configcheck/configcheck_test.go
+++ b/internal/configcheck/configcheck_test.go
@@ -31,6 +31,7 @@
 		{`"resumable"`, `"resumeable"`, "warning unknown_field 4 routes[0].resumeable"},
 		{`"priority": 2`, `"keys": 2`, "warning unknown_field 15 tenants[1].(unknown)"},
 		{`"version": 7`, `"version": 7, "version": 8`, "error duplicate_field 2 version"},
+		{`"routes": [`, `"route": [`, "error no_route 1 routes"},
 		{`"idempotent"`, `"idempotents"`, "error unknown_kind 5 routes[1].kind"},
 		{`"service": "plain", "attempts"`, `"service": "plane", "attempts"`, "error unknown_service 5 routes[1].service"},
 		{`"service": "canary"`, `"service": "canaries"`, "error unknown_service 4 routes[0].backends[1].service"},
@@ -153,6 +154,8 @@
 		"account paid: added",
 		"account small: quota: 5 requests/s, burst 10 -> 5 requests/s, burst 20",
 	})
+	// Characters that a terminal would interpret.
+	c.Assert(lines(compared(t, base, strings.Replace(next, `"chat"`, `"chat\u001b[2J"`, 1)))[0], qt.Equals, "route chat: name: chat -> chat\ufffd[2J")
 	c.Assert(compared(t, next, base).Findings[0].Kind, qt.Equals, OldVersion)
 }
 
--- a/internal/configcheck/document.go
+++ b/internal/configcheck/document.go
@@ -28,7 +28,7 @@
 		}
 		path = path[:max(0, strings.LastIndexAny(path, ".["))]
 	}
-	return 0
+	return d.lines[""] // of the whole document
 }
 
 // has reports whether the document contains a path.
--- a/internal/configcheck/platform.go
+++ b/internal/configcheck/platform.go
@@ -25,6 +25,10 @@
 	var doc platform.ConfigDocument
 	_ = json.Unmarshal(data, &doc) // read has reported each wrong type
 	p := &platformChecker{checker: c, config: &doc, services: make(map[string]int), used: make(map[string]bool)}
+	if len(doc.Routes) == 0 {
+		// Also found for a whole object of the store, where the configuration is one level deeper.
+		c.add(Error, NoRoute, p.at("Routes"), "there is no route, so that no request is served; the file must hold the configuration without metadata")
+	}
 	p.checkServices()
 	p.checkRoutes()
 	for i := range doc.Services {
