Pacing: bound the ledger and the estimate of use

A route with short pauses made the ledger forget prompts that still counted for a route with longer ones. Prompts of few or no tokens made it grow without limit, and each search took the cube of its length under the worker's lock. The estimate of an adapter's use became infinite for good after a clock that was set back.

The ledger keeps prompts for the longest window asked for, counts a prompt as at least 1/64 of the limit, and checks all windows in one pass. ReplicaRatio reads the estimate without counting a request.

--- a/internal/coordination/pacing/pacing.go
+++ b/internal/coordination/pacing/pacing.go
@@ -13,6 +13,14 @@
 	"time"
 )
 
+const (
+	// maxPerWindow limits the prompts in a window, and with them the size of a ledger: a short prompt
+	// counts as this fraction of the limit.
+	maxPerWindow = 64
+	// maxTokens is the most that a prompt counts as, so that sums do not overflow.
+	maxTokens = 1 << 24
+)
+
 // RankShares are the shares of the limit that requests may use, by rank; further ranks use the
 // last one. The rest is left to more urgent requests that arrive later.
 var RankShares = [...]float64{1, 0.85, 0.7}
@@ -42,7 +50,8 @@
 
 // Ledger holds the prompts that were scheduled at one engine. It is not safe for concurrent use.
 type Ledger struct {
-	slots []slot // by time
+	slots  []slot        // by time
+	window time.Duration // the longest window of a request, for which slots are kept
 }
 
 // Reserve schedules a prompt at the earliest time at which no window exceeds the limit, and
@@ -50,7 +59,9 @@
 // own. If the delay would exceed MaxDelay, Reserve schedules nothing and returns the delay and
 // false.
 func (l *Ledger) Reserve(now time.Time, limit Limit, r Request) (time.Duration, bool) {
-	l.slots = slices.DeleteFunc(l.slots, func(s slot) bool { return now.Sub(s.at) >= limit.Window })
+	l.window = max(l.window, limit.Window)
+	l.slots = slices.DeleteFunc(l.slots, func(s slot) bool { return now.Sub(s.at) >= l.window })
+	r.Tokens = min(max(r.Tokens, int(limit.Tokens/maxPerWindow), 1), maxTokens)
 	smooth := Limit{Tokens: limit.SmoothTokens, Window: limit.Window}
 	at := l.earliest(now, smooth, r)
 	if at.Sub(now) > min(r.SmoothDelay, r.MaxDelay) {
@@ -74,7 +85,7 @@
 		return at
 	}
 	for _, s := range l.slots {
-		if at = s.at.Add(limit.Window); l.fits(at, limit, r) {
+		if at = s.at.Add(limit.Window); at.After(now) && l.fits(at, limit, r) {
 			break
 		}
 	}
@@ -84,25 +95,21 @@
 // fits reports whether a prompt may be sent at a time: neither the window that ends then nor a
 // window that ends with a prompt scheduled later may exceed its limit.
 func (l *Ledger) fits(at time.Time, limit Limit, r Request) bool {
-	share := RankShares[min(max(r.Rank, 0), len(RankShares)-1)]
-	if sum := l.sum(at, limit.Window); sum > 0 && float64(sum+r.Tokens) > share*limit.Tokens {
-		return false
-	}
-	for _, s := range l.slots {
-		if s.at.After(at) && s.at.Before(at.Add(limit.Window)) && float64(l.sum(s.at, limit.Window)+r.Tokens) > limit.Tokens {
+	allowed := RankShares[min(max(r.Rank, 0), len(RankShares)-1)] * limit.Tokens
+	end, sum, first, next := at, 0, 0, 0 // slots[first:next] are in the window that ends at end
+	for {
+		for ; next < len(l.slots) && !l.slots[next].at.After(end); next++ {
+			sum += l.slots[next].tokens
+		}
+		for ; first < next && end.Sub(l.slots[first].at) >= limit.Window; first++ {
+			sum -= l.slots[first].tokens
+		}
+		if sum > 0 && float64(sum+r.Tokens) > allowed {
 			return false
 		}
-	}
-	return true
-}
-
-// sum returns the tokens scheduled in the window that ends at a time.
-func (l *Ledger) sum(end time.Time, window time.Duration) int {
-	sum := 0
-	for _, s := range l.slots {
-		if !s.at.After(end) && end.Sub(s.at) < window {
-			sum += s.tokens
+		if next == len(l.slots) || !l.slots[next].at.Before(at.Add(limit.Window)) {
+			return true
 		}
+		end, allowed = l.slots[next].at, limit.Tokens
 	}
-	return sum
 }
--- a/internal/coordination/pacing/pacing_test.go
+++ b/internal/coordination/pacing/pacing_test.go
@@ -1,6 +1,7 @@
 package pacing
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -108,6 +109,32 @@
 	}
 }
 
+// Guards against prompts of a route with long pauses that are forgotten when a route with short ones
+// asks.
+func TestRoutesWithDifferentPausesShareALedger(t *testing.T) {
+	var l Ledger
+	short := Limit{Tokens: 1600, Window: window / 3}
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	_, _ = l.Reserve(start, limit, Request{Tokens: 4000})
+	delay, ok := l.Reserve(at(150), short, Request{Tokens: 100})
+	qt.Assert(t, ok && delay == 0, qt.IsTrue, qt.Commentf("%s", delay))
+	delay, ok = l.Reserve(at(160), limit, Request{Tokens: 2000, MaxDelay: time.Second})
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, delay, qt.Equals, 140*time.Millisecond)
+}
+
+// Guards against a ledger that grows without limit, and against sums that shrink or overflow, because
+// of prompts without tokens or with an impossible number of them.
+func TestPromptsOfOddLengthsAreBounded(t *testing.T) {
+	for _, tokens := range []int{0, 1, -5000, math.MaxInt} {
+		var l Ledger
+		for range 2000 {
+			_, _ = l.Reserve(start, limit, Request{Tokens: tokens, MaxDelay: window})
+		}
+		qt.Check(t, len(l.slots) <= 2*maxPerWindow, qt.IsTrue, qt.Commentf("%d prompts of %d tokens", len(l.slots), tokens))
+	}
+}
+
 // engine reads prompts between the steps of its streams, up to chunk tokens in a step. An event is
 // sent every four steps.
 const (
@@ -191,3 +218,27 @@
 	}
 	qt.Assert(t, len(u.byAdapter) <= 80, qt.IsTrue, qt.Commentf("%d", len(u.byAdapter)))
 }
+
+// Guards against an estimate that stays infinite or undefined after a clock that was set back or without a
+// known time of streams.
+func TestUseStaysFinite(t *testing.T) {
+	a := upstreams.Adapter{Model: "m", Name: "a"}
+	for _, streamTime := range []time.Duration{0, time.Second} {
+		var u Use
+		u.Record(start, a, streamTime, 8)
+		ratio := u.Record(start.Add(-time.Hour), a, streamTime, 8)
+		qt.Check(t, ratio, qt.Equals, 1.0, qt.Commentf("streams of %s", streamTime))
+	}
+}
+
+// Guards against demand that is counted again at each engine that had no room for the prompt.
+func TestARequestThatWasNotScheduledDoesNotCountAsUse(t *testing.T) {
+	var u Use
+	a := upstreams.Adapter{Model: "m", Name: "a"}
+	for range 8 {
+		u.Record(start, a, time.Second, 10)
+	}
+	for range 100 {
+		qt.Assert(t, u.ReplicaRatio(start, a, time.Second, 10), qt.Equals, 2.0)
+	}
+}
--- a/internal/coordination/pacing/use.go
+++ b/internal/coordination/pacing/use.go
@@ -28,7 +28,8 @@
 }
 
 func (u use) decayed(now time.Time, streamTime time.Duration) float64 {
-	return u.count * math.Exp(-float64(now.Sub(u.at))/float64(streamTime))
+	age := max(now.Sub(u.at), 0) // the clock may have been set back
+	return u.count * math.Exp(-float64(age)/float64(max(streamTime, time.Millisecond)))
 }
 
 // Record counts a request of an adapter. streamTime is the mean time that a request runs. It returns
@@ -46,5 +47,10 @@
 			}
 		}
 	}
-	return max(1, count/(targetShare*float64(max(slots, 1))))
+	return u.ReplicaRatio(now, a, streamTime, slots)
+}
+
+// ReplicaRatio returns what Record returns, without counting a request.
+func (u *Use) ReplicaRatio(now time.Time, a upstreams.Adapter, streamTime time.Duration, slots int) float64 {
+	return max(1, u.byAdapter[a].decayed(now, streamTime)/(targetShare*float64(max(slots, 1))))
 }
