Fleet: bound what peers say about reservations and replicas

A peer's delay could be negative or longer than asked for, its ratio infinite or not a number, whose conversion to an integer differs between processors, and its window could keep an engine's ledger full for hours. The ratios of adapters that were in demand once stayed in memory. A request that three lease holders had no room for counted three times as use of its adapter.

Replies with an impossible delay are not used, the other figures are bounded, expired ratios are discarded with each new list of upstreams, and only scheduled prompts count as use.

--- a/internal/node/fleet/reservation.go
+++ b/internal/node/fleet/reservation.go
@@ -23,6 +23,12 @@
 	smoothTokensPerMS = 8
 	// replicaRatioTTL is how long a lease holder's figure on the replicas of an adapter is used.
 	replicaRatioTTL = 400 * time.Millisecond
+	// maxReplicaRatio bounds such a figure. All slots of an engine in use by one adapter give 2.5.
+	maxReplicaRatio = 16
+	// maxGapGoal and maxPromptDelay bound the pause and the delay of a reservation, and with them the
+	// size of a ledger, whatever a peer asks for.
+	maxGapGoal     = 2 * time.Second
+	maxPromptDelay = 10 * time.Second
 )
 
 // replicaRatio is a lease holder's figure on the replicas of an adapter.
@@ -35,10 +41,18 @@
 func (v *View) SetReplicaRatio(a upstreams.Adapter, ratio float64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if ratio <= 1 {
-		return
+	if ratio > 1 { // false for what is no number
+		v.replicaRatios[a] = replicaRatio{min(ratio, maxReplicaRatio), v.opts.Clock()}
+	}
+}
+
+// expireReplicaRatios discards the figures that are no longer used. The caller holds the lock.
+func (v *View) expireReplicaRatios(now time.Time) {
+	for a, r := range v.replicaRatios {
+		if now.Sub(r.at) > replicaRatioTTL {
+			delete(v.replicaRatios, a)
+		}
 	}
-	v.replicaRatios[a] = replicaRatio{ratio, v.opts.Clock()}
 }
 
 // replicaRatio returns how many replicas an adapter should have for each one that it has, or 1 if
@@ -83,7 +97,17 @@
 	if err := n.opts.Pool.Exchange(ctx, *to, protocol.MsgPromptReservation, msg, &reply); err != nil {
 		return protocol.PromptReservationReply{}, false
 	}
-	return reply, reply.Known
+	return checkReply(msg, reply)
+}
+
+// checkReply returns a peer's reply to a reservation with a plausible delay, and whether it can be
+// used.
+func checkReply(msg protocol.PromptReservation, reply protocol.PromptReservationReply) (protocol.PromptReservationReply, bool) {
+	if !reply.Known || reply.Accepted && (reply.Delay < 0 || reply.Delay > msg.MaxDelay) {
+		return protocol.PromptReservationReply{}, false
+	}
+	reply.Delay = min(max(reply.Delay, 0), maxPromptDelay)
+	return reply, true
 }
 
 // ServePromptReservation schedules a peer's prompt at an engine of this daemon.
@@ -104,12 +128,17 @@
 	if !w.lease.Valid(w.node.opts.BootClock()) || msg.GapGoal <= 0 {
 		return protocol.PromptReservationReply{}
 	}
-	now, ms := w.node.opts.Clock(), float64(msg.GapGoal.Milliseconds())
-	limit := pacing.Limit{Tokens: promptTokensPerMS * ms, SmoothTokens: smoothTokensPerMS * ms, Window: msg.GapGoal}
-	delay, ok := w.prompts.Reserve(now, limit, pacing.Request{Tokens: msg.Tokens, Rank: msg.Rank, SmoothDelay: msg.SmoothDelay, MaxDelay: msg.MaxDelay})
+	window := min(msg.GapGoal, maxGapGoal)
+	now, ms := w.node.opts.Clock(), float64(window.Milliseconds())
+	limit := pacing.Limit{Tokens: promptTokensPerMS * ms, SmoothTokens: smoothTokensPerMS * ms, Window: window}
+	delay, ok := w.prompts.Reserve(now, limit, pacing.Request{Tokens: msg.Tokens, Rank: msg.Rank, SmoothDelay: msg.SmoothDelay, MaxDelay: min(msg.MaxDelay, maxPromptDelay)})
 	reply := protocol.PromptReservationReply{Known: true, Accepted: ok, Delay: delay, ReplicaRatio: 1}
 	if u := w.node.opts.View.Upstream(w.id); u != nil && msg.Adapter.Name != "" {
-		reply.ReplicaRatio = w.use.Record(now, msg.Adapter, w.node.opts.View.MeanStreamTime(), u.Slots)
+		figure := w.use.Record
+		if !ok { // counted at the engine that it goes to
+			figure = w.use.ReplicaRatio
+		}
+		reply.ReplicaRatio = figure(now, msg.Adapter, w.node.opts.View.MeanStreamTime(), u.Slots)
 	}
 	return reply
 }
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -204,7 +204,7 @@
 
 // SetUpstreams replaces the list of upstreams and logs the changes. It also discards the data
 // of upstreams that are no longer listed, and expired times of misses, notices of use and
-// replications.
+// replications, and expired figures on replicas.
 func (v *View) SetUpstreams(now time.Time, list []upstreams.Upstream) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -245,6 +245,7 @@
 			delete(v.lastReplicated, k)
 		}
 	}
+	v.expireReplicaRatios(now)
 	v.tracker.Retain(func(id state.UpstreamID) bool { return v.byID[id] != nil })
 	v.signals.Retain(now, func(run eligibility.Run) bool {
 		u := v.byID[run.ID]
