--- a/internal/coordination/pacing/pacing.go
+++ b/internal/coordination/pacing/pacing.go
@@ -13,6 +13,9 @@
 	"time"
 )
 
+// MaxWindow is the longest window of a limit.
+const MaxWindow = 2 * time.Second
+
 const (
 	// maxPerWindow limits the prompts in a window, and with them the size of a ledger: a short prompt
 	// counts as this fraction of the limit.
@@ -31,7 +34,7 @@
 	// SmoothTokens is a lower limit. It applies as long as requests need not wait longer than
 	// their SmoothDelay for it.
 	SmoothTokens float64
-	Window       time.Duration
+	Window       time.Duration // at most MaxWindow
 }
 
 // Request describes a prompt to be scheduled.
@@ -59,6 +62,7 @@
 // own. If the delay would exceed MaxDelay, Reserve schedules nothing and returns the delay and
 // false.
 func (l *Ledger) Reserve(now time.Time, limit Limit, r Request) (time.Duration, bool) {
+	limit.Window = min(limit.Window, MaxWindow)
 	l.window = max(l.window, limit.Window)
 	l.slots = slices.DeleteFunc(l.slots, func(s slot) bool { return now.Sub(s.at) >= l.window })
 	r.Tokens = min(max(r.Tokens, int(limit.Tokens/maxPerWindow), 1), maxTokens)
--- a/internal/coordination/pacing/pacing_test.go
+++ b/internal/coordination/pacing/pacing_test.go
@@ -135,6 +135,17 @@
 	}
 }
 
+// Guards against a ledger that keeps prompts for hours because of one route with an impossible limit for
+// pauses.
+func TestPromptsAreForgottenAfterTheLongestWindow(t *testing.T) {
+	var l Ledger
+	_, _ = l.Reserve(start, Limit{Tokens: 1e9, Window: 1000 * time.Hour}, Request{Tokens: 100})
+	for i := range 1000 {
+		_, _ = l.Reserve(start.Add(time.Duration(i)*window), limit, Request{Tokens: 100})
+	}
+	qt.Assert(t, len(l.slots) <= int(MaxWindow/window)+1, qt.IsTrue, qt.Commentf("%d", len(l.slots)))
+}
+
 // engine reads prompts between the steps of its streams, up to chunk tokens in a step. An event is
 // sent every four steps.
 const (
--- a/internal/node/fleet/reservation.go
+++ b/internal/node/fleet/reservation.go
@@ -25,9 +25,8 @@
 	replicaRatioTTL = 400 * time.Millisecond
 	// maxReplicaRatio bounds such a figure. All slots of an engine in use by one adapter give 2.5.
 	maxReplicaRatio = 16
-	// maxGapGoal and maxPromptDelay bound the pause and the delay of a reservation, and with them the
-	// size of a ledger, whatever a peer asks for.
-	maxGapGoal     = 2 * time.Second
+	// maxPromptDelay bounds the delay of a reservation, and with it the size of a ledger, whatever a
+	// peer asks for.
 	maxPromptDelay = 10 * time.Second
 )
 
@@ -128,7 +127,7 @@
 	if !w.lease.Valid(w.node.opts.BootClock()) || msg.GapGoal <= 0 {
 		return protocol.PromptReservationReply{}
 	}
-	window := min(msg.GapGoal, maxGapGoal)
+	window := min(msg.GapGoal, pacing.MaxWindow)
 	now, ms := w.node.opts.Clock(), float64(window.Milliseconds())
 	limit := pacing.Limit{Tokens: promptTokensPerMS * ms, SmoothTokens: smoothTokensPerMS * ms, Window: window}
 	delay, ok := w.prompts.Reserve(now, limit, pacing.Request{Tokens: msg.Tokens, Rank: msg.Rank, SmoothDelay: msg.SmoothDelay, MaxDelay: min(msg.MaxDelay, maxPromptDelay)})
--- a/internal/node/fleet/reservation_test.go
+++ b/internal/node/fleet/reservation_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/holders"
+	"github.com/celerydeck/celerydeck/internal/coordination/pacing"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state/upstreams"
 )
@@ -71,7 +72,7 @@
 	for range 200 {
 		n.ServePromptReservation(odd)
 	}
-	s.now = s.now.Add(maxPromptDelay + maxGapGoal)
+	s.now = s.now.Add(maxPromptDelay + pacing.MaxWindow)
 	w.lease.RenewedAt = n.opts.BootClock()
 	reply := n.ServePromptReservation(reservation)
 	s.Assert(reply.Accepted && reply.Delay == 0, qt.IsTrue, qt.Commentf("%s", reply.Delay))
