Pacing: limit the prompts in a ledger

A limit with a very short window let a ledger hold more than a hundred thousand prompts; a reservation searches it under the worker's lock. The test failed before.

--- a/internal/coordination/pacing/pacing.go
+++ b/internal/coordination/pacing/pacing.go
@@ -20,6 +20,9 @@
 	// maxPerWindow limits the prompts in a window, and with them the size of a ledger: a short prompt
 	// counts as this fraction of the limit.
 	maxPerWindow = 64
+	// maxSlots limits the prompts in a ledger, as a reservation takes the square of it under the
+	// ledger's lock. A window of 300 ms and delays of 2 s need a third of it at most.
+	maxSlots = 1024
 	// maxTokens is the most that a prompt counts as, so that sums do not overflow.
 	maxTokens = 1 << 24
 )
@@ -59,13 +62,16 @@
 
 // Reserve schedules a prompt at the earliest time at which no window exceeds the limit, and
 // returns the time until then. A prompt longer than the limit is scheduled in a window of its
-// own. If the delay would exceed MaxDelay, Reserve schedules nothing and returns the delay and
-// false.
+// own. If the delay would exceed MaxDelay, or if the ledger is full, Reserve schedules nothing and
+// returns the delay and false.
 func (l *Ledger) Reserve(now time.Time, limit Limit, r Request) (time.Duration, bool) {
 	limit.Window = min(limit.Window, MaxWindow)
 	l.window = max(l.window, limit.Window)
 	l.slots = slices.DeleteFunc(l.slots, func(s slot) bool { return now.Sub(s.at) >= l.window })
 	r.Tokens = min(max(r.Tokens, int(limit.Tokens/maxPerWindow), 1), maxTokens)
+	if len(l.slots) >= maxSlots {
+		return l.slots[len(l.slots)-1].at.Add(limit.Window).Sub(now), false
+	}
 	smooth := Limit{Tokens: limit.SmoothTokens, Window: limit.Window}
 	at := l.earliest(now, smooth, r)
 	if at.Sub(now) > min(r.SmoothDelay, r.MaxDelay) {
--- a/internal/coordination/pacing/pacing_test.go
+++ b/internal/coordination/pacing/pacing_test.go
@@ -146,6 +146,18 @@
 	qt.Assert(t, len(l.slots) <= int(MaxWindow/window)+1, qt.IsTrue, qt.Commentf("%d", len(l.slots)))
 }
 
+// Guards against a ledger with so many prompts that a reservation takes long under its lock.
+func TestALedgerIsBoundedWhateverTheLimit(t *testing.T) {
+	var l Ledger
+	short := Limit{Tokens: 16, Window: time.Millisecond}
+	for range 2 * maxSlots {
+		_, _ = l.Reserve(start, short, Request{Tokens: 16, MaxDelay: time.Hour})
+	}
+	qt.Assert(t, l.slots, qt.HasLen, maxSlots)
+	delay, ok := l.Reserve(start, short, Request{Tokens: 16, MaxDelay: time.Hour})
+	qt.Assert(t, !ok && delay == maxSlots*short.Window, qt.IsTrue, qt.Commentf("%s", delay))
+}
+
 // engine reads prompts between the steps of its streams, up to chunk tokens in a step. An event is
 // sent every four steps.
 const (
