--- a/internal/coordination/pacing/pacing.go
+++ b/internal/coordination/pacing/pacing.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"slices"
+	"sort"
 	"time"
 )
 
@@ -20,7 +21,7 @@
 	// maxPerWindow limits the prompts in a window, and with them the size of a ledger: a short prompt
 	// counts as this fraction of the limit.
 	maxPerWindow = 64
-	// maxSlots limits the prompts in a ledger, as a reservation takes the square of it under the
+	// maxSlots limits the prompts in a ledger, as a reservation searches them under the
 	// ledger's lock. A window of 300 ms and delays of 2 s need a third of it at most.
 	maxSlots = 1024
 	// maxTokens is the most that a prompt counts as, so that sums do not overflow.
@@ -106,7 +107,9 @@
 // window that ends with a prompt scheduled later may exceed its limit.
 func (l *Ledger) fits(at time.Time, limit Limit, r Request) bool {
 	allowed := RankShares[min(max(r.Rank, 0), len(RankShares)-1)] * limit.Tokens
-	end, sum, first, next := at, 0, 0, 0 // slots[first:next] are in the window that ends at end
+	end, sum := at, 0
+	first := sort.Search(len(l.slots), func(i int) bool { return end.Sub(l.slots[i].at) < limit.Window })
+	next := first // slots[first:next] are in the window that ends at end
 	for {
 		for ; next < len(l.slots) && !l.slots[next].at.After(end); next++ {
 			sum += l.slots[next].tokens
