--- a/internal/coordination/pacing/pacing.go
+++ b/internal/coordination/pacing/pacing.go
@@ -22,7 +22,7 @@
 	// counts as this fraction of the limit.
 	maxPerWindow = 64
 	// maxSlots limits the prompts in a ledger, as a reservation searches them under the
-	// ledger's lock. A window of 300 ms and delays of 2 s need a third of it at most.
+	// ledger's lock. A window of 300 ms and delays of 2 s need half of it at most.
 	maxSlots = 1024
 	// maxTokens is the most that a prompt counts as, so that sums do not overflow.
 	maxTokens = 1 << 24
