--- a/internal/node/gateway/account_test.go
+++ b/internal/node/gateway/account_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/accounts"
+	"github.com/celerydeck/celerydeck/internal/coordination/balance"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
 	"github.com/celerydeck/celerydeck/internal/node/fleet"
 )
@@ -106,6 +107,26 @@
 	}
 }
 
+// Guards against a less urgent account's requests that count as urgent ones when an engine is chosen.
+func TestTheAccountsPriorityIsTheRankOfItsRequests(t *testing.T) {
+	var w *fixture
+	var ranks []int
+	u := serveUpstream(t, "a", func(_ int, r *http.Request, conn net.Conn) {
+		w.view.WithTracker(func(tr *balance.Tracker) { ranks = append(ranks, tr.InFlight(time.Now(), "a-llm").RequestsByRank[0]) })
+		streamHead(r, conn)
+		chunk(conn, "id: 0\ndata: x\n\n")
+		chunk(conn, "")
+	})
+	w = newFixture(t, u)
+	later, urgent := account("later", "sk-2"), account("urgent", "sk-1")
+	later.Priority, later.HasPriority, urgent.HasPriority = 5, true, true
+	w.setAccounts(later, urgent)
+	for _, key := range []string{"sk-1", "sk-2"} {
+		w.Assert(w.doWith("/stream/x", "Bearer "+key).StatusCode, qt.Equals, http.StatusOK)
+	}
+	w.Assert(ranks, qt.DeepEquals, []int{1, 0})
+}
+
 // Guards against a refusal that waits for the request body, against the rest of a body that is taken for
 // a request, and against a connection that is lost with each refusal.
 func TestAnUnknownKeyIsRefusedBeforeTheBodyArrives(t *testing.T) {
