Gateway: a reservation is for one attempt

A broken stream whose only engine had no room for the prompt waited until its deadline. A second attempt at the same engine relied on the reservation of the first one. After a load that took longer than the start may be delayed, a request was refused although the engine had room at once. A refusal named the lease holder's delay without jitter or limits.

The state of reservations ends with the attempt, an answer or its absence holds for one window after the slot, and the delay that is asked for is never negative.

--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -139,7 +139,7 @@
 			if !c.Resident && c.AtCapacity {
 				continue
 			}
-			if !c.Resident && positions[i] >= preferredCount(c, busy) && !(pass == 2 && c.LoadDelay == 0) {
+			if !c.Resident && positions[i] >= preferredCount(c, busy) && (pass < 2 || c.LoadDelay > 0) {
 				if pass == 0 {
 					notPreferred++
 				}
@@ -303,6 +303,12 @@
 	return Decision{Upstream: best.Upstream, Estimate: bestEstimate}
 }
 
+// RetryAfter returns the Retry-After of a request that could start only after a delay, within the
+// limits for all refusals and with jitter. draw is a random number in [0, 1).
+func RetryAfter(delay time.Duration, draw float64) time.Duration {
+	return addJitter(min(max(delay, minRetryAfter), maxRetryAfter), draw)
+}
+
 // addJitter lengthens a Retry-After by up to half, so that callers do not retry in sync.
 // draw is a random number in [0, 1).
 func addJitter(d time.Duration, draw float64) time.Duration {
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -219,14 +219,14 @@
 		if placement.ReplicateTo != nil && c.g.opts.View.AllowReplication(c.meta.Adapter) {
 			go c.g.replicate(placement.ReplicateTo.ID, c.meta.Adapter, placement.Version)
 		}
+		if placement.Upstream == nil && c.retryFull() {
+			continue
+		}
 		if placement.Upstream == nil && c.responseStarted {
 			clear(c.excluded)
 			c.sleep(resumeRetryInterval)
 			continue
 		}
-		if placement.Upstream == nil && c.retryFull() {
-			continue
-		}
 		if placement.Upstream == nil {
 			c.failWithRetryAfter(placement.Reason, placement.RetryAfter)
 			return
--- a/internal/node/gateway/pacing.go
+++ b/internal/node/gateway/pacing.go
@@ -2,8 +2,10 @@
 
 import (
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/balance"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/node/fleet"
 	"github.com/celerydeck/celerydeck/internal/protocol"
@@ -22,11 +24,31 @@
 	maxSmoothShare = 0.5
 )
 
-// pacingState is what a call knows of the reservations for its prompt.
+// pacingState is what a call knows of the reservations for the prompt of its next attempt.
 type pacingState struct {
-	asked    int
-	reserved state.UpstreamID // that has scheduled the prompt
-	full     map[state.UpstreamID]time.Duration
+	asked int // lease holders
+	// settled is the engine at which the prompt may be sent until settledUntil without another
+	// question, and isScheduled is whether its lease holder has scheduled the prompt.
+	settled      state.UpstreamID
+	settledUntil time.Time
+	isScheduled  bool
+	full         map[state.UpstreamID]bool // engines that had no room for the prompt
+}
+
+// settle records that the prompt may be sent to an engine after a delay. The lease holder counts a
+// scheduled prompt for one window from then on. One that does not answer is not asked again earlier,
+// as each question may take as long as a round trip may.
+func (c *call) settle(id state.UpstreamID, delay time.Duration, isScheduled bool) {
+	p := &c.pacing
+	p.settled, p.settledUntil, p.isScheduled = id, c.g.opts.Clock().Add(delay+c.route.GapGoal), isScheduled
+	c.request.IsScheduled = isScheduled
+}
+
+// endReservation forgets the reservations for an attempt that has begun. A further attempt sends the
+// prompt again.
+func (c *call) endReservation() {
+	c.pacing = pacingState{}
+	c.request.IsScheduled = false
 }
 
 // slotResult is the result of asking for a place for a prompt.
@@ -48,20 +70,23 @@
 	if c.g.opts.Pacer == nil || c.engine == nil || c.route.GapGoal <= 0 || c.request.TokensIn == 0 {
 		return slotTaken
 	}
-	if p.reserved == placement.Upstream.ID { // held for another reason after its slot
-		c.request.IsScheduled = true
+	if p.settled == placement.Upstream.ID && c.g.opts.Clock().Before(p.settledUntil) { // held for another reason
+		c.request.IsScheduled = p.isScheduled
 		return slotTaken
 	}
+	p.settled = ""
 	p.asked++
 	maxDelay := time.Duration(maxSlotWaitShare * float64(c.route.Goal))
 	if p.asked >= maxReservations || placement.Replicas <= 1 {
-		maxDelay = c.limits().MaxStartDelay // a load at another engine would take longer
+		// A load at another engine would take longer. After a load the limit may be exceeded already.
+		maxDelay = max(c.limits().MaxStartDelay, 0)
 	}
 	reply, ok := c.g.opts.Pacer.ReservePrompt(c.ctx, protocol.PromptReservation{
 		Upstream: placement.Upstream.ID, Tokens: c.request.TokensIn, Rank: c.precedence.Rank, MaxDelay: maxDelay, GapGoal: c.route.GapGoal,
 		SmoothDelay: min(maxDelay, time.Duration(maxSmoothShare*float64(c.timeToObjective()))), Adapter: c.meta.Adapter,
 	})
 	if !ok {
+		c.settle(placement.Upstream.ID, 0, false)
 		return slotTaken
 	}
 	c.g.opts.View.SetReplicaRatio(c.meta.Adapter, reply.ReplicaRatio)
@@ -69,20 +94,20 @@
 		c.g.opts.Log.Event("no room for prompt", slog.String("request", c.meta.RequestID), slog.String("upstream", string(placement.Upstream.ID)),
 			slog.Duration("delay", reply.Delay), slog.Int("asked", p.asked))
 		if p.full == nil {
-			p.full = make(map[state.UpstreamID]time.Duration)
+			p.full = make(map[state.UpstreamID]bool)
 		}
-		p.full[placement.Upstream.ID] = reply.Delay
+		p.full[placement.Upstream.ID] = true
 		switch {
 		case p.asked < maxReservations:
 			return slotRefused
 		case c.responseStarted:
+			c.settle(placement.Upstream.ID, 0, false)
 			return slotTaken
 		}
-		c.failWithRetryAfter(decisionlog.NoRoomForPrompt, reply.Delay)
+		c.failWithRetryAfter(decisionlog.NoRoomForPrompt, balance.RetryAfter(reply.Delay, rand.Float64()))
 		return slotNowhere
 	}
-	p.reserved = placement.Upstream.ID
-	c.request.IsScheduled = true
+	c.settle(placement.Upstream.ID, reply.Delay, true)
 	c.holdTime += reply.Delay
 	c.sleep(min(reply.Delay, max(0, c.timeLeft()-minTimeLeft)))
 	return slotTaken
@@ -101,6 +126,5 @@
 
 // isFull reports whether an engine had no room for the prompt and another one may have.
 func (c *call) isFull(id state.UpstreamID) bool {
-	_, full := c.pacing.full[id]
-	return full && c.pacing.asked < maxReservations
+	return c.pacing.full[id] && c.pacing.asked < maxReservations
 }
--- a/internal/node/gateway/pacing_test.go
+++ b/internal/node/gateway/pacing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -30,7 +31,8 @@
 	if p.reserve == nil {
 		return protocol.PromptReservationReply{}, false
 	}
-	return p.reserve(msg), true
+	reply := p.reserve(msg)
+	return reply, reply.Known
 }
 
 // newPacedFixture returns a fixture with two engines and the route /paced/, whose streams allow
@@ -41,12 +43,17 @@
 		chunk(w, "id: 0\ndata: x\n\n")
 		_, _ = w.Write([]byte("0\r\n\r\n"))
 	}
-	w := newFixture(t, serveUpstream(t, "a", respond), serveUpstream(t, "b", respond))
+	return newPacedFixtureAt(t, serveUpstream(t, "a", respond), serveUpstream(t, "b", respond))
+}
+
+// newPacedFixtureAt is newPacedFixture with other engines.
+func newPacedFixtureAt(t *testing.T, list ...*upstream) *fixture {
+	w := newFixture(t, list...)
 	w.view.SetConfig(&routes.Config{
 		Version: 2,
 		Routes: []routes.Route{{
 			Name: "paced", Host: "127.0.0.1", Prefix: "/paced/", Kind: routes.Stream, Timeout: 2 * time.Second, Goal: 400 * time.Millisecond,
-			GapGoal: 300 * time.Millisecond, Attempts: 2, Targets: []routes.Target{{Service: "llm", Weight: 1}},
+			GapGoal: 300 * time.Millisecond, Resumable: true, Attempts: 2, Targets: []routes.Target{{Service: "llm", Weight: 1}},
 		}},
 		Services: map[string]routes.Service{"llm": {Name: "llm", Engine: &routes.EngineSpec{Slots: 8, KVTokens: 1 << 20}}},
 	})
@@ -54,14 +61,22 @@
 }
 
 func (w *fixture) doPaced() (status int, took time.Duration) {
+	resp, took := w.doPacedFor("a1")
+	return resp.StatusCode, took
+}
+
+// doPacedFor sends a request for an adapter to /paced/ and reads the response to its end.
+func (w *fixture) doPacedFor(adapter string) (response, time.Duration) {
 	r := w.request("/paced/", "x")
-	r.Header.Set("X-Model", model+"/a1")
+	r.Header.Set("X-Model", model+"/"+adapter)
 	r.Header.Set("X-Token-Count", "1200,80")
 	begin := time.Now()
 	resp, err := http.DefaultClient.Do(r)
 	w.Assert(err, qt.IsNil)
 	defer resp.Body.Close()
-	return resp.StatusCode, time.Since(begin)
+	_, err = io.ReadAll(resp.Body)
+	w.Assert(err, qt.IsNil)
+	return response{resp.StatusCode, resp.Header, resp.Close}, time.Since(begin)
 }
 
 // Guards against a request that waits at a crowded engine while another one has room.
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -106,6 +106,7 @@
 	if c.hold = view.Admit(u, c.request, c.meta.Adapter); c.hold > 0 {
 		return held
 	}
+	c.endReservation()
 	defer func() {
 		view.End(u.ID, c.request, c.meta.Adapter, x.hadFirstEvent)
 	}()
