--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -78,7 +78,7 @@
 	Reason       string              // set if the request is refused
 	Candidates   int                 // number of upstreams that have the adapter or could load it
 	AtCapacity   int                 // candidates that accept no load at present
-	Replicas     int                 // candidates that have the adapter and are not ejected
+	Replicas     int                 // candidates that have the adapter and could be chosen
 	NotPreferred int                 // candidates that may not load the adapter because of their rendezvous position
 }
 
@@ -208,10 +208,11 @@
 }
 
 // pickSimilar draws one of the replicas whose cost is within similarCostRange of the lowest
-// cost, or returns nil if there is none. Replicas with an idle connection come first: in a large
-// fleet a daemon would otherwise open a connection for nearly each request. It overwrites the list. The daemons' view of each
-// other's requests is some tenths of a second old: if all daemons chose the best replica,
-// it would be overloaded before their views showed that.
+// cost, or returns nil if there is none. The daemons' view of each other's requests is some tenths
+// of a second old: if all daemons chose the best replica, it would be overloaded before their views
+// showed that. Replicas with an idle connection come first, within connectedCostRange: in a large
+// fleet a daemon would otherwise open a connection for nearly each request. pickSimilar overwrites
+// the list.
 func pickSimilar(list []replica, draw float64) *replica {
 	lowest := time.Duration(math.MaxInt64)
 	for _, r := range list {
--- a/internal/coordination/balance/replicate.go
+++ b/internal/coordination/balance/replicate.go
@@ -27,7 +27,8 @@
 // than the replicas. Engines come in rendezvous order, so that all daemons name the same few.
 // positions are the rendezvous positions of the candidates; draw is a random number in [0, 1).
 func (t *Tracker) replicaTarget(now time.Time, ratio float64, list []Candidate, positions []int, draw float64) *upstreams.Upstream {
-	if ratio <= 1 {
+	isMore := ratio > 1 // false for what is no number
+	if !isMore {
 		return nil
 	}
 	used, replicas := 0.0, 0
@@ -40,8 +41,8 @@
 	if replicas == 0 {
 		return nil
 	}
-	missing := min(int(math.Ceil(float64(replicas)*(ratio-1))), maxMissingReplicas)
-	skip := int(draw * float64(missing))
+	missing := min(math.Ceil(float64(replicas)*(ratio-1)), maxMissingReplicas)
+	skip := int(draw * missing)
 	targets := make([]*upstreams.Upstream, len(list))
 	for i := range list {
 		c := &list[i]
