--- a/internal/coordination/pacing/pacing.go
+++ b/internal/coordination/pacing/pacing.go
@@ -21,9 +21,9 @@
 	// maxPerWindow limits the prompts in a window, and with them the size of a ledger: a short prompt
 	// counts as this fraction of the limit.
 	maxPerWindow = 64
-	// maxSlots limits the prompts in a ledger, as a reservation searches them under the
+	// maxEntries limits the prompts in a ledger, as a reservation searches them under the
 	// ledger's lock. A window of 300 ms and delays of 2 s need half of it at most.
-	maxSlots = 1024
+	maxEntries = 1024
 	// maxTokens is the most that a prompt counts as, so that sums do not overflow.
 	maxTokens = 1 << 24
 )
@@ -49,16 +49,16 @@
 	MaxDelay    time.Duration // a request that would have to wait longer is not scheduled
 }
 
-// slot is a scheduled prompt.
-type slot struct {
+// entry is a scheduled prompt.
+type entry struct {
 	at     time.Time
 	tokens int
 }
 
 // Ledger holds the prompts that were scheduled at one engine. It is not safe for concurrent use.
 type Ledger struct {
-	slots  []slot        // by time
-	window time.Duration // the longest window of a request, for which slots are kept
+	entries []entry       // by time
+	window  time.Duration // the longest window of a request, for which entries are kept
 }
 
 // Reserve schedules a prompt at the earliest time at which no window exceeds the limit, and
@@ -68,10 +68,10 @@
 func (l *Ledger) Reserve(now time.Time, limit Limit, r Request) (time.Duration, bool) {
 	limit.Window = min(limit.Window, MaxWindow)
 	l.window = max(l.window, limit.Window)
-	l.slots = slices.DeleteFunc(l.slots, func(s slot) bool { return now.Sub(s.at) >= l.window })
+	l.entries = slices.DeleteFunc(l.entries, func(e entry) bool { return now.Sub(e.at) >= l.window })
 	r.Tokens = min(max(r.Tokens, int(limit.Tokens/maxPerWindow), 1), maxTokens)
-	if len(l.slots) >= maxSlots {
-		return l.slots[len(l.slots)-1].at.Add(limit.Window).Sub(now), false
+	if len(l.entries) >= maxEntries {
+		return l.entries[len(l.entries)-1].at.Add(limit.Window).Sub(now), false
 	}
 	smooth := Limit{Tokens: limit.SmoothTokens, Window: limit.Window}
 	at := l.earliest(now, smooth, r)
@@ -82,10 +82,10 @@
 	if delay > r.MaxDelay {
 		return delay, false
 	}
-	i, _ := slices.BinarySearchFunc(l.slots, at, func(s slot, at time.Time) int {
-		return cmp.Or(s.at.Compare(at), -1) // after the slots of the same time
+	i, _ := slices.BinarySearchFunc(l.entries, at, func(e entry, at time.Time) int {
+		return cmp.Or(e.at.Compare(at), -1) // after the entries of the same time
 	})
-	l.slots = slices.Insert(l.slots, i, slot{at, r.Tokens})
+	l.entries = slices.Insert(l.entries, i, entry{at, r.Tokens})
 	return delay, true
 }
 
@@ -95,8 +95,8 @@
 	if l.fits(at, limit, r) {
 		return at
 	}
-	for _, s := range l.slots {
-		if at = s.at.Add(limit.Window); at.After(now) && l.fits(at, limit, r) {
+	for _, e := range l.entries {
+		if at = e.at.Add(limit.Window); at.After(now) && l.fits(at, limit, r) {
 			break
 		}
 	}
@@ -108,21 +108,21 @@
 func (l *Ledger) fits(at time.Time, limit Limit, r Request) bool {
 	allowed := RankShares[min(max(r.Rank, 0), len(RankShares)-1)] * limit.Tokens
 	end, sum := at, 0
-	first := sort.Search(len(l.slots), func(i int) bool { return end.Sub(l.slots[i].at) < limit.Window })
-	next := first // slots[first:next] are in the window that ends at end
+	first := sort.Search(len(l.entries), func(i int) bool { return end.Sub(l.entries[i].at) < limit.Window })
+	next := first // entries[first:next] are in the window that ends at end
 	for {
-		for ; next < len(l.slots) && !l.slots[next].at.After(end); next++ {
-			sum += l.slots[next].tokens
+		for ; next < len(l.entries) && !l.entries[next].at.After(end); next++ {
+			sum += l.entries[next].tokens
 		}
-		for ; first < next && end.Sub(l.slots[first].at) >= limit.Window; first++ {
-			sum -= l.slots[first].tokens
+		for ; first < next && end.Sub(l.entries[first].at) >= limit.Window; first++ {
+			sum -= l.entries[first].tokens
 		}
 		if sum > 0 && float64(sum+r.Tokens) > allowed {
 			return false
 		}
-		if next == len(l.slots) || !l.slots[next].at.Before(at.Add(limit.Window)) {
+		if next == len(l.entries) || !l.entries[next].at.Before(at.Add(limit.Window)) {
 			return true
 		}
-		end, allowed = l.slots[next].at, limit.Tokens
+		end, allowed = l.entries[next].at, limit.Tokens
 	}
 }
--- a/internal/coordination/pacing/pacing_test.go
+++ b/internal/coordination/pacing/pacing_test.go
@@ -131,7 +131,7 @@
 		for range 2000 {
 			_, _ = l.Reserve(start, limit, Request{Tokens: tokens, MaxDelay: window})
 		}
-		qt.Check(t, len(l.slots) <= 2*maxPerWindow, qt.IsTrue, qt.Commentf("%d prompts of %d tokens", len(l.slots), tokens))
+		qt.Check(t, len(l.entries) <= 2*maxPerWindow, qt.IsTrue, qt.Commentf("%d prompts of %d tokens", len(l.entries), tokens))
 	}
 }
 
@@ -143,19 +143,19 @@
 	for i := range 1000 {
 		_, _ = l.Reserve(start.Add(time.Duration(i)*window), limit, Request{Tokens: 100})
 	}
-	qt.Assert(t, len(l.slots) <= int(MaxWindow/window)+1, qt.IsTrue, qt.Commentf("%d", len(l.slots)))
+	qt.Assert(t, len(l.entries) <= int(MaxWindow/window)+1, qt.IsTrue, qt.Commentf("%d", len(l.entries)))
 }
 
 // Guards against a ledger with so many prompts that a reservation takes long under its lock.
 func TestALedgerIsBoundedWhateverTheLimit(t *testing.T) {
 	var l Ledger
 	short := Limit{Tokens: 16, Window: time.Millisecond}
-	for range 2 * maxSlots {
+	for range 2 * maxEntries {
 		_, _ = l.Reserve(start, short, Request{Tokens: 16, MaxDelay: time.Hour})
 	}
-	qt.Assert(t, l.slots, qt.HasLen, maxSlots)
+	qt.Assert(t, l.entries, qt.HasLen, maxEntries)
 	delay, ok := l.Reserve(start, short, Request{Tokens: 16, MaxDelay: time.Hour})
-	qt.Assert(t, !ok && delay == maxSlots*short.Window, qt.IsTrue, qt.Commentf("%s", delay))
+	qt.Assert(t, !ok && delay == maxEntries*short.Window, qt.IsTrue, qt.Commentf("%s", delay))
 }
 
 // engine reads prompts between the steps of its streams, up to chunk tokens in a step. An event is
