--- a/internal/coordination/pacing/pacing.go
+++ b/internal/coordination/pacing/pacing.go
@@ -10,9 +10,24 @@
 import (
 	"cmp"
 	"slices"
+	"sort"
 	"time"
 )
 
+// MaxWindow is the longest window of a limit.
+const MaxWindow = 2 * time.Second
+
+const (
+	// maxPerWindow limits the prompts in a window, and with them the size of a ledger: a short prompt
+	// counts as this fraction of the limit.
+	maxPerWindow = 64
+	// maxEntries limits the prompts in a ledger, as a reservation searches them under the
+	// ledger's lock. A window of 300 ms and delays of 2 s need half of it at most.
+	maxEntries = 1024
+	// maxTokens is the most that a prompt counts as, so that sums do not overflow.
+	maxTokens = 1 << 24
+)
+
 // RankShares are the shares of the limit that requests may use, by rank; further ranks use the
 // last one. The rest is left to more urgent requests that arrive later.
 var RankShares = [...]float64{1, 0.85, 0.7}
@@ -23,7 +38,7 @@
 	// SmoothTokens is a lower limit. It applies as long as requests need not wait longer than
 	// their SmoothDelay for it.
 	SmoothTokens float64
-	Window       time.Duration
+	Window       time.Duration // at most MaxWindow
 }
 
 // Request describes a prompt to be scheduled.
@@ -34,23 +49,30 @@
 	MaxDelay    time.Duration // a request that would have to wait longer is not scheduled
 }
 
-// slot is a scheduled prompt.
-type slot struct {
+// entry is a scheduled prompt.
+type entry struct {
 	at     time.Time
 	tokens int
 }
 
 // Ledger holds the prompts that were scheduled at one engine. It is not safe for concurrent use.
 type Ledger struct {
-	slots []slot // by time
+	entries []entry       // by time
+	window  time.Duration // the longest window of a request, for which entries are kept
 }
 
 // Reserve schedules a prompt at the earliest time at which no window exceeds the limit, and
 // returns the time until then. A prompt longer than the limit is scheduled in a window of its
-// own. If the delay would exceed MaxDelay, Reserve schedules nothing and returns the delay and
-// false.
+// own. If the delay would exceed MaxDelay, or if the ledger is full, Reserve schedules nothing and
+// returns the delay and false.
 func (l *Ledger) Reserve(now time.Time, limit Limit, r Request) (time.Duration, bool) {
-	l.slots = slices.DeleteFunc(l.slots, func(s slot) bool { return now.Sub(s.at) >= limit.Window })
+	limit.Window = min(limit.Window, MaxWindow)
+	l.window = max(l.window, limit.Window)
+	l.entries = slices.DeleteFunc(l.entries, func(e entry) bool { return now.Sub(e.at) >= l.window })
+	r.Tokens = min(max(r.Tokens, int(limit.Tokens/maxPerWindow), 1), maxTokens)
+	if len(l.entries) >= maxEntries {
+		return l.entries[len(l.entries)-1].at.Add(limit.Window).Sub(now), false
+	}
 	smooth := Limit{Tokens: limit.SmoothTokens, Window: limit.Window}
 	at := l.earliest(now, smooth, r)
 	if at.Sub(now) > min(r.SmoothDelay, r.MaxDelay) {
@@ -60,10 +82,10 @@
 	if delay > r.MaxDelay {
 		return delay, false
 	}
-	i, _ := slices.BinarySearchFunc(l.slots, at, func(s slot, at time.Time) int {
-		return cmp.Or(s.at.Compare(at), -1) // after the slots of the same time
+	i, _ := slices.BinarySearchFunc(l.entries, at, func(e entry, at time.Time) int {
+		return cmp.Or(e.at.Compare(at), -1) // after the entries of the same time
 	})
-	l.slots = slices.Insert(l.slots, i, slot{at, r.Tokens})
+	l.entries = slices.Insert(l.entries, i, entry{at, r.Tokens})
 	return delay, true
 }
 
@@ -73,8 +95,8 @@
 	if l.fits(at, limit, r) {
 		return at
 	}
-	for _, s := range l.slots {
-		if at = s.at.Add(limit.Window); l.fits(at, limit, r) {
+	for _, e := range l.entries {
+		if at = e.at.Add(limit.Window); at.After(now) && l.fits(at, limit, r) {
 			break
 		}
 	}
@@ -84,25 +106,23 @@
 // fits reports whether a prompt may be sent at a time: neither the window that ends then nor a
 // window that ends with a prompt scheduled later may exceed its limit.
 func (l *Ledger) fits(at time.Time, limit Limit, r Request) bool {
-	share := RankShares[min(max(r.Rank, 0), len(RankShares)-1)]
-	if sum := l.sum(at, limit.Window); sum > 0 && float64(sum+r.Tokens) > share*limit.Tokens {
-		return false
-	}
-	for _, s := range l.slots {
-		if s.at.After(at) && s.at.Before(at.Add(limit.Window)) && float64(l.sum(s.at, limit.Window)+r.Tokens) > limit.Tokens {
+	allowed := RankShares[min(max(r.Rank, 0), len(RankShares)-1)] * limit.Tokens
+	end, sum := at, 0
+	first := sort.Search(len(l.entries), func(i int) bool { return end.Sub(l.entries[i].at) < limit.Window })
+	next := first // entries[first:next] are in the window that ends at end
+	for {
+		for ; next < len(l.entries) && !l.entries[next].at.After(end); next++ {
+			sum += l.entries[next].tokens
+		}
+		for ; first < next && end.Sub(l.entries[first].at) >= limit.Window; first++ {
+			sum -= l.entries[first].tokens
+		}
+		if sum > 0 && float64(sum+r.Tokens) > allowed {
 			return false
 		}
-	}
-	return true
-}
-
-// sum returns the tokens scheduled in the window that ends at a time.
-func (l *Ledger) sum(end time.Time, window time.Duration) int {
-	sum := 0
-	for _, s := range l.slots {
-		if !s.at.After(end) && end.Sub(s.at) < window {
-			sum += s.tokens
+		if next == len(l.entries) || !l.entries[next].at.Before(at.Add(limit.Window)) {
+			return true
 		}
+		end, allowed = l.entries[next].at, limit.Tokens
 	}
-	return sum
 }
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -123,7 +123,6 @@
 	c.lastEvent = c.meta.LastEvent
 	c.precedence = table.Precedence(c.account, c.route)
 	c.request = balance.Request{Rank: c.precedence.Rank, TokensIn: c.meta.TokensIn, TokensOut: c.meta.TokensOut, Ticket: c.g.tickets.Add(1)}
-	c.request = balance.Request{Rank: c.route.Rank, TokensIn: c.meta.TokensIn, TokensOut: c.meta.TokensOut, Ticket: c.g.tickets.Add(1)}
 	c.request.TokensIn, c.request.TokensOut = c.plausibleTokens(c.meta.TokensIn), c.plausibleTokens(c.meta.TokensOut)
 	// Less urgent ranks yield to more urgent ones that arrive somewhat later.
 	c.request.StartBy = c.arrival.Add(c.route.Goal * time.Duration(2+c.precedence.Rank) / 2)
@@ -220,14 +219,14 @@
 		if placement.ReplicateTo != nil && c.g.opts.View.AllowReplication(c.meta.Adapter) {
 			go c.g.replicate(placement.ReplicateTo.ID, c.meta.Adapter, placement.Version)
 		}
+		if placement.Upstream == nil && c.retryFull() {
+			continue
+		}
 		if placement.Upstream == nil && c.responseStarted {
 			clear(c.excluded)
 			c.sleep(resumeRetryInterval)
 			continue
 		}
-		if placement.Upstream == nil && c.retryFull() {
-			continue
-		}
 		if placement.Upstream == nil {
 			c.failWithRetryAfter(placement.Reason, placement.RetryAfter)
 			return
