Eligibility: upstreams without a start time; one log line for a wait

Cause: an upstream without a start time could stay barred when it starts again while it stays listed. Each response to requests that were on the way together logged a line for nearly the same wait.

Change: such a run is forgotten 10 minutes after it said that it leaves and isn't reported to peers. A wait is news if it ends 0.5 s later than the one before.

Result: go test ./internal/coordination/eligibility passes.

--- a/internal/coordination/eligibility/eligibility_test.go
+++ b/internal/coordination/eligibility/eligibility_test.go
@@ -55,6 +55,11 @@
 	table.Retain(start.Add(2*time.Minute), func(Run) bool { return false })
 	table.Retain(start.Add(3*time.Minute), func(Run) bool { return false })
 	c.Assert(table.Decide(start.Add(4*time.Minute), Input{Run: unknown}).Reason, qt.Equals, None)
+	// The next run is listed before the first one was missing.
+	table.Record(start, unknown, Signals{Leaving: true})
+	c.Assert(table.Reported(), qt.HasLen, 0)
+	table.Retain(start.Add(forgetAfter+time.Second), func(Run) bool { return true })
+	c.Assert(table.Decide(start.Add(time.Hour), Input{Run: unknown}).Reason, qt.Equals, None)
 }
 
 // Guards against a wait that is ignored, that a success from before ends, that outlasts its bound, or
@@ -70,7 +75,8 @@
 	c.Assert(d, qt.Equals, Decision{Outcome: Bar, Reason: NamedWait, Wait: 3 * time.Second, Age: time.Second})
 	table.Answered(start.Add(time.Second), run, start) // sent before the 503
 	c.Assert(decide(table, start.Add(time.Second)), qt.Equals, NamedWait)
-	wait(time.Second, 10*time.Second)
+	c.Assert(wait(time.Second, 3200*time.Millisecond).NamedWait, qt.Equals, time.Duration(0))
+	c.Assert(wait(time.Second, 10*time.Second).NamedWait, qt.Equals, 10*time.Second)
 	c.Assert(decide(table, start.Add(5*time.Second)), qt.Equals, NamedWait)
 	wait(5*time.Second, time.Hour)
 	c.Assert(decide(table, start.Add(34*time.Second)), qt.Equals, NamedWait)
--- a/internal/coordination/eligibility/table.go
+++ b/internal/coordination/eligibility/table.go
@@ -15,6 +15,9 @@
 	// MaxReported is the maximum number of leaving upstreams that one daemon reports to its peers.
 	MaxReported = 16
 
+	// minNewsWait is by how much a wait must end later than the one before to be news. The responses to
+	// requests that were on the way together name nearly the same end.
+	minNewsWait = 500 * time.Millisecond
 	// probeInterval is the time after which a returning upstream gets another request although
 	// the earlier ones have not been answered.
 	probeInterval = time.Second
@@ -25,7 +28,8 @@
 	// than the latest one may still name it.
 	forgetAfter = 10 * time.Minute
 	// forgetUnknownAfter replaces forgetAfter for a run without a start time. The next run under
-	// that ID can't be told from it otherwise.
+	// that ID can't be told from it otherwise. Such a run is also forgotten forgetAfter after it
+	// said that it leaves, and is not reported to peers.
 	forgetUnknownAfter = 10 * time.Second
 	// maxUnlisted is the maximum number of runs that stay known without being listed.
 	maxUnlisted = 4096
@@ -78,7 +82,7 @@
 // Change is how signals changed what is known of a run.
 type Change struct {
 	Leaving   bool          // the run is now known to leave
-	NamedWait time.Duration // the run named a wait that was not in force before, or ends later
+	NamedWait time.Duration // the run named a wait that was not in force before, or ends clearly later
 }
 
 // Record records the signals of a response of a run to this daemon.
@@ -101,7 +105,7 @@
 	}
 	b = t.belief(run)
 	until := now.Add(length)
-	if b.wait == nil || until.After(b.wait.until) {
+	if b.wait == nil || until.Sub(b.wait.until) > minNewsWait {
 		change.NamedWait = length
 	}
 	var inFlight int
@@ -182,6 +186,8 @@
 			keep = forgetUnknownAfter
 		}
 		switch {
+		case run.StartTime == 0 && b.leaving && now.Sub(b.leavingAt) > forgetAfter:
+			delete(t.runs, run)
 		case !b.leaving && b.wait == nil, !b.unlistedSince.IsZero() && now.Sub(b.unlistedSince) > keep:
 			delete(t.runs, run)
 		case !b.unlistedSince.IsZero():
@@ -204,7 +210,7 @@
 func (t *Table) Reported() map[state.UpstreamID]int64 {
 	var runs []Run
 	for run, b := range t.runs {
-		if b.leaving && b.isOwn && b.unlistedSince.IsZero() {
+		if run.StartTime != 0 && b.leaving && b.isOwn && b.unlistedSince.IsZero() {
 			runs = append(runs, run)
 		}
 	}
