--- a/internal/decisionlog/trace.go
+++ b/internal/decisionlog/trace.go
@@ -265,7 +265,7 @@
 	NoEngine:             "no engine held the adapter, and none could be asked to load it; the request did not run",
 	NoUpstream:           "no upstream of the service was listed; the request did not run",
 	NoCapacity:           "no upstream could have begun in time; the request did not run",
-	NoRoomForPrompt:      "the holders of several engines had no room for the prompt in time; the request did not run",
+	NoRoomForPrompt:      "the holders of several engines had no room for the prompt in time; it was not sent to them",
 	LoadNotOrdered:       "the holders of the adapter's engines did not order the load in time; the request did not run",
 	RetryBudget:          "another try would have gone beyond this daemon's share of retries",
 	Rejected:             "several upstreams said that they did not run it",
--- a/internal/node/gateway/reservation_test.go
+++ b/internal/node/gateway/reservation_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
+	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 )
@@ -52,6 +53,19 @@
 	w.Assert(w.pacer.asked, qt.HasLen, 2)
 }
 
+// Guards against a refusal that promises that the request has not run, although an earlier attempt may have.
+func TestARefusalAfterABrokenAttemptPromisesNothing(t *testing.T) {
+	closing := func(_ int, _ *http.Request, w net.Conn) { _ = w.Close() }
+	w := newPacedFixtureAt(t, serveUpstream(t, "a", closing), serveUpstream(t, "b", closing))
+	w.pacer.reserve = func(protocol.PromptReservation) protocol.PromptReservationReply {
+		return protocol.PromptReservationReply{Known: true, Accepted: len(w.pacer.asked) == 1, Delay: time.Millisecond}
+	}
+	resp, _ := w.doPacedFor("a1")
+	w.Assert(resp.StatusCode, qt.Equals, http.StatusBadGateway)
+	w.Assert(resp.Header.Get("X-Celerydeck-Reason"), qt.Equals, decisionlog.NoRoomForPrompt)
+	w.Assert(resp.Header.Get("Retry-After"), qt.Equals, "")
+}
+
 // Guards against a request that is refused after a load, although the engine has room at once, because the
 // load took longer than the request's start may be delayed.
 func TestAfterALoadRoomAtOnceIsTaken(t *testing.T) {
