Gateway: fair shares limit the wait for a reservation, too

A request of an account above its fair share was refused early by the estimate, but could wait for its prompt as long as those of other accounts. The test failed before.

--- a/internal/node/gateway/pacing.go
+++ b/internal/node/gateway/pacing.go
@@ -79,7 +79,7 @@
 	maxDelay := time.Duration(maxSlotWaitShare * float64(c.route.Goal))
 	if p.asked >= maxReservations || placement.Replicas <= 1 {
 		// A load at another engine would take longer. After a load the limit may be exceeded already.
-		maxDelay = max(c.limits().MaxStartDelay, 0)
+		maxDelay = max(c.fairLimits(c.limits()).MaxStartDelay, 0)
 	}
 	reply, ok := c.g.opts.Pacer.ReservePrompt(c.ctx, protocol.PromptReservation{
 		Upstream: placement.Upstream.ID, Tokens: c.request.TokensIn, Rank: c.precedence.Rank, MaxDelay: maxDelay, GapGoal: c.route.GapGoal,
--- a/internal/node/gateway/pacing_test.go
+++ b/internal/node/gateway/pacing_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -65,11 +66,15 @@
 	return resp.StatusCode, took
 }
 
-// doPacedFor sends a request for an adapter to /paced/ and reads the response to its end.
-func (w *fixture) doPacedFor(adapter string) (response, time.Duration) {
+// doPacedFor sends a request for an adapter to /paced/, with further headers as names and values, and
+// reads the response to its end.
+func (w *fixture) doPacedFor(adapter string, headers ...string) (response, time.Duration) {
 	r := w.request("/paced/", "x")
 	r.Header.Set("X-Model", model+"/"+adapter)
 	r.Header.Set("X-Token-Count", "1200,80")
+	for pair := range slices.Chunk(headers, 2) {
+		r.Header.Set(pair[0], pair[1])
+	}
 	begin := time.Now()
 	resp, err := http.DefaultClient.Do(r)
 	w.Assert(err, qt.IsNil)
--- a/internal/node/gateway/reservation_test.go
+++ b/internal/node/gateway/reservation_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/accounts"
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/protocol"
@@ -66,6 +67,28 @@
 	w.Assert(resp.Header.Get("Retry-After"), qt.Equals, "")
 }
 
+// Guards against an account above its fair share whose prompts wait as long as those of others.
+func TestAPromptOfAnAccountAboveItsShareMayWaitLess(t *testing.T) {
+	w := newPacedFixtureAt(t, serveUpstream(t, "a", func(_ int, r *http.Request, w net.Conn) { breakingOnce(2, r, w) }))
+	busy := account("busy", secret)
+	busy.Quota = accounts.Quota{PerSecond: 1e6, Burst: 1e6, InTokens: true, PlainTokens: 50_000}
+	w.setAccounts(busy)
+	var delays []time.Duration
+	w.pacer.reserve = func(msg protocol.PromptReservation) protocol.PromptReservationReply {
+		delays = append(delays, msg.MaxDelay)
+		return protocol.PromptReservationReply{Known: true, Accepted: true}
+	}
+	const noPriorityGroup, requests = -1, 30 // fewer are not surely above the share
+	for range requests {
+		resp, _ := w.doPacedFor("a1", "Authorization", "Bearer "+secret)
+		w.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+	}
+	w.view.SetFairLevels(map[int]float32{noPriorityGroup: 0.001})
+	_, _ = w.doPacedFor("a1", "Authorization", "Bearer "+secret)
+	w.Assert(delays, qt.HasLen, requests+1)
+	w.Assert(delays[requests] < delays[0]*3/4, qt.IsTrue, qt.Commentf("%v", delays))
+}
+
 // Guards against a request that is refused after a load, although the engine has room at once, because the
 // load took longer than the request's start may be delayed.
 func TestAfterALoadRoomAtOnceIsTaken(t *testing.T) {
