Gateway: a refused load does not take another retry from the budget

A retry whose lease holder refused the load was taken from the budget again before the next choice. The test failed before; it also covers refused reservations, which were right.

--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -247,6 +247,7 @@
 				c.failWithRetryAfter(decisionlog.LoadNotOrdered, balance.NoEngineRetryAfter)
 				return
 			}
+			c.retryTaken.Store(c.sends > 0)
 			continue
 		}
 		switch c.awaitPromptSlot(placement) {
