Gateway: hedged lookups

Cause: a lookup whose first attempt is slow or lost waits for the attempt timeout of 300 ms or more.

Change: with Options.Hedge set, the first attempt of an idempotent request to a plain service is followed by a second one to another upstream after the policy's delay. The second attempt has a call of its own, so the two share one struct under a lock. A response is claimed there before anything of it is recorded or written; the claim ends the context of the other attempt, which resets its connection. A loser records no failure and no crash check; that its response took at least as long as it was open is all that the balancer learns. Without Options.Hedge there is no timer, goroutine or allocation more.

--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -66,6 +66,7 @@
 	hold            time.Duration             // wait for room for the prompt at an engine
 	holdTime        time.Duration             // sum of these waits
 	quota           quotaUse
+	hedged          *hedgedSend // the send in progress, if it may be hedged
 }
 
 // setDeadline computes the deadline from the route's timeout and the time that the caller
@@ -214,6 +215,7 @@
 			continue
 		}
 		if placement.Upstream == nil {
+			c.recordNoRoom()
 			c.failWithRetryAfter(placement.Reason, placement.RetryAfter)
 			return
 		}
@@ -242,7 +244,7 @@
 			c.retryTaken.Store(c.sends > 0)
 			continue
 		}
-		switch c.send(placement) {
+		switch c.sendHedged(placement) {
 		case delivered:
 			c.quota.isSpent = true
 			return
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
+	"github.com/celerydeck/celerydeck/internal/coordination/hedge"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/node/fleet"
 	"github.com/celerydeck/celerydeck/internal/protocol"
@@ -97,6 +98,9 @@
 	// StrictRevoke is whether requests end whose key is removed while they run, within RevokeTime.
 	StrictRevoke bool
 	RevokeTime   time.Duration
+	// Hedge limits hedges. The zero value turns them off, and HedgeMetrics is not used then.
+	Hedge        hedge.Limits
+	HedgeMetrics HedgeMetrics
 }
 
 // Metrics counts and times completed requests.
@@ -117,13 +121,14 @@
 	mustEndBy  atomic.Int64 // Unix nanoseconds, see RefuseLongRequests; zero for no limit
 	refusesAll atomic.Bool
 	keyed      keyedCalls
+	hedger     *hedger         // nil if requests are not hedged
 	ended      context.Context // done once EndAll was called
 	end        context.CancelFunc
 }
 
 // New returns a gateway.
 func New(opts Options) *Gateway {
-	g := &Gateway{opts: opts}
+	g := &Gateway{opts: opts, hedger: newHedger(opts.Hedge, opts.Clock)}
 	g.ended, g.end = context.WithCancel(context.Background())
 	if opts.StrictRevoke {
 		opts.View.OnConfig(g.endRevoked)
--- a/internal/node/gateway/headwatch.go
+++ b/internal/node/gateway/headwatch.go
@@ -15,7 +15,7 @@
 // another upstream. It is zero if only the deadline limits the wait.
 func (x *exchange) attemptTimeout() time.Duration {
 	c := x.c
-	if !c.route.Repeatable() || c.runs+1 >= c.route.Attempts {
+	if !c.route.Repeatable() || c.runs+x.hedged.otherRuns(c)+1 >= c.route.Attempts {
 		return 0
 	}
 	if c.route.Kind == routes.Stream {
@@ -68,9 +68,12 @@
 // latency objective and a retry is left in the budget. If so, it takes the retry.
 func (x *exchange) tryMove(req fleet.PlacementRequest) bool {
 	c := x.c
+	if !x.hedged.mayMove(c) {
+		return false
+	}
 	req.Limits = balance.Limits{LatencyObjective: c.route.Goal, MaxStartDelay: min(c.route.Goal, c.timeLeft())}
 	placement := c.g.opts.View.Choose(req)
-	if placement.Upstream == nil || placement.Load || !c.g.opts.View.TakeRetry(c.service) {
+	if placement.Upstream == nil || placement.Load || !c.g.opts.View.TakeRetry(c.service) || !x.hedged.move(c) {
 		return false
 	}
 	c.retryTaken.Store(true)
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -75,6 +75,7 @@
 type exchange struct {
 	c                 *call
 	u                 *upstreams.Upstream
+	hedged            *hedgedSend // of c when the attempt began
 	conn              *httpconn.Conn
 	fate              atomic.Int32 // of conn, see fate
 	sentAt            time.Time
@@ -97,7 +98,7 @@
 	u := placement.Upstream
 	view := c.g.opts.View
 	c.upstream = u.ID
-	x := &exchange{c: c, u: u}
+	x := &exchange{c: c, u: u, hedged: c.hedged}
 	if c.hold = view.Admit(u, c.request, c.meta.Adapter); c.hold > 0 {
 		return held
 	}
@@ -318,12 +319,16 @@
 		return x.abort("read body of answer", err)
 	}
 	defer c.g.bodies.release(body)
+	claim := x.hedged.claim(c, resp.StatusCode)
+	if claim == claimLost {
+		return x.abort("lost to another attempt", nil)
+	}
 	x.release(resp, a)
 	if resp.StatusCode >= 500 {
 		c.runs++
 		c.excluded[x.u.ID] = true
 		c.g.opts.View.WithTracker(func(t *balance.Tracker) { t.RecordFailure(now, x.u.ID, false) })
-		if c.route.Repeatable() && c.runs < c.route.Attempts && c.timeLeft() > minTimeLeft && !c.responseStarted {
+		if claim == claimYield || c.route.Repeatable() && c.runs+x.hedged.otherRuns(c) < c.route.Attempts && c.timeLeft() > minTimeLeft && !c.responseStarted {
 			c.logStep("upstream failed", x.u, x.connFate(), errors.New(resp.Status))
 			return broken
 		}
