Hedging: metrics and explain

Cause: operators must see what hedges cost and what they gain.

Change: counters of hedges by result, of losers that were reset in time, of the time for which they were open, and of requests that were due to be hedged and were not, by reason. The command's explain names the second attempt.

--- a/internal/decisionlog/trace.go
+++ b/internal/decisionlog/trace.go
@@ -29,7 +29,7 @@
 }
 
 // durationKeys are the keys of attributes with values in nanoseconds.
-var durationKeys = []string{"took", "first", "load_wait", "estimate", "report_age", "retry_after", "list_age", "held_age", "ready_in", "left", "after", "pause", "longest_pause", "hold"}
+var durationKeys = []string{"took", "first", "load_wait", "estimate", "report_age", "retry_after", "list_age", "held_age", "ready_in", "left", "after", "pause", "longest_pause", "hold", "wasted"}
 
 // Text formats the attributes as key=value, sorted by key. It omits empty values.
 func (l *Line) Text() string {
@@ -180,6 +180,8 @@
 			if ok, _ := l.Attrs["ok"].(bool); !ok {
 				parts = append(parts, fmt.Sprintf("no load at %s (%s)", l.text("upstream"), l.text("reason")))
 			}
+		case "hedge":
+			parts = append(parts, explainHedge(&l))
 		case "upstream gone", "upstream crashed under a request":
 			parts = append(parts, l.Event+": "+l.text("upstream"))
 		}
@@ -187,6 +189,15 @@
 	return outcome + ": " + strings.Join(parts, "; ")
 }
 
+// explainHedge describes a second attempt and what became of it.
+func explainHedge(l *Line) string {
+	text := fmt.Sprintf("a second attempt was sent to %s after %s at %s and %s", l.text("upstream"), l.duration("after").Round(time.Millisecond), l.text("peer"), l.text("result"))
+	if isCancelled, _ := l.Attrs["cancelled"].(bool); isCancelled {
+		text += fmt.Sprintf(", the other one was reset after %s", l.duration("wasted").Round(time.Millisecond))
+	}
+	return text
+}
+
 // decisionInputs describes the inputs of the decision that ended a request.
 func decisionInputs(outcome string, end *Line) []string {
 	switch outcome {
--- a/internal/decisionlog/trace_test.go
+++ b/internal/decisionlog/trace_test.go
@@ -22,6 +22,8 @@
 {"time":"2026-01-01T00:00:30Z","level":"INFO","msg":"request","vm":"vm-1","request":"q3","outcome":"caller left","last_event":4,"pause":2401000000,"took":2900000000}
 {"time":"2026-01-01T00:00:30Z","level":"INFO","msg":"request","vm":"vm-1","request":"q4","outcome":"answered","status":500,"took":2000000}
 {"time":"2026-01-01T00:00:40Z","level":"INFO","msg":"request","vm":"vm-1","request":"q5","outcome":"answered","status":200,"hold":120000000,"longest_pause":427000000,"longest_pause_at":"i-1","stalled":true}
+{"time":"2026-01-01T00:00:50Z","level":"INFO","msg":"request","vm":"vm-1","request":"q6","outcome":"answered","status":200,"sends":2}
+{"time":"2026-01-01T00:00:50Z","level":"INFO","msg":"hedge","vm":"vm-1","request":"q6","peer":"i-1","upstream":"i-2","result":"won","after":61000000,"cancelled":true,"wasted":83000000}
 {"broken
 `
 
@@ -57,6 +59,7 @@
 		"q2": "no room in time: no upstream could have begun in time; the request did not run; the best one would have begun in 1.504s; 8 could serve the adapter, 3 of them took no load, 5 might not take a copy before others; no load at i-3 (loads wait too long)",
 		"q3": "caller left: the caller closed its connection; event 4 had come 2.401s before",
 		"q5": "answered: an upstream's whole answer was passed on; it waited 120ms for room for its prompt; i-1 paused for 427ms between two events",
+		"q6": "answered: an upstream's whole answer was passed on; a second attempt was sent to i-2 after 61ms at i-1 and won, the other one was reset after 83ms",
 		"q4": "answered: an upstream's whole answer was passed on; the upstream itself failed with status 500 after 2ms",
 	} {
 		c.Check(Trace(lines, request).Cause, qt.Equals, want)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -41,6 +41,7 @@
 		nameRequests, nameTokens, nameFirstToken, nameBetweenTokens, nameWait, nameStall, nameBatch,
 		nameLoads, nameLoad, nameRevision, nameOwned, nameClassesDropped, namePeerRefusals,
 		nameRouteRequests, nameRouteTime, nameRoutePause, nameAccountRefusals,
+		nameHedges, nameHedgesCancelled, nameHedgeWaste, nameHedgesSkipped,
 	}
 	names := make([]string, len(short))
 	for i, name := range short {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -74,6 +74,8 @@
 		routes.Request(fmt.Sprintf("route-%d", i), "answered", time.Millisecond)
 		routes.LongestPause(fmt.Sprintf("route-%d", i), time.Millisecond)
 		routes.AccountRefused(fmt.Sprintf("account-%d", i), "unknown key")
+		routes.Hedge(fmt.Sprintf("route-%d", i), "won", i%2 == 0, 7*time.Millisecond)
+		routes.HedgeSkipped(fmt.Sprintf("route-%d", i), "load")
 	}
 	r.Loaded(time.Second, false)
 	r.SetOwned(2)
@@ -89,6 +91,10 @@
 	qt.Assert(t, text, qt.Contains, `celerydeck_route_requests_total{outcome="answered",route="other"} 436`)
 	qt.Assert(t, strings.Count(text, "celerydeck_account_refusals_total{"), qt.Equals, 65)
 	qt.Assert(t, text, qt.Contains, `celerydeck_account_refusals_total{account="other",outcome="unknown_key"} 436`)
+	qt.Assert(t, text, qt.Contains, `celerydeck_hedges_total{result="won",route="other"} 436`)
+	qt.Assert(t, text, qt.Contains, `celerydeck_hedges_cancelled_total{route="other"} 218`)
+	qt.Assert(t, text, qt.Contains, `celerydeck_hedge_wasted_ms_total{route="other"} 3052`)
+	qt.Assert(t, text, qt.Contains, `celerydeck_hedges_skipped_total{reason="load",route="other"} 436`)
 	qt.Assert(t, len(r.Classes(c.now, ranks)) <= 20, qt.IsTrue)
 	for _, name := range metrics.Names() {
 		qt.Check(t, strings.Contains(text, "# TYPE "+name+" "), qt.IsTrue, qt.Commentf(name))
