Hedging: settings of the daemon

Cause: hedging is off by default, and operators set its limits in the deploy file.

Change: CELERYDECK_HEDGE_SHARE and CELERYDECK_HEDGE_MAX_FILL are read and checked at the start; the daemon ends with status 2 and all errors if one is not a number from 0 to 1. The pages list them, the line hedge and its keys.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -107,6 +107,11 @@
 	}
 }
 
+func TestSettingsOnThePlatformPageLagsBehind(t *testing.T) {
+	table := section(readFile(t, "CONFIGURATION.md"), "## Settings on the users' platform")
+	checkSameNames(t, "variable", findGroups(table, "(?m)^\\| `(CELERYDECK_[A-Z_]*[A-Z])`"), app.PlatformVariables())
+}
+
 func TestFieldsPageLagsBehind(t *testing.T) {
 	table := section(readFile(t, "CONFIGURATION.md"), "## Configuration of the deployment")
 	checkSameNames(t, "field", findGroups(table, "(?m)^\\| [a-z, ]+ \\| `([a-z_]+)`"), jsonFieldNames(reflect.TypeFor[deckconfig.Config]()))
@@ -224,6 +229,7 @@
 	variables = append(variables, cli.Variables()...)
 	variables = append(variables, testVariables(t)...)
 	variables = append(variables, platform.SettingsEnv)
+	variables = append(variables, app.PlatformVariables()...)
 	err := filepath.WalkDir(".", func(path string, d fs.DirEntry, err error) error {
 		if err != nil || d.IsDir() || filepath.Ext(path) != ".md" {
 			return err
--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -88,18 +88,24 @@
 		fmt.Fprintln(os.Stderr, err)
 		return ExitSettings
 	}
+	options, err := ParseEdgeOptions(os.Getenv)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitSettings
+	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGPIPE)
 	debug.SetMemoryLimit(int64(float64(settings.MemoryMB) * memoryLimitShare * (1 << 20)))
 	log := decisionlog.New(os.Stdout, settings.VM)
 	defer log.Close()
-	e, err := StartEdge(settings, log)
+	e, err := StartEdge(settings, options, log)
 	if err != nil {
 		log.Event("not started", slog.String("err", err.Error()))
 		fmt.Fprintln(os.Stderr, err)
 		return ExitFailed
 	}
-	log.Event("started", slog.String("zone", settings.Zone), slog.String("front", settings.FrontAddr), slog.Int("pid", os.Getpid()))
+	log.Event("started", slog.String("zone", settings.Zone), slog.String("front", settings.FrontAddr), slog.Int("pid", os.Getpid()),
+		slog.Float64("hedge_share", options.Hedge.Share), slog.Float64("hedge_max_fill", options.Hedge.MaxFill))
 	recheck := time.NewTicker(settingsReloadInterval)
 	defer recheck.Stop()
 	for {
@@ -141,12 +147,12 @@
 }
 
 // StartEdge starts a daemon on the users' platform.
-func StartEdge(settings platform.Settings, log *decisionlog.Log) (*Edge, error) {
+func StartEdge(settings platform.Settings, options EdgeOptions, log *decisionlog.Log) (*Edge, error) {
 	e := &Edge{settings: settings, log: log}
 	var parts edgeParts
 	e.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.Supply(settings, log, e, new(peer.Pins)),
+		fx.Supply(settings, options, log, e, new(peer.Pins)),
 		fx.Provide(newEdgeMember, newEdgeView, newEdgeKeys, newEdgePeerPool, newEdgeNode, newEdgeGateway, newEdgeMetrics, newEdgeFront, httpconn.NewPool),
 		fx.Populate(&parts),
 		fx.Invoke(serveEdgePeers, serveEdgeMetrics, serveEdgeReady, serveEdgeFront),
@@ -295,12 +301,14 @@
 	return r
 }
 
-func newEdgeGateway(s platform.Settings, view *fleet.View, n *fleet.Node, pool *httpconn.Pool, log *decisionlog.Log, r *metrics.Recorder) *gateway.Gateway {
+func newEdgeGateway(s platform.Settings, options EdgeOptions, view *fleet.View, n *fleet.Node, pool *httpconn.Pool, log *decisionlog.Log, r *metrics.Recorder) *gateway.Gateway {
 	engines := platform.NewEngines() // with connections of its own: a probe must not wait for an order
+	routes := r.Routes()
 	return gateway.New(gateway.Options{
-		View: view, Loader: n, Pool: pool, HeaderCodec: platform.Dialect{}, Log: log, Metrics: r.Routes(), Clock: time.Now,
+		View: view, Loader: n, Pool: pool, HeaderCodec: platform.Dialect{}, Log: log, Metrics: routes, Clock: time.Now,
 		Probe:        func(ctx context.Context, addr string) error { _, err := engines.Report(ctx, addr); return err },
 		StrictRevoke: s.Bounds.StrictRevoke, RevokeTime: s.Bounds.Revoke,
+		Hedge: options.Hedge, HedgeMetrics: routes,
 	})
 }
 
--- a/internal/app/edge_test.go
+++ b/internal/app/edge_test.go
@@ -91,7 +91,7 @@
 	settings, err := platform.ParseSettings([]byte(text))
 	w.Assert(err, qt.IsNil)
 	log := decisionlog.New(&w.logs, vm)
-	e, err := StartEdge(settings, log)
+	e, err := StartEdge(settings, EdgeOptions{}, log)
 	w.Assert(err, qt.IsNil)
 	t.Cleanup(func() {
 		e.Stop()
