--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -51,7 +51,7 @@
 
 // serveUpstream starts an upstream. respond is called for each request, with the number of the
 // request, from 1.
-func serveUpstream(t *testing.T, id string, respond func(n int, r *http.Request, w net.Conn)) *upstream {
+func serveUpstream(t testing.TB, id string, respond func(n int, r *http.Request, w net.Conn)) *upstream {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -133,7 +133,7 @@
 // newFixture returns a fixture with the routes /plain/ (idempotent), /once/ (not idempotent),
 // /stream/ (a resumable stream) and /fixed/ (a stream that is not resumable). Without
 // upstreams it has no configuration.
-func newFixture(t *testing.T, list ...*upstream) *fixture {
+func newFixture(t testing.TB, list ...*upstream) *fixture {
 	return newFixtureWith(t, fleet.ViewOptions{}, nil, list...)
 }
 
@@ -144,7 +144,7 @@
 
 // newFixtureWith is newFixture with options of the view, apart from those that all fixtures share,
 // and a probe of engines.
-func newFixtureWith(t *testing.T, opts fleet.ViewOptions, probe func(context.Context, string) error, list ...*upstream) *fixture {
+func newFixtureWith(t testing.TB, opts fleet.ViewOptions, probe func(context.Context, string) error, list ...*upstream) *fixture {
 	c := qt.New(t)
 	log := decisionlog.New(io.Discard, "vm")
 	t.Cleanup(log.Close)
--- a/internal/node/gateway/hedge_test.go
+++ b/internal/node/gateway/hedge_test.go
@@ -47,7 +47,7 @@
 }
 
 // hedgeWith replaces the gateway by one that hedges requests, and makes it know response times.
-func (w *fixture) hedgeWith(t *testing.T, limits hedge.Limits) *hedgeCounts {
+func (w *fixture) hedgeWith(t testing.TB, limits hedge.Limits) *hedgeCounts {
 	log := decisionlog.New(io.Discard, "vm")
 	t.Cleanup(log.Close)
 	counts := &hedgeCounts{counts: make(map[string]int)}
@@ -62,6 +62,7 @@
 	}
 	counts.mu.Lock()
 	defer counts.mu.Unlock()
+	counts.cancelled = 0
 	clear(counts.counts) // on a busy machine, some of these requests were hedged
 	return counts
 }
@@ -128,16 +129,17 @@
 		status        int
 		body, result  string
 		failures      int // upstreams that have failed
+		cancelled     int // losers that were reset in time
 	}{
-		"second wins":                   {late, answer, 200, "second", "won", 0},
-		"first never answers":           {silent, answer, 200, "second", "won", 0},
-		"first wins":                    {late, silent, 200, "first", "lost", 0},
-		"second fails":                  {late, fail, 200, "first", "lost", 0},
-		"second breaks off":             {late, drop, 200, "first", "lost", 1},
-		"second is rejected":            {late, reject, 200, "first", "lost", 0},
-		"first fails, then second wins": {after(d, fail), after(d, answer), 200, "second", "won", 0},
-		"both fail":                     {after(d, fail), fail, 500, "oops", "lost", 0},
-		"both break off":                {after(d, drop), drop, 502, "upstream broke off\n", "failed", 2},
+		"second wins":                   {late, answer, 200, "second", "won", 0, 1},
+		"first never answers":           {silent, answer, 200, "second", "won", 0, 1},
+		"first wins":                    {late, silent, 200, "first", "lost", 0, 1},
+		"second fails":                  {late, fail, 200, "first", "lost", 0, 0},
+		"second breaks off":             {late, drop, 200, "first", "lost", 1, 0},
+		"second is rejected":            {late, reject, 200, "first", "lost", 0, 0},
+		"first fails, then second wins": {after(d, fail), after(d, answer), 200, "second", "won", 0, 0},
+		"both fail":                     {after(d, fail), fail, 500, "oops", "lost", 0, 0},
+		"both break off":                {after(d, drop), drop, 502, "upstream broke off\n", "failed", 2, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			seen := &attempts{n: make(map[string]int)}
@@ -154,10 +156,13 @@
 			a, b := serveUpstream(t, "a", respond), serveUpstream(t, "b", respond)
 			w := newFixture(t, a, b)
 			counts := w.hedgeWith(t, everyRequest)
+			begin := time.Now()
 			status, body := w.lookup("q")
+			w.Assert(time.Since(begin) < time.Second, qt.IsTrue, qt.Commentf("it waits for the loser"))
 			w.Assert(status, qt.Equals, test.status)
 			w.Assert(body, qt.Equals, test.body)
 			w.Assert(counts.get(test.result), qt.Equals, 1)
+			w.Assert(counts.cancelled, qt.Equals, test.cancelled)
 			w.Assert(seen.of("q"), qt.Equals, 2)
 			failures := 0
 			w.view.WithTracker(func(tr *balance.Tracker) {
@@ -251,3 +256,25 @@
 		w.Assert(seen.of(fmt.Sprintf("q-%d-0", i)) <= 2, qt.IsTrue)
 	}
 }
+
+// Guards against a losing attempt that a link delivers after the caller has its response.
+func TestALosingAttemptNeverReachesTheUpstream(t *testing.T) {
+	respond := func(_ int, r *http.Request, w net.Conn) { ok(r, w, "answer") }
+	silent, idle := serveUpstream(t, "a", respond), serveUpstream(t, "b", respond)
+	cut, link := behindLink(t, silent)
+	w := newFixture(t, cut, idle)
+	counts := w.hedgeWith(t, everyRequest)
+	before := silent.arrivals()
+	link.Cut()
+	for n := 0; n < 20 && counts.get("won") == 0; n++ { // the first choice among equals is random
+		status, body := w.lookup("q")
+		w.Assert(status, qt.Equals, http.StatusOK)
+		w.Assert(body, qt.Equals, "answer")
+	}
+	w.Assert(counts.get("won"), qt.Equals, 1)
+	link.AwaitEnds(1)
+	link.Heal()
+	link.AwaitFlushed(1)
+	w.Assert(link.DeliveredLate(), qt.Equals, 0)
+	w.Assert(silent.arrivals(), qt.Equals, before)
+}
