--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -126,8 +126,13 @@
 	positions := rendezvousPositions(adapter, list)
 	replicas := make([]replica, 0, typicalReplicas)
 	atCapacity, notPreferred, overfilled := 0, 0, 0
-	// The second pass includes ejected upstreams, the third one engines behind the preferred ones.
-	for pass := 0; pass < 3 && best == nil; pass++ {
+	// The second pass includes ejected upstreams, the third one engines behind the preferred ones. In a
+	// small fleet, where the preferred engines are a large part of all, there is no third pass.
+	passes := 2
+	if t.reportRecent {
+		passes = 3
+	}
+	for pass := 0; pass < passes && best == nil; pass++ {
 		for i := range list {
 			c := &list[i]
 			if pass != 1 && t.IsEjected(now, c.Upstream.ID) || !c.Resident && !c.Loadable {
