--- a/internal/node/gateway/hedge_bench_test.go
+++ b/internal/node/gateway/hedge_bench_test.go
@@ -15,22 +15,34 @@
 )
 
 // BenchmarkHedgedLookups measures lookups through one gateway and four upstreams with six slots
-// each over loopback, with hedging off and on. It sends 120 lookups a second on a schedule that does
-// not wait for responses, and reports percentiles in ms and arrivals beyond the first in percent.
+// each over loopback, with hedging off and on. It sends lookups on a schedule that does not wait for
+// responses, at 8 to 40% of the slots, and reports percentiles in ms and arrivals beyond the first in percent.
 //
-//	go test -run '^$' -bench HedgedLookups -benchtime 6000x ./internal/node/gateway
+//	go test -run '^$' -bench HedgedLookups/600 -benchtime 9000x ./internal/node/gateway
 func BenchmarkHedgedLookups(b *testing.B) {
 	for _, scenario := range []struct {
+		rate   int // lookups a second
 		name   string
-		factor time.Duration // by which the first upstream is slow
-		lost   float64       // share of the responses that it loses
-	}{{"sound", 1, 0}, {"slow by 5", 5, 0}, {"loses 5 percent", 1, 0.05}} {
+		bad    int           // number of upstreams with a fault
+		factor time.Duration // by which they are slow
+		lost   float64       // share of the responses that they lose
+	}{
+		{120, "sound", 0, 1, 0},
+		{120, "one slow by 5", 1, 5, 0},
+		{120, "one loses 5 percent", 1, 1, 0.05},
+		{300, "sound", 0, 1, 0},
+		{300, "all lose 2 percent", 4, 1, 0.02},
+		{300, "all lose 5 percent", 4, 1, 0.05},
+		{600, "sound", 0, 1, 0},
+		{600, "one slow by 5", 1, 5, 0},
+		{600, "one loses 5 percent", 1, 1, 0.05},
+	} {
 		for _, share := range []float64{0, 0.02} {
-			b.Run(fmt.Sprintf("%s/share=%g", scenario.name, share), func(b *testing.B) {
+			b.Run(fmt.Sprintf("%d/%s/share=%g", scenario.rate, scenario.name, share), func(b *testing.B) {
 				var list []*upstream
 				for i := range 4 {
 					list = append(list, lookupUpstream(b, fmt.Sprint(i), uint64(i), func(d time.Duration, draw float64) (time.Duration, bool) {
-						if i > 0 {
+						if i >= scenario.bad {
 							return d, false
 						}
 						return d * scenario.factor, draw < scenario.lost
@@ -40,7 +52,7 @@
 				w.hedgeWith(b, hedge.Limits{Share: share, MaxFill: 0.7})
 				before := arrivals(list)
 				b.ResetTimer()
-				times, failed := w.sendLookups(b.N, 120)
+				times, failed := w.sendLookups(b.N, scenario.rate)
 				b.StopTimer()
 				for _, p := range []float64{0.5, 0.95, 0.99, 0.999} {
 					b.ReportMetric(times[min(int(p*float64(len(times))), len(times)-1)].Seconds()*1e3, fmt.Sprintf("p%g-ms", p*100))
