Clients: budget of connections and memory on each listener

Cause: nothing limited what clients hold of a daemon. Request heads take a multiple of their text once net/http has parsed them, bodies that never end kept the 48 MB for all bodies, and connections had no limit.

Change: internal/coordination/clientbudget decides the limits of a machine and who gives way; internal/transport/frontconn is a listener that counts connections and the memory of heads, and closes slow clients. A head is kept as text until it is whole and its parsed size is reserved. The memory of the gateway's bodies and responses is part of the same budget, sized by limits.memory_mb. Readiness and metrics have budgets of their own. A response without room no longer counts as a failure of the upstream. Pipelined requests are paced from the 17th on. The heap limit is 0.8 of the memory less 16 MB, at most 0.7 as before.

The test of bodyMemory takes its memory in pieces now, since one client can't take the last quarter; it checks the same.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -268,7 +268,13 @@
 }
 
 // logSourcePatterns match the source files that write decision log lines.
-var logSourcePatterns = []string{"../internal/node/gateway/*.go", "../internal/node/fleet/*.go", "../internal/app/edge.go", "../internal/decisionlog/decisionlog.go"}
+var logSourcePatterns = []string{"../internal/node/gateway/*.go", "../internal/node/fleet/*.go", "../internal/app/edge*.go", "../internal/decisionlog/decisionlog.go"}
+
+// Guards against limits for clients that operators can't find.
+func TestConfigurationPageListsEveryLimitForClients(t *testing.T) {
+	documented := findGroups(readFile(t, "CONFIGURATION.md"), "(?m)^\\| `((?:limits|clients)\\.[a-z_]+)`")
+	checkSameNames(t, "setting", documented, findGroups(readFile(t, "../platform/settings.go"), `"((?:limits|clients)\.[a-z_]+)"`))
+}
 
 // readLogSources returns the text of the source files that write decision log lines.
 func readLogSources(t *testing.T) string {
--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -23,12 +23,14 @@
 	"go.uber.org/fx/fxevent"
 	"golang.org/x/sys/unix"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/clientbudget"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/metrics"
 	"github.com/celerydeck/celerydeck/internal/node/fleet"
 	"github.com/celerydeck/celerydeck/internal/node/gateway"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
+	"github.com/celerydeck/celerydeck/internal/transport/frontconn"
 	"github.com/celerydeck/celerydeck/internal/transport/httpconn"
 	"github.com/celerydeck/celerydeck/internal/transport/idleconn"
 	"github.com/celerydeck/celerydeck/internal/transport/peer"
@@ -49,9 +51,6 @@
 	// minShutdownTime is the shortest time for which a daemon that shuts down still
 	// answers requests.
 	minShutdownTime = 4 * time.Second
-	// memoryLimitShare is the garbage collector's soft limit as a share of the machine's
-	// memory. The rest is for thread stacks and kernel buffers.
-	memoryLimitShare = 0.7
 	// outdatedGraceShare is the part of platform.Bounds.AdapterVersion in which new
 	// requests may still use an older version of an adapter. The rest of the bound is for
 	// requests in flight.
@@ -89,7 +88,7 @@
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGPIPE)
-	debug.SetMemoryLimit(int64(float64(settings.MemoryMB) * memoryLimitShare * (1 << 20)))
+	debug.SetMemoryLimit(clientbudget.HeapLimit(int64(settings.MemoryMB) << 20))
 	log := decisionlog.New(os.Stdout, settings.VM)
 	defer log.Close()
 	e, err := StartEdge(settings, log)
@@ -146,9 +145,9 @@
 	e.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(settings, log, e, new(peer.Pins)),
-		fx.Provide(newEdgeMember, newEdgeView, newEdgeKeys, newEdgePeerPool, newEdgeNode, newEdgeGateway, newEdgeMetrics, newEdgeFront, httpconn.NewPool),
+		fx.Provide(newEdgeMember, newEdgeView, newEdgeKeys, newEdgePeerPool, newEdgeNode, newEdgeGateway, newEdgeMetrics, newEdgeGuards, newEdgeFront, httpconn.NewPool),
 		fx.Populate(&parts),
-		fx.Invoke(serveEdgePeers, serveEdgeMetrics, serveEdgeReady, serveEdgeFront),
+		fx.Invoke(serveEdgePeers, serveEdgeMetrics, serveEdgeReady, serveEdgeFront, superviseEdgeClients),
 	)
 	if err := e.app.Err(); err != nil {
 		return nil, err
@@ -291,9 +290,10 @@
 	return r
 }
 
-func newEdgeGateway(view *fleet.View, n *fleet.Node, pool *httpconn.Pool, log *decisionlog.Log, r *metrics.Recorder) *gateway.Gateway {
+func newEdgeGateway(view *fleet.View, n *fleet.Node, pool *httpconn.Pool, log *decisionlog.Log, r *metrics.Recorder, guards edgeGuards) *gateway.Gateway {
 	return gateway.New(gateway.Options{
 		View: view, Loader: n, Pool: pool, HeaderCodec: platform.Dialect{}, Log: log, Metrics: r.Routes(), Clock: time.Now,
+		Bodies: guards.callers.Memory(clientbudget.Bodies), Responses: guards.callers.Memory(clientbudget.Responses),
 	})
 }
 
@@ -348,14 +348,15 @@
 	return nil
 }
 
-// serve runs an HTTP server on a TCP address until the daemon stops. What names the
-// server in errors.
-func serve(lc fx.Lifecycle, what, addr string, server *http.Server) error {
+// serve runs an HTTP server on a TCP address until the daemon stops, within the limits of a
+// guard. What names the server in errors.
+func serve(lc fx.Lifecycle, what, addr string, guard *frontconn.Guard, server *http.Server) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return fmt.Errorf("listen for %s: %w", what, err)
 	}
-	serveOn(lc, l, server)
+	frontconn.Attach(server)
+	serveOn(lc, frontconn.Listen(l, guard), server)
 	return nil
 }
 
@@ -367,14 +368,14 @@
 	))
 }
 
-func serveEdgeMetrics(lc fx.Lifecycle, s platform.Settings, r *metrics.Recorder, n *fleet.Node) error {
+func serveEdgeMetrics(lc fx.Lifecycle, s platform.Settings, r *metrics.Recorder, n *fleet.Node, guards edgeGuards) error {
 	router := mux.NewRouter()
 	router.Handle("/metrics", r.Handler())
 	router.HandleFunc("/fleet", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(n.Report()) // the client may have disconnected
 	})
-	return serve(lc, "metrics", net.JoinHostPort(s.IP, strconv.Itoa(s.MetricPort)), newEdgeServer(router))
+	return serve(lc, "metrics", net.JoinHostPort(s.IP, strconv.Itoa(s.MetricPort)), guards.metrics, newEdgeServer(router))
 }
 
 // newEdgeServer returns a server for requests without a body.
@@ -384,22 +385,22 @@
 	}
 }
 
-func serveEdgeReady(lc fx.Lifecycle, s platform.Settings, e *Edge) error {
+func serveEdgeReady(lc fx.Lifecycle, s platform.Settings, e *Edge, guards edgeGuards) error {
 	router := mux.NewRouter()
 	router.HandleFunc(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
 		if !e.Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return serve(lc, "readiness checks", s.ReadyAddr, newEdgeServer(router))
+	return serve(lc, "readiness checks", s.ReadyAddr, guards.ready, newEdgeServer(router))
 }
 
-func newEdgeFront(s platform.Settings) (*idleconn.Listener, error) {
+func newEdgeFront(s platform.Settings, guards edgeGuards) (*idleconn.Listener, error) {
 	l, err := net.Listen("tcp", s.FrontAddr)
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
-	return idleconn.Listen(l), nil
+	return idleconn.Listen(frontconn.Listen(l, guards.callers)), nil
 }
 
 func serveEdgeFront(lc fx.Lifecycle, l *idleconn.Listener, g *gateway.Gateway, pool *httpconn.Pool) {
@@ -408,9 +409,11 @@
 		func() { go sweepIdleConns(pool, done) },
 		func() { close(done) },
 	))
-	serveOn(lc, l, &http.Server{
+	server := &http.Server{
 		Handler: g, ConnState: l.State, ReadHeaderTimeout: edgeHeaderTimeout, IdleTimeout: edgeIdleTimeout, MaxHeaderBytes: edgeHeaderBytes,
-	})
+	}
+	frontconn.Attach(server)
+	serveOn(lc, l, server)
 }
 
 // sweepIdleConns closes unused connections to upstreams until done is closed.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -40,7 +40,7 @@
 	short := []string{
 		nameRequests, nameTokens, nameFirstToken, nameBetweenTokens, nameWait, nameStall, nameBatch,
 		nameLoads, nameLoad, nameRevision, nameOwned, nameClassesDropped, namePeerRefusals,
-		nameRouteRequests, nameRouteTime, nameRoutePause,
+		nameRouteRequests, nameRouteTime, nameRoutePause, nameClientsClosed, nameClientConnections,
 	}
 	names := make([]string, len(short))
 	for i, name := range short {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -76,6 +76,8 @@
 	}
 	r.Loaded(time.Second, false)
 	r.SetOwned(2)
+	r.Clients("callers").SetConnections(3)
+	r.Clients("callers").Closed("head too slow", 2)
 	r.SetRevision(7)
 	r.Close() // reports what was counted
 	response := httptest.NewRecorder()
--- a/internal/node/gateway/bodymemory.go
+++ b/internal/node/gateway/bodymemory.go
@@ -3,15 +3,21 @@
 import (
 	"errors"
 	"io"
-	"sync/atomic"
+	"time"
+
+	"github.com/celerydeck/celerydeck/internal/transport/frontconn"
 )
 
 const (
-	maxBodyMemory = 48 << 20 // bytes of all request and response bodies in memory
+	maxBodyMemory = 48 << 20 // bytes of all request and response bodies in memory, if the options set no limit
 	// A body gets between minBodyBuffer and maxFirstBuffer bytes at first. An announced length
 	// alone must not take much memory.
 	minBodyBuffer  = 4 << 10
 	maxFirstBuffer = 64 << 10
+	// maxMemoryWait is the most time that a body waits for memory while slower clients give way. It is also at
+	// most memoryWaitShare of the time until the deadline.
+	maxMemoryWait   = 500 * time.Millisecond
+	memoryWaitShare = 0.25
 )
 
 var (
@@ -19,14 +25,17 @@
 	errBodyMemory  = errors.New("gateway: no memory left for bodies")
 )
 
-// bodyMemory limits the memory that the request and response bodies of all calls take
-// together. It is safe for concurrent use.
-type bodyMemory struct{ used atomic.Int64 }
+// bodyMemory is the memory for the bodies of one caller's request, within the limit for all callers.
+type bodyMemory struct {
+	pool *frontconn.Memory
+	conn *frontconn.Conn // nil if the connection has no limits
+	wait time.Duration
+}
 
 // read reads a body whole. length is the announced length, or negative if there is none. It
 // fails with errBodyTooLong if the body is longer than limit bytes, and with errBodyMemory if
-// there is no memory left. The caller must release a body that was read.
-func (m *bodyMemory) read(r io.Reader, length, limit int64) ([]byte, error) {
+// there is no memory left, also after the wait. The caller must release a body that was read.
+func (m bodyMemory) read(r io.Reader, length, limit int64) ([]byte, error) {
 	if length > limit {
 		return nil, errBodyTooLong
 	}
@@ -55,10 +64,9 @@
 }
 
 // grow returns the body in a buffer of the given size in bytes.
-func (m *bodyMemory) grow(body []byte, size int64) ([]byte, error) {
+func (m bodyMemory) grow(body []byte, size int64) ([]byte, error) {
 	more := size - int64(cap(body))
-	if m.used.Add(more) > maxBodyMemory {
-		m.used.Add(-more)
+	if !m.pool.Take(m.conn, more, int64(cap(body)), m.wait) {
 		return body, errBodyMemory
 	}
 	grown := make([]byte, len(body), size)
@@ -67,4 +75,10 @@
 }
 
 // release returns the memory of a body that is no longer used.
-func (m *bodyMemory) release(body []byte) { m.used.Add(-int64(cap(body))) }
+func (m bodyMemory) release(body []byte) { m.pool.Release(m.conn, int64(cap(body))) }
+
+// memoryFor returns the memory of a pool for a body of the call.
+func (c *call) memoryFor(pool *frontconn.Memory) bodyMemory {
+	wait := min(maxMemoryWait, time.Duration(float64(c.timeLeft())*memoryWaitShare))
+	return bodyMemory{pool: pool, conn: frontconn.FromContext(c.r.Context()), wait: wait}
+}
--- a/internal/node/gateway/bodymemory_test.go
+++ b/internal/node/gateway/bodymemory_test.go
@@ -8,19 +8,21 @@
 	"testing/iotest"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/celerydeck/celerydeck/internal/transport/frontconn"
 )
 
 func TestABodyIsReadWholeAndItsMemoryReleased(t *testing.T) {
 	const limit = 1 << 20 // bytes
 	for _, size := range []int{0, 1, minBodyBuffer, maxFirstBuffer + 1, limit} {
 		for _, length := range []int64{-1, int64(size)} {
-			var m bodyMemory
+			m := bodyMemory{pool: frontconn.NewMemory(maxBodyMemory)}
 			want := bytes.Repeat([]byte("x"), size)
 			body, err := m.read(iotest.HalfReader(bytes.NewReader(want)), length, limit)
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, bytes.Equal(body, want), qt.IsTrue)
 			m.release(body)
-			qt.Assert(t, m.used.Load(), qt.Equals, int64(0))
+			qt.Assert(t, m.pool.Used(), qt.Equals, int64(0))
 		}
 	}
 }
@@ -42,11 +44,13 @@
 		"no more memory": {bytes.NewReader(make([]byte, 9000)), -1, 1 << 20, maxBodyMemory - minBodyBuffer, errBodyMemory},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var m bodyMemory
-			m.used.Store(c.taken)
+			m := bodyMemory{pool: frontconn.NewMemory(maxBodyMemory)}
+			for range c.taken / minBodyBuffer { // a single client may not take all
+				qt.Assert(t, m.pool.Take(nil, minBodyBuffer, 0, 0), qt.IsTrue)
+			}
 			_, err := m.read(c.r, c.length, c.limit)
 			qt.Assert(t, err, qt.ErrorIs, c.want)
-			qt.Assert(t, m.used.Load(), qt.Equals, c.taken)
+			qt.Assert(t, m.pool.Used(), qt.Equals, c.taken)
 		})
 	}
 }
@@ -54,10 +58,10 @@
 // Guards against responses that announce a long body, send nothing and so take the memory for
 // all other bodies.
 func TestAnAnnouncedLengthAloneTakesLittleMemory(t *testing.T) {
-	var m bodyMemory
+	m := bodyMemory{pool: frontconn.NewMemory(maxBodyMemory)}
 	taken := int64(0)
 	_, err := m.read(readerFunc(func([]byte) (int, error) {
-		taken = m.used.Load()
+		taken = m.pool.Used()
 		return 0, io.EOF
 	}), maxBufferedBody, maxBufferedBody)
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -83,7 +83,8 @@
 	}
 	control := http.NewResponseController(c.w)
 	_ = control.SetReadDeadline(c.deadline) // a closed connection fails the read
-	body, err := c.g.bodies.read(c.r.Body, c.r.ContentLength, limit)
+	memory := c.memoryFor(c.g.opts.Bodies)
+	body, err := memory.read(c.r.Body, c.r.ContentLength, limit)
 	switch {
 	case errors.Is(err, errBodyTooLong):
 		c.respond(http.StatusRequestEntityTooLarge, decisionlog.BodyTooLarge)
@@ -91,6 +92,8 @@
 	case errors.Is(err, errBodyMemory):
 		c.refuse(decisionlog.BodyMemoryExhausted, noConfigRetryAfter)
 		return false
+	case memory.conn.WasAborted(): // counted there
+		panic(http.ErrAbortHandler)
 	case err != nil:
 		c.g.opts.Log.Event("request body broke off", slog.String("request", c.meta.RequestID), slog.String("err", err.Error()))
 		panic(http.ErrAbortHandler)
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/state/upstreams"
+	"github.com/celerydeck/celerydeck/internal/transport/frontconn"
 	"github.com/celerydeck/celerydeck/internal/transport/httpconn"
 )
 
@@ -91,6 +92,9 @@
 	Log         *decisionlog.Log
 	Metrics     Metrics
 	Clock       func() time.Time
+	// Bodies and Responses are the memory for the bodies of requests and of responses. If they are nil,
+	// both share maxBodyMemory.
+	Bodies, Responses *frontconn.Memory
 }
 
 // Metrics counts and times completed requests.
@@ -102,7 +106,6 @@
 // Gateway is an http.Handler for callers. It is safe for concurrent use.
 type Gateway struct {
 	opts       Options
-	bodies     bodyMemory
 	active     atomic.Int64
 	tickets    atomic.Uint64 // of the last request
 	leaving    atomic.Bool
@@ -114,6 +117,10 @@
 
 // New returns a gateway.
 func New(opts Options) *Gateway {
+	if opts.Bodies == nil {
+		opts.Bodies = frontconn.NewMemory(maxBodyMemory)
+		opts.Responses = opts.Bodies
+	}
 	g := &Gateway{opts: opts}
 	g.ended, g.end = context.WithCancel(context.Background())
 	return g
@@ -148,7 +155,7 @@
 	if !c.readBody(table.Config.Limits.BodyBytes) {
 		return
 	}
-	defer func() { g.bodies.release(c.body) }()
+	defer func() { c.memoryFor(g.opts.Bodies).release(c.body) }()
 	c.prepare(table)
 	if c.refuseNewWhileLeaving() {
 		return
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -305,12 +305,20 @@
 	if success && c.route.Kind == routes.Stream && c.engine != nil {
 		return x.forwardStream(resp, a)
 	}
-	body, err := c.g.bodies.read(resp.Body, resp.ContentLength, maxBufferedBody)
+	memory := c.memoryFor(c.g.opts.Responses)
+	body, err := memory.read(resp.Body, resp.ContentLength, maxBufferedBody)
 	x.stopResponseWatch()
+	if errors.Is(err, errBodyMemory) { // not a failure of the upstream
+		_ = x.conn.Close()
+		c.runs++
+		c.logStep("read body of answer", x.u, err)
+		c.fail(decisionlog.BodyMemoryExhausted)
+		return delivered
+	}
 	if err != nil {
 		return x.abort("read body of answer", err)
 	}
-	defer c.g.bodies.release(body)
+	defer memory.release(body)
 	x.release(resp, a)
 	if resp.StatusCode >= 500 {
 		c.runs++
--- a/internal/transport/idleconn/idleconn.go
+++ b/internal/transport/idleconn/idleconn.go
@@ -101,6 +101,9 @@
 	return n, err
 }
 
+// NetConn returns the connection that the inner listener accepted.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.listener.mu.Lock()
