--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -42,6 +42,7 @@
 		nameLoads, nameLoad, nameRevision, nameOwned, nameClassesDropped, namePeerRefusals,
 		nameRouteRequests, nameRouteTime, nameRoutePause, nameAccountTokens, nameAccountRefusals, nameBarredUpstreams,
 		nameHedges, nameHedgesCancelled, nameHedgeWaste, nameHedgesSkipped,
+		nameClientsClosed, nameClientConnections,
 	}
 	names := make([]string, len(short))
 	for i, name := range short {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -82,6 +82,8 @@
 	}
 	r.Loaded(time.Second, false)
 	r.SetOwned(2)
+	r.Clients("callers").SetConnections(3)
+	r.Clients("callers").Closed("head too slow", 2)
 	r.SetRevision(7)
 	r.SetBarredUpstreams(map[string]int{"leaving": 1})
 	r.Close() // reports what was counted
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/state/upstreams"
+	"github.com/celerydeck/celerydeck/internal/transport/frontconn"
 	"github.com/celerydeck/celerydeck/internal/transport/httpconn"
 )
 
@@ -111,6 +112,9 @@
 	// Hedge limits hedges. The zero value turns them off, and HedgeMetrics is not used then.
 	Hedge        hedge.Limits
 	HedgeMetrics HedgeMetrics
+	// Bodies and Responses are the memory for the bodies of requests and of responses. If they are nil,
+	// both share maxBodyMemory.
+	Bodies, Responses *frontconn.Memory
 }
 
 // Metrics counts and times completed requests.
@@ -123,7 +127,6 @@
 // Gateway is an http.Handler for callers. It is safe for concurrent use.
 type Gateway struct {
 	opts       Options
-	bodies     bodyMemory
 	probes     prober
 	active     atomic.Int64
 	tickets    atomic.Uint64 // of the last request
@@ -138,6 +141,10 @@
 
 // New returns a gateway.
 func New(opts Options) *Gateway {
+	if opts.Bodies == nil {
+		opts.Bodies = frontconn.NewMemory(maxBodyMemory)
+		opts.Responses = opts.Bodies
+	}
 	g := &Gateway{opts: opts, hedger: newHedger(opts.Hedge, opts.Clock)}
 	g.ended, g.end = context.WithCancel(context.Background())
 	if opts.StrictRevoke {
@@ -179,7 +186,7 @@
 	if !c.readBody(table.Config.Limits.BodyBytes) {
 		return
 	}
-	defer func() { g.bodies.release(c.body) }()
+	defer func() { c.memoryFor(g.opts.Bodies).release(c.body) }()
 	c.prepare(table)
 	if c.refuseNewWhileLeaving() {
 		return
