Capacity: traffic for quotas and prompt reservations

Cause: the page lacked the parts that the users' platform gained. Change: one section with their messages at the target's size.

--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -13,6 +13,7 @@
 	writeControl(&b, t, s)
 	writePlatform(&b, t)
 	writeRequests(&b, t, s)
+	writeEdge(&b, t)
 	writeOperators(&b, t)
 	writeDay(&b, t)
 	return b.String()
--- a/internal/capacity/page_test.go
+++ b/internal/capacity/page_test.go
@@ -39,3 +39,9 @@
 	qt.Assert(t, writes < target.PlatformWrites, qt.IsTrue, qt.Commentf("%v", writes))
 	qt.Assert(t, reads < target.PlatformReads, qt.IsTrue, qt.Commentf("%v", reads))
 }
+
+// Guards against traffic for quotas that grows with the number of daemons.
+func TestTrafficForQuotasFitsWithAFewActiveAccounts(t *testing.T) {
+	qt.Assert(t, AccountTraffic(3, 4) < DesignTarget().ControlTraffic, qt.IsTrue)
+	qt.Assert(t, strings.Contains(Page(DesignTarget(), roundSlopes()), "Prompt reservations"), qt.IsTrue)
+}
