--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -255,10 +255,10 @@
 			c.retryTaken.Store(c.sends > 0)
 			continue
 		}
-		switch c.awaitPromptSlot(placement) {
-		case slotNowhere:
+		switch c.awaitReservation(placement) {
+		case promptHasNoRoom:
 			return
-		case slotRefused:
+		case promptRefused:
 			c.retryTaken.Store(c.sends > 0)
 			continue
 		}
--- a/internal/node/gateway/pacing.go
+++ b/internal/node/gateway/pacing.go
@@ -16,9 +16,9 @@
 	// maxReservations is the number of engines that are asked for a place for a prompt. The last
 	// one is not asked with a limit: the prompt waits there as long as it must.
 	maxReservations = 3
-	// maxSlotWaitShare is the share of the latency objective that a prompt may wait at an engine
+	// maxReservationWaitShare is the share of the latency objective that a prompt may wait at an engine
 	// while another one may have room at once.
-	maxSlotWaitShare = 0.25
+	maxReservationWaitShare = 0.25
 	// maxSmoothShare is the share of the time left to the latency objective that a prompt may wait
 	// only for the sake of the streams that run at the engine.
 	maxSmoothShare = 0.5
@@ -51,32 +51,32 @@
 	c.request.IsScheduled = false
 }
 
-// slotResult is the result of asking for a place for a prompt.
-type slotResult uint8
+// reservationResult is the result of asking for a place for a prompt.
+type reservationResult uint8
 
 const (
-	slotTaken   slotResult = iota // the prompt may be sent now
-	slotRefused                   // another engine is to be chosen
-	slotNowhere                   // no engine has room in time; the request was refused
+	promptReserved  reservationResult = iota // the prompt may be sent now
+	promptRefused                            // another engine is to be chosen
+	promptHasNoRoom                          // no engine has room in time; the request was refused
 )
 
-// awaitPromptSlot asks the lease holder of the chosen engine when the prompt may be sent, and waits
+// awaitReservation asks the lease holder of the chosen engine when the prompt may be sent, and waits
 // until then. If the lease holder does not answer, the prompt is sent without a reservation. A
 // request that no engine of several has room for in time is refused; a broken stream is resumed
 // all the same.
-func (c *call) awaitPromptSlot(placement fleet.Placement) slotResult {
+func (c *call) awaitReservation(placement fleet.Placement) reservationResult {
 	p := &c.pacing
 	c.request.IsScheduled = false
 	if c.g.opts.Pacer == nil || c.engine == nil || c.route.GapGoal <= 0 || c.request.TokensIn == 0 {
-		return slotTaken
+		return promptReserved
 	}
 	if p.settled == placement.Upstream.ID && c.g.opts.Clock().Before(p.settledUntil) { // held for another reason
 		c.request.IsScheduled = p.isScheduled
-		return slotTaken
+		return promptReserved
 	}
 	p.settled = ""
 	p.asked++
-	maxDelay := time.Duration(maxSlotWaitShare * float64(c.route.Goal))
+	maxDelay := time.Duration(maxReservationWaitShare * float64(c.route.Goal))
 	if p.asked >= maxReservations || placement.Replicas <= 1 {
 		// A load at another engine would take longer. After a load the limit may be exceeded already.
 		maxDelay = max(c.fairLimits(c.limits()).MaxStartDelay, 0)
@@ -87,7 +87,7 @@
 	})
 	if !ok {
 		c.settle(placement.Upstream.ID, 0, false)
-		return slotTaken
+		return promptReserved
 	}
 	c.g.opts.View.SetReplicaRatio(c.meta.Adapter, reply.ReplicaRatio)
 	if !reply.Accepted {
@@ -99,18 +99,18 @@
 		p.full[placement.Upstream.ID] = true
 		switch {
 		case p.asked < maxReservations:
-			return slotRefused
+			return promptRefused
 		case c.responseStarted:
 			c.settle(placement.Upstream.ID, 0, false)
-			return slotTaken
+			return promptReserved
 		}
 		c.failWithRetryAfter(decisionlog.NoRoomForPrompt, balance.RetryAfter(reply.Delay, rand.Float64()))
-		return slotNowhere
+		return promptHasNoRoom
 	}
 	c.settle(placement.Upstream.ID, reply.Delay, true)
 	c.holdTime += reply.Delay
 	c.sleep(min(reply.Delay, max(0, c.timeLeft()-minTimeLeft)))
-	return slotTaken
+	return promptReserved
 }
 
 // retryFull makes the engines that had no room for the prompt candidates again, if another choice has
