Pacing: the limit of prompts is learned from streams that stall

Change: each daemon learns a limit for a service from the pauses of its streams; lease holders apply the average of what daemons send, and daemons that start adopt it.

--- a/internal/coordination/pacing/pacing_test.go
+++ b/internal/coordination/pacing/pacing_test.go
@@ -265,3 +265,40 @@
 		qt.Assert(t, u.ReplicaRatio(start, a, time.Second, 10), qt.Equals, 2.0)
 	}
 }
+
+// Guards against a limit that binds where streams do not stall, and against one that stays high where
+// they do.
+func TestThePaceFollowsTheStreamsThatStall(t *testing.T) {
+	for _, c := range []struct {
+		stalled  float64
+		from, to float64
+	}{{0, MaxPace, MaxPace}, {0.03, 50, MaxPace}, {0.4, MinPace, MinPace + 4}} {
+		rng := rand.New(rand.NewPCG(1, 4))
+		var p Pace
+		for range 300 {
+			p.ObserveStream(rng.Float64() < c.stalled)
+		}
+		qt.Check(t, p.Limit() >= c.from && p.Limit() <= c.to, qt.IsTrue, qt.Commentf("stalled %.2f: %.1f", c.stalled, p.Limit()))
+	}
+}
+
+// Guards against a daemon that sends prompts too densely for a while after each start, and against limits
+// of peers that are no numbers.
+func TestANewDaemonTakesOverTheLimitOfTheLeaseHolder(t *testing.T) {
+	c := qt.New(t)
+	var p, holder Pace
+	for range 50 {
+		holder.Merge(16)
+	}
+	for _, odd := range []float64{math.NaN(), -1, 0} {
+		holder.Merge(odd)
+	}
+	c.Assert(holder.Limit(), qt.Equals, 16.0)
+	p.Adopt(holder.Limit())
+	c.Assert(p.Limit(), qt.Equals, 16.0)
+	for range minSamples {
+		p.ObserveStream(false)
+	}
+	p.Adopt(holder.Limit())
+	c.Assert(p.Limit() > 16, qt.IsTrue)
+}
--- a/internal/node/fleet/reservation.go
+++ b/internal/node/fleet/reservation.go
@@ -14,13 +14,9 @@
 	// reservationTimeout limits the wait for a lease holder's reply. A request whose prompt is not
 	// scheduled by then is sent without a schedule.
 	reservationTimeout = 40 * time.Millisecond
-	// promptTokensPerMS is the limit of the scheduled prompt tokens for each millisecond of the
-	// longest pause that the streams allow. Engines read 20 to 26 tokens in a millisecond; the rest
-	// of the pause is for the steps of the running streams.
-	promptTokensPerMS = 16
-	// smoothTokensPerMS is the limit while prompts can wait for their turn without missing their
-	// latency objective.
-	smoothTokensPerMS = 8
+	// smoothShare is the part of the limit that applies while prompts can wait for their turn without
+	// missing their latency objective.
+	smoothShare = 0.5
 	// replicaRatioTTL is how long a lease holder's figure on the replicas of an adapter is used.
 	replicaRatioTTL = 400 * time.Millisecond
 	// maxReplicaRatio bounds such a figure. All slots of an engine in use by one adapter give 2.5.
@@ -30,6 +26,38 @@
 	maxPromptDelay = 10 * time.Second
 )
 
+// ObserveStream records whether a stream of a service had a pause that was too long.
+func (v *View) ObserveStream(service string, isStalled bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.pace(service).ObserveStream(isStalled)
+}
+
+// Pace returns this daemon's limit of prompt tokens for the engines of a service, for each millisecond
+// of the longest pause that the streams allow.
+func (v *View) Pace(service string) float64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.pace(service).Limit()
+}
+
+// AdoptPace records the limit that a lease holder applies to an engine of a service.
+func (v *View) AdoptPace(service string, limit float64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.pace(service).Adopt(limit)
+}
+
+// pace returns the limit for a service. The caller holds the lock.
+func (v *View) pace(service string) *pacing.Pace {
+	p := v.paces[service]
+	if p == nil {
+		p = new(pacing.Pace)
+		v.paces[service] = p
+	}
+	return p
+}
+
 // replicaRatio is a lease holder's figure on the replicas of an adapter.
 type replicaRatio struct {
 	ratio float64
@@ -129,9 +157,10 @@
 	}
 	window := min(msg.GapGoal, pacing.MaxWindow)
 	now, ms := w.node.opts.Clock(), float64(window.Milliseconds())
-	limit := pacing.Limit{Tokens: promptTokensPerMS * ms, SmoothTokens: smoothTokensPerMS * ms, Window: window}
+	w.pace.Merge(msg.Pace)
+	limit := pacing.Limit{Tokens: w.pace.Limit() * ms, SmoothTokens: smoothShare * w.pace.Limit() * ms, Window: window}
 	delay, ok := w.prompts.Reserve(now, limit, pacing.Request{Tokens: msg.Tokens, Rank: msg.Rank, SmoothDelay: msg.SmoothDelay, MaxDelay: min(msg.MaxDelay, maxPromptDelay)})
-	reply := protocol.PromptReservationReply{Known: true, Accepted: ok, Delay: delay, ReplicaRatio: 1}
+	reply := protocol.PromptReservationReply{Known: true, Accepted: ok, Delay: delay, ReplicaRatio: 1, Pace: w.pace.Limit()}
 	if u := w.node.opts.View.Upstream(w.id); u != nil && msg.Adapter.Name != "" {
 		figure := w.use.Record
 		if !ok { // counted at the engine that it goes to
--- a/internal/node/fleet/reservation_test.go
+++ b/internal/node/fleet/reservation_test.go
@@ -15,7 +15,7 @@
 )
 
 var reservation = protocol.PromptReservation{
-	Upstream: "e0", Tokens: 3000, MaxDelay: time.Second, GapGoal: 300 * time.Millisecond, Adapter: upstreams.Adapter{Model: "m", Name: "a"},
+	Upstream: "e0", Tokens: 3000, Pace: pacing.MinPace, MaxDelay: time.Second, GapGoal: 300 * time.Millisecond, Adapter: upstreams.Adapter{Model: "m", Name: "a"},
 }
 
 // newReservationSim returns a fleet in which z0-00 has a worker for the engine e0.
@@ -32,7 +32,7 @@
 // Guards against two daemons that both schedule prompts at an engine, each without the other's.
 func TestOnlyTheLeaseHolderSchedulesPrompts(t *testing.T) {
 	s, n, w := newReservationSim(t, 12)
-	s.Assert(n.ServePromptReservation(reservation), qt.Equals, protocol.PromptReservationReply{Known: true, Accepted: true, ReplicaRatio: 1})
+	s.Assert(n.ServePromptReservation(reservation), qt.Equals, protocol.PromptReservationReply{Known: true, Accepted: true, ReplicaRatio: 1, Pace: pacing.MinPace})
 	reply, ok := n.ReservePrompt(context.Background(), reservation)
 	s.Assert(ok && reply.Accepted, qt.IsTrue)
 	s.Assert(reply.Delay, qt.Equals, reservation.GapGoal, qt.Commentf("prompts of the holder and of its peers share a ledger"))
@@ -98,9 +98,11 @@
 // Guards against demand that is counted at each engine that had no room for the prompt.
 func TestARefusedReservationIsNoUseOfTheAdapter(t *testing.T) {
 	s, n, _ := newReservationSim(t, 12)
-	refused := reservation
+	first := reservation
+	first.Pace = pacing.MinPace // leaves no room for a second prompt
+	refused := first
 	refused.MaxDelay = 0
-	n.ServePromptReservation(reservation)
+	n.ServePromptReservation(first)
 	for range 100 {
 		reply := n.ServePromptReservation(refused)
 		s.Assert(reply.Known && !reply.Accepted, qt.IsTrue)
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -11,6 +11,7 @@
 
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
 	"github.com/celerydeck/celerydeck/internal/coordination/eligibility"
+	"github.com/celerydeck/celerydeck/internal/coordination/pacing"
 	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
 	"github.com/celerydeck/celerydeck/internal/coordination/quota"
 	"github.com/celerydeck/celerydeck/internal/coordination/residency"
@@ -121,7 +122,8 @@
 	newlyMissing    map[state.UpstreamID][]upstreams.Adapter // not yet sent to the lease holders
 	lastReplicated  map[upstreams.Adapter]time.Time
 	replicaRatios   map[upstreams.Adapter]replicaRatio
-	modelRequests   map[string]float64 // decaying count of requests by model
+	paces           map[string]*pacing.Pace // by service
+	modelRequests   map[string]float64      // decaying count of requests by model
 	useNotifiedAt   map[engineAdapter]time.Time
 	retryBudgets    map[string]*retrybudget.Budget // by service
 	loadable        map[state.UpstreamID]bool      // whether loads can be requested from the lease holder
@@ -151,6 +153,7 @@
 		newlyMissing:    make(map[state.UpstreamID][]upstreams.Adapter),
 		lastReplicated:  make(map[upstreams.Adapter]time.Time),
 		replicaRatios:   make(map[upstreams.Adapter]replicaRatio),
+		paces:           make(map[string]*pacing.Pace),
 		modelRequests:   make(map[string]float64),
 		useNotifiedAt:   make(map[engineAdapter]time.Time),
 		retryBudgets:    make(map[string]*retrybudget.Budget),
--- a/internal/node/fleet/worker.go
+++ b/internal/node/fleet/worker.go
@@ -35,6 +35,7 @@
 	orderDone chan struct{}
 	prompts   pacing.Ledger
 	use       pacing.Use
+	pace      pacing.Pace
 }
 
 // startWorker starts the worker of an engine and stops the engine's previous worker. The caller holds the node's lock.
--- a/internal/node/gateway/pacing.go
+++ b/internal/node/gateway/pacing.go
@@ -83,12 +83,13 @@
 	}
 	reply, ok := c.g.opts.Pacer.ReservePrompt(c.ctx, protocol.PromptReservation{
 		Upstream: placement.Upstream.ID, Tokens: c.request.TokensIn, Rank: c.precedence.Rank, MaxDelay: maxDelay, GapGoal: c.route.GapGoal,
-		SmoothDelay: min(maxDelay, time.Duration(maxSmoothShare*float64(c.timeToObjective()))), Adapter: c.meta.Adapter,
+		SmoothDelay: min(maxDelay, time.Duration(maxSmoothShare*float64(c.timeToObjective()))), Adapter: c.meta.Adapter, Pace: c.g.opts.View.Pace(c.service),
 	})
 	if !ok {
 		c.settle(placement.Upstream.ID, 0, false)
 		return promptReserved
 	}
+	c.g.opts.View.AdoptPace(c.service, reply.Pace)
 	c.g.opts.View.SetReplicaRatio(c.meta.Adapter, reply.ReplicaRatio)
 	if !reply.Accepted {
 		c.g.opts.Log.Event("no room for prompt", slog.String("request", c.meta.RequestID), slog.String("upstream", string(placement.Upstream.ID)),
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -140,6 +140,9 @@
 			t.ObserveStreamTime(now.Sub(c.arrival) - c.firstEventDelay)
 		}
 	})
+	if c.runs == 0 && x.hadFirstEvent && c.route.GapGoal > 0 {
+		c.g.opts.View.ObserveStream(c.service, c.isStalled())
+	}
 	// A body that ends with its connection looks the same if the upstream crashed in it.
 	if x.hadFirstEvent && !isUnframed(resp) {
 		x.recordSurvival()
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -184,6 +184,8 @@
 	// SmoothDelay is how long the prompt may wait for the sake of running streams alone.
 	SmoothDelay time.Duration     `cbor:"6,keyasint"`
 	Adapter     upstreams.Adapter `cbor:"7,keyasint"`
+	// Pace is the sender's limit of prompt tokens for each millisecond of GapGoal.
+	Pace float64 `cbor:"8,keyasint,omitempty"`
 }
 
 // PromptReservationReply answers a PromptReservation.
@@ -196,6 +198,8 @@
 	// ReplicaRatio is how many replicas the adapter should have for each one that it has, by its
 	// use at this engine; at least 1.
 	ReplicaRatio float64 `cbor:"4,keyasint,omitempty"`
+	// Pace is the limit that the lease holder applies, as in PromptReservation.
+	Pace float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // LoadReply answers a LoadRequest.
