--- a/internal/coordination/pacing/pace.go
+++ b/internal/coordination/pacing/pace.go
@@ -5,7 +5,7 @@
 const (
 	// InitialPace is the limit of the scheduled prompt tokens, for each millisecond of the longest pause
 	// that the streams allow, of a daemon that has seen no stream yet.
-	InitialPace = 32.0
+	InitialPace = 18.0
 	// MinPace is the least limit. Engines read 20 to 26 tokens in a millisecond. Below the minimum,
 	// pauses have other causes.
 	MinPace = 14.0
@@ -16,7 +16,7 @@
 	targetStalled = 0.06
 	// paceGain is the relative change of the limit with a stalled stream. With a stream that has not
 	// stalled the limit grows by targetStalled of it.
-	paceGain = 0.15
+	paceGain = 0.3
 	// minSamples is the number of streams from which on a daemon trusts its own limit.
 	minSamples = 20
 	// mergeGain is the weight of one daemon's limit in that of a lease holder.
