--- a/internal/coordination/pacing/pace.go
+++ b/internal/coordination/pacing/pace.go
@@ -5,7 +5,7 @@
 const (
 	// InitialPace is the limit of the scheduled prompt tokens, for each millisecond of the longest pause
 	// that the streams allow, of a daemon that has seen no stream yet.
-	InitialPace = 18.0
+	InitialPace = 20.0
 	// MinPace is the least limit. Engines read 20 to 26 tokens in a millisecond. Below the minimum,
 	// pauses have other causes.
 	MinPace = 14.0
@@ -15,10 +15,13 @@
 	// targetStalled is the share of streams with a pause that is too long at which the limit stays.
 	targetStalled = 0.06
 	// paceGain is the relative change of the limit with a stalled stream. With a stream that has not
-	// stalled the limit grows by targetStalled of it.
-	paceGain = 0.3
+	// stalled the limit grows by targetStalled of it. The first streams of a daemon change it by up to
+	// firstGain more, less and less within some gainSamples, as the first limit fits no engine well.
+	paceGain    = 0.15
+	firstGain   = 0.85
+	gainSamples = 5.0
 	// minSamples is the number of streams from which on a daemon trusts its own limit.
-	minSamples = 20
+	minSamples = 5
 	// mergeGain is the weight of one daemon's limit in that of a lease holder.
 	mergeGain = 0.1
 )
@@ -45,7 +48,8 @@
 	if isStalled {
 		stalled = 1
 	}
-	p.limit = clampPace(p.Limit() * math.Exp(paceGain*(targetStalled-stalled)))
+	gain := paceGain + firstGain/(1+float64(p.samples)/gainSamples)
+	p.limit = clampPace(p.Limit() * math.Exp(gain*(targetStalled-stalled)))
 	p.samples++
 }
 
