Gateway: the second attempt of a hedge reads nothing that the first one changes

Cause: with reservations, a send ends the reservation of its call's request while the hedge's goroutine copies that request. Change: the second attempt takes the copy made before the send; the test waits until the request has ended and checks the same.

--- a/internal/node/gateway/hedge.go
+++ b/internal/node/gateway/hedge.go
@@ -172,7 +172,7 @@
 	defer cancel()
 	second := &call{
 		g: c.g, w: c.w, r: c.r, ctx: ctx, arrival: c.arrival, meta: c.meta, route: c.route, account: c.account, credential: c.credential,
-		precedence: c.precedence, service: c.service, engine: c.engine, body: c.body, traits: c.traits, deadline: c.deadline, request: c.request,
+		precedence: c.precedence, service: c.service, engine: c.engine, body: c.body, traits: c.traits, deadline: c.deadline, request: h.request.Request,
 		sends: 1, excluded: make(map[state.UpstreamID]bool), lastEvent: c.lastEvent, placement: placement, configVersion: c.configVersion, hedged: h,
 	}
 	if !h.openSecond(second, cancel) {
@@ -182,7 +182,7 @@
 	h.outcome = second.send(placement)
 	h.end(second)
 	if h.outcome == held {
-		c.g.opts.View.WithTracker(func(t *balance.Tracker) { t.Withdraw(c.request) })
+		c.g.opts.View.WithTracker(func(t *balance.Tracker) { t.Withdraw(h.request.Request) })
 	}
 }
 
--- a/internal/node/gateway/hedge_test.go
+++ b/internal/node/gateway/hedge_test.go
@@ -161,6 +161,9 @@
 			w.Assert(time.Since(begin) < time.Second, qt.IsTrue, qt.Commentf("it waits for the loser"))
 			w.Assert(status, qt.Equals, test.status)
 			w.Assert(body, qt.Equals, test.body)
+			for w.gateway.ActiveRequests() > 0 { // the response is complete before the loser has ended
+				time.Sleep(time.Millisecond)
+			}
 			w.Assert(counts.get(test.result), qt.Equals, 1)
 			w.Assert(counts.cancelled, qt.Equals, test.cancelled)
 			w.Assert(seen.of("q"), qt.Equals, 2)
