--- a/internal/node/fleet/configage.go
+++ b/internal/node/fleet/configage.go
@@ -24,8 +24,9 @@
 // configConfirmation is when the store was last known to hold no configuration newer than the one
 // in force. It uses a clock that advances while the machine is suspended.
 type configConfirmation struct {
-	mu sync.Mutex
-	at time.Duration // by ViewOptions.BootClock
+	mu    sync.Mutex
+	at    time.Duration // by ViewOptions.BootClock
+	newer newerConfig
 }
 
 // ConfirmConfig records that a version was the newest one in the store at a time of the boot clock.
--- a/internal/node/fleet/configage_test.go
+++ b/internal/node/fleet/configage_test.go
@@ -43,7 +43,7 @@
 	s.rounds(2)
 	lead := relays.Of("z0", s.nodes["z0-00"].relayView(s.now))[0]
 	reader := s.nodes[lead] // the only one that reaches the store
-	reader.applyConfig(&routes.Config{Version: 4})
+	reader.applyConfig(&routes.Config{Version: 4}, ConfigOrigin{})
 	s.Assert(s.unconfirmed(4), qt.Equals, 24)
 	begin := reader.opts.BootClock()
 	reader.confirmRead(begin, 0, true, 4)
@@ -57,7 +57,7 @@
 		reader.confirmRead(begin, wait, false, 4)
 		begin = reader.opts.BootClock()
 	}
-	reader.applyConfig(&routes.Config{Version: 5})
+	reader.applyConfig(&routes.Config{Version: 5}, ConfigOrigin{})
 	reader.confirmRead(reader.opts.BootClock(), 0, true, 4)
 	s.Assert(reader.opts.View.IsConfigConfirmed(4), qt.IsFalse)
 	s.rounds(8)
@@ -85,7 +85,7 @@
 		s := newSim(t, 1, 1)
 		s.withAccounts()
 		n := s.nodes["z0-00"]
-		n.applyConfig(&routes.Config{Version: 1})
+		n.applyConfig(&routes.Config{Version: 1}, ConfigOrigin{})
 		s.now = time.Unix(0, 0).Add(asked + test.took)
 		n.confirmRead(asked, test.wait, test.hasChanged, 1)
 		s.Assert(n.opts.BootClock()-n.opts.View.ConfigAge()-asked, qt.Equals, test.want, qt.Commentf("%+v", test))
--- a/internal/node/fleet/configsync.go
+++ b/internal/node/fleet/configsync.go
@@ -13,9 +13,10 @@
 func (n *Node) watchConfig() {
 	var inStore uint64 // the newest version that was read
 	n.watch(watchedConfig, func(ctx context.Context, at uint64) (uint64, error) {
-		read := n.opts.Store.Config
+		read, way := n.opts.Store.Config, configByRead
 		var wait time.Duration
 		if at > 0 {
+			way = configByWatch
 			wait = n.opts.View.configWait()
 			read = func(ctx context.Context) (*routes.Config, uint64, error) {
 				return n.opts.Store.WatchConfig(ctx, at, wait)
@@ -28,7 +29,7 @@
 			return revision, err
 		}
 		if c != nil {
-			n.applyConfig(c)
+			n.applyConfig(c, ConfigOrigin{Way: way})
 			inStore = c.Version
 		}
 		if isUnusable { // the version in force stays, and the watch goes on to the next one
@@ -52,8 +53,8 @@
 }
 
 // applyConfig puts a configuration in force unless a newer configuration is in force.
-func (n *Node) applyConfig(c *routes.Config) {
-	n.opts.View.SetConfig(c)
+func (n *Node) applyConfig(c *routes.Config, origin ConfigOrigin) {
+	n.opts.View.SetConfigFrom(c, origin)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.revisions.Config = max(n.revisions.Config, c.Version)
--- a/internal/node/fleet/eligibility_test.go
+++ b/internal/node/fleet/eligibility_test.go
@@ -29,7 +29,7 @@
 		n.ctx = context.Background()
 		engines := &idleEngines{}
 		n.opts.Engines = engines
-		n.applyConfig(&routes.Config{Version: 1, Services: map[string]routes.Service{"llm": {Engine: &routes.EngineSpec{Models: []routes.Model{{Name: "m"}}, AdapterSlots: 4}}}})
+		n.applyConfig(&routes.Config{Version: 1, Services: map[string]routes.Service{"llm": {Engine: &routes.EngineSpec{Models: []routes.Model{{Name: "m"}}, AdapterSlots: 4}}}}, ConfigOrigin{})
 		u := upstreams.Upstream{ID: "e0", Service: "llm", StartTime: 1}
 		n.applyUpstreams(s.now, s.now, 1, []upstreams.Upstream{u})
 		w := &worker{node: n, id: "e0", wake: make(chan struct{}, 1), orderDone: make(chan struct{}), lease: holders.Lease{RenewedAt: n.opts.BootClock()}}
--- a/internal/node/fleet/gossip_test.go
+++ b/internal/node/fleet/gossip_test.go
@@ -125,7 +125,7 @@
 	s := newSim(t, 3, 10)
 	s.rounds(3)
 	reader := s.nodes["z2-07"]
-	reader.applyConfig(&routes.Config{Version: 9})
+	reader.applyConfig(&routes.Config{Version: 9}, ConfigOrigin{})
 	reader.applyVersions([]upstreams.Version{{Adapter: upstreams.Adapter{Model: "m", Name: "a"}, Version: 4}})
 	reader.applyUpstreams(s.now, s.now, 50, []upstreams.Upstream{{ID: "e0", Service: "llm"}})
 	s.rounds(8)
--- a/internal/node/fleet/push.go
+++ b/internal/node/fleet/push.go
@@ -19,7 +19,7 @@
 // daemon a digest of the fleet. A peer that is not listed only gets this daemon's revisions.
 func (n *Node) HandlePush(from state.DaemonID, push *protocol.FleetPush) *protocol.FleetReply {
 	now := n.opts.Clock()
-	n.applyNewer(now, push.Revisions, &push.Update)
+	n.applyNewer(now, push.Revisions, &push.Update, ConfigOrigin{Way: configByPush, Peer: vmOf(from)})
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	caller := n.memberOf(from)
@@ -34,7 +34,7 @@
 	n.markDirect(now, caller, isRelay, push.States)
 	n.applyDemand(push.Demand)
 	n.applyCrashes(now, push.Crashes, push.Survivals, push.RepeatedCrashes)
-	n.applyRevisions(now, push.Revisions)
+	n.applyRevisions(now, caller.VM, push.Revisions)
 	reply := &protocol.FleetReply{
 		Crashes: n.recentCrashes(now), Survivals: n.recentSurvivals(now), RepeatedCrashes: n.repeatedCrashesFor(now, caller),
 		Revisions: n.currentRevisions(now), Demand: n.drainDemandFor(caller),
@@ -52,10 +52,15 @@
 	return reply
 }
 
+// vmOf returns the VM of a daemon.
+func vmOf(id state.DaemonID) string {
+	vm, _, _ := strings.Cut(string(id), "/")
+	return vm
+}
+
 // memberOf returns the peer with an identity, or nil. The caller holds the lock.
 func (n *Node) memberOf(id state.DaemonID) *member {
-	vm, _, _ := strings.Cut(string(id), "/")
-	if m := n.members[vm]; m != nil && m.ID() == id {
+	if m := n.members[vmOf(id)]; m != nil && m.ID() == id {
 		return m
 	}
 	return nil
@@ -159,10 +164,10 @@
 }
 
 // applyNewer applies the objects of the store that a peer sent because they are newer there.
-// known are the peer's revisions.
-func (n *Node) applyNewer(now time.Time, known protocol.StoreRevisions, newer *protocol.StoreUpdate) {
+// known are the peer's revisions, and origin is the way to name in logs.
+func (n *Node) applyNewer(now time.Time, known protocol.StoreRevisions, newer *protocol.StoreUpdate, origin ConfigOrigin) {
 	if newer.Config != nil {
-		n.applyConfig(newer.Config)
+		n.applyConfig(newer.Config, origin)
 	}
 	if newer.Members != nil {
 		r := Records{Revision: known.Records, Members: newer.Members, Holders: make(map[state.UpstreamID]Holder, len(newer.LeaseHolders))}
@@ -180,7 +185,7 @@
 // applyReply applies a peer's reply to a push of this daemon.
 func (n *Node) applyReply(m *member, reply *protocol.FleetReply) {
 	now := n.opts.Clock()
-	n.applyNewer(now, reply.Revisions, &reply.Update)
+	n.applyNewer(now, reply.Revisions, &reply.Update, ConfigOrigin{Way: configByReply, Peer: m.VM})
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	m.lastHeard, m.contacted, m.revisions = now, true, reply.Revisions
@@ -188,7 +193,7 @@
 	n.applyStates(now, reply.States)
 	n.applyDemand(reply.Demand)
 	n.applyCrashes(now, reply.Crashes, reply.Survivals, reply.RepeatedCrashes)
-	n.applyRevisions(now, reply.Revisions)
+	n.applyRevisions(now, m.VM, reply.Revisions)
 	if reply.MessageAges == nil { // a reply to a relay contains states, not a digest
 		n.sumAccountsForSelf(now)
 		return
@@ -250,8 +255,9 @@
 // applyRevisions restarts the watches of objects that are newer at a peer than at this daemon.
 // If the peer confirmed a list of upstreams that this daemon has as well, it also confirms
 // the list here. The caller holds the lock.
-func (n *Node) applyRevisions(now time.Time, k protocol.StoreRevisions) {
+func (n *Node) applyRevisions(now time.Time, from string, k protocol.StoreRevisions) {
 	if k.Config > n.revisions.Config {
+		n.opts.View.RecordNewerConfig(k.Config, from)
 		n.restartWatch(watchedConfig, "a peer has a newer version")
 	}
 	if k.Versions > n.revisions.Versions {
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -99,8 +99,8 @@
 
 // View is a daemon's view of the fleet. It is safe for concurrent use.
 type View struct {
-	opts  ViewOptions
-	table atomic.Pointer[routes.Table]
+	opts    ViewOptions
+	inForce atomic.Pointer[ConfigInForce]
 
 	confirmation configConfirmation
 	onConfig     func(*routes.Table)
@@ -170,13 +170,21 @@
 }
 
 // Table returns the configuration in force, or nil if there is none yet.
-func (v *View) Table() *routes.Table { return v.table.Load() }
+func (v *View) Table() *routes.Table {
+	if c := v.inForce.Load(); c != nil {
+		return c.Table
+	}
+	return nil
+}
+
+// SetConfig is SetConfigFrom for a configuration of unknown origin.
+func (v *View) SetConfig(c *routes.Config) bool { return v.SetConfigFrom(c, ConfigOrigin{}) }
 
-// SetConfig puts a configuration in force if it is newer than the current configuration. It
+// SetConfigFrom puts a configuration in force if it is newer than the current configuration. It
 // reports whether it did.
-func (v *View) SetConfig(c *routes.Config) bool {
+func (v *View) SetConfigFrom(c *routes.Config, origin ConfigOrigin) bool {
 	isNewer := func() bool {
-		t := v.table.Load()
+		t := v.Table()
 		return t == nil || t.Config.Version < c.Version
 	}
 	if !isNewer() {
@@ -188,7 +196,8 @@
 	if !isNewer() {
 		return false
 	}
-	v.table.Store(table)
+	before := v.ConfigBasis(v.ConfigInForce())
+	v.inForce.Store(&ConfigInForce{Table: table, Since: v.opts.BootClock(), Origin: origin})
 	if v.onConfig != nil {
 		go v.onConfig(table) // it may take long, and must not run under the lock
 	}
@@ -198,7 +207,9 @@
 			v.tracker.SetMemory(name, s.Engine.KVTokens)
 		}
 	}
-	v.opts.Log.Event("configuration in force", slog.Uint64("version", c.Version), slog.Int("routes", len(c.Routes)))
+	v.opts.Log.Event("configuration in force", slog.Uint64("version", c.Version), slog.Int("routes", len(c.Routes)),
+		slog.String("way", origin.Way), slog.String("peer", origin.Peer), slog.Uint64("before", before.Version),
+		slog.Duration("before_held", before.Held), slog.Duration("before_age", before.Age), slog.Duration("newer_known", before.NewerKnown))
 	if list := unusableAccounts(c); len(list) > 0 {
 		v.opts.Log.Event("unusable account entries", slog.Uint64("version", c.Version), slog.Any("positions", list))
 	}
--- a/internal/node/fleet/worker_test.go
+++ b/internal/node/fleet/worker_test.go
@@ -33,7 +33,7 @@
 	n.ctx = context.Background()
 	engines := &idleEngines{}
 	n.opts.Engines = engines
-	n.applyConfig(&routes.Config{Version: 1, Services: map[string]routes.Service{"llm": {Engine: &routes.EngineSpec{Models: []routes.Model{{Name: "m"}}, AdapterSlots: 4}}}})
+	n.applyConfig(&routes.Config{Version: 1, Services: map[string]routes.Service{"llm": {Engine: &routes.EngineSpec{Models: []routes.Model{{Name: "m"}}, AdapterSlots: 4}}}}, ConfigOrigin{})
 	n.applyUpstreams(s.now, s.now, 1, []upstreams.Upstream{{ID: "e0", Service: "llm"}})
 	holder := n.holders["e0"]
 	w := &worker{node: n, id: "e0", fencingToken: holder.Revision, wake: make(chan struct{}, 1), orderDone: make(chan struct{}), lease: holders.Lease{RenewedAt: n.opts.BootClock()}}
--- a/internal/node/gateway/account.go
+++ b/internal/node/gateway/account.go
@@ -92,7 +92,6 @@
 	if refusal == "" {
 		return true
 	}
-	c.configVersion = table.Config.Version
 	c.prepareEarlyResponse()
 	if refusal == decisionlog.UnknownKey && !c.g.opts.View.IsConfigConfirmed(table.Config.Version) {
 		c.refuse(decisionlog.UnconfirmedKey, noConfigRetryAfter) // a newer configuration may hold the key
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -57,7 +57,7 @@
 	longestPauseAt  state.UpstreamID          // the upstream that sent the event after the longest pause
 	lastEvent       int                       // last event that the caller has, -1 for none
 	placement       fleet.Placement           // the last choice of an upstream
-	configVersion   uint64                    // of the configuration in force at the arrival
+	config          *fleet.ConfigInForce      // that decided about the request, at first the one at its arrival
 	upstream        state.UpstreamID          // of the last attempt
 	attempt         *exchange                 // the last attempt that got a connection
 	loadingAt       state.UpstreamID          // where the request waited for a load
@@ -123,7 +123,6 @@
 	}
 	c.service = c.route.Pick(float64(xxhash.Sum64String(c.meta.RequestID)>>11) / (1 << 53))
 	c.engine = table.Config.Services[c.service].Engine
-	c.configVersion = table.Config.Version
 	c.lastEvent = c.meta.LastEvent
 	c.precedence = table.Precedence(c.account, c.route)
 	c.request = balance.Request{Rank: c.precedence.Rank, TokensIn: c.meta.TokensIn, TokensOut: c.meta.TokensOut, Ticket: c.g.tickets.Add(1)}
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -167,11 +167,12 @@
 		c.refuse(decisionlog.DaemonLeaving, leavingRetryAfter)
 		return
 	}
-	table := g.opts.View.Table()
-	if table == nil {
+	c.config = g.opts.View.ConfigInForce()
+	if c.config == nil {
 		c.refuse(decisionlog.NoConfiguration, noConfigRetryAfter)
 		return
 	}
+	table := c.config.Table
 	c.meta = g.opts.HeaderCodec.DecodeRequest(r.Header)
 	c.route = table.Lookup(r.Host, r.URL.Path)
 	if c.route == nil {
--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -147,8 +147,11 @@
 // and a probe of engines.
 func newFixtureWith(t testing.TB, opts fleet.ViewOptions, probe func(context.Context, string) error, list ...*upstream) *fixture {
 	c := qt.New(t)
-	log := decisionlog.New(io.Discard, "vm")
-	t.Cleanup(log.Close)
+	log := opts.Log
+	if log == nil {
+		log = decisionlog.New(io.Discard, "vm")
+		t.Cleanup(log.Close)
+	}
 	opts.Zone, opts.OutdatedGracePeriod, opts.Log, opts.Clock = "z", 400*time.Millisecond, log, time.Now
 	opts.Retries = fleet.RetryLimits{Ratio: 0.2, Burst: 100, Window: 10 * time.Second}
 	view := fleet.NewView(opts)
--- a/internal/node/gateway/hedge.go
+++ b/internal/node/gateway/hedge.go
@@ -173,7 +173,7 @@
 	second := &call{
 		g: c.g, w: c.w, r: c.r, ctx: ctx, arrival: c.arrival, meta: c.meta, route: c.route, account: c.account, credential: c.credential,
 		precedence: c.precedence, service: c.service, engine: c.engine, body: c.body, traits: c.traits, deadline: c.deadline, request: h.request.Request,
-		sends: 1, excluded: make(map[state.UpstreamID]bool), lastEvent: c.lastEvent, placement: placement, configVersion: c.configVersion, hedged: h,
+		sends: 1, excluded: make(map[state.UpstreamID]bool), lastEvent: c.lastEvent, placement: placement, config: c.config, hedged: h,
 	}
 	if !h.openSecond(second, cancel) {
 		c.g.hedger.with(func(p *hedge.Policy) { p.Return() })
--- a/internal/node/gateway/revoke.go
+++ b/internal/node/gateway/revoke.go
@@ -82,10 +82,11 @@
 // it did. If the key has moved to another account, the request is sent for that account.
 func (c *call) refuseRevoked() bool {
 	if !c.wasRevoked() {
-		table := c.g.opts.View.Table()
-		if table.Config.Version == c.credential.checkedIn || c.findAccount(table, c.isPublicIn(table)) == "" {
+		config := c.g.opts.View.ConfigInForce()
+		if config.Table.Config.Version == c.credential.checkedIn || c.findAccount(config.Table, c.isPublicIn(config.Table)) == "" {
 			return false
 		}
+		c.config = config
 	}
 	c.w.Header().Set("Connection", "close")
 	if c.runs > 0 || c.responseStarted {
