--- a/internal/node/gateway/configbasis_test.go
+++ b/internal/node/gateway/configbasis_test.go
@@ -76,3 +76,24 @@
 		w.Assert(l, qt.Equals, want)
 	}
 }
+
+// Guards against a 404 for a route that only a newer configuration has, at a daemon that can't know of it.
+func TestAnUnknownRouteIsNotRefusedForGoodByAnOldConfiguration(t *testing.T) {
+	boot := time.Duration(0)
+	opts := fleet.ViewOptions{ConfigApplyTime: 3 * time.Second, BootClock: func() time.Duration { return boot }}
+	u := serveUpstream(t, "a", func(_ int, r *http.Request, w net.Conn) { ok(r, w, "x") })
+	w := newFixtureWith(t, opts, nil, u)
+	status := func() int {
+		resp, _, err := w.do("/absent/", "body")
+		w.Assert(err, qt.IsNil)
+		w.Assert(resp.Header.Get("Retry-After") != "", qt.Equals, resp.StatusCode == http.StatusServiceUnavailable)
+		return resp.StatusCode
+	}
+	w.Assert(status(), qt.Equals, http.StatusServiceUnavailable, qt.Commentf("never confirmed"))
+	w.view.ConfirmConfig(w.view.Table().Config.Version, boot)
+	boot += 3 * time.Second
+	w.Assert(status(), qt.Equals, http.StatusNotFound)
+	boot++
+	w.Assert(status(), qt.Equals, http.StatusServiceUnavailable)
+	w.Assert(u.arrivals(), qt.Equals, 0)
+}
--- a/internal/node/gateway/outcome.go
+++ b/internal/node/gateway/outcome.go
@@ -91,11 +91,11 @@
 	c.g.opts.Log.Request(
 		decisionlog.End{Request: c.meta.RequestID, Route: routeName, Outcome: outcome, Answered: status >= 200 && status < 300},
 		append(attrs, slog.String("account", c.accountName()), slog.String("key", c.credential.fingerprint()), slog.String("service", c.service), slog.String("adapter", c.meta.Adapter.String()), slog.Int("status", status),
-		slog.Int("sends", c.sends), slog.Int("runs", c.runs), slog.String("upstream", string(c.upstream)), slog.String("conn", conn.String()),
-		slog.Duration("took", took), slog.Duration("first", c.firstEventDelay), slog.Duration("load_wait", c.loadWait),
-		slog.Duration("estimate", c.placement.Estimate), slog.Duration("list_age", c.placement.ListAge),
-		slog.Duration("held_age", c.placement.ResidencyAge),
-		slog.Int("candidates", c.placement.Candidates), slog.Int("full", c.placement.AtCapacity), slog.Int("far", c.placement.NotPreferred), slog.Int("last_event", c.lastEvent), slog.Duration("pause", pause),
-		slog.Duration("hold", c.holdTime), slog.Duration("longest_pause", c.longestPause), slog.String("longest_pause_at", string(c.longestPauseAt)), slog.Bool("stalled", c.isStalled()), slog.Int("tokens", c.meta.TokensIn))...,
+			slog.Int("sends", c.sends), slog.Int("runs", c.runs), slog.String("upstream", string(c.upstream)), slog.String("conn", conn.String()),
+			slog.Duration("took", took), slog.Duration("first", c.firstEventDelay), slog.Duration("load_wait", c.loadWait),
+			slog.Duration("estimate", c.placement.Estimate), slog.Duration("list_age", c.placement.ListAge),
+			slog.Duration("held_age", c.placement.ResidencyAge),
+			slog.Int("candidates", c.placement.Candidates), slog.Int("full", c.placement.AtCapacity), slog.Int("far", c.placement.NotPreferred), slog.Int("last_event", c.lastEvent), slog.Duration("pause", pause),
+			slog.Duration("hold", c.holdTime), slog.Duration("longest_pause", c.longestPause), slog.String("longest_pause_at", string(c.longestPauseAt)), slog.Bool("stalled", c.isStalled()), slog.Int("tokens", c.meta.TokensIn))...,
 	)
 }
