--- a/internal/decisionlog/trace.go
+++ b/internal/decisionlog/trace.go
@@ -232,7 +232,9 @@
 	case NoCapacity:
 		return []string{fmt.Sprintf("the best one would have begun in %s", end.duration("estimate").Round(time.Millisecond)), engineCounts(end)}
 	case UnknownKey, UnconfirmedKey, KeyRemoved:
-		return []string{fmt.Sprintf("the key has the fingerprint %s, and version %d of the configuration was in force", end.text("key"), end.number("config"))}
+		return []string{fmt.Sprintf("the key has the fingerprint %s, and version %d of the configuration was in force", end.text("key"), end.number("config")), configAge(end)}
+	case NoRoute, UnconfirmedRoute:
+		return []string{fmt.Sprintf("version %d of the configuration was in force", end.number("config")), configAge(end)}
 	case UpstreamsWait, UpstreamsLeave, EngineMemory:
 		return []string{fmt.Sprintf("%d could have served it", end.number("candidates"))}
 	case NoEngine:
@@ -246,6 +248,19 @@
 	return nil
 }
 
+// configAge says how long before the end of a request its configuration was known to be the newest, and how it had
+// come.
+func configAge(end *Line) string {
+	text := fmt.Sprintf("it was confirmed %s before, and in force for %s by a %s", end.duration("config_age").Round(time.Millisecond), end.duration("config_held").Round(time.Millisecond), end.text("config_way"))
+	if peer := end.text("config_peer"); peer != "" {
+		text += " of " + peer
+	}
+	if newer := end.number("newer_config"); newer > 0 {
+		text += fmt.Sprintf("; version %d had been known for %s", newer, end.duration("newer_known").Round(time.Millisecond))
+	}
+	return text
+}
+
 // engineCounts describes how many engines could serve the adapter of a request. Of these
 // engines it counts those that accepted no load, and those that could not become a replica
 // before other engines.
@@ -278,6 +293,7 @@
 	UnknownKey           = "unknown key"
 	KeyRemoved           = "key removed"
 	UnconfirmedKey       = "unknown key, old configuration"
+	UnconfirmedRoute     = "no route, old configuration"
 	QuotaExceeded        = "quota exceeded"
 	UpstreamsWait        = "upstreams wait"
 	UpstreamsLeave       = "upstreams leave"
@@ -308,6 +324,7 @@
 	UnknownKey:           "no client account of the configuration in force holds the key; the request did not run",
 	KeyRemoved:           "the key was removed from the configuration after the request had come",
 	UnconfirmedKey:       "no client account of the configuration in force holds the key, but the daemon was cut off from the store and its peers and could not know whether a newer one does; the request did not run",
+	UnconfirmedRoute:     "no route of the configuration in force has the host and a prefix of the path, but the daemon was cut off from the store and its peers and could not know whether a newer one has; the request did not run",
 	QuotaExceeded:        "the client account has used up its quota for the moment; the request did not run",
 	UpstreamsWait:        "every upstream that could serve it had answered 503 with a Retry-After, or leaves; the request did not run",
 	EngineMemory:         "the requests of all daemons fill twice the memory of each engine that could serve it; the request did not run",
--- a/internal/node/fleet/configage.go
+++ b/internal/node/fleet/configage.go
@@ -61,7 +61,7 @@
 // configWait returns how long a watch of the configuration waits. Confirmations must be frequent
 // enough to reach the daemons that do not read the store within ConfigApplyTime.
 func (v *View) configWait() time.Duration {
-	if t := v.Table(); v.opts.ConfigApplyTime <= 0 || t == nil || t.Accounts() == nil {
+	if v.opts.ConfigApplyTime <= 0 {
 		return watchTimeout
 	}
 	return min(watchTimeout, max(minConfigWait, v.opts.ConfigApplyTime/2))
--- a/internal/node/gateway/account.go
+++ b/internal/node/gateway/account.go
@@ -93,8 +93,8 @@
 		return true
 	}
 	c.prepareEarlyResponse()
-	if refusal == decisionlog.UnknownKey && !c.g.opts.View.IsConfigConfirmed(table.Config.Version) {
-		c.refuse(decisionlog.UnconfirmedKey, noConfigRetryAfter) // a newer configuration may hold the key
+	if refusal == decisionlog.UnknownKey && !c.isConfigConfirmed() {
+		c.refuse(decisionlog.UnconfirmedKey, noConfigRetryAfter)
 	} else {
 		c.respondUnauthorized(refusal)
 	}
@@ -102,6 +102,21 @@
 	return false
 }
 
+// isConfigConfirmed reports whether no configuration newer than the one that decided about the request
+// can be in force. Otherwise a refusal must not be final, as a newer one may allow the request.
+func (c *call) isConfigConfirmed() bool {
+	return c.g.opts.View.IsConfigConfirmed(c.config.Table.Config.Version)
+}
+
+// refuseUnknownRoute responds to a request that has no route.
+func (c *call) refuseUnknownRoute() {
+	if !c.isConfigConfirmed() {
+		c.refuse(decisionlog.UnconfirmedRoute, noConfigRetryAfter)
+		return
+	}
+	c.respond(http.StatusNotFound, decisionlog.NoRoute)
+}
+
 // respondUnauthorized responds to a request whose key is missing, malformed, unknown or removed.
 func (c *call) respondUnauthorized(reason string) {
 	c.w.Header().Set("WWW-Authenticate", authScheme)
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -176,7 +176,7 @@
 	c.meta = g.opts.HeaderCodec.DecodeRequest(r.Header)
 	c.route = table.Lookup(r.Host, r.URL.Path)
 	if c.route == nil {
-		c.respond(http.StatusNotFound, decisionlog.NoRoute)
+		c.refuseUnknownRoute()
 		return
 	}
 	if !c.authenticate(table) {
--- a/internal/node/gateway/revoke.go
+++ b/internal/node/gateway/revoke.go
@@ -89,9 +89,12 @@
 		c.config = config
 	}
 	c.w.Header().Set("Connection", "close")
-	if c.runs > 0 || c.responseStarted {
+	switch {
+	case c.runs > 0 || c.responseStarted:
 		c.fail(decisionlog.KeyRemoved)
-	} else {
+	case !c.isConfigConfirmed():
+		c.refuse(decisionlog.UnconfirmedKey, noConfigRetryAfter)
+	default:
 		c.respondUnauthorized(decisionlog.KeyRemoved)
 	}
 	return true
