--- a/internal/node/fleet/gossip.go
+++ b/internal/node/fleet/gossip.go
@@ -289,6 +289,7 @@
 func (n *Node) currentRevisions(now time.Time) protocol.StoreRevisions {
 	k := n.revisions
 	k.StoreAge = now.Sub(n.reads.Last)
+	k.LastReader, k.ReadSequence = n.lastRead.by, n.lastRead.sequence
 	k.ReadFor = n.reads.Last.Sub(n.reads.Since)
 	k.ConfigAge = n.opts.View.ConfigAge()
 	return k
--- a/internal/node/fleet/lapsed.go
+++ b/internal/node/fleet/lapsed.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/continuity"
+	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/state/upstreams"
 )
 
@@ -17,12 +19,47 @@
 // the store has begun: of the three heartbeats of silence, one may lie before the outage.
 const expiryMargin = 2
 
-// recordReads records when daemons read the store. After an outage it begins to keep the listed
-// upstreams as lapsed; if a peer read the store all the while, it drops those that it kept. The
-// caller holds the lock.
-func (n *Node) recordReads(now time.Time, r continuity.Reads) {
+// readID identifies a read of the list of upstreams.
+type readID struct {
+	by       state.DaemonID
+	sequence uint64 // number of reads by that daemon
+}
+
+// recordOwnRead records a read of the list of upstreams by this daemon. The caller holds the lock.
+func (n *Node) recordOwnRead(now, askedAt time.Time) {
+	n.ownReads++
+	id := readID{n.opts.Self.ID(), n.ownReads}
+	n.heardReads[id.by] = id.sequence
+	n.recordReads(now, continuity.At(askedAt), id)
+}
+
+// recordPeerReads records the reads that a peer knows of. Ages don't include the time that a message was
+// on its way, so a read seems younger from each further daemon that reports it: what counts is the first
+// report. The caller holds the lock.
+func (n *Node) recordPeerReads(now time.Time, k protocol.StoreRevisions) {
+	r, id := readsOf(now, k), readID{k.LastReader, k.ReadSequence}
+	switch {
+	case id.by == "":
+	case n.heardReads[id.by] < id.sequence:
+		n.heardReads[id.by] = id.sequence
+	case r.Last.After(n.reads.Last):
+		r.Last = n.reads.Last
+		if r.Since.After(r.Last) {
+			r.Since = r.Last
+		}
+	}
+	n.recordReads(now, r, id)
+}
+
+// recordReads records when daemons read the store; id is the last of these reads. After an outage it
+// begins to keep the listed upstreams as lapsed; if a peer read the store all the while, it drops
+// those that it kept. The caller holds the lock.
+func (n *Node) recordReads(now time.Time, r continuity.Reads, id readID) {
 	before := n.reads
 	n.reads = continuity.Merge(before, r, expiryMargin*n.opts.UpstreamHeartbeat)
+	if n.reads.Last.After(before.Last) {
+		n.lastRead = id
+	}
 	switch {
 	case before.Last.IsZero():
 	case n.reads.Since.After(before.Last):
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -92,6 +92,9 @@
 	revisions       protocol.StoreRevisions        // of the copies of the store's objects; reads replaces StoreAge and ReadFor
 	unusableConfig  string                         // the last reason why a configuration was unusable
 	reads           continuity.Reads               // of the list of upstreams, by any daemon
+	lastRead        readID                         // of reads.Last
+	ownReads        uint64                         // number of reads of the list by this daemon
+	heardReads      map[state.DaemonID]uint64      // newest read of each daemon that is known here
 	list            []upstreams.Upstream           // the store's list at revisions.Upstreams
 	lapsed          []upstreams.Upstream           // listed before the last outage of the store, and not since
 	versions        map[upstreams.Adapter]int
@@ -128,6 +131,7 @@
 		versions:      make(map[upstreams.Adapter]int),
 		watchCancels:  make(map[string]context.CancelFunc),
 		demand:        make(map[string]*pendingDemand),
+		heardReads:    make(map[state.DaemonID]uint64),
 
 		appliedRefusals: make(map[string]uint64),
 
--- a/internal/node/fleet/push.go
+++ b/internal/node/fleet/push.go
@@ -265,7 +265,7 @@
 	}
 	// The peer's list is not newer than this daemon's, so its age is valid for both.
 	if k.Upstreams > 0 && k.Upstreams <= n.revisions.Upstreams {
-		n.recordReads(now, readsOf(now, k))
+		n.recordPeerReads(now, k)
 		n.pruneLapsed()
 		n.opts.View.ConfirmUpstreams(n.reads.Last)
 	}
@@ -273,11 +273,10 @@
 
 // applyPeerUpstreams applies a list of upstreams that a peer sent with its revisions.
 func (n *Node) applyPeerUpstreams(now time.Time, known protocol.StoreRevisions, list []upstreams.Upstream) {
-	reads := readsOf(now, known)
 	n.mu.Lock()
-	n.recordReads(now, reads)
-	n.mu.Unlock()
-	n.applyUpstreams(now, reads.Last, known.Upstreams, list)
+	defer n.mu.Unlock()
+	n.recordPeerReads(now, known)
+	n.setUpstreams(now, known.Upstreams, list)
 }
 
 // readsOf returns when daemons read the store, according to a peer's revisions.
--- a/internal/node/fleet/readage_test.go
+++ b/internal/node/fleet/readage_test.go
@@ -6,7 +6,6 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/celerydeck/celerydeck/internal/coordination/continuity"
 )
 
 // slowRounds delivers the messages of rounds of gossip, each of which takes a while on its way.
@@ -42,14 +41,9 @@
 		s.rounds(2)
 		readAt := s.now
 		for _, vm := range s.order {
-			n := s.nodes[vm]
-			n.mu.Lock()
-			n.revisions.Upstreams = 10
-			n.recordReads(s.now, continuity.At(readAt.Add(-time.Second)))
-			n.mu.Unlock()
+			s.nodes[vm].revisions.Upstreams = 10
 		}
-		reader := s.nodes["z0-00"]
-		reader.applyUpstreams(s.now, readAt, 10, nil)
+		s.nodes["z0-00"].applyUpstreams(s.now, readAt, 10, nil)
 		s.slowRounds(readAt.Add(6*time.Second), 5*time.Millisecond)
 		for _, vm := range s.order {
 			n := s.nodes[vm]
--- a/internal/node/fleet/storesync.go
+++ b/internal/node/fleet/storesync.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"github.com/celerydeck/celerydeck/internal/coordination/continuity"
 	"github.com/celerydeck/celerydeck/internal/coordination/holders"
 	"github.com/celerydeck/celerydeck/internal/coordination/relays"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
@@ -273,13 +273,18 @@
 	}
 }
 
-// applyUpstreams applies a list of upstreams that was requested from the store at askedAt. If
+// applyUpstreams applies a list of upstreams that this daemon requested from the store at askedAt. If
 // a newer list is known, only the time of the request is recorded. An upstream that is not on the
 // list has left, unless its entry lapsed in an outage of the store.
 func (n *Node) applyUpstreams(now, askedAt time.Time, revision uint64, list []upstreams.Upstream) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.recordReads(now, continuity.At(askedAt))
+	n.recordOwnRead(now, askedAt)
+	n.setUpstreams(now, revision, list)
+}
+
+// setUpstreams replaces the list of upstreams, unless a newer one is known. The caller holds the lock.
+func (n *Node) setUpstreams(now time.Time, revision uint64, list []upstreams.Upstream) {
 	if revision < n.revisions.Upstreams {
 		return
 	}
@@ -417,6 +422,9 @@
 			delete(n.members, vm)
 		}
 	}
+	maps.DeleteFunc(n.heardReads, func(id state.DaemonID, _ uint64) bool {
+		return id != n.opts.Self.ID() && id != n.lastRead.by && n.memberOf(id) == nil
+	})
 	n.opts.Pins.Set(pins)
 	position := 0
 	for _, m := range r.Members {
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -63,6 +63,10 @@
 	// ReadFor is the time before that read in which daemons read the store without an
 	// interruption.
 	ReadFor time.Duration `cbor:"6,keyasint"`
+	// LastReader and ReadSequence identify that read: the daemon that made it, and the number of
+	// its reads so far.
+	LastReader   state.DaemonID `cbor:"8,keyasint,omitempty"`
+	ReadSequence uint64         `cbor:"9,keyasint,omitempty"`
 	// ConfigAge is the time since the store was known to hold no newer configuration.
 	ConfigAge time.Duration `cbor:"7,keyasint"`
 }
