--- a/internal/node/fleet/ownreads_test.go
+++ b/internal/node/fleet/ownreads_test.go
@@ -92,9 +92,8 @@
 	return UpstreamList{Revision: revision}, nil
 }
 
-// The store turned all relays of a zone away. A daemon that still reached it read the list of upstreams
-// each time that its copy was 1.5 s old; the list was fresh again before the loop of the configuration
-// saw that it was not, so that routes that had been added for 4 s got 404.
+// Guards against a daemon that reads the list of upstreams for itself, as no relay of its zone does, and so keeps the
+// list fresh, but not the configuration and the adapter versions.
 func TestADaemonThatReadsForItselfKeepsUpWithTheConfiguration(t *testing.T) {
 	const applyTime = 2 * time.Second
 	for seed := range uint64(20) {
