--- a/internal/standin/objectstore/objectstore.go
+++ b/internal/standin/objectstore/objectstore.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sort"
 	"strconv"
@@ -63,6 +64,46 @@
 	fault         Fault
 	watchesSilent bool
 	calls         int
+	era           uint64 // in the header Store-Era, if it is not zero
+}
+
+// Copy is a copy of a store's objects.
+type Copy struct {
+	revision uint64
+	objects  map[string]map[string]object
+}
+
+// Copy returns a copy of the objects, for Restore.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &Copy{revision: s.revision, objects: make(map[string]map[string]object, len(s.objects))}
+	for kind, byName := range s.objects {
+		c.objects[kind] = maps.Clone(byName)
+	}
+	return c
+}
+
+// Restore makes the store come back from an earlier copy, in a new era. What was written since is gone,
+// revisions are given out again, and watches that wait are cut off.
+func (s *Store) Restore(c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.compactedTo, s.events = c.revision, c.revision, nil
+	s.objects = make(map[string]map[string]object, len(c.objects))
+	for kind, byName := range c.objects {
+		s.objects[kind] = maps.Clone(byName)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// SetEra sets the era of the store, which is zero at first.
+func (s *Store) SetEra(era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
 }
 
 // New returns an empty store.
@@ -129,6 +170,9 @@
 	s.mu.Lock()
 	fault := s.fault
 	s.calls++
+	if s.era > 0 {
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+	}
 	s.mu.Unlock()
 	switch {
 	case fault == FaultUnavailable:
@@ -220,8 +264,20 @@
 	ms, _ := strconv.Atoi(r.URL.Query().Get("wait_ms")) // 0 if absent
 	timer := time.NewTimer(min(time.Duration(ms)*time.Millisecond, maxWatchWait))
 	defer timer.Stop()
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
+		if s.era != era {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		if after > s.revision {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if after < s.compactedTo && !s.watchesSilent {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
