--- a/internal/coordination/holders/holders.go
+++ b/internal/coordination/holders/holders.go
@@ -98,7 +98,13 @@
 // previous lease holder may give orders until its own lease expires. minInterval is the
 // minimum time between the orders of two lease holders.
 func AfterTakeover(now, minInterval time.Duration) Lease {
-	return Lease{RenewedAt: now, ValidFrom: now + LeaseDuration + minInterval + orderInFlightMargin}
+	return Lease{RenewedAt: now, ValidFrom: now + HandoverTime(minInterval)}
+}
+
+// HandoverTime is how long after a takeover the previous lease holder's orders may still arrive. minInterval is the
+// minimum time between the orders of two lease holders.
+func HandoverTime(minInterval time.Duration) time.Duration {
+	return LeaseDuration + minInterval + orderInFlightMargin
 }
 
 // orderInFlightMargin is the time allowed for orders of the previous lease holder that are
--- a/internal/node/fleet/claims.go
+++ b/internal/node/fleet/claims.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/holders"
+	"github.com/celerydeck/celerydeck/internal/state"
 )
 
 // claimEngines writes the holder records that are due, and starts the workers of engines that
@@ -33,26 +34,42 @@
 	}
 }
 
-// dueClaims returns the holder records that this daemon should write now: to claim the lease
-// of an engine, or to mark a takeover as complete.
+// dueClaims returns the holder records that this daemon should write now: to write the record of a
+// lease again that the store has lost, to claim the lease of an engine, or to mark a takeover as complete.
 func (n *Node) dueClaims(now time.Time) []Holder {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.revisions.Records == 0 || n.leaving || !n.storeReachable || now.Sub(n.storeRegainedAt) < holders.ClaimDelay {
+	if n.revisions.Records == 0 || n.leaving {
 		return nil
 	}
+	era := state.EraOf(n.revisions.Records)
+	var due []Holder
+	for id, w := range n.workers {
+		if n.mustRewrite(w) {
+			due = append(due, Holder{Engine: id, VM: n.opts.Self.VM, Era: era, Revision: n.holders[id].Revision})
+		}
+	}
+	if !n.storeReachable || now.Sub(n.storeRegainedAt) < holders.ClaimDelay {
+		return due
+	}
 	self := holders.Daemon{VM: n.opts.Self.VM, Zone: n.opts.Self.Zone}
 	daemons := n.claimView(now)
-	var due []Holder
 	for _, u := range n.engines() {
 		h := n.holders[u.ID]
-		switch w := n.workers[u.ID]; {
+		w := n.workers[u.ID]
+		isLost := h.VM == "" && n.mayLeaseBeLost()
+		switch {
+		case w != nil && n.mustRewrite(w), isLost && n.opts.BootClock()-n.era.since < rewriteDelay:
 		case holders.ShouldClaim(self, u.ID, u.Zone, h.VM, daemons):
-			due = append(due, Holder{Engine: u.ID, VM: self.VM, PreviousVM: h.VM, Revision: h.Revision})
+			claim := Holder{Engine: u.ID, VM: self.VM, PreviousVM: h.VM, Era: era, Revision: h.Revision}
+			if isLost {
+				claim.PreviousVM = lostHolder
+			}
+			due = append(due, claim)
 		case w != nil && h.PreviousVM != "" && w.canOrder():
 			// The takeover is complete. Without PreviousVM, this daemon need not wait again after
 			// a restart.
-			due = append(due, Holder{Engine: u.ID, VM: self.VM, Revision: h.Revision})
+			due = append(due, Holder{Engine: u.ID, VM: self.VM, Era: era, Revision: h.Revision})
 		}
 	}
 	return due
@@ -65,24 +82,15 @@
 	if n.revisions.Records == 0 {
 		return
 	}
-	bootTime := n.opts.BootClock()
 	for _, u := range n.engines() {
 		h, ok := n.holders[u.ID]
 		if ok && h.VM == n.opts.Self.VM && n.workers[u.ID] == nil {
-			// Only this daemon's own read of the records renews a lease, not a peer's copy.
-			lease := holders.Lease{RenewedAt: bootTime - holders.LeaseDuration}
-			if n.lastReadHolders[u.ID] == h {
-				lease.RenewedAt = n.lastReadAt
-			}
-			if h.PreviousVM != "" {
-				lease = holders.AfterTakeover(bootTime, n.opts.MinHandoverInterval)
-			}
-			n.startWorker(h, lease)
+			n.startWorker(h, n.leaseOf(h))
 		}
 	}
 	for id, w := range n.workers {
 		h, ok := n.holders[id]
-		if u := n.opts.View.Upstream(id); u != nil && ok && h.VM == n.opts.Self.VM {
+		if u := n.opts.View.Upstream(id); u != nil && (ok && h.VM == n.opts.Self.VM || n.mustRewrite(w)) {
 			continue
 		}
 		w.stop()
--- a/internal/node/fleet/gossip.go
+++ b/internal/node/fleet/gossip.go
@@ -292,6 +292,9 @@
 	k.LastReader, k.ReadSequence = n.lastRead.by, n.lastRead.sequence
 	k.ReadFor = n.reads.Last.Sub(n.reads.Since)
 	k.ConfigAge = n.opts.View.ConfigAge()
+	if n.era.isSeen {
+		k.Era, k.EraAge = n.era.newest, n.opts.BootClock()-n.era.since
+	}
 	return k
 }
 
--- a/internal/node/fleet/lapsed.go
+++ b/internal/node/fleet/lapsed.go
@@ -25,18 +25,24 @@
 	sequence uint64 // number of reads by that daemon
 }
 
-// recordOwnRead records a read of the list of upstreams by this daemon. The caller holds the lock.
-func (n *Node) recordOwnRead(now, askedAt time.Time) {
+// readPeriod is a period of reads and the last one of them.
+type readPeriod struct {
+	continuity.Reads
+	last readID
+}
+
+// ownRead returns a read of the list of upstreams by this daemon. The caller holds the lock.
+func (n *Node) ownRead(askedAt time.Time) readPeriod {
 	n.ownReads++
 	id := readID{n.opts.Self.ID(), n.ownReads}
 	n.heardReads[id.by] = id.sequence
-	n.recordReads(now, continuity.At(askedAt), id)
+	return readPeriod{continuity.At(askedAt), id}
 }
 
-// recordPeerReads records the reads that a peer knows of. Ages don't include the time that a message was
-// on its way, so a read seems younger from each further daemon that reports it: what counts is the first
-// report. The caller holds the lock.
-func (n *Node) recordPeerReads(now time.Time, k protocol.StoreRevisions) {
+// peerReads returns the reads that a peer knows of. Ages don't include the time that a message was on its
+// way, so a read seems younger from each further daemon that reports it: what counts is the first report.
+// The caller holds the lock.
+func (n *Node) peerReads(now time.Time, k protocol.StoreRevisions) readPeriod {
 	r, id := readsOf(now, k), readID{k.LastReader, k.ReadSequence}
 	switch {
 	case id.by == "":
@@ -48,34 +54,39 @@
 			r.Since = r.Last
 		}
 	}
-	n.recordReads(now, r, id)
+	return readPeriod{r, id}
 }
 
-// recordReads records when daemons read the store; id is the last of these reads. After an outage it
-// begins to keep the listed upstreams as lapsed; if a peer read the store all the while, it drops
-// those that it kept. The caller holds the lock.
-func (n *Node) recordReads(now time.Time, r continuity.Reads, id readID) {
+// recordReads records when daemons read the store. After an outage it begins to keep the listed
+// upstreams as lapsed; if a peer read the store all the while, it drops those that it kept. The caller
+// holds the lock.
+func (n *Node) recordReads(now time.Time, r readPeriod) {
 	before := n.reads
-	n.reads = continuity.Merge(before, r, expiryMargin*n.opts.UpstreamHeartbeat)
+	n.reads = continuity.Merge(before, r.Reads, expiryMargin*n.opts.UpstreamHeartbeat)
 	if n.reads.Last.After(before.Last) {
-		n.lastRead = id
+		n.lastRead = r.last
 	}
 	switch {
 	case before.Last.IsZero():
 	case n.reads.Since.After(before.Last):
 		n.opts.Log.Event("store was not read", slog.Duration("unread", n.reads.Since.Sub(before.Last)))
-		for _, u := range n.list {
-			if !u.Draining && !slices.ContainsFunc(n.lapsed, func(l upstreams.Upstream) bool { return l.ID == u.ID }) {
-				n.lapsed = append(n.lapsed, u)
-			}
-		}
-	case n.reads.Since.Before(before.Since) && len(n.lapsed) > 0:
+		n.keepAsLapsed(n.list)
+	case n.reads.Since.Before(before.Since) && len(n.lapsed) > 0 && !n.hasNewEra:
 		n.opts.Log.Event("store was read by a peer", slog.Duration("read_for", now.Sub(n.reads.Since)))
 		n.lapsed = nil
 		n.showUpstreams(now)
 	}
 }
 
+// keepAsLapsed keeps upstreams that are not draining, whose entries may have expired. The caller holds the lock.
+func (n *Node) keepAsLapsed(list []upstreams.Upstream) {
+	for _, u := range list {
+		if !u.Draining && !slices.ContainsFunc(n.lapsed, func(l upstreams.Upstream) bool { return l.ID == u.ID }) {
+			n.lapsed = append(n.lapsed, u)
+		}
+	}
+}
+
 // pruneLapsed drops the lapsed upstreams that the store lists again, or whose address it lists.
 // The caller holds the lock.
 func (n *Node) pruneLapsed() {
@@ -91,7 +102,7 @@
 // lock.
 func (n *Node) expireLapsed(now time.Time) {
 	if len(n.lapsed) > 0 && now.Sub(n.reads.Since) >= n.opts.LapsedGracePeriod {
-		n.lapsed = nil
+		n.lapsed, n.hasNewEra = nil, false
 		n.showUpstreams(now)
 	}
 }
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -66,8 +66,9 @@
 	callInFlight bool
 	// crashesRepeatedAt is when a message to the peer last repeated older crashes.
 	crashesRepeatedAt time.Time
-	lost              bool   // silent, and logged as lost
-	lastErr           string // of the last failed call
+	lost              bool      // silent, and logged as lost
+	keptUntil         time.Time // see isKept
+	lastErr           string    // of the last failed call
 	state             protocol.DaemonState
 	revisions         protocol.StoreRevisions // as of its last message to this daemon
 }
@@ -95,15 +96,21 @@
 	lastRead        readID                         // of reads.Last
 	ownReads        uint64                         // number of reads of the list by this daemon
 	heardReads      map[state.DaemonID]uint64      // newest read of each daemon that is known here
-	list            []upstreams.Upstream           // the store's list at revisions.Upstreams
-	lapsed          []upstreams.Upstream           // listed before the last outage of the store, and not since
+	era             eraClock
+	listEraAt       time.Time // of the first read of the list in its era
+	hasNewEra       bool      // lapsed is kept because of a new era
+	departures      map[state.UpstreamID]departure
+	isUnlisted      bool                 // the records lack this daemon's
+	list            []upstreams.Upstream // the store's list at revisions.Upstreams
+	lapsed          []upstreams.Upstream // listed before the last outage of the store, and not since
 	versions        map[upstreams.Adapter]int
 	storeReachable  bool      // the last call of the store succeeded, or this daemon stopped calling it
 	storeRegainedAt time.Time // when a call of this daemon succeeded again after a failed one
 	leaving         bool
-	seq             uint64 // of this daemon's last state
-	rounds          uint64 // of gossip
-	isPublished     bool   // this incarnation's record is in the store
+	seq             uint64    // of this daemon's last state
+	rounds          uint64    // of gossip
+	isPublished     bool      // this incarnation's record is in the store
+	publishedAt     time.Time // used by pollRecords only
 	// lastReadHolders are the holder records that this daemon, not a peer, last read.
 	lastReadHolders  map[state.UpstreamID]Holder
 	lastReadAt       time.Duration // when this daemon requested lastReadHolders, by BootClock
@@ -132,6 +139,7 @@
 		watchCancels:  make(map[string]context.CancelFunc),
 		demand:        make(map[string]*pendingDemand),
 		heardReads:    make(map[state.DaemonID]uint64),
+		departures:    make(map[state.UpstreamID]departure),
 
 		appliedRefusals: make(map[string]uint64),
 
--- a/internal/node/fleet/push.go
+++ b/internal/node/fleet/push.go
@@ -256,6 +256,9 @@
 // If the peer confirmed a list of upstreams that this daemon has as well, it also confirms
 // the list here. The caller holds the lock.
 func (n *Node) applyRevisions(now time.Time, from string, k protocol.StoreRevisions) {
+	if k.Era > 0 || k.Upstreams > 0 || k.Records > 0 { // the peer has read the store, or heard from one that has
+		n.enterEra(eraOf(k), k.EraAge)
+	}
 	if k.Config > n.revisions.Config {
 		n.opts.View.RecordNewerConfig(k.Config, from)
 		n.restartWatch(watchedConfig, "a peer has a newer version")
@@ -264,8 +267,8 @@
 		n.restartWatch(watchedVersions, "a peer has newer versions")
 	}
 	// The peer's list is not newer than this daemon's, so its age is valid for both.
-	if k.Upstreams > 0 && k.Upstreams <= n.revisions.Upstreams {
-		n.recordPeerReads(now, k)
+	if k.Upstreams > 0 && k.Upstreams <= n.revisions.Upstreams && !isNewEra(n.revisions.Upstreams, k.Upstreams) {
+		n.recordReads(now, n.peerReads(now, k))
 		n.pruneLapsed()
 		n.opts.View.ConfirmUpstreams(n.reads.Last)
 	}
@@ -275,8 +278,7 @@
 func (n *Node) applyPeerUpstreams(now time.Time, known protocol.StoreRevisions, list []upstreams.Upstream) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.recordPeerReads(now, known)
-	n.setUpstreams(now, known.Upstreams, list)
+	n.setUpstreams(now, n.peerReads(now, known), known.Upstreams, list)
 }
 
 // readsOf returns when daemons read the store, according to a peer's revisions.
--- a/internal/node/fleet/readage_test.go
+++ b/internal/node/fleet/readage_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-
 )
 
 // slowRounds delivers the messages of rounds of gossip, each of which takes a while on its way.
--- a/internal/node/fleet/storesync.go
+++ b/internal/node/fleet/storesync.go
@@ -41,6 +41,9 @@
 	// watchTimeout limits how long a broken watch hides a change: its connection may be
 	// silently dead, or the store may have compacted the history that it needs.
 	watchTimeout = 2 * time.Second
+	// republishDelay is how long after it has written its own record a daemon does not write it again, as the
+	// records that it receives from peers may be older.
+	republishDelay = 3 * time.Second
 	// minBackoff and maxBackoff limit the pause, without jitter, after a failed call.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
@@ -279,17 +282,29 @@
 func (n *Node) applyUpstreams(now, askedAt time.Time, revision uint64, list []upstreams.Upstream) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.recordOwnRead(now, askedAt)
-	n.setUpstreams(now, revision, list)
+	n.enterEra(state.EraOf(revision), 0)
+	n.setUpstreams(now, n.ownRead(askedAt), revision, list)
 }
 
-// setUpstreams replaces the list of upstreams, unless a newer one is known. The caller holds the lock.
-func (n *Node) setUpstreams(now time.Time, revision uint64, list []upstreams.Upstream) {
-	if revision < n.revisions.Upstreams {
+// setUpstreams records reads of the store, and replaces the list of upstreams by the list that they found
+// unless a newer one is known. The caller holds the lock.
+func (n *Node) setUpstreams(now time.Time, r readPeriod, revision uint64, list []upstreams.Upstream) {
+	present, era := n.revisions.Upstreams, state.EraOf(revision)
+	hasNewEra := isNewEra(revision, present)
+	switch {
+	case isNewEra(present, revision):
+		return // says nothing of the store's present objects
+	case hasNewEra:
+		n.beginListEra(r)
+	default:
+		n.recordReads(now, r)
+	}
+	if revision < present {
 		return
 	}
+	n.recordDepartures(now, era, hasNewEra, list)
 	n.revisions.Upstreams = revision
-	n.list = list
+	n.list = n.withoutReturns(now, era, list)
 	n.pruneLapsed()
 	n.expireLapsed(now)
 	n.showUpstreams(now)
@@ -325,35 +340,25 @@
 	var lastRead time.Time
 	isRequested := false
 	for n.ctx.Err() == nil {
-		if !n.isPublished {
+		if !n.isPublished || n.takeUnlisted() {
 			if err := n.opts.Store.PutMember(n.ctx, n.opts.Self); err != nil {
 				n.setStoreReachable(n.opts.Clock(), false)
 				n.sleep(b.failed(n.opts.Clock(), err))
 				continue
 			}
-			n.isPublished = true
+			n.isPublished, n.publishedAt = true, n.opts.Clock()
 			if n.opts.FirstStart && n.opts.Clock().Sub(n.started) < startupDelay {
 				n.sleep(startupRecordsDelay)
 			}
 		}
 		if now := n.opts.Clock(); isRequested || n.needsRecords(now, lastRead) {
 			lastRead = now
-			askedAt := n.opts.BootClock()
-			r, err := n.opts.Store.Records(n.ctx)
-			now = n.opts.Clock()
-			n.setStoreReachable(now, err == nil)
-			if err != nil {
-				n.backOff(b.failed(now, err))
+			if err := n.readRecords(); err != nil {
+				n.backOff(b.failed(n.opts.Clock(), err))
 				lastRead = time.Time{}
 				continue
 			}
-			b.ok(now)
-			if len(r.Unusable) > 0 {
-				n.opts.Log.Event("unusable records", slog.Any("names", r.Unusable))
-			}
-			n.applyRecords(now, r)
-			n.isPublished = n.renewLeases(askedAt, r)
-			n.syncRefusals(now, r.Refusals)
+			b.ok(n.opts.Clock())
 		} else if !n.readsStore() {
 			n.stopCalling(&b)
 		}
@@ -364,6 +369,36 @@
 	}
 }
 
+// readRecords reads the records from the store and applies them.
+func (n *Node) readRecords() error {
+	askedAt := n.opts.BootClock()
+	r, err := n.opts.Store.Records(n.ctx)
+	now := n.opts.Clock()
+	n.setStoreReachable(now, err == nil)
+	if err != nil {
+		return err
+	}
+	if len(r.Unusable) > 0 {
+		n.opts.Log.Event("unusable records", slog.Any("names", r.Unusable))
+	}
+	n.applyRecords(now, r)
+	n.isPublished = n.renewLeases(askedAt, r)
+	n.syncRefusals(now, r.Refusals)
+	return nil
+}
+
+// takeUnlisted reports whether the records that are known here lack this daemon's, and have had time to
+// contain it. It returns true once for each time that they do.
+func (n *Node) takeUnlisted() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	isUnlisted := n.isUnlisted && n.opts.Clock().Sub(n.publishedAt) > republishDelay
+	if isUnlisted {
+		n.isUnlisted = false
+	}
+	return isUnlisted
+}
+
 // waitForNextRecords waits for the next round of pollRecords. It reports whether
 // RefreshRecords requested the records.
 func (n *Node) waitForNextRecords() bool {
@@ -398,27 +433,41 @@
 	if r.Revision < n.revisions.Records {
 		return
 	}
+	hasNewEra := isNewEra(r.Revision, n.revisions.Records)
+	n.enterEra(state.EraOf(r.Revision), 0)
 	n.revisions.Records = r.Revision
+	if hasNewEra {
+		n.keepMembers(now)
+	}
+	n.isUnlisted = true
 	pins := make(map[state.DaemonID]string, len(r.Members))
 	seen := make(map[string]bool, len(r.Members))
 	for _, m := range r.Members {
-		pins[m.ID()] = m.CertificateHash
 		if m.VM == n.opts.Self.VM {
 			if m.Incarnation == n.opts.Self.Incarnation {
-				n.listed = m
+				n.listed, n.isUnlisted = m, false
 			}
 			continue
 		}
+		old := n.members[m.VM]
+		if old != nil && old.Incarnation != m.Incarnation && old.isKept(now) {
+			continue
+		}
+		pins[m.ID()] = m.CertificateHash
 		seen[m.VM] = true
-		if old := n.members[m.VM]; old == nil || old.Incarnation != m.Incarnation {
+		if old == nil || old.Incarnation != m.Incarnation {
 			n.members[m.VM] = &member{Member: m, lastHeard: now}
 			n.opts.Log.Event("peer", slog.String("peer", m.VM), slog.String("addr", m.Addr), slog.String("run", m.Incarnation))
 		} else {
 			old.Member = m
 		}
 	}
-	for vm := range n.members {
-		if !seen[vm] {
+	for vm, m := range n.members {
+		switch {
+		case seen[vm]:
+		case m.isKept(now):
+			pins[m.ID()] = m.CertificateHash
+		default:
 			delete(n.members, vm)
 		}
 	}
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -56,7 +56,7 @@
 type StoreRevisions struct {
 	Config    uint64 `cbor:"1,keyasint"` // version of the configuration
 	Versions  uint64 `cbor:"2,keyasint"` // sum of the announced versions of all adapters; versions only grow
-	Upstreams uint64 `cbor:"3,keyasint"` // store revision of the list of upstreams
+	Upstreams uint64 `cbor:"3,keyasint"` // store revision of the list of upstreams, see state.StoreRevision
 	Records   uint64 `cbor:"4,keyasint"` // store revision of the records of members and lease holders
 	// StoreAge is the time since any daemon read this list of upstreams.
 	StoreAge time.Duration `cbor:"5,keyasint"`
@@ -67,6 +67,10 @@
 	// its reads so far.
 	LastReader   state.DaemonID `cbor:"8,keyasint,omitempty"`
 	ReadSequence uint64         `cbor:"9,keyasint,omitempty"`
+	// Era is the newest era of the store that the daemon knows of, and EraAge is for how long a daemon has
+	// known of it.
+	Era    uint64        `cbor:"10,keyasint,omitempty"`
+	EraAge time.Duration `cbor:"11,keyasint,omitempty"`
 	// ConfigAge is the time since the store was known to hold no newer configuration.
 	ConfigAge time.Duration `cbor:"7,keyasint"`
 }
@@ -150,6 +154,9 @@
 	Engine     state.UpstreamID `cbor:"1,keyasint" json:"engine"`
 	VM         string           `cbor:"2,keyasint" json:"vm"`
 	PreviousVM string           `cbor:"3,keyasint,omitempty" json:"from,omitempty"` // VM that held the lease until the takeover
+	// Era is the era of the store in which the record was written. A record of an earlier era is from the copy that
+	// the store came back from, and the lease may have changed hands since.
+	Era uint64 `cbor:"5,keyasint,omitempty" json:"era,omitempty"`
 
 	Revision uint64 `cbor:"4,keyasint" json:"-"`
 }
