--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -52,6 +52,7 @@
 	failedLoads     int                       // load requests that were refused
 	retryTaken      atomic.Bool               // the next retry was already taken from the budget
 	responseStarted bool                      // the response headers were written
+	streamHead      streamHead                // of the response that was begun, if it is a stream
 	lastWrite       time.Time                 // when an event was last written to the caller
 	longestPause    time.Duration             // between two events written to the caller
 	longestPauseAt  state.UpstreamID          // the upstream that sent the event after the longest pause
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -318,6 +318,9 @@
 		return x.handleRejection(resp, a)
 	}
 	x.recordAnswered(resp.StatusCode)
+	if c.responseStarted && streamHeadOf(resp) != c.streamHead {
+		return x.failContinuation(resp, a)
+	}
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	if success && (!a.Signed || resp.Header.Get("Content-Encoding") != "") {
 		return x.abort("check answer", errors.New("gateway: the response is unsigned or has a content encoding"))
@@ -354,7 +357,7 @@
 		if !a.HasRetryAfter { // a named wait is no fault
 			c.g.opts.View.WithTracker(func(t *balance.Tracker) { t.RecordFailure(now, x.u.ID, false) })
 		}
-		if claim == claimYield || c.route.Repeatable() && c.runs+x.hedged.otherRuns(c) < c.route.Attempts && c.timeLeft() > minTimeLeft && !c.responseStarted {
+		if claim == claimYield || c.route.Repeatable() && c.runs+x.hedged.otherRuns(c) < c.route.Attempts && c.timeLeft() > minTimeLeft {
 			c.logStep("upstream failed", x.u, x.connFate(), errors.New(resp.Status))
 			return broken
 		}
@@ -365,9 +368,6 @@
 	if success && !isUnframed(resp) {
 		x.recordSurvival()
 	}
-	if c.responseStarted {
-		return broken
-	}
 	x.copyHeaders(resp)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	c.w.WriteHeader(resp.StatusCode)
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
@@ -40,6 +41,31 @@
 	errNoEvent        = errors.New("gateway: stream without a length ended before its first event")
 )
 
+// streamHead is what the responses that make up one stream must have in common.
+type streamHead struct {
+	status    int
+	mediaType string
+}
+
+func streamHeadOf(resp *http.Response) streamHead {
+	mediaType, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
+	return streamHead{resp.StatusCode, strings.ToLower(strings.TrimSpace(mediaType))}
+}
+
+// failContinuation handles a response that can't continue the stream that the caller is receiving, for example an
+// error. It counts as a run, as nothing says that the request did not run.
+func (x *exchange) failContinuation(resp *http.Response, a ResponseMetadata) outcome {
+	c := x.c
+	x.reset()
+	c.runs++
+	c.excluded[x.u.ID] = true
+	if !a.HasRetryAfter { // a named wait is no fault
+		c.g.opts.View.WithTracker(func(t *balance.Tracker) { t.RecordFailure(c.g.opts.Clock(), x.u.ID, false) })
+	}
+	c.logStep("answer does not continue the stream", x.u, x.connFate(), errors.New(resp.Status))
+	return broken
+}
+
 // readEvent reads one complete event. It returns io.EOF only between events.
 func readEvent(r *bufio.Reader) (event, error) {
 	e := event{id: -1}
@@ -103,9 +129,7 @@
 			continue // the caller already has this event
 		}
 		if !c.responseStarted {
-			x.copyHeaders(resp)
-			c.w.WriteHeader(resp.StatusCode)
-			c.responseStarted = true
+			x.startStream(resp)
 		}
 		if _, err := c.w.Write(e.raw); err != nil {
 			x.reset()
@@ -128,9 +152,7 @@
 		return x.abort("read event", errNoEvent)
 	}
 	if !c.responseStarted { // the stream had no events
-		x.copyHeaders(resp)
-		c.w.WriteHeader(resp.StatusCode)
-		c.responseStarted = true
+		x.startStream(resp)
 	}
 	x.release(resp, a)
 	now := c.g.opts.Clock()
@@ -151,6 +173,14 @@
 	return delivered
 }
 
+// startStream writes the head of a stream to the caller.
+func (x *exchange) startStream(resp *http.Response) {
+	c := x.c
+	x.copyHeaders(resp)
+	c.w.WriteHeader(resp.StatusCode)
+	c.responseStarted, c.streamHead = true, streamHeadOf(resp)
+}
+
 // pauseSampleInterval is the minimum time between two pauses of a stream from which the
 // tracker learns, unless a pause is too long.
 const pauseSampleInterval = 100 * time.Millisecond
