--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -148,7 +148,7 @@
 			}
 		}
 	}
-	if !c.responseStarted && isUnframed(resp) {
+	if !x.hadFirstEvent && isUnframed(resp) {
 		return x.abort("read event", errNoEvent)
 	}
 	if !c.responseStarted { // the stream had no events
