--- a/internal/transport/upstream/rejectedconn.go
+++ b/internal/transport/upstream/rejectedconn.go
@@ -42,7 +42,7 @@
 	net.Conn
 
 	mu         sync.Mutex
-	head       []byte // first bytes of the response, up to the status
+	head       headScanner
 	isRejected bool
 }
 
@@ -50,7 +50,7 @@
 func (c *rejectionConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	isRejected := c.isRejected
-	c.head = c.head[:0]
+	c.head = headScanner{text: c.head.text[:0]}
 	c.mu.Unlock()
 	if isRejected {
 		return 0, errRejectedConn
@@ -63,14 +63,57 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if missing := statusEnd - len(c.head); missing > 0 {
-		c.head = append(c.head, p[:min(n, missing)]...)
-		if len(c.head) == statusEnd {
-			status, _ := strconv.Atoi(string(c.head[statusOffset:])) // 0 for bytes that are no response
-			c.isRejected = c.isRejected || isRejection(status)
+	c.head.scan(p[:n])
+	c.isRejected = c.isRejected || isRejection(c.head.status)
+	return n, err
+}
+
+// headScanner finds the status of a response, behind any interim responses. The zero value is at the beginning of a
+// response.
+type headScanner struct {
+	status      int    // of the response, 0 until it is known and for bytes that are no response
+	text        []byte // first bytes of the present head, up to the status
+	isDone      bool   // the status has been read
+	isInterim   bool   // the present head is that of an interim response
+	isEmptyLine bool   // the present line of it has no bytes yet
+}
+
+// scan reads further bytes of the response.
+func (s *headScanner) scan(p []byte) {
+	for len(p) > 0 && !s.isDone {
+		if s.isInterim {
+			p = s.skipInterim(p)
+			continue
+		}
+		n := min(len(p), statusEnd-len(s.text))
+		s.text, p = append(s.text, p[:n]...), p[n:]
+		if len(s.text) < statusEnd {
+			return
 		}
+		status, _ := strconv.Atoi(string(s.text[statusOffset:])) // 0 for bytes that are no response
+		s.isInterim = status >= 100 && status < 200 && status != http.StatusSwitchingProtocols
+		s.isDone = !s.isInterim
+		if s.isDone {
+			s.status = status
+		}
+		s.text = s.text[:0]
 	}
-	return n, err
+}
+
+// skipInterim skips bytes up to the end of the head of an interim response, and returns the others.
+func (s *headScanner) skipInterim(p []byte) []byte {
+	for i, b := range p {
+		switch {
+		case b == '\n' && s.isEmptyLine:
+			s.isInterim, s.isEmptyLine = false, false
+			return p[i+1:]
+		case b == '\n':
+			s.isEmptyLine = true
+		case b != '\r':
+			s.isEmptyLine = false
+		}
+	}
+	return nil
 }
 
 // isRejection reports whether an engine answers with a status to a request of which it ran no part.
