--- a/internal/demo/faults_test.go
+++ b/internal/demo/faults_test.go
@@ -69,6 +69,44 @@
 	}
 }
 
+// Reports of other operators: an earlier refusal that is written once more refuses another request, the text of an error
+// stands in the middle of a stream, and a head that was cut short becomes a whole answer.
+func TestAnswersAreCompleteDespiteFaultyHeads(t *testing.T) {
+	d := startDemo(t)
+	for name, faults := range map[string]engine.Faults{
+		"refusal written once more": {Refuse: 100, RepeatRefusal: true},
+		"error on resume":           {Cut: 3, ErrorOnResume: http.StatusInternalServerError},
+		"not found on resume":       {Cut: 3, ErrorOnResume: http.StatusNotFound},
+		"text on resume":            {Cut: 3, ErrorOnResume: http.StatusOK},
+		"nothing on resume":         {Cut: 3, ErrorOnResume: http.StatusNoContent},
+		"head cut short":            {CutHead: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, e := range d.Engines {
+				e.SetFaults(engine.Faults{})
+			}
+			d.Engines[0].SetFaults(faults)
+			attempts := func() (sum int) {
+				for _, e := range d.Engines {
+					sum += e.AllAttempts()
+				}
+				return sum
+			}
+			before := attempts()
+			const requests = 24
+			for i := range requests {
+				prompt := fmt.Sprintf("%s %d", name, i)
+				text, err := streamAnswer(t, d.Daemons[i%2].CallerAddr(), "advice/blitz@v1", prompt)
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, text, qt.Equals, engine.Answer("advice/blitz@v1", prompt, faultTokens))
+			}
+			if faults.RepeatRefusal {
+				qt.Check(t, attempts()-before, qt.Equals, requests, qt.Commentf("each request runs once"))
+			}
+		})
+	}
+}
+
 func TestStreamResumesAfterEngineRestart(t *testing.T) {
 	d := startDemo(t)
 	for i := range 4 {
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -17,11 +17,19 @@
 	EarlyEnd   int  // end in the middle as if the answer were complete
 	Refuse     int  // answer with status 503
 	ChangeBoot int  // change the boot id in the middle
+	CutHead    int  // close the connection in the middle of the response head
+	// RepeatRefusal makes the engine write each refusal of Refuse once more before the next answer on the
+	// connection, and an interim response before both.
+	RepeatRefusal bool
+	// ErrorOnResume is the status with which the engine answers a resumed request, with an error as its body; zero
+	// for none.
+	ErrorOnResume int
 }
 
 // streamFaults are the faults of one stream.
 type streamFaults struct {
-	duplicate, reorder, cut, wrongModel, earlyEnd, refuse, changeBoot bool
+	duplicate, reorder, cut, wrongModel, earlyEnd, refuse, changeBoot, cutHead, repeatRefusal bool
+	errorOnResume                                                                             int
 }
 
 // SetFaults replaces the injected faults.
@@ -45,6 +53,17 @@
 	return e.attempts[requestID]
 }
 
+// AllAttempts returns the number of attempts that the engine started, of all requests.
+func (e *Engine) AllAttempts() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	sum := 0
+	for _, n := range e.attempts {
+		sum += n
+	}
+	return sum
+}
+
 // Running returns the number of requests in flight.
 func (e *Engine) Running() int {
 	e.mu.Lock()
@@ -79,6 +98,10 @@
 		earlyEnd:   consume(&f.EarlyEnd),
 		refuse:     consume(&f.Refuse),
 		changeBoot: consume(&f.ChangeBoot),
+		cutHead:    consume(&f.CutHead),
+
+		repeatRefusal: f.RepeatRefusal,
+		errorOnResume: f.ErrorOnResume,
 	}
 }
 
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -135,6 +135,11 @@
 	boot, stop := e.bootID(), e.stop
 	e.logf("complete %s resume %d max %d priority %d", req.Model, req.ResumeOffset, req.MaxTokens, req.Priority)
 	faults := e.nextFaults()
+	if faults.refuse && faults.repeatRefusal {
+		e.mu.Unlock()
+		e.repeatRefusal(w)
+		return
+	}
 	if faults.refuse {
 		e.mu.Unlock()
 		http.Error(w, "overloaded", http.StatusServiceUnavailable)
@@ -157,6 +162,15 @@
 	e.recordPrefix(prompt)
 	e.mu.Unlock()
 	defer e.finish(req.RequestID, j)
+	if faults.cutHead {
+		writeCutHead(w)
+		return
+	}
+	if status := faults.errorOnResume; status > 0 && req.ResumeOffset > 0 {
+		w.Header().Set(bootHeader, boot)
+		http.Error(w, "internal error\n\nno such run", status)
+		return
+	}
 	w.Header().Set(bootHeader, boot)
 	w.Header().Set("Content-Type", "text/event-stream")
 	e.stream(w, r, req, answerStream{chat: chat, prompt: prompt, boot: boot, stop: stop, job: j, faults: faults})
