--- a/internal/node/fleet/gossip.go
+++ b/internal/node/fleet/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"time"
 
@@ -20,6 +21,8 @@
 	gossipInterval = 200 * time.Millisecond
 	// gossipTimeout limits the time for one message and its reply.
 	gossipTimeout = 600 * time.Millisecond
+	// probesPerRound is the number of peers that are sent to in a round if they are silent.
+	probesPerRound = 2
 	// maxUnansweredMessages is the number of consecutive unanswered messages to a peer after
 	// which the connection to it is replaced and another relay is chosen in its place.
 	maxUnansweredMessages = 2
@@ -134,7 +137,7 @@
 		targets.Other = nil
 	}
 	var list []message
-	for _, vm := range append(targets.Zone, targets.Other...) {
+	for _, vm := range slices.Concat(targets.Zone, targets.Other, n.silentPeers(now)) {
 		m := n.members[vm]
 		if m == nil || m.callInFlight {
 			continue
@@ -154,6 +157,22 @@
 	return list
 }
 
+// silentPeers returns the silent ones among probesPerRound peers, other ones in each round. A daemon whose relays are all
+// gone at once hears from nobody; by these messages, the daemons that are left find each other. In a fleet that is
+// whole there are none. The caller holds the lock.
+func (n *Node) silentPeers(now time.Time) []string {
+	names := slices.Sorted(maps.Keys(n.members))
+	own, _ := slices.BinarySearch(names, n.opts.Self.VM)
+	var silent []string
+	for i := range min(probesPerRound, len(names)) {
+		vm := names[(own+int(n.rounds)*probesPerRound+i)%len(names)]
+		if now.Sub(n.members[vm].lastHeard) >= relays.SilentAfter {
+			silent = append(silent, vm)
+		}
+	}
+	return silent
+}
+
 // expireCrashReports drops the crashes and survivals that are older than crashReportTTL, and those
 // beyond maxCrashReports: crashes of contents before those of prompt parts, older ones first. The
 // caller holds the lock.
@@ -390,24 +409,37 @@
 	var reply protocol.FleetReply
 	sentAt := n.opts.BootClock()
 	err := n.opts.Pool.Exchange(ctx, to, protocol.MsgFleet, push, &reply)
-	n.mu.Lock()
-	m.callInFlight = false
 	if err != nil {
-		m.failures++
-		m.lastErr = err.Error()
-		drop := m.failures%maxUnansweredMessages == 0
-		if drop { // treat the peer as silent until it sends again, so that another relay is chosen
-			m.lastHeard = n.opts.Clock().Add(-relays.SilentAfter)
-			m.failures = 0
-		}
-		n.mu.Unlock()
-		if drop {
+		if n.recordUnanswered(m, err) {
 			n.opts.Pool.Drop(to)
 		}
 		return
 	}
-	m.failures, m.lastErr = 0, ""
-	n.mu.Unlock()
+	n.recordAnswered(m)
 	n.applyReply(m, &reply)
 	n.confirmByPeer(sentAt, reply.Revisions)
 }
+
+// recordAnswered records that a peer answered a message.
+func (n *Node) recordAnswered(m *member) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m.callInFlight, m.failures, m.lastErr = false, 0, ""
+}
+
+// recordUnanswered records that a peer did not answer a message. It reports whether the connection to the
+// peer must be replaced.
+func (n *Node) recordUnanswered(m *member, err error) (drop bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m.callInFlight = false
+	m.failures++
+	m.lastErr = err.Error()
+	if m.failures%maxUnansweredMessages != 0 {
+		return false
+	}
+	// Treat the peer as silent until it sends again, so that another relay is chosen.
+	m.lastHeard = n.opts.Clock().Add(-relays.SilentAfter)
+	m.failures = 0
+	return true
+}
