--- a/internal/node/fleet/era.go
+++ b/internal/node/fleet/era.go
@@ -84,7 +84,7 @@
 // the lock.
 func (n *Node) beginListEra(r readPeriod) {
 	n.keepAsLapsed(n.list)
-	n.hasNewEra = true
+	n.isLapsedByEra = true
 	n.reads, n.lastRead = r.Reads, r.last
 	n.listEraAt = r.Last
 }
--- a/internal/node/fleet/era_test.go
+++ b/internal/node/fleet/era_test.go
@@ -386,3 +386,22 @@
 		}
 	}
 }
+
+// Guards against a daemon that, since the store came back from a copy, takes each outage of its own for one of the store,
+// and keeps an upstream that left in it.
+func TestAnOutageOfOneZoneIsRecognizedAfterANewEra(t *testing.T) {
+	s := newSim(t, 2, 2)
+	s.rounds(2)
+	s.readFor(3, "z0-00", state.StoreRevision(1, 100), staying, leaving)
+	s.readFor(6, "z0-00", state.StoreRevision(2, 50), staying, leaving)
+	s.readFor(1, "z1-00", state.StoreRevision(2, 50), staying, leaving)
+	s.down["z0-00"], s.down["z0-01"] = true, true
+	s.readFor(4, "z1-00", state.StoreRevision(2, 60), staying, leaving)
+	s.readFor(2, "z1-00", state.StoreRevision(2, 70), staying)
+	s.down["z0-00"], s.down["z0-01"] = false, false
+	s.read("z0-00", state.StoreRevision(2, 80), staying)
+	s.rounds(3)
+	for _, vm := range s.order {
+		s.Assert(s.lists(vm), qt.IsFalse, qt.Commentf(vm))
+	}
+}
--- a/internal/node/fleet/lapsed.go
+++ b/internal/node/fleet/lapsed.go
@@ -71,7 +71,7 @@
 	case n.reads.Since.After(before.Last):
 		n.opts.Log.Event("store was not read", slog.Duration("unread", n.reads.Since.Sub(before.Last)))
 		n.keepAsLapsed(n.list)
-	case n.reads.Since.Before(before.Since) && len(n.lapsed) > 0 && !n.hasNewEra:
+	case n.reads.Since.Before(before.Since) && len(n.lapsed) > 0 && !n.isLapsedByEra:
 		n.opts.Log.Event("store was read by a peer", slog.Duration("read_for", now.Sub(n.reads.Since)))
 		n.lapsed = nil
 		n.showUpstreams(now)
@@ -101,8 +101,12 @@
 // expireLapsed drops the lapsed upstreams at the end of LapsedGracePeriod. The caller holds the
 // lock.
 func (n *Node) expireLapsed(now time.Time) {
-	if len(n.lapsed) > 0 && now.Sub(n.reads.Since) >= n.opts.LapsedGracePeriod {
-		n.lapsed, n.hasNewEra = nil, false
+	if now.Sub(n.reads.Since) < n.opts.LapsedGracePeriod {
+		return
+	}
+	n.isLapsedByEra = false
+	if len(n.lapsed) > 0 {
+		n.lapsed = nil
 		n.showUpstreams(now)
 	}
 }
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -98,7 +98,7 @@
 	heardReads      map[state.DaemonID]uint64      // newest read of each daemon that is known here
 	era             eraClock
 	listEraAt       time.Time // of the first read of the list in its era
-	hasNewEra       bool      // lapsed is kept because of a new era
+	isLapsedByEra   bool      // lapsed is kept because of a new era, whoever read the store meanwhile
 	departures      map[state.UpstreamID]departure
 	isUnlisted      bool                 // the records lack this daemon's
 	list            []upstreams.Upstream // the store's list at revisions.Upstreams
