--- a/internal/node/fleet/era.go
+++ b/internal/node/fleet/era.go
@@ -32,11 +32,11 @@
 	lostHolder = "?"
 )
 
-// departure is the leave of a run of an upstream: its entry said so, or was gone.
+// departure records that a run of an upstream has left: its entry said so, or was gone.
 type departure struct {
-	startTime int64
-	era       uint64
-	at        time.Time
+	startTime int64     // of the run
+	era       uint64    // in which it left
+	at        time.Time // when this daemon learned of it
 }
 
 // eraClock is the newest era of the store that this daemon knows of.
@@ -73,8 +73,7 @@
 	return n.era.newest > 0 && n.opts.BootClock()-n.era.since < holders.HandoverTime(n.opts.MinHandoverInterval)
 }
 
-// isNewEra reports whether a revision is of a newer era than the revision of the present copy. The caller holds the
-// lock.
+// isNewEra reports whether a revision is of a newer era than the revision of the present copy, 0 for none.
 func isNewEra(revision, present uint64) bool {
 	return present > 0 && state.EraOf(revision) > state.EraOf(present)
 }
