--- a/internal/capacity/edge.go
+++ b/internal/capacity/edge.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"strings"
+
+	"github.com/celerydeck/celerydeck/internal/coordination/holders"
 )
 
 // Sizes of messages on the users' platform. Those of accounts were measured with the codec; that of a
@@ -13,6 +15,8 @@
 	// the reply of its relay.
 	accountStateBytes = 24.0
 	accountReplyBytes = 30.0
+	// eraBytes is what the era and the name of the last read take in a message.
+	eraBytes = 58.0
 	// reservationBytes is one prompt reservation with its reply.
 	reservationBytes = 300.0
 )
@@ -34,7 +38,12 @@
   (%s); with 16 accounts active at every daemon %.1f KB/s (%s). Nothing grows with daemons times accounts.
 - **Prompt reservations** belong to requests, not to control: about %.0f bytes and one exchange for each prompt, %.1f a second at an average
   daemon, %.1f KB/s. An engine's lease holder keeps the prompts of one window and the use of the adapters in it.
+- **Eras of the store:** the era and the name of the last read are %.0f bytes of each message, %.1f KB/s for a message and its reply. A daemon remembers the
+  upstreams that left in the last two minutes. After a return, daemons and lease holders write the records that are younger than the store's copy. If the whole
+  fleet has started since, that is all %d, which take %.0f s of the writes allowed, longer than the %.0f s that a lease outlasts: **does not fit**, orders pause.
+- **Silent peers:** two messages a round times the silent share of the fleet, at most %.0f a second.
 
 `, accountStateBytes, gossipPerSecond, accountReplyBytes, few/(1<<10), fitResult(few, t.ControlTraffic), all/(1<<10), fitResult(all, t.ControlTraffic),
-		reservationBytes, perDaemon, perDaemon*reservationBytes/(1<<10))
+		reservationBytes, perDaemon, perDaemon*reservationBytes/(1<<10),
+		eraBytes, 2*gossipPerSecond*eraBytes/(1<<10), t.Daemons+t.Engines, float64(t.Daemons+t.Engines)/t.PlatformWrites, holders.LeaseDuration.Seconds(), 2*gossipPerSecond)
 }
