--- a/internal/node/gateway/revoke.go
+++ b/internal/node/gateway/revoke.go
@@ -81,13 +81,13 @@
 // refuseRevoked ends the request if its key is not in the configuration in force, and reports whether
 // it did. If the key has moved to another account, the request is sent for that account.
 func (c *call) refuseRevoked() bool {
+	config := c.g.opts.View.ConfigInForce()
 	if !c.wasRevoked() {
-		config := c.g.opts.View.ConfigInForce()
 		if config.Table.Config.Version == c.credential.checkedIn || c.findAccount(config.Table, c.isPublicIn(config.Table)) == "" {
 			return false
 		}
-		c.config = config
 	}
+	c.config = config
 	c.w.Header().Set("Connection", "close")
 	switch {
 	case c.runs > 0 || c.responseStarted:
--- a/internal/node/gateway/revoke_test.go
+++ b/internal/node/gateway/revoke_test.go
@@ -38,15 +38,22 @@
 // renamed account that an upstream still receives under its old name.
 func TestTheKeyIsCheckedAgainBeforeEachSend(t *testing.T) {
 	for _, test := range []struct {
-		holder string // of the key after the wait, or ""
-		status int
-	}{{"", http.StatusUnauthorized}, {"renamed", http.StatusOK}} {
+		holder   string // of the key after the wait, or ""
+		isStrict bool   // requests end at once whose key is removed
+		status   int
+	}{
+		{"", false, http.StatusUnauthorized}, {"renamed", false, http.StatusOK},
+		{"", true, http.StatusUnauthorized}, {"renamed", true, http.StatusOK},
+	} {
 		u := serveUpstream(t, "a", func(_ int, r *http.Request, w net.Conn) {
 			streamHead(r, w)
 			chunk(w, "id: 0\ndata: x\n\n")
 			chunk(w, "")
 		})
 		w := newFixture(t, u)
+		if test.isStrict {
+			w.revokeStrictly(t)
+		}
 		w.setAccounts(account("acme", secret))
 		w.view.SetLoadable(map[state.UpstreamID]bool{"a-llm": true})
 		w.loader.requestLoad = func(context.Context, protocol.LoadRequest) protocol.LoadReply {
@@ -55,6 +62,7 @@
 			} else {
 				w.setAccounts(account(test.holder, secret))
 			}
+			time.Sleep(20 * time.Millisecond) // the request ends meanwhile if isStrict
 			return protocol.LoadReply{Accepted: true}
 		}
 		r := w.request("/fixed/", "x")
