--- a/internal/node/gateway/revoke_test.go
+++ b/internal/node/gateway/revoke_test.go
@@ -42,8 +42,10 @@
 		isStrict bool   // requests end at once whose key is removed
 		status   int
 	}{
-		{"", false, http.StatusUnauthorized}, {"renamed", false, http.StatusOK},
-		{"", true, http.StatusUnauthorized}, {"renamed", true, http.StatusOK},
+		{"", false, http.StatusUnauthorized},
+		{"renamed", false, http.StatusOK},
+		{"", true, http.StatusUnauthorized},
+		{"renamed", true, http.StatusOK},
 	} {
 		u := serveUpstream(t, "a", func(_ int, r *http.Request, w net.Conn) {
 			streamHead(r, w)
