--- a/review/_harness2/standin/main.go
+++ b/review/_harness2/standin/main.go
@@ -22,6 +22,7 @@
 
 // cases are the cases by the names that the scripts use.
 var cases = map[string]func(w *world){
+	"cut-answer":  playCutAnswer,
 	"model-names": playModelNames,
 }
 
