--- a/review/_harness2/standin/main.go
+++ b/review/_harness2/standin/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(w *world){
 	"cut-answer":  playCutAnswer,
 	"model-names": playModelNames,
+	"two-holders": playTwoHolders,
 }
 
 func main() {
