--- a/review/_harness2/standin/twoholders.go
+++ b/review/_harness2/standin/twoholders.go
@@ -57,7 +57,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.addr == "" {
-		e.addr = "127.0.0.1:0"
+		// Ports of this range are not given to outgoing connections, so that the address is free when the engine is back.
+		e.addr = fmt.Sprintf("127.0.0.1:%d", e.w.freePorts(1))
 	}
 	l, err := net.Listen("tcp", e.addr)
 	e.w.must(err)
