review: case 10, an encoded slash selects another route

Cause: routes are looked up with the decoded path. Change: a script in which a request that must not repeat has an encoded slash in its path, and engines lose answers.

--- a/review/_harness2/standin/main.go
+++ b/review/_harness2/standin/main.go
@@ -22,9 +22,10 @@
 
 // cases are the cases by the names that the scripts use.
 var cases = map[string]func(w *world){
-	"cut-answer":  playCutAnswer,
-	"model-names": playModelNames,
-	"two-holders": playTwoHolders,
+	"cut-answer":   playCutAnswer,
+	"encoded-path": playEncodedPath,
+	"model-names":  playModelNames,
+	"two-holders":  playTwoHolders,
 }
 
 func main() {
