review: case 9, a control in which engines get orders

Cause: with TROUBLE=0 no engine came back, so that none got an order and the control showed nothing.

--- a/review/_harness2/standin/twoholders.go
+++ b/review/_harness2/standin/twoholders.go
@@ -22,6 +22,7 @@
 	drainTime   = 3 * time.Second          // bounds.drain_ms and a little longer
 	awayTime    = 30200 * time.Millisecond // from the end of its entry until the first engine is back
 	returnGap   = 400 * time.Millisecond   // between the engines that come back
+	briefTime   = 3 * time.Second          // the same without the disruption
 	lastOrders  = 4 * time.Second
 	modelName   = "m0"
 )
@@ -216,7 +217,11 @@
 			moved = append(moved, e)
 		}
 	}
-	for len(moved) >= takenAway && w.trouble {
+	away := awayTime
+	if !w.trouble {
+		away = briefTime
+	}
+	for len(moved) >= takenAway {
 		group := moved[:takenAway]
 		moved = moved[takenAway:]
 		for _, e := range group {
@@ -226,7 +231,7 @@
 		for _, e := range group {
 			e.stop()
 		}
-		time.Sleep(awayTime)
+		time.Sleep(away)
 		for _, e := range group {
 			e.start(false)
 			time.Sleep(returnGap)
