--- a/review/_harness2/standin/encodedpath.go
+++ b/review/_harness2/standin/encodedpath.go
@@ -16,7 +16,7 @@
 	badgeEngines = 20
 	losingShare  = 0.6             // of the engines, answer_lost
 	lostShare    = 0.4             // of their answers
-	lossTime     = 5 * time.Second // each time
+	lossTime     = 4 * time.Second // each time
 	lossTimes    = 9
 	calmTime     = 5 * time.Second
 	badgeClients = 40
