Response heads: a status outside 100 to 599 is no status

Callers saw: an upstream answers with the status 000. On the users' platform the head was skipped, and the bytes behind it were delivered as the answer; without such bytes the request waited for its deadline (504). 600 and 999 were delivered. On our own interface the daemon panicked in WriteHeader (code 0, 20), the caller got no answer, and the daemon did not end within 40 s.

Cause: net/http reads any three digits, also with a sign, as a status. httpconn.Conn took what is under 200 for an interim response.

Change: headScanner checks the status lines of all heads of a response, byte by byte, before net/http gets them. httpconn.Conn scans on the way to its reader; CheckHeads does the same for an http.Transport. All clients use one of them: requests, completions, plain services, orders, probes and reports, both stores, the list of VMs, the commands. A response that was on the connection before its request is not scanned and is an error. A connection with a malformed head is closed, and its attempt counts as one that may have run. Errors quote no bytes and are short.

Why this works: net/http parses the same bytes, and gets none behind the first that is not allowed.

TestAResponseHeadWithoutEndIsNotReadWhole: a flood without a status line ends at its first byte, with ErrMalformedHead instead of ErrHeadTooLarge; the bounds of bytes and memory are the same, and a flood within a status line is a new case.

--- /dev/null
+++ b/internal/app/process_malformedhead_test.go
@@ -0,0 +1,253 @@
+package app
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"regexp"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	plainBody  = "an answer of some length"
+	streamBody = "id: 0\ndata: a\n\nid: 1\ndata: an event of some length\n\n"
+	// oddMark stands in each line and body that a malformed response carries.
+	oddMark = "Oddmark"
+	// maxLogLine is the longest line in bytes that the daemon may log about a malformed response.
+	maxLogLine = 2 << 10
+)
+
+// oddEngine writes the bytes of malformed responses to a request whose sound response would have the given body.
+type oddEngine struct {
+	request           *http.Request
+	body, contentType string
+}
+
+func (o oddEngine) media() string { return "Content-Type: " + o.contentType }
+
+func (o oddEngine) length() string { return fmt.Sprintf("Content-Length: %d", len(o.body)) }
+
+// oddBody returns a body as long as the sound one.
+func (o oddEngine) oddBody() string { return strings.Replace(o.body, "of some", oddMark, 1) }
+
+// sound returns the sound response.
+func (o oddEngine) sound() string { return signed("200 OK", o.request, o.media(), o.length()) + o.body }
+
+// response returns a response that is complete apart from its status or the given header lines.
+func (o oddEngine) response(status string, lines ...string) string {
+	return signed(status, o.request, append(lines, o.media(), o.length())...) + o.oddBody()
+}
+
+// refusal returns a response that says that the request did not run.
+func (o oddEngine) refusal(status string, lines ...string) string {
+	return signed(status, o.request, append(lines, "X-Not-Executed: 1", "Content-Length: 0")...)
+}
+
+// statuses returns responses whose status line is malformed, by what is wrong with it.
+func (o oddEngine) statuses() map[string]string {
+	long := strings.Repeat("0", 50<<10)
+	return map[string]string{
+		"status 000":                      o.response("000 OK"),
+		"status 000, a response follows":  signed("000 OK", o.request) + o.response("200 OK"),
+		"status 000, a sound one follows": signed("000 OK", o.request, "Content-Length: 0") + o.sound(),
+		"status 001":                      o.response("001 OK"),
+		"status 099":                      o.response("099 OK"),
+		"status +20":                      o.response("+20 OK"),
+		"status -00":                      o.response("-00 OK"),
+		"status 600":                      o.response("600 OK"),
+		"status 999":                      o.response("999 OK"),
+		"status 20":                       o.response("20 OK"),
+		"status 2000":                     o.response("2000 OK"),
+		"status 20x":                      o.response("20x OK"),
+		"no status":                       o.response(""),
+		"refusal with status 000":         o.refusal("000 Full"),
+		"second interim with status 000":  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\n\r\n" + o.sound(),
+		"long status":                     o.response("2" + long),
+		"long version":                    strings.Replace(o.response("200 OK"), "HTTP/1.1", "HTTP/"+long, 1),
+	}
+}
+
+// rawRequest sends a request and returns all bytes that come back until the daemon closes the connection.
+func (d *process) rawRequest(path, id string) string {
+	conn, err := net.Dial("tcp", d.front)
+	d.Assert(err, qt.IsNil)
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(8 * time.Second)) // a closed connection fails the next call
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 4000\r\nX-Model: base/a1\r\nContent-Length: 4\r\n\r\nbody", path, d.front, id)
+	d.Assert(err, qt.IsNil)
+	text, _ := io.ReadAll(conn) // a response that is broken off ends with a reset
+	return string(text)
+}
+
+// checkClientBytes checks the bytes that a caller got: one response, which carries nothing of a malformed one. It
+// returns the status.
+func checkClientBytes(c *qt.C, text, sound string, note qt.Comment) int {
+	c.Check(strings.Count(text, "HTTP/1."), qt.Equals, 1, note)
+	c.Check(text, qt.Not(qt.Contains), oddMark, note)
+	c.Check(text, qt.Matches, `(?s)HTTP/1\.1 [2-5][0-9][0-9] .*`, note)
+	resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), nil)
+	if err != nil {
+		c.Check(err, qt.IsNil, note)
+		return 0
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	c.Check(err, qt.IsNil, note)
+	if resp.StatusCode == http.StatusOK {
+		c.Check(string(body), qt.Equals, sound, note)
+	}
+	return resp.StatusCode
+}
+
+// setPairRoutes adds routes of plain answers and of streams that may be repeated and that may not, of services
+// with a sound engine and of services without one.
+func (p *platformStandIn) setPairRoutes() {
+	var routes, services []any
+	for _, s := range []string{"pair", "lone"} {
+		add := func(name, kind, service string, resumable bool) {
+			routes = append(routes, map[string]any{
+				"name": s + name, "host": "127.0.0.1", "path_prefix": "/" + s + "/" + name + "/", "kind": kind, "timeout_ms": 5000, "goal_ms": 2000,
+				"priority": 0, "service": s + service, "attempts": 2, "resumable": resumable, "gap_aim_ms": 250,
+			})
+		}
+		add("book", "non_idempotent", "app", false)
+		add("check", "idempotent", "app", false)
+		add("single", "stream", "llm", false)
+		add("stream", "stream", "llm", true)
+		llm := maps.Clone(edgeConfig(2, "/")["services"].([]any)[0].(map[string]any))
+		llm["name"] = s + "llm"
+		services = append(services, llm, map[string]any{"name": s + "app", "max_conns": 100})
+	}
+	config := edgeConfig(2, "/")
+	config["routes"], config["services"] = routes, services
+	p.store.Put("config", "main", config)
+}
+
+// answerOf returns the function of an engine that runs each request and answers with text.
+func answerOf(text func(r *http.Request) string) func(*rawEngine, int, *http.Request, net.Conn) bool {
+	return func(e *rawEngine, _ int, r *http.Request, conn net.Conn) bool {
+		e.run(r)
+		_, err := io.WriteString(conn, text(r))
+		return err == nil // the connection stays open
+	}
+}
+
+// soundResponse returns the function of an engine whose answers are sound.
+func soundResponse(body, contentType string) func(*rawEngine, int, *http.Request, net.Conn) bool {
+	return answerOf(func(r *http.Request) string {
+		return signed("200 OK", r, "Content-Type: "+contentType, fmt.Sprintf("Content-Length: %d", len(body))) + body
+	})
+}
+
+// Engines sent answers whose status was 000, and callers got them as answers.
+func TestAResponseWithAMalformedHeadReachesNoCaller(t *testing.T) {
+	for name := range (oddEngine{request: &http.Request{}}).statuses() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newPlatformStandIn(t)
+			p.setPairRoutes()
+			var reused atomic.Int32 // requests on a connection that has carried a malformed response
+			faulty := func(body, contentType string) func(*rawEngine, int, *http.Request, net.Conn) bool {
+				answer := answerOf(func(r *http.Request) string { return oddEngine{r, body, contentType}.statuses()[name] })
+				return func(e *rawEngine, n int, r *http.Request, conn net.Conn) bool {
+					if n > 0 {
+						reused.Add(1)
+					}
+					return answer(e, n, r, conn)
+				}
+			}
+			plain, stream := faulty(plainBody, "text/plain"), faulty(streamBody, "text/event-stream")
+			faultyEngines := []*rawEngine{
+				p.serveRaw(t, "faulty-1", "pairapp", plain), p.serveRaw(t, "faulty-2", "loneapp", plain),
+				p.serveRaw(t, "faulty-3", "pairllm", stream), p.serveRaw(t, "faulty-4", "lonellm", stream),
+			}
+			soundEngines := []*rawEngine{
+				p.serveRaw(t, "sound-1", "pairapp", soundResponse(plainBody, "text/plain")),
+				p.serveRaw(t, "sound-2", "pairllm", soundResponse(streamBody, "text/event-stream")),
+			}
+			d := p.startProcess(t, "")
+			runsOf := func(engines []*rawEngine, id string) (runs int) {
+				for _, e := range engines {
+					runs += e.ran(id)
+				}
+				return runs
+			}
+			for i := range 24 {
+				pair := []string{"pair", "lone"}[i%2]
+				kind := []string{"book", "check", "single", "stream"}[i/2%4]
+				body := plainBody
+				if kind == "single" || kind == "stream" {
+					body = streamBody
+				}
+				id := fmt.Sprintf("q-%d", i)
+				text := d.rawRequest("/"+pair+"/"+kind+"/x", id)
+				odd, sound := runsOf(faultyEngines, id), runsOf(soundEngines, id)
+				note := qt.Commentf("%s %s %s after %d odd and %d sound runs: %.300q", pair, kind, id, odd, sound, text)
+				status := checkClientBytes(p.C, text, body, note)
+				isRepeatable := kind == "check" || kind == "stream"
+				switch {
+				case sound > 0:
+					p.Check(status, qt.Equals, http.StatusOK, note)
+				case odd > 0:
+					p.Check(status, qt.Equals, http.StatusBadGateway, note)
+				default:
+					p.Check(status, qt.Equals, http.StatusServiceUnavailable, note)
+				}
+				p.Check(odd+sound <= 1 || isRepeatable && odd+sound <= 2, qt.IsTrue, note)
+				p.Check(sound == 1 || pair == "lone" || !isRepeatable, qt.IsTrue, note)
+			}
+			p.Check(reused.Load(), qt.Equals, int32(0), qt.Commentf("requests on a connection after a malformed response"))
+			d.checkMalformedHeadLog()
+		})
+	}
+}
+
+// checkMalformedHeadLog checks that the daemon has logged, in short lines, which engine sent a malformed head.
+func (d *process) checkMalformedHeadLog() {
+	found := false
+	for line := range strings.Lines(d.log.String()) {
+		d.Check(len(line) <= maxLogLine, qt.IsTrue, qt.Commentf("line of %d bytes: %.300s", len(line), line))
+		found = found || regexp.MustCompile(`"step":"read answer","peer":"faulty-\d".*"err":".*malformed response head: `).MatchString(line)
+	}
+	d.Check(found, qt.IsTrue, qt.Commentf("no line names an engine and its malformed head"))
+}
+
+// An engine named a limit, a wait or its leaving in a malformed head, and the daemon acted on it.
+func TestASignalInAMalformedHeadIsNotBelieved(t *testing.T) {
+	for name, odd := range map[string]func(r *http.Request) string{
+		"leaving, 000": func(r *http.Request) string { return signed("000 OK", r, "Server-Leaving: 1", "Content-Length: 0") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newPlatformStandIn(t)
+			var answers atomic.Int32
+			sound := soundResponse(plainBody, "text/plain")
+			p.serveRaw(t, "i-1", "app", func(e *rawEngine, n int, r *http.Request, conn net.Conn) bool {
+				if answers.Add(1) == 1 {
+					return answerOf(odd)(e, n, r, conn)
+				}
+				return sound(e, n, r, conn)
+			})
+			d := p.startProcess(t, "")
+			for i := range 6 {
+				id := fmt.Sprintf("q-%d", i)
+				text := d.rawRequest("/book/x", id)
+				note := qt.Commentf("%s: %.300q", id, text)
+				status := checkClientBytes(p.C, text, plainBody, note)
+				if i == 0 {
+					p.Check(status, qt.Equals, http.StatusBadGateway, note)
+				} else {
+					p.Check(status, qt.Equals, http.StatusOK, note)
+				}
+			}
+		})
+	}
+}
--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/protocol"
+	"github.com/celerydeck/celerydeck/internal/transport/httpconn"
 )
 
 // edgePath is the HTTP path of the fleet report of a daemon on the users' platform. It is served on the
@@ -21,6 +22,9 @@
 // maxEdgeReportBytes limits how much of a fleet report is read.
 const maxEdgeReportBytes = 64 << 20
 
+// httpClient reads from daemons what the API for operators does not serve.
+var httpClient = httpconn.NewClient()
+
 // readEdgeReport fetches the fleet report of a daemon on the users' platform.
 func readEdgeReport(ctx context.Context, addr string) (protocol.FleetReport, error) {
 	var r protocol.FleetReport
@@ -28,7 +32,7 @@
 	if err != nil {
 		return r, usageError(fmt.Sprintf("--edge must be an address such as 10.0.0.1:7382, is %q", addr))
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpClient.Do(req)
 	if err != nil {
 		return r, fmt.Errorf("read report of daemon %s: %w", addr, err)
 	}
--- a/internal/cli/ticket.go
+++ b/internal/cli/ticket.go
@@ -63,7 +63,7 @@
 	}
 	req.Header.Set("Authorization", "Bearer "+c.CallerKey)
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpClient.Do(req)
 	if err != nil {
 		return t, &admin.UnreachableError{Addrs: []string{c.CallerAddr}, Err: err}
 	}
--- a/internal/transport/admin/client.go
+++ b/internal/transport/admin/client.go
@@ -17,6 +17,7 @@
 	"github.com/celerydeck/celerydeck/internal/coordination/configsync"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/report"
+	"github.com/celerydeck/celerydeck/internal/transport/httpconn"
 )
 
 const maxAnswerBytes = 512 << 20
@@ -57,12 +58,12 @@
 
 // NewClient returns a client of the daemons at addrs. Each address is host:port or a URL.
 func NewClient(addrs []string, key string) *Client {
-	return &Client{addrs: addrs, key: key, http: &http.Client{}}
+	return &Client{addrs: addrs, key: key, http: httpconn.NewClient()}
 }
 
 // TrustOnlyCAs makes the client trust only the given CAs at https addresses.
 func (c *Client) TrustOnlyCAs(cas *x509.CertPool) {
-	c.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: cas, MinVersion: tls.VersionTLS13}}
+	c.http.Transport = httpconn.CheckHeads(&http.Transport{TLSClientConfig: &tls.Config{RootCAs: cas, MinVersion: tls.VersionTLS13}})
 }
 
 // Close closes idle connections.
--- a/internal/transport/httpconn/client.go
+++ b/internal/transport/httpconn/client.go
@@ -24,3 +24,9 @@
 	}
 	return resp, err
 }
+
+// NewClient returns a client for the commands: it uses the proxy that the environment names, and
+// checks response heads (see CheckHeads).
+func NewClient() *http.Client {
+	return &http.Client{Transport: CheckHeads(&http.Transport{Proxy: http.ProxyFromEnvironment})}
+}
--- a/internal/transport/httpconn/limits_test.go
+++ b/internal/transport/httpconn/limits_test.go
@@ -52,21 +52,27 @@
 // that never ends.
 func TestAResponseHeadWithoutEndIsNotReadWhole(t *testing.T) {
 	const status = "HTTP/1.1 200 OK\r\n"
-	for name, flood := range map[string]floodConn{
-		"status line":       {repeat: "x"},
-		"header line":       {prefix: status + "X-A: ", repeat: "x"},
-		"headers":           {prefix: status, repeat: "X-A: b\r\n"},
-		"continuation":      {prefix: status + "X-A: b\r\n", repeat: " c\r\n"},
-		"interim responses": {repeat: "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n"},
+	for name, test := range map[string]struct {
+		flood floodConn
+		want  error
+	}{
+		"no status line":    {floodConn{repeat: "x"}, ErrMalformedHead},
+		"status line":       {floodConn{prefix: "HTTP/1.1 200 ", repeat: "x"}, ErrHeadTooLarge},
+		"name":              {floodConn{prefix: status, repeat: "x"}, ErrHeadTooLarge},
+		"header line":       {floodConn{prefix: status + "X-A: ", repeat: "x"}, ErrHeadTooLarge},
+		"headers":           {floodConn{prefix: status, repeat: "X-A: b\r\n"}, ErrHeadTooLarge},
+		"continuation":      {floodConn{prefix: status + "X-A: b\r\n", repeat: " c\r\n"}, ErrHeadTooLarge},
+		"interim responses": {floodConn{repeat: "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n"}, ErrHeadTooLarge},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
+			flood := test.flood
 			conn := newConn(&flood)
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
 			resp, err := conn.ReadResponse(&http.Request{Method: http.MethodGet})
 			runtime.ReadMemStats(&after)
-			c.Assert(err, qt.ErrorIs, ErrHeadTooLarge)
+			c.Assert(err, qt.ErrorIs, test.want)
 			if resp != nil {
 				_ = resp.Body.Close()
 			}
--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -48,7 +48,7 @@
 	net.Conn
 	Reader    *bufio.Reader // reads the responses
 	Reused    bool          // whether the pool has returned the connection before
-	head      headLimiter   // below Reader
+	head      headReader    // below Reader
 	idleSince time.Time
 	maxIdle   time.Duration
 
--- a/internal/transport/httpconn/response.go
+++ b/internal/transport/httpconn/response.go
@@ -10,62 +10,93 @@
 // before it.
 const maxHeadBytes = 64 << 10
 
-var (
-	// ErrHeadTooLarge reports a response head of more than maxHeadBytes. The connection
-	// cannot be used any further.
-	ErrHeadTooLarge = errors.New("httpconn: the response head is too large")
+// ErrHeadTooLarge reports a response head of more than maxHeadBytes. The connection
+// cannot be used any further.
+var ErrHeadTooLarge = errors.New("httpconn: the response head is too large")
 
-	errProtocolSwitch = errors.New("httpconn: the upstream switched protocols without being asked")
-)
-
-// headLimiter reads from a connection. While a response head is read, it limits the number
-// of bytes.
-type headLimiter struct {
+// headReader reads from a connection. While a response head is read, it limits the number
+// of bytes and checks them.
+type headReader struct {
 	conn     *Conn
-	limited  bool
+	inHead   bool
 	left     int  // bytes
 	exceeded bool // a read failed because nothing was left
+	scanner  headScanner
 }
 
 // Read implements io.Reader.
-func (l *headLimiter) Read(p []byte) (int, error) {
-	if !l.limited {
-		return l.read(p)
+func (r *headReader) Read(p []byte) (int, error) {
+	if !r.inHead {
+		return r.read(p)
 	}
-	if l.left <= 0 {
-		l.exceeded = true
+	if r.scanner.err != nil { // net/http may have dropped the error
+		return 0, r.scanner.err
+	}
+	if r.left <= 0 {
+		r.exceeded = true
 		return 0, ErrHeadTooLarge
 	}
-	n, err := l.read(p[:min(len(p), l.left)])
-	l.left -= n
+	n, err := r.read(p[:min(len(p), r.left)])
+	r.left -= n
+	if n, scanErr := r.scanner.scan(p[:n]); scanErr != nil {
+		return n, scanErr
+	}
 	return n, err
 }
 
-func (l *headLimiter) read(p []byte) (int, error) {
-	n, err := l.conn.Read(p)
+func (r *headReader) read(p []byte) (int, error) {
+	n, err := r.conn.Read(p)
 	if n > 0 {
-		l.conn.recordBytes()
+		r.conn.recordBytes()
 	}
-	l.conn.recordRefusal(err)
+	r.conn.recordRefusal(err)
 	return n, err
 }
 
 // ReadResponse reads the head of the next response and skips interim responses. It fails with
-// ErrHeadTooLarge if that takes more than maxHeadBytes.
+// ErrHeadTooLarge if that takes more than maxHeadBytes, and with ErrMalformedHead if one of these
+// heads is not allowed.
 func (c *Conn) ReadResponse(req *http.Request) (*http.Response, error) {
-	c.head.limited, c.head.left = true, maxHeadBytes
-	defer func() { c.head.limited = false }()
+	c.head.inHead, c.head.left, c.head.scanner = true, maxHeadBytes, headScanner{}
+	defer func() { c.head.inHead = false }()
+	buffered, _ := c.Reader.Peek(c.Reader.Buffered()) // can't fail
+	if _, err := c.head.scanner.scan(buffered); err != nil {
+		return nil, err
+	}
 	for {
 		resp, err := http.ReadResponse(c.Reader, req)
 		switch {
-		case err != nil && c.head.exceeded: // net/http does not wrap each error of its reader
+		case c.head.scanner.err != nil: // net/http does not wrap each error of its reader
+			return nil, c.head.scanner.err
+		case err != nil && c.head.exceeded:
 			return nil, fmt.Errorf("%w: more than %d bytes", ErrHeadTooLarge, maxHeadBytes)
 		case err != nil:
-			return nil, err
-		case resp.StatusCode == http.StatusSwitchingProtocols:
-			return nil, errProtocolSwitch
+			return nil, shorten(err)
 		case resp.StatusCode >= http.StatusOK:
 			return resp, nil
 		}
 	}
 }
+
+// maxErrorText is the length in bytes from which the text of a parse error is cut: net/http quotes
+// whole values.
+const maxErrorText = 160
+
+// shortError is an error with a cut text.
+type shortError struct {
+	text string
+	err  error
+}
+
+func (e *shortError) Error() string { return e.text }
+
+// Unwrap returns the error with the whole text.
+func (e *shortError) Unwrap() error { return e.err }
+
+// shorten cuts the text of an error that is too long.
+func shorten(err error) error {
+	if text := err.Error(); len(text) > maxErrorText {
+		return &shortError{text: text[:maxErrorText] + "...", err: err}
+	}
+	return err
+}
--- a/internal/transport/platform/platform.go
+++ b/internal/transport/platform/platform.go
@@ -95,9 +95,9 @@
 
 // NewClientWithDial returns a client that opens its connections with dial.
 func NewClientWithDial(base string, dial DialFunc) *Client {
-	transport := &http.Transport{
+	transport := httpconn.CheckHeads(&http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes,
-	}
+	})
 	return &Client{base: base, http: &http.Client{Transport: transport}, budget: NewBudget(1), outageBackoff: newOutageBackoff()}
 }
 
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -48,13 +48,13 @@
 
 // NewClientWithDial returns a client that opens its connections with dial.
 func NewClientWithDial(dial DialFunc) *Client {
-	transport := &http.Transport{
+	transport := httpconn.CheckHeads(&http.Transport{
 		DialContext:            watchRejections(dial),
 		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
 		IdleConnTimeout:        time.Minute,
 		MaxResponseHeaderBytes: maxHeadBytes,
 		DisableCompression:     true, // forward bodies in the encoding of the upstream
-	}
+	})
 	return &Client{
 		http:     &http.Client{Transport: transport, CheckRedirect: returnRedirect},
 		activity: activityTable{engines: make(map[state.UpstreamID]*engineActivity)},
