Response heads: a name with a blank in it is no name

Callers saw: an upstream sends a head in which the name of a field holds a blank, at any place in it. The answer was delivered: with the line as part of the value before it if the blank stands first, with a body that ran to the end of the connection or to the deadline if the name is that of the length, with a status or a refusal that no response carried. A request that must not repeat was sent to a second engine after such a refusal, or got 503 ("not run") although it ran.

Cause: net/http keeps a field whose name holds blanks under that name, so that it frames, signs and names nothing, and appends a line that begins with a blank to the line before. A name with another byte that is no token it refuses.

Change: headScanner also checks the fields of each head: a name is a token, a value has no control byte, no line is folded (RFC 9112, 5.2, lets a gateway discard such a response). golang.org/x/net, which was an indirect dependency, says what a token is.

Why this works: each byte of a name is checked before net/http reads the line.

--- a/internal/app/process_faultyengine_test.go
+++ b/internal/app/process_faultyengine_test.go
@@ -212,6 +212,9 @@
 		"200 that is not signed": func(*http.Request) string { return "HTTP/1.1 200 OK\r\n" + length + "\r\n\r\n" + text },
 		"200 without a length":   func(r *http.Request) string { return signed("200 OK", r, "Content-Type: text/event-stream") },
 		"status 000":             func(r *http.Request) string { return signed("000 OK", r, length) + text },
+		"blank in a name": func(r *http.Request) string {
+			return signed("200 OK", r, "Content-Type: text/event-stream", "X Odd: v", length) + text
+		},
 		"head within the body": func(r *http.Request) string {
 			return signed("200 OK", r, "Content-Type: text/event-stream", "Transfer-Encoding: chunked") + "HTTP/1.1 500 Error\r\nContent-Length: 5\r\n\r\nerror"
 		},
--- a/internal/demo/malformedhead_test.go
+++ b/internal/demo/malformedhead_test.go
@@ -118,7 +118,8 @@
 	return d
 }
 
-// Plain services answered with the status 000. The daemon panicked, and the caller got no response.
+// Plain services answered with the status 000 or with a blank in the name of a field. The daemon panicked, or passed
+// the response on.
 func TestAPlainResponseWithAMalformedHeadReachesNoCaller(t *testing.T) {
 	for name := range rawserver.Malformed("200 OK", oddBody) {
 		t.Run(name, func(t *testing.T) {
--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -110,10 +110,11 @@
 	return Response(fmt.Sprintf("%d %s", rec.Code, http.StatusText(rec.Code)), rec.Body.String(), lines...)
 }
 
-// Malformed returns responses whose status line is not allowed, by what is wrong with it. Apart from that they are
+// Malformed returns responses whose head is not allowed, by what is wrong with it. Apart from that they are
 // responses with the given status, body and header lines.
 func Malformed(status, body string, lines ...string) map[string]string {
 	sound := Response(status, body, lines...)
+	with := func(line string) string { return Response(status, body, append([]string{line}, lines...)...) }
 	return map[string]string{
 		"status 000":                     Response("000 None", body, lines...),
 		"status 000, a response follows": Response("000 None", "") + sound,
@@ -121,5 +122,12 @@
 		"status +20":                     Response("+20 None", body, lines...),
 		"interim with status 000":        "HTTP/1.1 000 None\r\n\r\n" + sound,
 		"protocol switch":                "HTTP/1.1 101 Switching\r\nUpgrade: odd\r\nConnection: Upgrade\r\n\r\n" + sound,
+
+		"blank in a name":               with("X Odd: v"),
+		"blank after a name":            with("X-Odd : v"),
+		"blank before a name":           Response(status, body, append(lines, " X-Odd: v")...),
+		"control byte in a name":        with("X\x01Odd: v"),
+		"blank after the length's name": with("Content-Length : 1"),
+		"blank in a name of an interim": "HTTP/1.1 103 Hints\r\nX Odd: v\r\n\r\n" + sound,
 	}
 }
--- a/internal/transport/httpconn/head.go
+++ b/internal/transport/httpconn/head.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 var (
@@ -21,10 +23,11 @@
 	maxStatus    = 599
 )
 
-// headScanner checks the status lines of one response, including those of interim responses, against
-// the grammar of RFC 9112, section 4, and the range of statuses of RFC 9110, section 15. net/http
-// also accepts other statuses. Errors are short, since they may reach callers. The zero value is at
-// the beginning of a response.
+// headScanner checks the heads of one response, including those of interim responses, against the
+// grammar of RFC 9112, sections 4 and 5, and the range of statuses of RFC 9110, section 15. net/http
+// also accepts other statuses, names of fields with blanks in them, and folded lines, which can't be
+// distinguished from names that begin with a blank. Errors are short and quote no field, since they
+// may reach callers. The zero value is at the beginning of a response.
 type headScanner struct {
 	state  headState
 	line   int // lines of the present head before this one
@@ -44,7 +47,8 @@
 	afterStatus
 	inReason
 	atLineStart
-	inField
+	inName
+	inValue
 	atLineEnd // behind the carriage return of a line
 	atHeadEnd // behind the carriage return of the empty line
 	afterHead // behind the head of the final response
@@ -92,9 +96,14 @@
 		s.state = atHeadEnd
 	case (s.state == atLineStart || s.state == atHeadEnd) && b == '\n':
 		s.endHead()
-	case (s.state == atLineStart || s.state == inField) && b != '\n': // net/http checks the rest of it
-		s.state = inField
-	case b == '\n' && (s.state == afterStatus || s.state == inReason || s.state == inField || s.state == atLineEnd):
+	case (s.state == atLineStart || s.state == inName) && isNameByte(b):
+		s.state = inName
+	case s.state == inName && b == ':':
+		s.state = inValue
+	case s.state == inValue && isValueByte(b):
+	case s.state == inValue && b == '\r':
+		s.state = atLineEnd
+	case b == '\n' && (s.state == afterStatus || s.state == inReason || s.state == inValue || s.state == atLineEnd):
 		s.state, s.line, s.offset = atLineStart, s.line+1, 0
 	default:
 		s.err = fmt.Errorf("%w: byte 0x%02x at offset %d of line %d (%s)", ErrMalformedHead, b, s.offset-1, s.line+1, s.state)
@@ -128,6 +137,10 @@
 		return "version"
 	case inStatus, afterStatus:
 		return "status"
+	case atLineStart, inName:
+		return "field name"
+	case inValue:
+		return "field value"
 	default:
 		return "line end"
 	}
@@ -136,3 +149,7 @@
 func isVersionByte(b, want byte) bool { return b == want || isDigit(b) && isDigit(want) }
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
+
+func isNameByte(b byte) bool { return httpguts.IsTokenRune(rune(b)) }
+
+func isValueByte(b byte) bool { return b == '\t' || b >= ' ' && b != 0x7f }
