Entry: a head from another daemon must have a final status

Callers would see: during an update, a daemon of an earlier version passes on the status 000 of a plain service, and the entry panics in WriteHeader, so that the caller gets no answer.

Cause: the parts of an answer that come from the upstream's owner are checked for attempt, adapter and boot, but not for their status.

Change: a status outside 200 to 599 ends the attempt as one that may have run.

Failed before: TestAHeadOfAnotherDaemonWithoutAValidStatusIsNotDelivered, each of nine statuses was passed to the API for callers. Not shown with two versions of a daemon.

Why this works: all heads of an answer pass attemptSink.Head, of daemons as of this one.

--- a/internal/node/entry/delivery.go
+++ b/internal/node/entry/delivery.go
@@ -13,6 +13,9 @@
 const (
 	stepRead  = "read answer"
 	stepCheck = "check answer"
+
+	minFinalStatus = 200
+	maxFinalStatus = 599
 )
 
 // delivery merges the parts of all attempts into one answer and passes each part to
@@ -86,6 +89,9 @@
 	if err := a.checkAttempt(h.Attempt); err != nil {
 		return err
 	}
+	if h.Status < minFinalStatus || h.Status > maxFinalStatus { // daemons of earlier versions pass on any status
+		return a.fail(protocol.KindInterrupted, fmt.Errorf("%d is no status of an answer", h.Status))
+	}
 	first, err := a.d.answer.AddHead(a.attempt, h.Adapter, h.Boot)
 	if err != nil {
 		kind := protocol.KindInterrupted
