--- a/internal/transport/httpconn/limits_test.go
+++ b/internal/transport/httpconn/limits_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -142,11 +143,14 @@
 func (scriptedConn) SetDeadline(_ time.Time) error { return nil }
 
 // FuzzReadResponse reads arbitrary bytes as responses. The head never takes more than its
-// limit, and an interim response is never returned.
+// limit, and neither an interim response nor one with a malformed head is returned.
 func FuzzReadResponse(f *testing.F) {
 	for _, text := range []string{
 		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", "no protocol at all\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nA: b\r\n\r\n", "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+		"HTTP/1.1 000 OK\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.1 +20 OK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\nx", "HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 1\r\n\r\nx", "HTTP/1.1 103 Hints\r\nA B: c\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nA\x01: b\r\n\r\n", "HTTP/1.1 200 OK\nA: b\n\nx", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA B: c\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 103 Early Hints\r\n" + strings.Repeat("A: b\r\n", maxHeadBytes/4),
 	} {
 		f.Add([]byte(text))
@@ -160,7 +164,10 @@
 		if err != nil {
 			return
 		}
-		qt.Assert(t, resp.StatusCode >= 200, qt.IsTrue)
+		qt.Assert(t, resp.StatusCode >= 200 && resp.StatusCode <= maxStatus, qt.IsTrue)
+		for name := range resp.Header {
+			qt.Assert(t, httpguts.ValidHeaderFieldName(name), qt.IsTrue, qt.Commentf("%q", name))
+		}
 		_, _ = io.Copy(io.Discard, resp.Body) // arbitrary bytes may break off
 		_ = resp.Body.Close()
 	})
