Trailers: an error quotes no malformed trailer

Callers saw: on our own interface, a completion whose stream breaks off ahead of a trailer with a control byte in its name gets an error whose message holds the line.

Cause: net/http's error of such a trailer quotes it, and transport errors become messages.

Change: errors of a chunked body that quote a trailer are replaced by a fixed one, in both readers of responses.

Failed before: TestTheErrorOfAMalformedTrailerQuotesNothing, and the cases with a control byte, a blank in front and no name in TestATrailerWithABrokenNameDeliversNothingOfItself.

Why this works: net/http reads trailers in one place, as a part of the body, and its errors there have one type.

--- a/internal/transport/httpconn/head_test.go
+++ b/internal/transport/httpconn/head_test.go
@@ -205,7 +205,8 @@
 	}
 }
 
-// Guards against a trailer that reaches a caller. Trailers are never forwarded; the body before them is whole.
+// A trailer with a control byte was quoted in the error, which may reach a caller. Trailers themselves are not
+// forwarded, and the body before them is whole.
 func TestATrailerWithABrokenNameDeliversNothingOfItself(t *testing.T) {
 	for _, trailer := range []string{"X Odd: v", "X-Odd : v", "X\x01Odd: v", " X-Odd: v", ": Odd", "Content-Length : 9"} {
 		for name, read := range responseReaders {
@@ -213,6 +214,7 @@
 			note := qt.Commentf("%s: %q", name, trailer)
 			qt.Check(t, r.body, qt.Equals, "body", note)
 			qt.Check(t, len(r.header["X-Odd"])+len(r.header["X Odd"]), qt.Equals, 0, note)
+			qt.Check(t, fmt.Sprint(r.err), qt.Not(qt.Contains), "Odd", note)
 		}
 	}
 }
--- a/internal/transport/httpconn/response.go
+++ b/internal/transport/httpconn/response.go
@@ -73,6 +73,7 @@
 		case err != nil:
 			return nil, shorten(err)
 		case resp.StatusCode >= http.StatusOK:
+			hideTrailer(resp)
 			return resp, nil
 		}
 	}
--- a/internal/transport/httpconn/transport.go
+++ b/internal/transport/httpconn/transport.go
@@ -73,6 +73,7 @@
 		err = errForeignResponse
 		_ = conn.Close()
 	default:
+		hideTrailer(resp)
 		return resp, nil
 	}
 	if resp != nil {
--- a/internal/transport/upstream/malformedhead_test.go
+++ b/internal/transport/upstream/malformedhead_test.go
@@ -1,6 +1,7 @@
 package upstream_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -82,3 +83,20 @@
 		}
 	}
 }
+
+// The message of an error, which callers get, quoted the trailer of a stream that broke off.
+func TestTheErrorOfAMalformedTrailerQuotesNothing(t *testing.T) {
+	const event = `data: {"model":"a/b@v1","boot_id":"boot","offset":0,"choices":[{"text":"x"}]}` + "\n\n"
+	s, err := rawserver.Listen(func(*http.Request) string {
+		return "HTTP/1.1 200 OK\r\nX-Boot-Id: boot\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\nX-Odd\x01: v\r\n\r\n", len(event), event)
+	})
+	qt.Assert(t, err, qt.IsNil)
+	defer s.Close()
+	client := upstream.NewClient()
+	defer client.Close()
+	call := &protocol.Call{RequestID: "q", Model: &protocol.ModelCall{Adapter: state.AdapterRef{Service: "a", Adapter: "b", Version: "v1"}, Body: []byte(`{"prompt":"x"}`)}}
+	callErr := client.Complete(t.Context(), &state.Upstream{ID: "engine", Addr: s.Addr()}, call, &headSink{})
+	qt.Assert(t, callErr, qt.IsNotNil)
+	qt.Check(t, callErr.Outcome, qt.Equals, protocol.OutcomeUnknown)
+	qt.Check(t, callErr.Message, qt.Not(qt.Contains), "Odd")
+}
