--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -26,6 +26,12 @@
 	opts.Engine.TokenTime = time.Millisecond
 	opts.StoreLoadTime = 10 * time.Millisecond
 	opts.StoreRate = 0
+	return startWith(t, opts)
+}
+
+// startWith starts a deployment and closes it at the end of the test.
+func startWith(t *testing.T, opts demo.Options) *demo.Demo {
+	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
 	d, err := demo.Start(ctx, opts)
--- a/internal/demo/malformedhead_test.go
+++ b/internal/demo/malformedhead_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -107,17 +106,6 @@
 	return startWith(t, opts)
 }
 
-func startWith(t *testing.T, opts demo.Options) *demo.Demo {
-	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
-	defer cancel()
-	d, err := demo.Start(ctx, opts)
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { d.Close(context.Background()) })
-	qt.Assert(t, d.WaitReady(ctx), qt.IsNil)
-	return d
-}
-
 // Plain services answered with the status 000 or with a blank in the name of a field. The daemon panicked, or passed
 // the response on.
 func TestAPlainResponseWithAMalformedHeadReachesNoCaller(t *testing.T) {
