Response heads: the scanner tests the most frequent states first

Cause: the bytes of values are most of a head, and their case stood behind eleven others. Change: the order of the cases, which exclude each other.

--- a/internal/transport/httpconn/head.go
+++ b/internal/transport/httpconn/head.go
@@ -72,10 +72,17 @@
 	return len(p), nil
 }
 
-// next checks one byte.
+// next checks one byte. The most frequent cases stand first.
 func (s *headScanner) next(b byte) {
 	s.offset++
 	switch {
+	case s.state == inValue && isValueByte(b):
+	case s.state == inName && isNameByte(b):
+	case s.state == inName && b == ':':
+		s.state = inValue
+	case s.state == inValue && b == '\r':
+		s.state = atLineEnd
+	case s.state == inReason && b != '\n':
 	case s.state == inVersion && isVersionByte(b, httpVersion[s.offset-1]):
 		if s.offset == len(httpVersion) {
 			s.state = afterVersion
@@ -91,18 +98,12 @@
 		s.state = inReason
 	case s.state == afterStatus && b == '\r':
 		s.state = atLineEnd
-	case s.state == inReason && b != '\n':
 	case s.state == atLineStart && b == '\r':
 		s.state = atHeadEnd
 	case (s.state == atLineStart || s.state == atHeadEnd) && b == '\n':
 		s.endHead()
-	case (s.state == atLineStart || s.state == inName) && isNameByte(b):
+	case s.state == atLineStart && isNameByte(b):
 		s.state = inName
-	case s.state == inName && b == ':':
-		s.state = inValue
-	case s.state == inValue && isValueByte(b):
-	case s.state == inValue && b == '\r':
-		s.state = atLineEnd
 	case b == '\n' && (s.state == afterStatus || s.state == inReason || s.state == inValue || s.state == atLineEnd):
 		s.state, s.line, s.offset = atLineStart, s.line+1, 0
 	default:
