Gateway test: a request is over before the next one is sent

The first stream could still be in flight when the second request counted the requests of the urgent rank.

Change: doWith reads the response to its end, which the gateway writes after it has counted the request as ended. No check is changed.

--- a/internal/node/gateway/account_test.go
+++ b/internal/node/gateway/account_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -46,6 +47,7 @@
 	resp, err := http.DefaultClient.Do(r)
 	w.Assert(err, qt.IsNil)
 	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body) // the request is in flight until its response ends
 	return response{resp.StatusCode, resp.Header, resp.Close}
 }
 
