Logs: the versions of an adapter that a choice of an upstream knew

From the logs alone nobody could say why a request began on an older version of its adapter: which versions the daemon knew, since when, which one the engine had, and whether its lease holder could load another.

The line of a request whose adapter has an announced version names version, newest, newest_age, resident, can_load and sent_after; an order names its version; a lease holder names its engines' outdated adapters when a version is announced (resident version outdated). No decision changes.

--- a/internal/coordination/residency/residency.go
+++ b/internal/coordination/residency/residency.go
@@ -471,6 +471,16 @@
 	return list
 }
 
+// ResidentVersion returns the version in which an adapter is resident or being loaded, 0 if it is not, and
+// whether no request is known to use it.
+func (p *Planner) ResidentVersion(now time.Time, a upstreams.Adapter) (version int, isIdle bool) {
+	e := p.adapters[a]
+	if e == nil || e.phase == unloading {
+		return 0, false
+	}
+	return e.version, e.isIdle(now)
+}
+
 // ResidentModels lists the models that are resident, as of the last report.
 func (p *Planner) ResidentModels() []string {
 	if !p.synced {
--- a/internal/node/fleet/choose.go
+++ b/internal/node/fleet/choose.go
@@ -31,6 +31,16 @@
 	ListAge time.Duration
 	// ResidencyAge is the age of the lease holder's report on the engine, zero without a report.
 	ResidencyAge time.Duration
+	// Basis is what the daemon knew of the versions of the adapter.
+	Basis VersionBasis
+}
+
+// VersionBasis is what a choice knew of the versions of an adapter.
+type VersionBasis struct {
+	Newest    int           // newest announced version, 0 if none was announced
+	NewestAge time.Duration // since this daemon learned of it
+	Resident  int           // version at the chosen engine, 0 without the adapter
+	CanLoad   bool          // the lease holder of the chosen engine accepts loads
 }
 
 // Choose decides which upstream serves a request to a service. It prefers engines with the
@@ -96,6 +106,13 @@
 // is based on. If the lease holder is to be notified of a use, it records the time.
 func (v *View) placement(now time.Time, a upstreams.Adapter, d balance.Decision, version int) Placement {
 	p := Placement{Decision: d, Version: version, ListAge: now.Sub(v.listConfirmedAt)}
+	if newest := v.newestVersions[a]; newest.version > 0 {
+		p.Basis.Newest, p.Basis.NewestAge = newest.version, now.Sub(newest.at)
+		if d.Upstream != nil {
+			_, p.Basis.Resident = v.candidate(now, d.Upstream, a)
+			p.Basis.CanLoad = v.loadable[d.Upstream.ID]
+		}
+	}
 	if d.AnnounceUse {
 		v.useNotifiedAt[engineAdapter{d.Upstream.ID, a}] = now
 	}
--- a/internal/node/fleet/worker.go
+++ b/internal/node/fleet/worker.go
@@ -89,8 +89,14 @@
 func (w *worker) setNewestVersion(v upstreams.Version) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.planner != nil {
-		w.planner.SetNewestVersion(v.Adapter, v.Version)
+	if w.planner == nil {
+		return
+	}
+	w.planner.SetNewestVersion(v.Adapter, v.Version)
+	now := w.node.opts.Clock()
+	if resident, isIdle := w.planner.ResidentVersion(now, v.Adapter); resident > 0 && resident < v.Version {
+		w.node.opts.Log.Event("resident version outdated", slog.String("upstream", string(w.id)), slog.String("adapter", v.Adapter.String()),
+			slog.Int("resident", resident), slog.Int("newest", v.Version), slog.Bool("idle", isIdle), slog.Bool("can_load", w.hasReport && w.lease.Valid(w.node.opts.BootClock())))
 	}
 }
 
@@ -324,7 +330,7 @@
 	w.orderDone = make(chan struct{})
 	w.mu.Unlock()
 	attrs := []slog.Attr{
-		slog.String("upstream", string(w.id)), slog.String("adapter", o.Adapter.String()), slog.Bool("unload", o.Unload),
+		slog.String("upstream", string(w.id)), slog.String("adapter", o.Adapter.String()), slog.Int("version", o.Version), slog.Bool("unload", o.Unload),
 		slog.Int("expected", o.ExpectedOrderCount), slog.Int("reply", int(outcome)), slog.Float64("window", w.node.window.size()),
 	}
 	if err != nil {
--- a/internal/node/gateway/outcome.go
+++ b/internal/node/gateway/outcome.go
@@ -88,6 +88,7 @@
 	}
 	basis := c.g.opts.View.ConfigBasis(c.config)
 	attrs := append(basis.Attrs(), slog.Uint64("account_config", c.credential.checkedIn))
+	attrs = append(attrs, c.versionAttrs()...)
 	c.g.opts.Log.Request(
 		decisionlog.End{Request: c.meta.RequestID, Route: routeName, Outcome: outcome, Answered: status >= 200 && status < 300},
 		append(attrs, slog.String("account", c.accountName()), slog.String("key", c.credential.fingerprint()), slog.String("service", c.service), slog.String("adapter", c.meta.Adapter.String()), slog.Int("status", status),
@@ -99,3 +100,20 @@
 			slog.Duration("hold", c.holdTime), slog.Duration("longest_pause", c.longestPause), slog.String("longest_pause_at", string(c.longestPauseAt)), slog.Bool("stalled", c.isStalled()), slog.Int("tokens", c.meta.TokensIn))...,
 	)
 }
+
+// versionAttrs returns what the last choice of an upstream knew of the versions of the adapter, if a
+// version was announced, and how long after the arrival of the request it was sent.
+func (c *call) versionAttrs() []slog.Attr {
+	b := c.placement.Basis
+	if b.Newest == 0 {
+		return nil
+	}
+	attrs := []slog.Attr{
+		slog.Int("version", c.placement.Version), slog.Int("newest", b.Newest), slog.Duration("newest_age", b.NewestAge),
+		slog.Int("resident", b.Resident), slog.Bool("can_load", b.CanLoad),
+	}
+	if c.attempt != nil {
+		attrs = append(attrs, slog.Duration("sent_after", c.attempt.sentAt.Sub(c.arrival)))
+	}
+	return attrs
+}
