Takeover: a daemon that stood still does not take engines from live peers

Callers saw refusals after a freeze of a daemon: engines of its live peers got no loads for 13.5 s.

Cause: after 9 s without running, a daemon took all its peers for silent, as it had read no message for that long, and claimed their engines before it read the first one.

A daemon that ran no round of gossip for a second leaves that time out of the silence of its peers, before it claims.

--- a/internal/node/fleet/claims.go
+++ b/internal/node/fleet/claims.go
@@ -39,6 +39,7 @@
 func (n *Node) dueClaims(now time.Time) []Holder {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.noticeStall(now)
 	if n.revisions.Records == 0 || n.leaving {
 		return nil
 	}
--- a/internal/node/fleet/gossip.go
+++ b/internal/node/fleet/gossip.go
@@ -28,6 +28,9 @@
 	maxUnansweredMessages = 2
 	// daemonStateTTL is how long a daemon's state is relayed and summed up after it was received.
 	daemonStateTTL = 2 * time.Second
+	// minStall is the least time without a round of gossip after which this daemon counts as suspended or
+	// starved. Rounds follow each other every gossipInterval.
+	minStall = time.Second
 	// crashReportTTL is how long a daemon includes a crash or a survival in its messages.
 	crashReportTTL = 2 * time.Second
 	// maxCrashReports is the maximum number of crashes, and of survivals, in a message.
@@ -110,6 +113,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.opts.Clock()
+	n.noticeStall(now)
 	for _, s := range out.Crashes {
 		n.crashes = append(n.crashes, crashReport{s, now})
 	}
@@ -192,6 +196,23 @@
 	n.survivals = n.survivals[max(0, len(n.survivals)-maxCrashReports):]
 }
 
+// noticeStall recognizes that this daemon did not run for a while, and leaves that time out of the silence of its
+// peers: their messages of that time are lost or not yet read. The caller holds the lock.
+func (n *Node) noticeStall(now time.Time) {
+	stalled := now.Sub(n.checkedAt)
+	isStall := !n.checkedAt.IsZero() && stalled >= minStall
+	n.checkedAt = now
+	if !isStall {
+		return
+	}
+	n.opts.Log.Event("daemon stood still", slog.Duration("after", stalled))
+	for _, m := range n.members {
+		if m.lastHeard = m.lastHeard.Add(stalled); m.lastHeard.After(now) {
+			m.lastHeard = now
+		}
+	}
+}
+
 // updateLostPeers marks and logs the peers that became silent and the lost peers that are
 // heard from again. The caller holds the lock.
 func (n *Node) updateLostPeers(now time.Time) {
--- a/internal/node/fleet/gossip_test.go
+++ b/internal/node/fleet/gossip_test.go
@@ -26,6 +26,7 @@
 	nodes map[string]*Node
 	order []string
 	down  map[string]bool
+	calls []simCall // see roundsWithTimeouts
 }
 
 func newSim(t *testing.T, zones, each int) *sim {
--- a/internal/node/fleet/isolated_test.go
+++ b/internal/node/fleet/isolated_test.go
@@ -10,19 +10,20 @@
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
 )
 
+// simCall is a message in flight to a daemon that is down.
+type simCall struct {
+	from *Node
+	to   *member
+	at   time.Time
+}
+
 // roundsWithTimeouts is like rounds, and a message to a daemon that is down stays in flight for gossipTimeout.
 func (s *sim) roundsWithTimeouts(d time.Duration) {
-	type call struct {
-		from *Node
-		to   *member
-		at   time.Time
-	}
-	var calls []call
 	for end := s.now.Add(d); s.now.Before(end); {
 		s.now = s.now.Add(gossipInterval)
-		for len(calls) > 0 && s.now.Sub(calls[0].at) >= gossipTimeout {
-			calls[0].from.recordUnanswered(calls[0].to, errors.New("no answer"))
-			calls = calls[1:]
+		for len(s.calls) > 0 && s.now.Sub(s.calls[0].at) >= gossipTimeout {
+			s.calls[0].from.recordUnanswered(s.calls[0].to, errors.New("no answer"))
+			s.calls = s.calls[1:]
 		}
 		for _, vm := range s.order {
 			if s.down[vm] {
@@ -31,7 +32,7 @@
 			n := s.nodes[vm]
 			for _, m := range n.roundMessages(n.opts.View.DrainOutgoing()) {
 				if s.down[m.to.VM] {
-					calls = append(calls, call{n, m.to, s.now})
+					s.calls = append(s.calls, simCall{n, m.to, s.now})
 					continue
 				}
 				self := n.opts.Self
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -107,6 +107,7 @@
 	storeReachable  bool      // the last call of the store succeeded, or this daemon stopped calling it
 	storeRegainedAt time.Time // when a call of this daemon succeeded again after a failed one
 	leaving         bool
+	checkedAt       time.Time // when noticeStall last ran
 	seq             uint64    // of this daemon's last state
 	rounds          uint64    // of gossip
 	isPublished     bool      // this incarnation's record is in the store
