Takeover: records that were read before a claim do not undo it

Callers saw engines without loads for longer than a takeover takes.

Cause: records that a peer had read just before a claim came by gossip just after it, and replaced the claimant's own new record. It released the engine, and began the takeover anew at its next read.

A holder record that is newer than the read stays. TestRecordsReadBeforeAClaimDoNotUndoIt failed before (the worker was gone) and passes.

--- a/internal/node/fleet/recordsync.go
+++ b/internal/node/fleet/recordsync.go
@@ -159,7 +159,22 @@
 		}
 	}
 	n.opts.View.SetDaemons(len(r.Members), position)
-	n.holders = r.Holders
+	n.applyHolders(r)
+}
+
+// applyHolders replaces the records of lease holders, except those that this daemon has written since the read. The caller
+// holds the lock.
+func (n *Node) applyHolders(r Records) {
+	before := n.holders
+	n.holders = maps.Clone(r.Holders)
+	if n.holders == nil {
+		n.holders = make(map[state.UpstreamID]Holder)
+	}
+	for id, h := range before {
+		if h.Revision > r.Revision {
+			n.holders[id] = h
+		}
+	}
 }
 
 // renewLeases renews this daemon's leases according to records that it read from the store
--- a/internal/node/fleet/takeover_test.go
+++ b/internal/node/fleet/takeover_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/celerydeck/celerydeck/internal/coordination/holders"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/state/upstreams"
@@ -50,3 +52,32 @@
 		}
 	}
 }
+
+// Guards against an engine that its new lease holder releases again, as a peer sent records that had been read before the
+// claim: the takeover began anew.
+func TestRecordsReadBeforeAClaimDoNotUndoIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, store := newRecordSim(t, 1, 3, 1)
+		defer func() {
+			for _, n := range s.nodes {
+				n.Close()
+			}
+		}()
+		n := s.nodes["z0-00"]
+		store.holders["e0"] = Holder{Engine: "e0", VM: "z0-01", Era: 1, Revision: store.next()}
+		s.Assert(n.readRecords(), qt.IsNil)
+		older, err := store.Records(t.Context())
+		s.Assert(err, qt.IsNil)
+		n.members["z0-01"].lastHeard = time.Now().Add(-holders.TakeoverAfter)
+		n.members["z0-02"].lastHeard = time.Now().Add(-holders.TakeoverAfter)
+		n.claimEngines()
+		s.Assert(n.holders["e0"].VM, qt.Equals, "z0-00")
+		n.applyRecords(time.Now(), older)
+		n.reconcileWorkers()
+		s.Check(n.workers["e0"], qt.IsNotNil, qt.Commentf("older records"))
+		store.holders["e0"] = Holder{Engine: "e0", VM: "z0-02", Era: 1, Revision: store.next()}
+		s.Assert(n.readRecords(), qt.IsNil)
+		n.reconcileWorkers()
+		s.Check(n.workers["e0"], qt.IsNil, qt.Commentf("another daemon has claimed it since"))
+	})
+}
