Takeover: an engine returns to its lease holder that is back in time

Callers saw refusals for about ten seconds after a frozen daemon was back: its engines got no orders.

Cause: a successor waits 13.5 s for the end of its predecessor's orders, also when the predecessor is back and could order at once. A freeze of 9 s cost 20 s without orders.

A takeover that is not complete is given up when the former holder is heard from again: the successor makes sure that it never orders, then restores the record.

--- a/internal/node/fleet/era_test.go
+++ b/internal/node/fleet/era_test.go
@@ -225,49 +225,8 @@
 		synctest.Test(t, func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 2))
 			s, store := newRecordSim(t, 1+rng.IntN(2), 3+rng.IntN(2), 4)
-			defer func() {
-				for _, n := range s.nodes {
-					n.Close()
-				}
-			}()
-			type turn struct {
-				vm    string
-				token uint64
-				last  time.Time
-			}
-			turns := make(map[state.UpstreamID]turn)
-			cutUntil, polledAt := make(map[string]time.Time), make(map[string]time.Time)
-			isCut := func(vm string) bool { return time.Now().Before(cutUntil[vm]) }
 			copies := []recordStore{store.copy()}
-			for step := range 600 {
-				time.Sleep(gossipInterval)
-				s.gossip(isCut)
-				for _, vm := range s.order {
-					if !isCut(vm) && time.Since(polledAt[vm]) >= recordInterval {
-						polledAt[vm] = time.Now()
-						s.poll(s.nodes[vm])
-					}
-				}
-				synctest.Wait()
-				for _, vm := range s.order {
-					n := s.nodes[vm]
-					n.mu.Lock()
-					for id, w := range n.workers {
-						token, isValid := w.leaseValid()
-						before := turns[id]
-						if !isValid {
-							continue
-						}
-						note := qt.Commentf("seed %d, step %d: %s holds %s with %x after %s with %x", seed, step, vm, id, token, before.vm, before.token)
-						if before.vm != "" && before.vm != vm {
-							s.Assert(time.Since(before.last) >= n.opts.MinHandoverInterval, qt.IsTrue, note)
-							s.Assert(token > before.token, qt.IsTrue, note)
-						}
-						s.Assert(token >= before.token, qt.IsTrue, note)
-						turns[id] = turn{vm, token, time.Now()}
-					}
-					n.mu.Unlock()
-				}
+			held := s.checkLeases(seed, func(step int, cut func(vm string, d time.Duration)) {
 				if step%10 == 0 {
 					copies = append(copies, store.copy())
 				}
@@ -276,14 +235,65 @@
 					store.restore(copies[max(0, len(copies)-1-rng.IntN(25))])
 					copies = []recordStore{store.copy()}
 				case rng.IntN(60) == 0:
-					cutUntil[vm] = time.Now().Add(time.Duration(rng.IntN(30)) * time.Second)
+					cut(vm, time.Duration(rng.IntN(30))*time.Second)
 				}
-			}
-			s.Assert(len(turns), qt.Equals, 4, qt.Commentf("seed %d: each engine has had a lease holder", seed))
+			})
+			s.Assert(held, qt.Equals, 4, qt.Commentf("seed %d: each engine has had a lease holder", seed))
 		})
 	}
 }
 
+// checkLeases plays two minutes of a fleet and fails if two daemons may order at an engine, or take turns there faster than
+// the platform allows, or if a fencing token is used again. disrupt is called before each step of gossipInterval; it may
+// cut a daemon off from its peers and the store. checkLeases returns how many engines had a lease holder.
+func (s *sim) checkLeases(seed uint64, disrupt func(step int, cut func(vm string, d time.Duration))) int {
+	defer func() {
+		for _, n := range s.nodes {
+			n.Close()
+		}
+	}()
+	type turn struct {
+		vm    string
+		token uint64
+		last  time.Time
+	}
+	turns := make(map[state.UpstreamID]turn)
+	cutUntil, polledAt := make(map[string]time.Time), make(map[string]time.Time)
+	isCut := func(vm string) bool { return time.Now().Before(cutUntil[vm]) }
+	for step := range 600 {
+		time.Sleep(gossipInterval)
+		s.gossip(isCut)
+		for _, vm := range s.order {
+			if !isCut(vm) && time.Since(polledAt[vm]) >= recordInterval {
+				polledAt[vm] = time.Now()
+				s.poll(s.nodes[vm])
+			}
+		}
+		synctest.Wait()
+		for _, vm := range s.order {
+			n := s.nodes[vm]
+			n.mu.Lock()
+			for id, w := range n.workers {
+				token, isValid := w.leaseValid()
+				before := turns[id]
+				if !isValid {
+					continue
+				}
+				note := qt.Commentf("seed %d, step %d: %s holds %s with %x after %s with %x", seed, step, vm, id, token, before.vm, before.token)
+				if before.vm != "" && before.vm != vm {
+					s.Assert(time.Since(before.last) >= n.opts.MinHandoverInterval, qt.IsTrue, note)
+					s.Assert(token > before.token, qt.IsTrue, note)
+				}
+				s.Assert(token >= before.token, qt.IsTrue, note)
+				turns[id] = turn{vm, token, time.Now()}
+			}
+			n.mu.Unlock()
+		}
+		disrupt(step, func(vm string, d time.Duration) { cutUntil[vm] = time.Now().Add(d) })
+	}
+	return len(turns)
+}
+
 // Guards against daemons that the store's copy does not know, or knows in an earlier run, and that are strangers to their
 // peers from then on.
 func TestDaemonsThatTheStoresCopyLacksStayPeersAndAreRecordedAgain(t *testing.T) {
--- a/internal/node/fleet/gossip.go
+++ b/internal/node/fleet/gossip.go
@@ -223,6 +223,8 @@
 			event := "peer regained"
 			if lost {
 				event = "peer lost"
+			} else if n.hasClaimedFrom(m.VM) {
+				n.RefreshRecords()
 			}
 			n.opts.Log.Event(event, slog.String("peer", m.VM), slog.String("err", m.lastErr))
 		}
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -89,6 +89,7 @@
 	members         map[string]*member // by VM, without this daemon
 	holders         map[state.UpstreamID]Holder
 	workers         map[state.UpstreamID]*worker
+	replacedRecords map[state.UpstreamID]Holder    // of engines that this daemon claimed from another lease holder
 	unlistedSince   map[state.UpstreamID]time.Time // engines of own records that are not listed
 	revisions       protocol.StoreRevisions        // of the copies of the store's objects; reads replaces StoreAge and ReadFor
 	unusableConfig  string                         // the last reason why a configuration was unusable
@@ -129,18 +130,20 @@
 // New returns a node. Start starts it.
 func New(opts Options) *Node {
 	return &Node{
-		opts:          opts,
-		listed:        opts.Self,
-		window:        sharedWindow{window: loadwindow.New()},
-		members:       make(map[string]*member),
-		holders:       make(map[state.UpstreamID]Holder),
-		workers:       make(map[state.UpstreamID]*worker),
-		unlistedSince: make(map[state.UpstreamID]time.Time),
-		versions:      make(map[upstreams.Adapter]int),
-		watchCancels:  make(map[string]context.CancelFunc),
-		demand:        make(map[string]*pendingDemand),
-		heardReads:    make(map[state.DaemonID]uint64),
-		departures:    make(map[state.UpstreamID]departure),
+		opts:    opts,
+		listed:  opts.Self,
+		window:  sharedWindow{window: loadwindow.New()},
+		members: make(map[string]*member),
+		holders: make(map[state.UpstreamID]Holder),
+		workers: make(map[state.UpstreamID]*worker),
+
+		replacedRecords: make(map[state.UpstreamID]Holder),
+		unlistedSince:   make(map[state.UpstreamID]time.Time),
+		versions:        make(map[upstreams.Adapter]int),
+		watchCancels:    make(map[string]context.CancelFunc),
+		demand:          make(map[string]*pendingDemand),
+		heardReads:      make(map[state.DaemonID]uint64),
+		departures:      make(map[state.UpstreamID]departure),
 
 		appliedRefusals: make(map[string]uint64),
 
--- a/internal/node/fleet/push.go
+++ b/internal/node/fleet/push.go
@@ -175,6 +175,7 @@
 			r.Holders[h.Engine] = h
 		}
 		n.applyRecords(now, r)
+		n.beginLeases()
 	}
 	if newer.Upstreams != nil {
 		n.applyPeerUpstreams(now, known, newer.Upstreams)
--- a/internal/node/fleet/recordsync.go
+++ b/internal/node/fleet/recordsync.go
@@ -177,6 +177,19 @@
 	}
 }
 
+// beginLeases requests a read of the records if those from a peer name this daemon as the new lease holder of an engine: the
+// lease begins with this daemon's own read.
+func (n *Node) beginLeases() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for id, h := range n.holders {
+		if h.VM == n.opts.Self.VM && n.workers[id] == nil && n.opts.View.Upstream(id) != nil {
+			n.RefreshRecords()
+			return
+		}
+	}
+}
+
 // renewLeases renews this daemon's leases according to records that it read from the store
 // itself, by a call sent at askedAt. It reports whether the records list this incarnation of
 // the daemon.
--- a/internal/node/fleet/takeover_test.go
+++ b/internal/node/fleet/takeover_test.go
@@ -1,6 +1,10 @@
 package fleet
 
 import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,6 +57,82 @@
 	}
 }
 
+// emptyEngines report that they hold a model and no adapters.
+type emptyEngines struct{ silentEngines }
+
+func (emptyEngines) Report(context.Context, string) (EngineReport, error) {
+	return EngineReport{StartTime: 1, Holding: upstreams.Residency{Models: map[string]int{"m": 1}}}, nil
+}
+
+// orderers returns the daemons that may order at an engine now.
+func (s *sim) orderers(id state.UpstreamID) []string {
+	var list []string
+	for _, vm := range s.order {
+		n := s.nodes[vm]
+		n.mu.Lock()
+		w := n.workers[id]
+		n.mu.Unlock()
+		if w == nil {
+			continue
+		}
+		if _, isValid := w.leaseValid(); isValid {
+			list = append(list, vm)
+		}
+	}
+	return list
+}
+
+// Guards against an engine that gets no orders for the whole time of a takeover (13.5 s), as its lease holder was frozen for
+// 9 s: the successor kept the engine, although the lease holder was back before it could order.
+func TestAnEngineReturnsToItsLeaseHolderThatIsBackBeforeTheTakeoverIsComplete(t *testing.T) {
+	for _, away := range []time.Duration{5 * time.Second, 9 * time.Second, 12 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			s, _ := newRecordSim(t, 1, 3, 1)
+			defer func() {
+				for _, n := range s.nodes {
+					n.Close()
+				}
+			}()
+			for _, n := range s.nodes {
+				n.opts.Engines = emptyEngines{}
+			}
+			var frozen string
+			polledAt := make(map[string]time.Time)
+			run := func(d time.Duration, until func() bool) {
+				for end := time.Now().Add(d); time.Now().Before(end) && !until(); {
+					time.Sleep(gossipInterval)
+					s.gossip(func(vm string) bool { return vm == frozen })
+					for _, vm := range s.order {
+						n := s.nodes[vm]
+						interval := recordInterval
+						select {
+						case <-n.refreshRequested:
+							interval = minRecordInterval
+						default:
+						}
+						if vm != frozen && time.Since(polledAt[vm]) >= interval {
+							polledAt[vm] = time.Now()
+							s.poll(n)
+						}
+					}
+					synctest.Wait()
+				}
+			}
+			never := func() bool { return false }
+			run(40*time.Second, never)
+			s.Assert(s.orderers("e0"), qt.HasLen, 1)
+			holder := s.orderers("e0")[0]
+			frozen = holder
+			run(away, never)
+			frozen = ""
+			thawed := time.Now()
+			run(time.Minute, func() bool { return len(s.orderers("e0")) > 0 && s.nodes[holder].holders["e0"].PreviousVM == "" })
+			s.Check(s.orderers("e0"), qt.DeepEquals, []string{holder}, qt.Commentf("away for %v", away))
+			s.Check(time.Since(thawed) <= 2*recordInterval, qt.IsTrue, qt.Commentf("away for %v, orders again after %v", away, time.Since(thawed)))
+		})
+	}
+}
+
 // Guards against an engine that its new lease holder releases again, as a peer sent records that had been read before the
 // claim: the takeover began anew.
 func TestRecordsReadBeforeAClaimDoNotUndoIt(t *testing.T) {
@@ -81,3 +161,71 @@
 		s.Check(n.workers["e0"], qt.IsNil, qt.Commentf("another daemon has claimed it since"))
 	})
 }
+
+// lateStore is a recordStore that loses answers of writes, and executes some of these writes seconds later.
+type lateStore struct {
+	*recordStore
+	rng  *rand.Rand
+	late []lateWrite
+}
+
+type lateWrite struct {
+	h  Holder
+	at time.Time
+}
+
+var errLost = errors.New("the answer is lost")
+
+func (s *lateStore) PutHolder(ctx context.Context, h Holder) (Holder, error) {
+	switch s.rng.IntN(6) {
+	case 0:
+		s.late = append(s.late, lateWrite{h, time.Now().Add(time.Duration(1+s.rng.IntN(6)) * time.Second)})
+		return Holder{}, errLost
+	case 1:
+		_, _ = s.recordStore.PutHolder(ctx, h)
+		return Holder{}, errLost
+	}
+	return s.recordStore.PutHolder(ctx, h)
+}
+
+// executeLate executes the late writes whose time has come.
+func (s *lateStore) executeLate() {
+	s.late = slices.DeleteFunc(s.late, func(w lateWrite) bool {
+		if time.Now().Before(w.at) {
+			return false
+		}
+		_, _ = s.recordStore.PutHolder(context.Background(), w.h)
+		return true
+	})
+}
+
+// Guards against two daemons that order at an engine while takeovers are given up, as lease holders freeze and come back,
+// the successors freeze as well, and answers of the store are lost.
+func TestLeasesStayExclusiveWhileEnginesAreReturned(t *testing.T) {
+	returns := 0
+	for seed := range uint64(30) {
+		synctest.Test(t, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 7))
+			s, records := newRecordSim(t, 1+rng.IntN(2), 3+rng.IntN(2), 4)
+			store := &lateStore{recordStore: records, rng: rng}
+			for _, n := range s.nodes {
+				n.opts.Store, n.opts.Engines = store, emptyEngines{}
+			}
+			before := make(map[state.UpstreamID]Holder)
+			s.checkLeases(seed, func(_ int, cut func(vm string, d time.Duration)) {
+				store.executeLate()
+				for id, h := range store.holders {
+					if b := before[id]; b.PreviousVM != "" && b.PreviousVM == h.VM {
+						returns++
+					}
+					before[id] = h
+				}
+				if vm := s.order[rng.IntN(len(s.order))]; rng.IntN(40) == 0 {
+					cut(vm, time.Duration(1+rng.IntN(25))*time.Second)
+				}
+			})
+		})
+	}
+	qt.Check(t, returns > 0, qt.IsTrue)
+	t.Logf("%d engines returned", returns)
+}
--- a/internal/node/fleet/worker.go
+++ b/internal/node/fleet/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"sync"
 	"time"
 
@@ -79,6 +80,25 @@
 	w.lease.RenewedAt = max(w.lease.RenewedAt, askedAt)
 }
 
+// suspend makes a worker whose takeover is not complete send no orders until resumeTakeover. It returns false if the
+// takeover is complete, so that the worker may have ordered.
+func (w *worker) suspend() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.node.opts.BootClock() >= w.lease.ValidFrom {
+		return false
+	}
+	w.lease.ValidFrom = math.MaxInt64
+	return true
+}
+
+// resumeTakeover lets a suspended worker send orders from a time on.
+func (w *worker) resumeTakeover(from time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lease.ValidFrom = from
+}
+
 // canOrder reports whether the worker can order loads at its engine.
 func (w *worker) canOrder() bool {
 	w.mu.Lock()
