Takeover: asking a silent peer does not make its silence look shorter

Cause: after two unanswered messages a peer was taken to have been heard 1.2 s ago, also if it had been silent for longer. A small fleet goes on asking, so that no silence reached the 4 s of a takeover.

An unanswered message never makes a silence shorter. TestTheEngineOfAMachineThatNeverReturnsGetsAnotherLeaseHolder failed before in seven of eight cases (no claim within a minute) and passes: within 5.5 s with 2, 3, 9 and 60 daemons.

--- a/internal/node/fleet/gossip.go
+++ b/internal/node/fleet/gossip.go
@@ -461,8 +461,11 @@
 	if m.failures%maxUnansweredMessages != 0 {
 		return false
 	}
-	// Treat the peer as silent until it sends again, so that another relay is chosen.
-	m.lastHeard = n.opts.Clock().Add(-relays.SilentAfter)
+	// Treat the peer as silent until it sends again, so that another relay is chosen. A peer that was silent
+	// before stays so for longer: its leases are taken over after TakeoverAfter.
+	if silent := n.opts.Clock().Add(-relays.SilentAfter); silent.Before(m.lastHeard) {
+		m.lastHeard = silent
+	}
 	m.failures = 0
 	return true
 }
--- a/internal/node/fleet/takeover_test.go
+++ b/internal/node/fleet/takeover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -39,6 +40,27 @@
 	return list
 }
 
+// Guards against an engine without orders: its lease holder was lost for good, and as the peers went on to ask the
+// lost daemon, each unanswered message made its silence look shorter than TakeoverAfter.
+func TestTheEngineOfAMachineThatNeverReturnsGetsAnotherLeaseHolder(t *testing.T) {
+	for _, fleet := range []struct{ zones, each int }{{1, 2}, {1, 3}, {3, 3}, {3, 20}} {
+		for _, holder := range []string{"z0-00", fmt.Sprintf("z0-%02d", fleet.each-1)} {
+			t.Run(fmt.Sprintf("%d daemons, holder %s", fleet.zones*fleet.each, holder), func(t *testing.T) {
+				s := newSim(t, fleet.zones, fleet.each)
+				s.listEngine("z0", holder)
+				s.roundsWithTimeouts(3 * time.Second)
+				s.Assert(s.claimants(), qt.HasLen, 0)
+				s.down[holder] = true
+				lost := s.now
+				for len(s.claimants()) == 0 && s.now.Sub(lost) < time.Minute {
+					s.roundsWithTimeouts(gossipInterval)
+				}
+				s.Check(s.now.Sub(lost) <= holders.TakeoverAfter+recordInterval, qt.IsTrue, qt.Commentf("claimed by %v after %v", s.claimants(), s.now.Sub(lost)))
+			})
+		}
+	}
+}
+
 // Guards against a daemon that takes the engines of its live peers when it runs again after a stall: it had heard from
 // nobody for that long, and each engine got no orders until the takeover was complete.
 func TestADaemonThatStoodStillDoesNotTakeOverFromItsPeers(t *testing.T) {
