Versions: each counts from its own announcement

Cause: for 3 s after the newest announcement, all older versions were allowed again. With versions in succession the grace period never ended.

The rule stands in internal/coordination/versions and is asked by the choice and by the check of waiting requests, which now ends at the time of the version on which they would run. TestAnEngineIsNotChosenForAVersionWhoseTimeIsOver and TestAWaitingRequestDoesNotStartHoweverManyVersionsFollow failed before (chosen at version 3; withdrawn after 1.8 s).

--- a/internal/node/fleet/choose.go
+++ b/internal/node/fleet/choose.go
@@ -27,6 +27,8 @@
 type Placement struct {
 	balance.Decision
 	Version int // 0 for any
+	// RunsVersion is the version on which the request will run, as far as known.
+	RunsVersion int
 	// ListAge is the age of the list of upstreams.
 	ListAge time.Duration
 	// ResidencyAge is the age of the lease holder's report on the engine, zero without a report.
@@ -35,26 +37,17 @@
 	Basis VersionBasis
 }
 
-// VersionBasis is what a choice knew of the versions of an adapter.
-type VersionBasis struct {
-	Newest    int           // newest announced version, 0 if none was announced
-	NewestAge time.Duration // since this daemon learned of it
-	Resident  int           // version at the chosen engine, 0 without the adapter
-	CanLoad   bool          // the lease holder of the chosen engine accepts loads
-}
-
 // Choose decides which upstream serves a request to a service. It prefers engines with the
-// newest version of the adapter. Engines with an older version are chosen within
-// OutdatedGracePeriod, if no other engine can serve the request. Each call
-// also counts as a request for the model.
+// newest version of the adapter. Engines with an older version that may still begin a run are
+// chosen if no other engine can serve the request. Each call also counts as a request for the
+// model.
 func (v *View) Choose(req PlacementRequest) Placement {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.opts.Clock()
 	req.Request.Zone = v.opts.Zone
 	req.Request.ReplicaRatio = v.replicaRatio(now, req.Adapter)
-	newest := v.newestVersions[req.Adapter]
-	outdatedOK := now.Sub(newest.at) < v.opts.OutdatedGracePeriod
+	newest, oldest := v.newestVersion(req.Adapter), v.oldestVersion(req.Adapter)
 	var list, outdated []balance.Candidate
 	var barred barred
 	for _, u := range v.byService[req.Service] {
@@ -70,8 +63,8 @@
 			continue
 		}
 		c, version := v.candidate(now, u, req.Adapter)
-		if c.Resident && version < newest.version {
-			if outdatedOK {
+		if c.Resident && version < newest {
+			if version >= oldest {
 				outdated = append(outdated, c)
 			}
 			c.Resident = false
@@ -99,18 +92,21 @@
 		d = v.tracker.ChooseEngine(now, req.Request, req.Adapter, outdated, req.Engine.KVTokens, req.Limits, draw)
 		return v.placement(now, req.Adapter, d, 0)
 	}
-	return v.placement(now, req.Adapter, d, newest.version)
+	return v.placement(now, req.Adapter, d, newest)
 }
 
 // placement completes a decision with the version and the ages of the data that the decision
 // is based on. If the lease holder is to be notified of a use, it records the time.
 func (v *View) placement(now time.Time, a upstreams.Adapter, d balance.Decision, version int) Placement {
-	p := Placement{Decision: d, Version: version, ListAge: now.Sub(v.listConfirmedAt)}
-	if newest := v.newestVersions[a]; newest.version > 0 {
-		p.Basis.Newest, p.Basis.NewestAge = newest.version, now.Sub(newest.at)
-		if d.Upstream != nil {
-			_, p.Basis.Resident = v.candidate(now, d.Upstream, a)
-			p.Basis.CanLoad = v.loadable[d.Upstream.ID]
+	p := Placement{Decision: d, Version: version, RunsVersion: version, ListAge: now.Sub(v.listConfirmedAt)}
+	if h := v.versions[a]; h != nil {
+		p.Basis.Newest, p.Basis.NewestAge = h.Newest(), h.Age(v.opts.BootClock())
+	}
+	if d.Upstream != nil && a.Name != "" {
+		_, p.Basis.Resident = v.candidate(now, d.Upstream, a)
+		p.Basis.CanLoad = v.loadable[d.Upstream.ID]
+		if version == 0 {
+			p.RunsVersion = p.Basis.Resident
 		}
 	}
 	if d.AnnounceUse {
--- a/internal/node/fleet/report.go
+++ b/internal/node/fleet/report.go
@@ -68,7 +68,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	byVersion := make(map[upstreams.Adapter]map[int][]state.UpstreamID)
-	for a := range v.newestVersions {
+	for a := range v.versions {
 		byVersion[a] = make(map[int][]state.UpstreamID)
 	}
 	for id, u := range v.byID {
@@ -107,7 +107,7 @@
 		for _, ids := range versions {
 			slices.Sort(ids)
 		}
-		r.Adapters = append(r.Adapters, protocol.AdapterReport{Adapter: a.String(), Newest: v.newestVersions[a].version, Replicas: versions})
+		r.Adapters = append(r.Adapters, protocol.AdapterReport{Adapter: a.String(), Newest: v.newestVersion(a), Replicas: versions})
 	}
 	slices.SortFunc(r.Upstreams, func(a, b protocol.UpstreamReport) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(r.Adapters, func(a, b protocol.AdapterReport) int { return cmp.Compare(a.Adapter, b.Adapter) })
--- a/internal/node/fleet/storesync.go
+++ b/internal/node/fleet/storesync.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/relays"
+	"github.com/celerydeck/celerydeck/internal/coordination/versions"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/state/upstreams"
@@ -235,7 +236,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, v := range list {
-		if !n.opts.View.SetNewestVersion(v.Adapter, v.Version) {
+		if !n.opts.View.RecordVersion(v.Adapter, versions.Announcement{Version: v.Version, At: n.opts.BootClock()}) {
 			continue
 		}
 		n.opts.Log.Event("adapter version announced", slog.String("adapter", v.Adapter.String()), slog.Int("version", v.Version))
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -17,6 +17,7 @@
 	"github.com/celerydeck/celerydeck/internal/coordination/residency"
 	"github.com/celerydeck/celerydeck/internal/coordination/retrybudget"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
+	"github.com/celerydeck/celerydeck/internal/coordination/versions"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
@@ -58,8 +59,8 @@
 type ViewOptions struct {
 	Zone    state.Zone
 	Retries RetryLimits
-	// OutdatedGracePeriod is how long an older version of an adapter may serve after a
-	// newer version was announced.
+	// OutdatedGracePeriod is how long a version of an adapter may begin runs after the next newer
+	// version was announced.
 	OutdatedGracePeriod time.Duration
 	// ConfigApplyTime is the time within which a configuration is in force at every daemon that
 	// reaches the store or its peers. Zero means that this daemon always has the newest one.
@@ -70,7 +71,7 @@
 	IsConnected func(addr string) bool
 	Log         *decisionlog.Log
 	Clock       func() time.Time
-	// BootClock also counts while the machine is suspended. It is needed with ConfigApplyTime.
+	// BootClock also counts while the machine is suspended. Without it, times are those of Clock.
 	BootClock func() time.Duration
 }
 
@@ -84,13 +85,6 @@
 	adapters     map[upstreams.Adapter]residency.ResidentAdapter
 }
 
-// announcedVersion is the newest announced version of an adapter and when this daemon first
-// received it.
-type announcedVersion struct {
-	version int
-	at      time.Time
-}
-
 // engineAdapter identifies an adapter at one engine.
 type engineAdapter struct {
 	engine  state.UpstreamID
@@ -111,7 +105,7 @@
 	byService       map[string][]*upstreams.Upstream
 	engineStates    map[state.UpstreamID]engineState
 	missedAt        map[engineAdapter]time.Time // when a request last found the adapter missing
-	newestVersions  map[upstreams.Adapter]announcedVersion
+	versions        map[upstreams.Adapter]*versions.History
 	tracker         *balance.Tracker
 	signals         *eligibility.Table // what upstreams said in their responses
 	crashes         *quarantine.Table
@@ -143,7 +137,7 @@
 		byService:       make(map[string][]*upstreams.Upstream),
 		engineStates:    make(map[state.UpstreamID]engineState),
 		missedAt:        make(map[engineAdapter]time.Time),
-		newestVersions:  make(map[upstreams.Adapter]announcedVersion),
+		versions:        make(map[upstreams.Adapter]*versions.History),
 		tracker:         balance.NewTracker(),
 		signals:         eligibility.NewTable(),
 		crashes:         quarantine.New(),
@@ -161,7 +155,8 @@
 		confirmation:    configConfirmation{at: neverConfirmed},
 	}
 	if v.opts.BootClock == nil {
-		v.opts.BootClock = func() time.Duration { return 0 }
+		start := opts.Clock()
+		v.opts.BootClock = func() time.Duration { return opts.Clock().Sub(start) }
 	}
 	v.tracker.SetDaemons(minDaemonCount, 0)
 	v.quotas.ledger = quota.New(opts.Clock(), opts.Quotas)
@@ -294,37 +289,6 @@
 	return v.byID[id]
 }
 
-// SetNewestVersion records an announced version of an adapter. It reports whether the
-// version is newer than the newest known version.
-func (v *View) SetNewestVersion(a upstreams.Adapter, version int) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if version <= v.newestVersions[a].version {
-		return false
-	}
-	v.newestVersions[a] = announcedVersion{version: version, at: v.opts.Clock()}
-	return true
-}
-
-// EachNewestVersion calls a function with the newest announced version of each adapter.
-func (v *View) EachNewestVersion(each func(upstreams.Adapter, int)) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for a, n := range v.newestVersions {
-		each(a, n.version)
-	}
-}
-
-// IsSuperseded reports whether a request that was sent for a version of an adapter must no
-// longer start because a newer version was announced more than OutdatedGracePeriod ago.
-// Version 0 stands for a request that accepts any version.
-func (v *View) IsSuperseded(a upstreams.Adapter, version int) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	newest := v.newestVersions[a]
-	return newest.version > version && v.opts.Clock().Sub(newest.at) >= v.opts.OutdatedGracePeriod
-}
-
 // SetEngineState replaces a lease holder's report on its engine.
 func (v *View) SetEngineState(e protocol.EngineState) {
 	v.mu.Lock()
--- a/internal/node/fleet/view_test.go
+++ b/internal/node/fleet/view_test.go
@@ -10,6 +10,7 @@
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
 	"github.com/celerydeck/celerydeck/internal/coordination/residency"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
+	"github.com/celerydeck/celerydeck/internal/coordination/versions"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
@@ -64,3 +65,37 @@
 	}
 	c.Assert(v.LeastCoveredModel("llm", models), qt.Equals, "m1")
 }
+
+// Guards against requests that begin on an old version of their adapter: versions 2 and 3 follow each other by a little more
+// than the grace period, and the announcement of version 3 let engines with version 1 serve again. An engine that nobody
+// can order to load keeps its version for as long as that.
+func TestAnEngineIsNotChosenForAVersionWhoseTimeIsOver(t *testing.T) {
+	c := qt.New(t)
+	log := decisionlog.New(io.Discard, "vm")
+	c.Cleanup(log.Close)
+	begin := time.Unix(1000, 0)
+	now := begin
+	v := NewView(ViewOptions{Zone: "z", OutdatedGracePeriod: 3 * time.Second, Log: log, Clock: func() time.Time { return now }})
+	a := upstreams.Adapter{Model: "m", Name: "a1"}
+	announce := func(version int) {
+		v.RecordVersion(a, versions.Announcement{Version: version, At: now.Sub(begin)})
+	}
+	v.SetUpstreams(now, []upstreams.Upstream{{
+		ID: "e1", Service: "llm", Zone: "z", Slots: 8, Residency: upstreams.Residency{Models: map[string]int{"m": 1}, Adapters: map[upstreams.Adapter]int{a: 1}},
+	}})
+	req := PlacementRequest{
+		Service: "llm", Engine: &routes.EngineSpec{Slots: 8, KVTokens: 1 << 20}, Adapter: a, Request: balance.Request{TokensIn: 10},
+		Limits: balance.Limits{LatencyObjective: time.Second, MaxStartDelay: time.Second}, Excluded: func(state.UpstreamID) bool { return false },
+	}
+	isChosen := func() bool { return v.Choose(req).Upstream != nil }
+	c.Assert(isChosen(), qt.IsTrue)
+	announce(2)
+	now = begin.Add(2900 * time.Millisecond)
+	c.Assert(isChosen(), qt.IsTrue, qt.Commentf("within the grace period of version 2"))
+	now = begin.Add(3 * time.Second)
+	c.Assert(isChosen(), qt.IsFalse, qt.Commentf("after it"))
+	now = begin.Add(5400 * time.Millisecond)
+	announce(3)
+	c.Assert(isChosen(), qt.IsFalse, qt.Commentf("after the announcement of version 3"))
+	c.Assert(v.Choose(req).Basis, qt.Equals, VersionBasis{Newest: 3})
+}
--- a/internal/node/gateway/crash.go
+++ b/internal/node/gateway/crash.go
@@ -45,22 +45,28 @@
 	return true
 }
 
-// guardStart resets the connection of a request that must no longer start: its adapter version
-// was superseded, so that it would run on the older version, or it was quarantined since it was
-// sent, so that it would crash its upstream.
+// guardStart resets the connection of a request that must no longer start: the version on which it
+// would run must not begin a run any more, or it was quarantined since it was sent, so that it would
+// crash its upstream.
 func (x *exchange) guardStart(version int, started <-chan struct{}) {
 	view := x.c.g.opts.View
-	tick := time.NewTicker(startCheckInterval)
-	defer tick.Stop()
 	for {
+		wait := startCheckInterval
+		endsIn, hasEnd := view.VersionEndsIn(x.c.meta.Adapter, version)
+		if hasEnd {
+			wait = min(wait, max(0, endsIn))
+		}
+		timer := time.NewTimer(wait)
 		select {
 		case <-started:
+			timer.Stop()
 			return
-		case <-tick.C:
+		case <-timer.C:
 		}
+		endsIn, hasEnd = view.VersionEndsIn(x.c.meta.Adapter, version)
 		step := ""
 		switch {
-		case x.c.meta.Adapter.Name != "" && view.IsSuperseded(x.c.meta.Adapter, version):
+		case hasEnd && endsIn <= 0:
 			step = "adapter version superseded"
 		case view.IsQuarantined(x.c.traits):
 			x.wasWithdrawn.Store(true)
--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
+	"github.com/celerydeck/celerydeck/internal/coordination/versions"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/node/fleet"
 	"github.com/celerydeck/celerydeck/internal/node/gateway"
@@ -129,6 +130,7 @@
 	loader  *loader
 	pacer   *pacer
 	server  *httptest.Server
+	boot    func() time.Duration
 }
 
 // newFixture returns a fixture with the routes /plain/ (idempotent), /once/ (not idempotent),
@@ -153,9 +155,13 @@
 		t.Cleanup(log.Close)
 	}
 	opts.Zone, opts.OutdatedGracePeriod, opts.Log, opts.Clock = "z", 400*time.Millisecond, log, time.Now
+	if opts.BootClock == nil {
+		start := time.Now()
+		opts.BootClock = func() time.Duration { return time.Since(start) }
+	}
 	opts.Retries = fleet.RetryLimits{Ratio: 0.2, Burst: 100, Window: 10 * time.Second}
 	view := fleet.NewView(opts)
-	w := &fixture{C: c, view: view, loader: &loader{}, pacer: &pacer{}}
+	w := &fixture{C: c, view: view, boot: opts.BootClock, loader: &loader{}, pacer: &pacer{}}
 	w.gateway = gateway.New(gateway.Options{
 		View: view, Loader: w.loader, Pacer: w.pacer, Pool: httpconn.NewPool(), HeaderCodec: platform.Dialect{}, Log: log, Metrics: noMetrics{}, Clock: time.Now, Probe: probe,
 	})
@@ -191,6 +197,11 @@
 	return w
 }
 
+// announce announces a version of an adapter of the model now.
+func (w *fixture) announce(name string, version int) {
+	w.view.RecordVersion(upstreams.Adapter{Model: model, Name: name}, versions.Announcement{Version: version, At: w.boot()})
+}
+
 func (w *fixture) request(path, body string) *http.Request {
 	r, err := http.NewRequest(http.MethodPost, w.server.URL+path, strings.NewReader(body))
 	w.Assert(err, qt.IsNil)
@@ -432,7 +443,7 @@
 	w := newFixture(t, u)
 	go func() {
 		time.Sleep(50 * time.Millisecond)
-		w.view.SetNewestVersion(upstreams.Adapter{Model: model, Name: "a1"}, 2)
+		w.announce("a1", 2)
 	}()
 	r := w.request("/fixed/", "x")
 	r.Header.Set("X-Model", model+"/a1")
@@ -445,6 +456,33 @@
 	w.Assert(time.Since(begin) < 1500*time.Millisecond, qt.IsTrue)
 }
 
+// Guards against a request that waits at its engine and begins on an old version: a later announcement renewed the time of
+// the version on which it waited, again and again.
+func TestAWaitingRequestDoesNotStartHoweverManyVersionsFollow(t *testing.T) {
+	closed := make(chan struct{})
+	u := serveUpstream(t, "a", func(_ int, _ *http.Request, w net.Conn) {
+		_, _ = w.Read(make([]byte, 1)) // waits until the connection is closed
+		close(closed)
+	})
+	w := newFixture(t, u)
+	w.announce("a1", 2)
+	announced := time.Now()
+	go func() {
+		for v := 3; v < 9; v++ {
+			time.Sleep(200 * time.Millisecond)
+			w.announce("a1", v)
+		}
+	}()
+	r := w.request("/fixed/", "x")
+	r.Header.Set("X-Model", model+"/a1")
+	resp, err := http.DefaultClient.Do(r)
+	w.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	<-closed
+	w.Check(u.arrivals(), qt.Equals, 1)
+	w.Check(time.Since(announced) < 1400*time.Millisecond, qt.IsTrue, qt.Commentf("withdrawn after %v", time.Since(announced)))
+}
+
 func TestTheUpstreamConnectionIsClosedWhenTheCallerLeaves(t *testing.T) {
 	left := make(chan struct{})
 	u := serveUpstream(t, "a", func(_ int, r *http.Request, w net.Conn) {
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -138,19 +138,19 @@
 	x.stopCallerWatch = context.AfterFunc(c.ctx, x.reset)
 	defer x.stopCallerWatch()
 	defer x.reset() // unless the connection was released
-	return x.run(placement.Version)
+	return x.run(placement)
 }
 
 // run writes the request and reads responses up to the response that belongs to the request.
-func (x *exchange) run(version int) outcome {
+func (x *exchange) run(placement fleet.Placement) outcome {
 	c := x.c
 	if c.meta.Adapter.Name != "" || len(c.meta.SharedParts) > 0 {
 		x.started = make(chan struct{})
 		defer x.stopStartGuard()
-		go x.guardStart(version, x.started)
+		go x.guardStart(placement.RunsVersion, x.started)
 	}
 	_ = x.conn.SetDeadline(c.deadline.Add(deadlineSlack)) // a closed connection fails the write
-	if err := x.write(version); err != nil {
+	if err := x.write(placement.Version); err != nil {
 		return x.abort("write request", err)
 	}
 	x.stopSilenceWatch = x.watchSilence()
