Versions: new weights of a model do not refuse requests for the model

Callers got 503 for each request for a model itself, from 3 s after new weights were announced, for good.

Cause: the choice took the version of a model at every engine for 0, so that all were outdated, and nobody loads new weights.

The version of a model is the one that the engine lists, and only adapters have an oldest version. TestRequestsForAModelAreServedAfterNewWeightsWereAnnounced failed before (refused after 3 s).

--- a/internal/node/fleet/choose.go
+++ b/internal/node/fleet/choose.go
@@ -139,7 +139,7 @@
 		}
 		if a.Name == "" {
 			c.Resident = !isMissing
-			return c, 0
+			return c, u.Residency.Models[a.Model]
 		}
 		item, ok := h.adapters[a]
 		c.Resident = ok && !isMissing
@@ -156,6 +156,9 @@
 	}
 	c.Resident = u.Residency.Contains(a) && !isMissing
 	c.Loadable = a.Name != "" && !c.Resident && v.loadable[u.ID]
+	if a.Name == "" {
+		return c, u.Residency.Models[a.Model]
+	}
 	return c, u.Residency.Adapters[a]
 }
 
--- a/internal/node/fleet/view_test.go
+++ b/internal/node/fleet/view_test.go
@@ -99,3 +99,29 @@
 	c.Assert(isChosen(), qt.IsFalse, qt.Commentf("after the announcement of version 3"))
 	c.Assert(v.Choose(req).Basis, qt.Equals, VersionBasis{Newest: 3})
 }
+
+// Guards against refusals of all requests for a model itself after new weights of it were announced: no engine has them, and
+// nobody orders them.
+func TestRequestsForAModelAreServedAfterNewWeightsWereAnnounced(t *testing.T) {
+	c := qt.New(t)
+	log := decisionlog.New(io.Discard, "vm")
+	c.Cleanup(log.Close)
+	now := time.Unix(1000, 0)
+	v := NewView(ViewOptions{Zone: "z", OutdatedGracePeriod: 3 * time.Second, Log: log, Clock: func() time.Time { return now }})
+	model := upstreams.Adapter{Model: "m"}
+	v.SetUpstreams(now, []upstreams.Upstream{{ID: "e1", Service: "llm", Zone: "z", Slots: 8, Residency: upstreams.Residency{Models: map[string]int{"m": 1}}}})
+	v.SetEngineState(protocol.EngineState{Upstream: "e1", Models: []string{"m"}, CanOrder: true})
+	req := PlacementRequest{
+		Service: "llm", Engine: &routes.EngineSpec{Slots: 8, KVTokens: 1 << 20}, Adapter: model, Request: balance.Request{TokensIn: 10},
+		Limits: balance.Limits{LatencyObjective: time.Second, MaxStartDelay: time.Second}, Excluded: func(state.UpstreamID) bool { return false },
+	}
+	v.RecordVersion(model, versions.Announcement{Version: 2})
+	for range 8 {
+		now = now.Add(time.Second)
+		p := v.Choose(req)
+		c.Assert(p.Upstream, qt.IsNotNil, qt.Commentf("%v after the announcement: %s", now.Sub(time.Unix(1000, 0)), p.Reason))
+		c.Assert(p.Version, qt.Equals, 0)
+	}
+	_, hasEnd := v.VersionEndsIn(model, 1)
+	c.Assert(hasEnd, qt.IsFalse)
+}
--- a/internal/node/fleet/viewversions.go
+++ b/internal/node/fleet/viewversions.go
@@ -46,9 +46,10 @@
 	return 0
 }
 
-// oldestVersion returns the oldest version of an adapter that may begin a run. The caller holds the lock.
+// oldestVersion returns the oldest version of an adapter that may begin a run. Only adapters have a
+// limit: nobody loads new weights of a model. The caller holds the lock.
 func (v *View) oldestVersion(a upstreams.Adapter) int {
-	if h := v.versions[a]; h != nil {
+	if h := v.versions[a]; h != nil && a.Name != "" {
 		return h.Oldest(v.opts.BootClock(), v.opts.OutdatedGracePeriod)
 	}
 	return 0
@@ -59,7 +60,7 @@
 func (v *View) VersionEndsIn(a upstreams.Adapter, version int) (time.Duration, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if h := v.versions[a]; h != nil {
+	if h := v.versions[a]; h != nil && a.Name != "" {
 		return h.EndsIn(v.opts.BootClock(), v.opts.OutdatedGracePeriod, version)
 	}
 	return 0, false
