Versions: what a daemon learns late is not new

Callers of a daemon that had started, stood still or been cut off could get answers on versions whose time was over everywhere else, for up to 3 s.

Cause: each daemon counted from the moment at which it learned of a version, and peers sent no ages.

Versions travel with the time since their announcement, and the earliest counts. The first versions after a start have no known age and count as old until a peer names it; after a stall, what the store's watch returns counts as older by the stall.

--- a/internal/coordination/versions/versions.go
+++ b/internal/coordination/versions/versions.go
@@ -116,12 +116,9 @@
 	return left, isSuperseded
 }
 
-// Since calls a function with the announcements that were made less than a time ago, and with the
-// newest one.
-func (h *History) Since(now, age time.Duration, each func(Announcement)) {
-	for i, a := range h.list {
-		if i == len(h.list)-1 || !a.IsOld && now-a.At < age {
-			each(a)
-		}
+// Each calls a function with the announcements, older versions first.
+func (h *History) Each(call func(Announcement)) {
+	for _, a := range h.list {
+		call(a)
 	}
 }
--- a/internal/coordination/versions/versions_test.go
+++ b/internal/coordination/versions/versions_test.go
@@ -52,7 +52,7 @@
 		now := time.Duration(v) * pace
 		h.Add(now, grace, versions.Announcement{Version: v, At: now})
 		n := 0
-		h.Since(now, time.Hour, func(versions.Announcement) { n++ })
+		h.Each(func(versions.Announcement) { n++ })
 		c.Assert(n <= 10, qt.IsTrue, qt.Commentf("%d announcements are kept", n))
 		left, _ := h.EndsIn(now, grace, v-1)
 		c.Assert(left >= grace/2, qt.IsTrue, qt.Commentf("version %d has %v left at its end", v-1, left))
--- a/internal/decisionlog/trace.go
+++ b/internal/decisionlog/trace.go
@@ -29,7 +29,7 @@
 }
 
 // durationKeys are the keys of attributes with values in nanoseconds.
-var durationKeys = []string{"took", "first", "load_wait", "estimate", "report_age", "retry_after", "list_age", "held_age", "ready_in", "left", "after", "pause", "longest_pause", "hold", "wasted", "newest_age", "sent_after"}
+var durationKeys = []string{"took", "first", "load_wait", "estimate", "report_age", "retry_after", "list_age", "held_age", "ready_in", "left", "after", "pause", "longest_pause", "hold", "wasted", "newest_age", "sent_after", "age"}
 
 // Text formats the attributes as key=value, sorted by key. It omits empty values.
 func (l *Line) Text() string {
--- a/internal/node/fleet/gossip.go
+++ b/internal/node/fleet/gossip.go
@@ -148,6 +148,7 @@
 		}
 		push := &protocol.FleetPush{States: []protocol.DaemonState{own}, Crashes: n.recentCrashes(now), Survivals: n.recentSurvivals(now), Revisions: n.currentRevisions(now)}
 		push.RepeatedCrashes = n.repeatedCrashesFor(now, m)
+		push.RecentVersions = n.recentVersionsFor(now, m)
 		if isRelay {
 			push.States = append(push.States, n.relayedStates(now, m.Zone)...)
 			push.Demand = n.drainDemandFor(m)
@@ -199,15 +200,17 @@
 // noticeStall recognizes that this daemon did not run for a while, and leaves that time out of the silence of its
 // peers: their messages of that time are lost or not yet read. The caller holds the lock.
 func (n *Node) noticeStall(now time.Time) {
-	stalled := now.Sub(n.checkedAt)
-	isStall := !n.checkedAt.IsZero() && stalled >= minStall
-	n.checkedAt = now
+	boot := n.opts.BootClock()
+	elapsed, stall := now.Sub(n.checkedAt), boot-n.checkedBoot
+	isStall := !n.checkedAt.IsZero() && stall >= minStall
+	n.checkedAt, n.checkedBoot = now, boot
 	if !isStall {
 		return
 	}
-	n.opts.Log.Event("daemon stood still", slog.Duration("after", stalled))
+	n.stall, n.stallEnd = stall, boot
+	n.opts.Log.Event("daemon stood still", slog.Duration("after", stall))
 	for _, m := range n.members {
-		if m.lastHeard = m.lastHeard.Add(stalled); m.lastHeard.After(now) {
+		if m.lastHeard = m.lastHeard.Add(elapsed); m.lastHeard.After(now) {
 			m.lastHeard = now
 		}
 	}
@@ -223,8 +226,11 @@
 			event := "peer regained"
 			if lost {
 				event = "peer lost"
-			} else if n.hasClaimedFrom(m.VM) {
-				n.RefreshRecords()
+			} else {
+				m.needsVersionsUntil = now.Add(recentVersionsPeriod)
+				if n.hasClaimedFrom(m.VM) {
+					n.RefreshRecords()
+				}
 			}
 			n.opts.Log.Event(event, slog.String("peer", m.VM), slog.String("err", m.lastErr))
 		}
@@ -334,6 +340,7 @@
 	k.LastReader, k.ReadSequence = n.lastRead.by, n.lastRead.sequence
 	k.ReadFor = n.reads.Last.Sub(n.reads.Since)
 	k.ConfigAge = n.opts.View.ConfigAge()
+	k.HasVersions = n.hasVersions
 	if n.era.isSeen {
 		k.Era, k.EraAge = n.era.newest, n.opts.BootClock()-n.era.since
 	}
--- a/internal/node/fleet/gossip_test.go
+++ b/internal/node/fleet/gossip_test.go
@@ -50,7 +50,7 @@
 	clock := func() time.Time { return s.now }
 	log := decisionlog.New(io.Discard, m.VM)
 	t.Cleanup(log.Close)
-	view := NewView(ViewOptions{Zone: m.Zone, Log: log, Clock: clock, Retries: RetryLimits{Ratio: 1, Burst: 1, Window: time.Second}})
+	view := NewView(ViewOptions{Zone: m.Zone, Log: log, Clock: clock, OutdatedGracePeriod: testGrace, Retries: RetryLimits{Ratio: 1, Burst: 1, Window: time.Second}})
 	return New(Options{
 		Self: m, View: view, Pins: new(peer.Pins), Log: log, Clock: clock, BootClock: func() time.Duration { return s.now.Sub(time.Unix(0, 0)) },
 		UpstreamHeartbeat: 1200 * time.Millisecond, LapsedGracePeriod: 2 * time.Second,
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -67,11 +67,13 @@
 	callInFlight bool
 	// crashesRepeatedAt is when a message to the peer last repeated older crashes.
 	crashesRepeatedAt time.Time
-	lost              bool      // silent, and logged as lost
-	keptUntil         time.Time // see isKept
-	lastErr           string    // of the last failed call
-	state             protocol.DaemonState
-	revisions         protocol.StoreRevisions // as of its last message to this daemon
+	// needsVersionsUntil is until when messages to the peer contain recent versions.
+	needsVersionsUntil time.Time
+	lost               bool      // silent, and logged as lost
+	keptUntil          time.Time // see isKept
+	lastErr            string    // of the last failed call
+	state              protocol.DaemonState
+	revisions          protocol.StoreRevisions // as of its last message to this daemon
 }
 
 // Node reads the store, exchanges state with the peers and orders loads at the engines
@@ -109,11 +111,14 @@
 	storeReachable  bool      // the last call of the store succeeded, or this daemon stopped calling it
 	storeRegainedAt time.Time // when a call of this daemon succeeded again after a failed one
 	leaving         bool
-	checkedAt       time.Time // when noticeStall last ran
-	seq             uint64    // of this daemon's last state
-	rounds          uint64    // of gossip
-	isPublished     bool      // this incarnation's record is in the store
-	publishedAt     time.Time // used by pollRecords only
+	checkedAt       time.Time     // when noticeStall last ran
+	checkedBoot     time.Duration // the same by BootClock
+	stall, stallEnd time.Duration // length and end of the last stall of this daemon, by BootClock
+	hasVersions     bool          // the store's versions were read, or received from a peer, since the start
+	seq             uint64        // of this daemon's last state
+	rounds          uint64        // of gossip
+	isPublished     bool          // this incarnation's record is in the store
+	publishedAt     time.Time     // used by pollRecords only
 	// lastReadHolders are the holder records that this daemon, not a peer, last read.
 	lastReadHolders  map[state.UpstreamID]Holder
 	lastReadAt       time.Duration // when this daemon requested lastReadHolders, by BootClock
--- a/internal/node/fleet/push.go
+++ b/internal/node/fleet/push.go
@@ -19,7 +19,7 @@
 // daemon a digest of the fleet. A peer that is not listed only gets this daemon's revisions.
 func (n *Node) HandlePush(from state.DaemonID, push *protocol.FleetPush) *protocol.FleetReply {
 	now := n.opts.Clock()
-	n.applyNewer(now, push.Revisions, &push.Update, ConfigOrigin{Way: configByPush, Peer: vmOf(from)})
+	n.applyNewer(now, push.Revisions, &push.Update, push.RecentVersions, ConfigOrigin{Way: configByPush, Peer: vmOf(from)})
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	caller := n.memberOf(from)
@@ -37,7 +37,7 @@
 	n.applyRevisions(now, caller.VM, push.Revisions)
 	reply := &protocol.FleetReply{
 		Crashes: n.recentCrashes(now), Survivals: n.recentSurvivals(now), RepeatedCrashes: n.repeatedCrashesFor(now, caller),
-		Revisions: n.currentRevisions(now), Demand: n.drainDemandFor(caller),
+		Revisions: n.currentRevisions(now), Demand: n.drainDemandFor(caller), RecentVersions: n.recentVersionsFor(now, caller),
 	}
 	if isRelay {
 		reply.States = append(n.relayedStates(now, caller.Zone), n.ownState(n.opts.View.OwnInFlight()))
@@ -144,9 +144,7 @@
 		out.Config = t.Config
 	}
 	if n.revisions.Versions > known.Versions {
-		for a, version := range n.versions {
-			out.Versions = append(out.Versions, upstreams.Version{Adapter: a, Version: version})
-		}
+		out.Versions = n.opts.View.announcements(0)
 	}
 	if n.revisions.Upstreams > known.Upstreams {
 		out.Upstreams = n.list
@@ -164,8 +162,8 @@
 }
 
 // applyNewer applies the objects of the store that a peer sent because they are newer there.
-// known are the peer's revisions, and origin is the way to name in logs.
-func (n *Node) applyNewer(now time.Time, known protocol.StoreRevisions, newer *protocol.StoreUpdate, origin ConfigOrigin) {
+// known are the peer's revisions, recent its recent versions, and origin is the way to name in logs.
+func (n *Node) applyNewer(now time.Time, known protocol.StoreRevisions, newer *protocol.StoreUpdate, recent []upstreams.Version, origin ConfigOrigin) {
 	if newer.Config != nil {
 		n.applyConfig(newer.Config, origin)
 	}
@@ -180,13 +178,13 @@
 	if newer.Upstreams != nil {
 		n.applyPeerUpstreams(now, known, newer.Upstreams)
 	}
-	n.applyVersions(newer.Versions)
+	n.applyPeerVersions(known, newer.Versions, recent)
 }
 
 // applyReply applies a peer's reply to a push of this daemon.
 func (n *Node) applyReply(m *member, reply *protocol.FleetReply) {
 	now := n.opts.Clock()
-	n.applyNewer(now, reply.Revisions, &reply.Update, ConfigOrigin{Way: configByReply, Peer: m.VM})
+	n.applyNewer(now, reply.Revisions, &reply.Update, reply.RecentVersions, ConfigOrigin{Way: configByReply, Peer: m.VM})
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	m.lastHeard, m.contacted, m.revisions = now, true, reply.Revisions
--- a/internal/node/fleet/recordsync.go
+++ b/internal/node/fleet/recordsync.go
@@ -133,7 +133,7 @@
 		pins[m.ID()] = m.CertificateHash
 		seen[m.VM] = true
 		if old == nil || old.Incarnation != m.Incarnation {
-			n.members[m.VM] = &member{Member: m, knownSince: now, lastHeard: now}
+			n.members[m.VM] = &member{Member: m, knownSince: now, lastHeard: now, needsVersionsUntil: now.Add(recentVersionsPeriod)}
 			n.opts.Log.Event("peer", slog.String("peer", m.VM), slog.String("addr", m.Addr), slog.String("run", m.Incarnation))
 		} else {
 			old.Member = m
--- a/internal/node/fleet/storesync.go
+++ b/internal/node/fleet/storesync.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/relays"
-	"github.com/celerydeck/celerydeck/internal/coordination/versions"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/state/upstreams"
@@ -213,41 +212,6 @@
 	}
 }
 
-// watchVersions keeps the announced adapter versions up to date.
-func (n *Node) watchVersions() {
-	n.watch(watchedVersions, func(ctx context.Context, at uint64) (uint64, error) {
-		read := n.opts.Store.AdapterVersions
-		if at > 0 {
-			read = func(ctx context.Context) ([]upstreams.Version, uint64, error) {
-				return n.opts.Store.WatchAdapterVersions(ctx, at, watchTimeout)
-			}
-		}
-		list, revision, err := read(ctx)
-		if err == nil {
-			n.applyVersions(list)
-		}
-		return revision, err
-	})
-}
-
-// applyVersions passes announced adapter versions that are newer than the known versions to
-// the view and the workers.
-func (n *Node) applyVersions(list []upstreams.Version) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, v := range list {
-		if !n.opts.View.RecordVersion(v.Adapter, versions.Announcement{Version: v.Version, At: n.opts.BootClock()}) {
-			continue
-		}
-		n.opts.Log.Event("adapter version announced", slog.String("adapter", v.Adapter.String()), slog.Int("version", v.Version))
-		n.revisions.Versions += uint64(v.Version - n.versions[v.Adapter])
-		n.versions[v.Adapter] = v.Version
-		for _, w := range n.workers {
-			w.setNewestVersion(v)
-		}
-	}
-}
-
 // pollUpstreams reads the list of upstreams at intervals.
 func (n *Node) pollUpstreams() {
 	b := storeBackoff{log: n.opts.Log, call: "upstreams"}
--- a/internal/node/fleet/view_test.go
+++ b/internal/node/fleet/view_test.go
@@ -10,7 +10,6 @@
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
 	"github.com/celerydeck/celerydeck/internal/coordination/residency"
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
-	"github.com/celerydeck/celerydeck/internal/coordination/versions"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
@@ -78,7 +77,7 @@
 	v := NewView(ViewOptions{Zone: "z", OutdatedGracePeriod: 3 * time.Second, Log: log, Clock: func() time.Time { return now }})
 	a := upstreams.Adapter{Model: "m", Name: "a1"}
 	announce := func(version int) {
-		v.RecordVersion(a, versions.Announcement{Version: version, At: now.Sub(begin)})
+		v.RecordVersion(upstreams.Version{Adapter: a, Version: version})
 	}
 	v.SetUpstreams(now, []upstreams.Upstream{{
 		ID: "e1", Service: "llm", Zone: "z", Slots: 8, Residency: upstreams.Residency{Models: map[string]int{"m": 1}, Adapters: map[upstreams.Adapter]int{a: 1}},
@@ -115,7 +114,7 @@
 		Service: "llm", Engine: &routes.EngineSpec{Slots: 8, KVTokens: 1 << 20}, Adapter: model, Request: balance.Request{TokensIn: 10},
 		Limits: balance.Limits{LatencyObjective: time.Second, MaxStartDelay: time.Second}, Excluded: func(state.UpstreamID) bool { return false },
 	}
-	v.RecordVersion(model, versions.Announcement{Version: 2})
+	v.RecordVersion(upstreams.Version{Adapter: model, Version: 2})
 	for range 8 {
 		now = now.Add(time.Second)
 		p := v.Choose(req)
--- a/internal/node/fleet/viewversions.go
+++ b/internal/node/fleet/viewversions.go
@@ -17,15 +17,18 @@
 
 // RecordVersion records an announced version of an adapter. It reports whether the version is newer
 // than the newest known one.
-func (v *View) RecordVersion(a upstreams.Adapter, announced versions.Announcement) bool {
+func (v *View) RecordVersion(announced upstreams.Version) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	h := v.versions[a]
+	h := v.versions[announced.Adapter]
 	if h == nil {
 		h = new(versions.History)
-		v.versions[a] = h
+		v.versions[announced.Adapter] = h
 	}
-	return h.Add(v.opts.BootClock(), v.opts.OutdatedGracePeriod, announced)
+	now := v.opts.BootClock()
+	return h.Add(now, v.opts.OutdatedGracePeriod, versions.Announcement{
+		Version: announced.Version, At: now - max(0, announced.Age), IsOld: announced.Age < 0,
+	})
 }
 
 // EachNewestVersion calls a function with the newest announced version of each adapter.
@@ -65,3 +68,25 @@
 	}
 	return 0, false
 }
+
+// announcements returns the announcements that still decide, with their ages. With a limit, it returns those whose
+// age is known and below the limit.
+func (v *View) announcements(limit time.Duration) []upstreams.Version {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.opts.BootClock()
+	var list []upstreams.Version
+	for a, h := range v.versions {
+		h.Each(func(announced versions.Announcement) {
+			age := max(0, now-announced.At)
+			switch {
+			case limit > 0 && (announced.IsOld || age >= limit):
+				return
+			case announced.IsOld:
+				age = -1
+			}
+			list = append(list, upstreams.Version{Adapter: a, Version: announced.Version, Age: age})
+		})
+	}
+	return list
+}
--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -18,7 +18,6 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/routes"
-	"github.com/celerydeck/celerydeck/internal/coordination/versions"
 	"github.com/celerydeck/celerydeck/internal/decisionlog"
 	"github.com/celerydeck/celerydeck/internal/node/fleet"
 	"github.com/celerydeck/celerydeck/internal/node/gateway"
@@ -130,7 +129,6 @@
 	loader  *loader
 	pacer   *pacer
 	server  *httptest.Server
-	boot    func() time.Duration
 }
 
 // newFixture returns a fixture with the routes /plain/ (idempotent), /once/ (not idempotent),
@@ -155,13 +153,9 @@
 		t.Cleanup(log.Close)
 	}
 	opts.Zone, opts.OutdatedGracePeriod, opts.Log, opts.Clock = "z", 400*time.Millisecond, log, time.Now
-	if opts.BootClock == nil {
-		start := time.Now()
-		opts.BootClock = func() time.Duration { return time.Since(start) }
-	}
 	opts.Retries = fleet.RetryLimits{Ratio: 0.2, Burst: 100, Window: 10 * time.Second}
 	view := fleet.NewView(opts)
-	w := &fixture{C: c, view: view, boot: opts.BootClock, loader: &loader{}, pacer: &pacer{}}
+	w := &fixture{C: c, view: view, loader: &loader{}, pacer: &pacer{}}
 	w.gateway = gateway.New(gateway.Options{
 		View: view, Loader: w.loader, Pacer: w.pacer, Pool: httpconn.NewPool(), HeaderCodec: platform.Dialect{}, Log: log, Metrics: noMetrics{}, Clock: time.Now, Probe: probe,
 	})
@@ -199,7 +193,7 @@
 
 // announce announces a version of an adapter of the model now.
 func (w *fixture) announce(name string, version int) {
-	w.view.RecordVersion(upstreams.Adapter{Model: model, Name: name}, versions.Announcement{Version: version, At: w.boot()})
+	w.view.RecordVersion(upstreams.Version{Adapter: upstreams.Adapter{Model: model, Name: name}, Version: version})
 }
 
 func (w *fixture) request(path, body string) *http.Request {
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -71,6 +71,8 @@
 	// known of it.
 	Era    uint64        `cbor:"10,keyasint,omitempty"`
 	EraAge time.Duration `cbor:"11,keyasint,omitempty"`
+	// HasVersions is set if the daemon, or one that it heard from, has read the versions of all adapters.
+	HasVersions bool `cbor:"12,keyasint,omitempty"`
 	// ConfigAge is the time since the store was known to hold no newer configuration.
 	ConfigAge time.Duration `cbor:"7,keyasint"`
 }
@@ -89,6 +91,9 @@
 	Survivals []quarantine.Survival `cbor:"6,keyasint,omitempty"`
 	// RepeatedCrashes are older crashes, for peers that were cut off or have started.
 	RepeatedCrashes []quarantine.Crash `cbor:"7,keyasint,omitempty"`
+	// RecentVersions are versions of adapters that were announced lately, for peers that were cut off or have
+	// started: they may know these versions, but not their ages.
+	RecentVersions []upstreams.Version `cbor:"8,keyasint,omitempty"`
 }
 
 // FleetReply answers a FleetPush.
@@ -121,6 +126,8 @@
 	// FairLevels are, by priority of accounts, the tokens per second and unit of weight from which
 	// an account is served more than its fair share. It is empty in replies to a relay.
 	FairLevels map[int]float32 `cbor:"14,keyasint,omitempty"`
+	// RecentVersions is as in FleetPush.
+	RecentVersions []upstreams.Version `cbor:"15,keyasint,omitempty"`
 }
 
 // StoreUpdate contains the objects of the object store of which its receiver has no copy
--- a/internal/state/upstreams/upstreams.go
+++ b/internal/state/upstreams/upstreams.go
@@ -57,4 +57,7 @@
 type Version struct {
 	Adapter Adapter
 	Version int
+	// Age is the time since the announcement, as far as the sender knows, and negative if it does not know. The
+	// store's lists have no ages.
+	Age time.Duration `cbor:",omitempty"`
 }
