Loads: a request takes the version that was loaded for it

Callers got later answers, or refusals, where versions of an adapter follow each other closely. Seen by reading; not measured by itself.

Cause: with a newer version announced since, a lease holder said that the requested one was not ordered; and where it loaded the newer one, the request went on to expect the older one and was rejected by the engine.

A load is ready in the requested version or a newer one, and the reply names the version. Both tests failed before (not ordered; expected version 2 instead of 3).

--- a/internal/coordination/residency/residency.go
+++ b/internal/coordination/residency/residency.go
@@ -401,7 +401,7 @@
 // resident or loading in the given version or a newer one.
 func (p *Planner) TimeUntilReady(now time.Time, a upstreams.Adapter, version int) (time.Duration, bool) {
 	e := p.adapters[a]
-	if e == nil || e.phase == unloading || e.version < max(version, p.newestVersions[a]) {
+	if e == nil || e.phase == unloading || e.version < version {
 		return 0, false
 	}
 	return max(0, e.readyAt.Sub(now)), true
--- a/internal/coordination/residency/residency_test.go
+++ b/internal/coordination/residency/residency_test.go
@@ -208,6 +208,22 @@
 	c.Assert(o, qt.Equals, Order{Adapter: adapter(1), Unload: true})
 }
 
+// Guards against a load that is refused to the request that waits for it, as a newer version was announced after its order.
+func TestALoadIsReadyForItsRequestAlthoughANewerVersionWasAnnounced(t *testing.T) {
+	c := qt.New(t)
+	p := synced(4)
+	p.SetNewestVersion(adapter(1), 2)
+	c.Assert(p.RequestLoad(start, adapter(1), 2, 0, time.Second), qt.IsTrue)
+	o, ok := p.NextOrder(start, all)
+	c.Assert(ok, qt.IsTrue)
+	p.RecordOutcome(start, o, OutcomeAccepted)
+	p.SetNewestVersion(adapter(1), 3)
+	_, isOrdered := p.TimeUntilReady(start, adapter(1), 2)
+	c.Assert(isOrdered, qt.IsTrue)
+	_, isOrdered = p.TimeUntilReady(start, adapter(1), 3)
+	c.Assert(isOrdered, qt.IsFalse)
+}
+
 // engine is a simple model of an engine. It may execute orders with a delay, unloads an
 // adapter in use only after its requests have ended, reports with a delay and crashes
 // when it is ordered to load more adapters than fit.
--- a/internal/node/fleet/worker.go
+++ b/internal/node/fleet/worker.go
@@ -186,11 +186,12 @@
 		w.mu.Lock()
 		now := w.node.opts.Clock()
 		readyIn, isOrdered := w.planner.TimeUntilReady(now, msg.Adapter, msg.Version)
+		version, _ := w.planner.ResidentVersion(now, msg.Adapter)
 		isPending := w.planner.IsPending(now, msg.Adapter)
 		orderDone := w.orderDone
 		w.mu.Unlock()
 		if isOrdered {
-			return protocol.LoadReply{Accepted: true, ReadyIn: readyIn}
+			return protocol.LoadReply{Accepted: true, ReadyIn: readyIn, Version: version}
 		}
 		if !isPending {
 			return protocol.LoadReply{Reason: "load was not ordered in time"}
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -247,7 +247,7 @@
 		if placement.AnnounceUse {
 			go c.g.announceUse(placement.Upstream.ID, c.meta.Adapter)
 		}
-		if !c.awaitLoad(placement) {
+		if !c.awaitLoad(&placement) {
 			if c.failedLoads >= maxLoadRequests && !c.responseStarted {
 				c.failWithRetryAfter(decisionlog.LoadNotOrdered, balance.NoEngineRetryAfter)
 				return
--- a/internal/node/gateway/loadwait.go
+++ b/internal/node/gateway/loadwait.go
@@ -27,8 +27,9 @@
 }
 
 // awaitLoad requests a load of the adapter if necessary, and waits until the estimated end of
-// the load. If the load was refused, it excludes the engine and returns false.
-func (c *call) awaitLoad(placement fleet.Placement) bool {
+// the load. If the load was refused, it excludes the engine and returns false. It sets the version
+// that the engine loads, as a newer one may have been announced since the choice.
+func (c *call) awaitLoad(placement *fleet.Placement) bool {
 	wait := placement.ReadyIn
 	if placement.Load {
 		ctx, cancel := context.WithTimeout(c.ctx, c.orderWait())
@@ -45,6 +46,12 @@
 			c.excluded[placement.Upstream.ID] = true
 			return false
 		}
+		if reply.Version > placement.Version {
+			placement.RunsVersion = reply.Version
+			if placement.Version > 0 {
+				placement.Version = reply.Version
+			}
+		}
 		wait = reply.ReadyIn
 		c.loadingAt = placement.Upstream.ID
 	} else if wait > 0 {
--- a/internal/node/gateway/loadwait_test.go
+++ b/internal/node/gateway/loadwait_test.go
@@ -72,3 +72,29 @@
 		})
 	}
 }
+
+// Guards against a request that its engine rejects, as a newer version of the adapter was announced and loaded while it
+// waited for the load of the one before.
+func TestARequestExpectsTheVersionThatWasLoadedForIt(t *testing.T) {
+	var expected []string
+	u := serveUpstream(t, "a", func(_ int, r *http.Request, w net.Conn) {
+		expected = append(expected, r.Header.Get("X-Expect-Version"))
+		streamHead(r, w)
+		chunk(w, "id: 0\ndata: x\n\n")
+		_, _ = w.Write([]byte("0\r\n\r\n"))
+	})
+	w := newFixture(t, u)
+	w.view.SetLoadable(map[state.UpstreamID]bool{"a-llm": true})
+	w.announce("rare", 2)
+	w.loader.requestLoad = func(_ context.Context, msg protocol.LoadRequest) protocol.LoadReply {
+		w.Check(msg.Version, qt.Equals, 2)
+		return protocol.LoadReply{Accepted: true, ReadyIn: 20 * time.Millisecond, Version: 3}
+	}
+	r := w.request("/stream/", "x")
+	r.Header.Set("X-Model", model+"/rare")
+	resp, err := http.DefaultClient.Do(r)
+	w.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	w.Check(resp.StatusCode, qt.Equals, http.StatusOK)
+	w.Check(expected, qt.DeepEquals, []string{"3"})
+}
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -225,4 +225,7 @@
 	Accepted bool          `cbor:"1,keyasint"`
 	ReadyIn  time.Duration `cbor:"2,keyasint"`
 	Reason   string        `cbor:"3,keyasint,omitempty"`
+	// Version is the version that is resident or being loaded, which may be newer than the requested one. Zero
+	// if it is not known.
+	Version int `cbor:"4,keyasint,omitempty"`
 }
