Versions: no request to an engine whose version ends before its run begins

Callers lost requests that waited at an engine with an older version until that version's time was over.

Cause: the choice allowed the version at the time of sending, whatever the estimate of the begin.

Such an engine is not chosen. The case is a part of TestAnEngineIsNotChosenForAVersionWhoseTimeIsOver and failed before (chosen).

--- a/internal/node/fleet/view_test.go
+++ b/internal/node/fleet/view_test.go
@@ -91,6 +91,10 @@
 	announce(2)
 	now = begin.Add(2900 * time.Millisecond)
 	c.Assert(isChosen(), qt.IsTrue, qt.Commentf("within the grace period of version 2"))
+	v.WithTracker(func(t *balance.Tracker) { t.Begin(now, "e1", balance.Request{TokensIn: 40000}) })
+	req.Limits.MaxStartDelay = 20 * time.Second
+	c.Assert(isChosen(), qt.IsFalse, qt.Commentf("the run would begin after its end"))
+	v.WithTracker(func(t *balance.Tracker) { t.End("e1", balance.Request{TokensIn: 40000}, true) })
 	now = begin.Add(3 * time.Second)
 	c.Assert(isChosen(), qt.IsFalse, qt.Commentf("after it"))
 	now = begin.Add(5400 * time.Millisecond)
--- a/internal/node/fleet/viewversions.go
+++ b/internal/node/fleet/viewversions.go
@@ -69,6 +69,17 @@
 	return 0, false
 }
 
+// beginsInTime reports whether a placement is estimated to begin its run while its version may. The caller
+// holds the lock.
+func (v *View) beginsInTime(a upstreams.Adapter, p Placement) bool {
+	h := v.versions[a]
+	if h == nil || a.Name == "" {
+		return true
+	}
+	left, isSuperseded := h.EndsIn(v.opts.BootClock(), v.opts.OutdatedGracePeriod, p.RunsVersion)
+	return !isSuperseded || p.Estimate < left
+}
+
 // announcements returns the announcements that still decide, with their ages. With a limit, it returns those whose
 // age is known and below the limit.
 func (v *View) announcements(limit time.Duration) []upstreams.Version {
