Takeover: the former lease holder takes its engine back by the record

Callers of a fleet with restarts saw engines without loads: a successor that was restarted, or leaving, before its takeover was complete did not return the engine, and began its wait anew.

Cause: only the running successor remembered that it had not ordered yet.

The record decides: a successor orders only after the store has its record without PreviousVM, and until then PreviousVM may write itself back on condition of the same revision.

--- a/internal/coordination/holders/holders.go
+++ b/internal/coordination/holders/holders.go
@@ -97,10 +97,18 @@
 type Lease struct {
 	RenewedAt time.Duration // when the last successful read of the records was sent
 	ValidFrom time.Duration // when the previous lease holder's orders have ended; zero without a takeover
+	// IsPending is set until the store has the record that the takeover is complete. Until then the previous lease
+	// holder can take the engine back, and only it may have ordered.
+	IsPending bool
 }
 
 // Valid reports whether the lease holder may send an order.
-func (l Lease) Valid(now time.Duration) bool {
+func (l Lease) Valid(now time.Duration) bool { return !l.IsPending && l.isCurrent(now) }
+
+// IsCompletable reports whether the record that the takeover is complete may be written.
+func (l Lease) IsCompletable(now time.Duration) bool { return l.IsPending && l.isCurrent(now) }
+
+func (l Lease) isCurrent(now time.Duration) bool {
 	return now >= l.ValidFrom && now-l.RenewedAt < LeaseDuration
 }
 
@@ -108,7 +116,7 @@
 // previous lease holder may give orders until its own lease expires. minInterval is the
 // minimum time between the orders of two lease holders.
 func AfterTakeover(now, minInterval time.Duration) Lease {
-	return Lease{RenewedAt: now, ValidFrom: now + HandoverTime(minInterval)}
+	return Lease{RenewedAt: now, ValidFrom: now + HandoverTime(minInterval), IsPending: true}
 }
 
 // HandoverTime is how long after a takeover the previous lease holder's orders may still arrive. minInterval is the
--- a/internal/coordination/holders/holders_test.go
+++ b/internal/coordination/holders/holders_test.go
@@ -99,11 +99,16 @@
 			lastOld = now
 		}
 		successor.RenewedAt = now
+		if successor.IsCompletable(now) { // and the record is written
+			successor.IsPending = false
+		}
 		if firstNew == 0 && successor.Valid(now) {
 			firstNew = now
 		}
 	}
 	c.Assert(firstNew-lastOld >= minInterval, qt.IsTrue)
+	successor.IsPending = true
+	c.Assert(successor.Valid(40*time.Second), qt.IsFalse, qt.Commentf("the previous holder can still take the engine back"))
 }
 
 func TestALeaseExpiresUnlessRenewed(t *testing.T) {
--- a/internal/node/fleet/gossip.go
+++ b/internal/node/fleet/gossip.go
@@ -228,9 +228,6 @@
 				event = "peer lost"
 			} else {
 				m.needsVersionsUntil = now.Add(recentVersionsPeriod)
-				if n.hasClaimedFrom(m.VM) {
-					n.RefreshRecords()
-				}
 			}
 			n.opts.Log.Event(event, slog.String("peer", m.VM), slog.String("err", m.lastErr))
 		}
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -136,20 +136,18 @@
 // New returns a node. Start starts it.
 func New(opts Options) *Node {
 	return &Node{
-		opts:    opts,
-		listed:  opts.Self,
-		window:  sharedWindow{window: loadwindow.New()},
-		members: make(map[string]*member),
-		holders: make(map[state.UpstreamID]Holder),
-		workers: make(map[state.UpstreamID]*worker),
-
-		replacedRecords: make(map[state.UpstreamID]Holder),
-		unlistedSince:   make(map[state.UpstreamID]time.Time),
-		versions:        make(map[upstreams.Adapter]int),
-		watchCancels:    make(map[string]context.CancelFunc),
-		demand:          make(map[string]*pendingDemand),
-		heardReads:      make(map[state.DaemonID]uint64),
-		departures:      make(map[state.UpstreamID]departure),
+		opts:          opts,
+		listed:        opts.Self,
+		window:        sharedWindow{window: loadwindow.New()},
+		members:       make(map[string]*member),
+		holders:       make(map[state.UpstreamID]Holder),
+		workers:       make(map[state.UpstreamID]*worker),
+		unlistedSince: make(map[state.UpstreamID]time.Time),
+		versions:      make(map[upstreams.Adapter]int),
+		watchCancels:  make(map[string]context.CancelFunc),
+		demand:        make(map[string]*pendingDemand),
+		heardReads:    make(map[state.DaemonID]uint64),
+		departures:    make(map[state.UpstreamID]departure),
 
 		appliedRefusals: make(map[string]uint64),
 
--- a/internal/node/fleet/recordsync.go
+++ b/internal/node/fleet/recordsync.go
@@ -177,13 +177,13 @@
 	}
 }
 
-// beginLeases requests a read of the records if those from a peer name this daemon as the new lease holder of an engine: the
-// lease begins with this daemon's own read.
+// beginLeases requests a read of the records if those from a peer name this daemon as the new lease holder of an engine, or
+// an engine that it can take back: both begin with this daemon's own read.
 func (n *Node) beginLeases() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for id, h := range n.holders {
-		if h.VM == n.opts.Self.VM && n.workers[id] == nil && n.opts.View.Upstream(id) != nil {
+		if (h.VM == n.opts.Self.VM && n.workers[id] == nil || n.canTakeBack(h)) && n.opts.View.Upstream(id) != nil {
 			n.RefreshRecords()
 			return
 		}
--- a/internal/node/fleet/worker.go
+++ b/internal/node/fleet/worker.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math"
 	"sync"
 	"time"
 
@@ -69,7 +68,7 @@
 // renewLease renews the lease from holder record h, which the store returned to a call that
 // was sent at askedAt and which names this daemon. A newer record that does not denote a
 // takeover was written by this daemon itself and sets the fencing token. An older record, or
-// a newer record that denotes a takeover, is ignored.
+// a newer record that denotes a takeover, is ignored. A record without a previous lease holder ends a takeover.
 func (w *worker) renewLease(askedAt time.Duration, h Holder) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -78,25 +77,23 @@
 	}
 	w.fencingToken = h.Revision
 	w.lease.RenewedAt = max(w.lease.RenewedAt, askedAt)
+	if h.PreviousVM == "" {
+		w.lease.IsPending = false
+	}
 }
 
-// suspend makes a worker whose takeover is not complete send no orders until resumeTakeover. It returns false if the
-// takeover is complete, so that the worker may have ordered.
-func (w *worker) suspend() bool {
+// isOlderThan reports whether the worker was started for an earlier record than h.
+func (w *worker) isOlderThan(h Holder) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.node.opts.BootClock() >= w.lease.ValidFrom {
-		return false
-	}
-	w.lease.ValidFrom = math.MaxInt64
-	return true
+	return w.fencingToken < h.Revision
 }
 
-// resumeTakeover lets a suspended worker send orders from a time on.
-func (w *worker) resumeTakeover(from time.Duration) {
+// isCompletable reports whether the record that the takeover of the engine is complete may be written.
+func (w *worker) isCompletable() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lease.ValidFrom = from
+	return w.lease.IsCompletable(w.node.opts.BootClock())
 }
 
 // canOrder reports whether the worker can order loads at its engine.
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -158,9 +158,11 @@
 // LeaseHolder is the record of the VM that may give orders to an engine. Its revision is
 // the fencing token of the orders.
 type LeaseHolder struct {
-	Engine     state.UpstreamID `cbor:"1,keyasint" json:"engine"`
-	VM         string           `cbor:"2,keyasint" json:"vm"`
-	PreviousVM string           `cbor:"3,keyasint,omitempty" json:"from,omitempty"` // VM that held the lease until the takeover
+	Engine state.UpstreamID `cbor:"1,keyasint" json:"engine"`
+	VM     string           `cbor:"2,keyasint" json:"vm"`
+	// PreviousVM is set until the takeover is complete: the VM that held the lease before, and that may have ordered. VM
+	// has not ordered yet.
+	PreviousVM string `cbor:"3,keyasint,omitempty" json:"from,omitempty"`
 	// Era is the era of the store in which the record was written. A record of an earlier era is from the copy that
 	// the store came back from, and the lease may have changed hands since.
 	Era uint64 `cbor:"5,keyasint,omitempty" json:"era,omitempty"`
