--- a/internal/capacity/edge.go
+++ b/internal/capacity/edge.go
@@ -42,8 +42,12 @@
   upstreams that left in the last two minutes. After a return, daemons and lease holders write the records that are younger than the store's copy. If the whole
   fleet has started since, that is all %d, which take %.0f s of the writes allowed, longer than the %.0f s that a lease outlasts: **does not fit**, orders pause.
 - **Silent peers:** two messages a round times the silent share of the fleet, at most %.0f a second.
+- **Versions of adapters:** 125 bytes of a daemon's memory for each announced adapter, 276 ns to record one (BenchmarkVersionsAtTheTargetSize): %.1f MB if
+  all %d have one. At most eight announcements are kept for an adapter. A peer with older versions gets those of all adapters, as before; with all
+  announced, a list takes 12 ms, at each change: **does not fit**.
 
 `, accountStateBytes, gossipPerSecond, accountReplyBytes, few/(1<<10), fitResult(few, t.ControlTraffic), all/(1<<10), fitResult(all, t.ControlTraffic),
 		reservationBytes, perDaemon, perDaemon*reservationBytes/(1<<10),
-		eraBytes, 2*gossipPerSecond*eraBytes/(1<<10), t.Daemons+t.Engines, float64(t.Daemons+t.Engines)/t.PlatformWrites, holders.LeaseDuration.Seconds(), 2*gossipPerSecond)
+		eraBytes, 2*gossipPerSecond*eraBytes/(1<<10), t.Daemons+t.Engines, float64(t.Daemons+t.Engines)/t.PlatformWrites, holders.LeaseDuration.Seconds(), 2*gossipPerSecond,
+		125*float64(t.Adapters)/(1<<20), t.Adapters)
 }
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -92,7 +92,6 @@
 	members         map[string]*member // by VM, without this daemon
 	holders         map[state.UpstreamID]Holder
 	workers         map[state.UpstreamID]*worker
-	replacedRecords map[state.UpstreamID]Holder    // of engines that this daemon claimed from another lease holder
 	unlistedSince   map[state.UpstreamID]time.Time // engines of own records that are not listed
 	revisions       protocol.StoreRevisions        // of the copies of the store's objects; reads replaces StoreAge and ReadFor
 	unusableConfig  string                         // the last reason why a configuration was unusable
