Takeover: an engine is taken back once both daemons hear from each other

A former lease holder that reached the store, but not the claimant, would have taken its engine back at each read of the records, and the claimant would have claimed it again: two writes for each engine and round. Seen by reading. A former holder whose claimant was lost waited for a whole takeover, although nobody else had ordered.

The former holder takes its engine back once it hears from the claimant, or by a claim after TakeoverAfter, without a wait. Messages take recent versions from a short list instead of all announcements.

--- a/internal/node/fleet/choose.go
+++ b/internal/node/fleet/choose.go
@@ -89,12 +89,12 @@
 	}
 	d := v.tracker.ChooseEngine(now, req.Request, req.Adapter, list, req.Engine.KVTokens, req.Limits, draw)
 	if d.Upstream == nil && len(outdated) > 0 {
-		late := d
+		refusal := d
 		d = v.tracker.ChooseEngine(now, req.Request, req.Adapter, outdated, req.Engine.KVTokens, req.Limits, draw)
 		if p := v.placement(now, req.Adapter, d, 0); d.Upstream == nil || v.beginsInTime(req.Adapter, p) {
 			return p
 		}
-		d = late
+		d = refusal
 	}
 	return v.placement(now, req.Adapter, d, newest)
 }
--- a/internal/node/fleet/claims.go
+++ b/internal/node/fleet/claims.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/holders"
+	"github.com/celerydeck/celerydeck/internal/coordination/relays"
 	"github.com/celerydeck/celerydeck/internal/state"
 )
 
@@ -54,7 +55,7 @@
 	}
 	engines := n.engines()
 	for _, u := range engines {
-		if h := n.holders[u.ID]; n.canTakeBack(h) {
+		if h := n.holders[u.ID]; n.canTakeBack(now, h) {
 			due = append(due, Holder{Engine: u.ID, VM: n.opts.Self.VM, Era: era, Revision: h.Revision})
 		}
 	}
@@ -68,11 +69,14 @@
 		w := n.workers[u.ID]
 		isLost := h.VM == "" && n.mayLeaseBeLost()
 		switch {
-		case n.canTakeBack(h), w != nil && n.mustRewrite(w), isLost && n.opts.BootClock()-n.era.since < rewriteDelay:
+		case n.canTakeBack(now, h), w != nil && n.mustRewrite(w), isLost && n.opts.BootClock()-n.era.since < rewriteDelay:
 		case holders.ShouldClaim(self, u.ID, u.Zone, h.VM, daemons):
 			claim := Holder{Engine: u.ID, VM: self.VM, PreviousVM: cmp.Or(h.PreviousVM, h.VM), Era: era, Revision: h.Revision}
-			if isLost || h.VM != "" && !n.isCurrent(h) {
+			switch {
+			case isLost, h.VM != "" && !n.isCurrent(h):
 				claim.PreviousVM = lostHolder
+			case claim.PreviousVM == self.VM:
+				claim.PreviousVM = "" // nobody else has ordered since
 			}
 			due = append(due, claim)
 		case w != nil && h.VM == self.VM && h.PreviousVM != "" && w.isCompletable():
@@ -84,9 +88,13 @@
 
 // canTakeBack reports whether this daemon may take an engine back at once: another one has claimed it from this daemon, and
 // its takeover is not complete. Both write on condition of the same revision, so that only one of them orders.
-// The caller holds the lock.
-func (n *Node) canTakeBack(h Holder) bool {
-	return h.PreviousVM == n.opts.Self.VM && h.VM != n.opts.Self.VM && n.isCurrent(h)
+// While the two do not hear from each other, the claimant would claim the engine again. The caller holds the lock.
+func (n *Node) canTakeBack(now time.Time, h Holder) bool {
+	if h.PreviousVM != n.opts.Self.VM || h.VM == n.opts.Self.VM || !n.isCurrent(h) {
+		return false
+	}
+	m := n.members[h.VM]
+	return m != nil && m.contacted && now.Sub(m.lastHeard) < relays.SilentAfter
 }
 
 // isCurrent reports whether a record says who has ordered last: it was written in this era of the store, or the leases of
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -107,6 +107,7 @@
 	list            []upstreams.Upstream // the store's list at revisions.Upstreams
 	lapsed          []upstreams.Upstream // listed before the last outage of the store, and not since
 	versions        map[upstreams.Adapter]int
+	recentVersions  []recentVersion
 	storeReachable  bool      // the last call of the store succeeded, or this daemon stopped calling it
 	storeRegainedAt time.Time // when a call of this daemon succeeded again after a failed one
 	leaving         bool
--- a/internal/node/fleet/push.go
+++ b/internal/node/fleet/push.go
@@ -144,7 +144,7 @@
 		out.Config = t.Config
 	}
 	if n.revisions.Versions > known.Versions {
-		out.Versions = n.opts.View.announcements(0)
+		out.Versions = n.opts.View.announcements()
 	}
 	if n.revisions.Upstreams > known.Upstreams {
 		out.Upstreams = n.list
--- a/internal/node/fleet/recordsync.go
+++ b/internal/node/fleet/recordsync.go
@@ -183,7 +183,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for id, h := range n.holders {
-		if (h.VM == n.opts.Self.VM && n.workers[id] == nil || n.canTakeBack(h)) && n.opts.View.Upstream(id) != nil {
+		if (h.VM == n.opts.Self.VM && n.workers[id] == nil || n.canTakeBack(n.opts.Clock(), h)) && n.opts.View.Upstream(id) != nil {
 			n.RefreshRecords()
 			return
 		}
--- a/internal/node/fleet/takeover_test.go
+++ b/internal/node/fleet/takeover_test.go
@@ -154,57 +154,85 @@
 	return list
 }
 
+// takeoverSim is a fleet of three daemons and one engine, whose daemons may be away.
+type takeoverSim struct {
+	*sim
+	away     map[string]bool
+	polledAt map[string]time.Time
+}
+
+func newTakeoverSim(t *testing.T) *takeoverSim {
+	s, _ := newRecordSim(t, 1, 3, 1)
+	for _, n := range s.nodes {
+		n.opts.Engines = emptyEngines{}
+	}
+	return &takeoverSim{s, make(map[string]bool), make(map[string]time.Time)}
+}
+
+// run plays the fleet for a time, or until a condition holds.
+func (s *takeoverSim) run(d time.Duration, until func() bool) {
+	for end := time.Now().Add(d); time.Now().Before(end) && !until(); {
+		time.Sleep(gossipInterval)
+		s.gossip(func(vm string) bool { return s.away[vm] })
+		for _, vm := range s.order {
+			n := s.nodes[vm]
+			interval := recordInterval
+			select {
+			case <-n.refreshRequested:
+				interval = minRecordInterval
+			default:
+			}
+			if !s.away[vm] && time.Since(s.polledAt[vm]) >= interval {
+				s.polledAt[vm] = time.Now()
+				s.poll(n)
+			}
+		}
+		synctest.Wait()
+	}
+}
+
+func (s *takeoverSim) close() {
+	for _, n := range s.nodes {
+		n.Close()
+	}
+}
+
 // Guards against an engine that gets no orders for the whole time of a takeover (13.5 s), as its lease holder was frozen for
 // 9 s: the successor kept the engine, although the lease holder was back before it could order.
 func TestAnEngineReturnsToItsLeaseHolderThatIsBackBeforeTheTakeoverIsComplete(t *testing.T) {
 	for _, away := range []time.Duration{5 * time.Second, 9 * time.Second, 12 * time.Second} {
-		synctest.Test(t, func(t *testing.T) {
-			s, _ := newRecordSim(t, 1, 3, 1)
-			defer func() {
-				for _, n := range s.nodes {
-					n.Close()
-				}
-			}()
-			for _, n := range s.nodes {
-				n.opts.Engines = emptyEngines{}
-			}
-			var frozen string
-			polledAt := make(map[string]time.Time)
-			run := func(d time.Duration, until func() bool) {
-				for end := time.Now().Add(d); time.Now().Before(end) && !until(); {
-					time.Sleep(gossipInterval)
-					s.gossip(func(vm string) bool { return vm == frozen })
-					for _, vm := range s.order {
-						n := s.nodes[vm]
-						interval := recordInterval
-						select {
-						case <-n.refreshRequested:
-							interval = minRecordInterval
-						default:
-						}
-						if vm != frozen && time.Since(polledAt[vm]) >= interval {
-							polledAt[vm] = time.Now()
-							s.poll(n)
-						}
-					}
-					synctest.Wait()
+		for _, isClaimantLost := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				s := newTakeoverSim(t)
+				defer s.close()
+				never := func() bool { return false }
+				s.run(40*time.Second, never)
+				s.Assert(s.orderers("e0"), qt.HasLen, 1)
+				holder := s.orderers("e0")[0]
+				s.away[holder] = true
+				s.run(away, never)
+				back, limit := time.Now(), 2*recordInterval
+				if claimant := s.store("e0").VM; isClaimantLost && claimant != holder {
+					s.away[claimant] = true
+					limit += holders.TakeoverAfter
 				}
-			}
-			never := func() bool { return false }
-			run(40*time.Second, never)
-			s.Assert(s.orderers("e0"), qt.HasLen, 1)
-			holder := s.orderers("e0")[0]
-			frozen = holder
-			run(away, never)
-			frozen = ""
-			thawed := time.Now()
-			run(time.Minute, func() bool { return len(s.orderers("e0")) > 0 && s.nodes[holder].holders["e0"].PreviousVM == "" })
-			s.Check(s.orderers("e0"), qt.DeepEquals, []string{holder}, qt.Commentf("away for %v", away))
-			s.Check(time.Since(thawed) <= 2*recordInterval, qt.IsTrue, qt.Commentf("away for %v, orders again after %v", away, time.Since(thawed)))
-		})
+				s.away[holder] = false
+				s.run(time.Minute, func() bool { return len(s.orderers("e0")) > 0 && s.nodes[holder].holders["e0"].PreviousVM == "" })
+				note := qt.Commentf("away for %v, claimant lost: %v, orders again after %v", away, isClaimantLost, time.Since(back))
+				s.Check(s.orderers("e0"), qt.DeepEquals, []string{holder}, note)
+				s.Check(time.Since(back) <= limit, qt.IsTrue, note)
+			})
+		}
 	}
 }
 
+// store returns the lease holder's record in the store.
+func (s *takeoverSim) store(id state.UpstreamID) Holder {
+	r, err := s.nodes[s.order[0]].opts.Store.Records(context.Background())
+	s.Assert(err, qt.IsNil)
+	return r.Holders[id]
+}
+
 // Guards against an engine that its new lease holder releases again, as a peer sent records that had been read before the
 // claim: the takeover began anew.
 func TestRecordsReadBeforeAClaimDoNotUndoIt(t *testing.T) {
--- a/internal/node/fleet/versionsync.go
+++ b/internal/node/fleet/versionsync.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"context"
 	"log/slog"
 	"slices"
@@ -14,7 +13,7 @@
 const (
 	// recentVersionTTL is for how long after its announcement a version is sent to peers that may not know its age.
 	recentVersionTTL = 30 * time.Second
-	// maxRecentVersions is the maximum number of recent versions in a message; the newest ones are sent.
+	// maxRecentVersions is the maximum number of recent versions in a message: the last ones that this daemon learned of.
 	maxRecentVersions = 64
 	// recentVersionsPeriod is how long after a peer was first listed, or was heard from again, messages to it contain
 	// recent versions.
@@ -80,7 +79,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, v := range list {
-		if !n.opts.View.RecordVersion(v) {
+		isNewest := n.opts.View.RecordVersion(v)
+		n.recordRecent(v, isNewest)
+		if !isNewest {
 			continue
 		}
 		n.opts.Log.Event("adapter version announced", slog.String("adapter", v.Adapter.String()), slog.Int("version", v.Version), slog.Duration("age", v.Age))
@@ -102,17 +103,47 @@
 	n.hasVersions = n.hasVersions || known.HasVersions && known.Versions <= n.revisions.Versions
 }
 
+// recentVersion is an announcement and its time, by BootClock.
+type recentVersion struct {
+	upstreams.Version
+	at time.Duration
+}
+
+// recordRecent records an announcement that is newer than those known before, or an earlier time of a recent one. The
+// caller holds the lock.
+func (n *Node) recordRecent(v upstreams.Version, isNewest bool) {
+	now := n.opts.BootClock()
+	n.recentVersions = slices.DeleteFunc(n.recentVersions, func(r recentVersion) bool { return now-r.at >= recentVersionTTL })
+	if v.Age < 0 || v.Age >= recentVersionTTL {
+		return
+	}
+	at := now - v.Age
+	i := slices.IndexFunc(n.recentVersions, func(r recentVersion) bool { return r.Adapter == v.Adapter && r.Version.Version == v.Version })
+	switch {
+	case i >= 0:
+		n.recentVersions[i].at = min(n.recentVersions[i].at, at)
+	case isNewest:
+		n.recentVersions = append(n.recentVersions, recentVersion{v, at})
+	}
+	if len(n.recentVersions) > maxRecentVersions {
+		n.recentVersions = slices.Delete(n.recentVersions, 0, 1)
+	}
+}
+
 // recentVersionsFor returns the recent announcements to send to a peer that may not know their ages. The caller holds the
 // lock.
 func (n *Node) recentVersionsFor(now time.Time, to *member) []upstreams.Version {
 	if !now.Before(to.needsVersionsUntil) {
 		return nil
 	}
-	list := n.opts.View.announcements(recentVersionTTL)
-	slices.SortFunc(list, func(a, b upstreams.Version) int {
-		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Adapter.String(), b.Adapter.String()))
-	})
-	return list[:min(len(list), maxRecentVersions)]
+	boot := n.opts.BootClock()
+	var list []upstreams.Version
+	for _, r := range n.recentVersions {
+		if r.Age = boot - r.at; r.Age < recentVersionTTL {
+			list = append(list, r.Version)
+		}
+	}
+	return list
 }
 
 // recentStall returns the length of the last stall of this daemon if it ended less than stallAftermath ago: what is read
--- a/internal/node/fleet/viewversions.go
+++ b/internal/node/fleet/viewversions.go
@@ -80,9 +80,8 @@
 	return !isSuperseded || p.Estimate < left
 }
 
-// announcements returns the announcements that still decide, with their ages. With a limit, it returns those whose
-// age is known and below the limit.
-func (v *View) announcements(limit time.Duration) []upstreams.Version {
+// announcements returns the announcements that still decide, with their ages.
+func (v *View) announcements() []upstreams.Version {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.opts.BootClock()
@@ -90,10 +89,7 @@
 	for a, h := range v.versions {
 		h.Each(func(announced versions.Announcement) {
 			age := max(0, now-announced.At)
-			switch {
-			case limit > 0 && (announced.IsOld || age >= limit):
-				return
-			case announced.IsOld:
+			if announced.IsOld {
 				age = -1
 			}
 			list = append(list, upstreams.Version{Adapter: a, Version: announced.Version, Age: age})
--- a/internal/node/fleet/viewversions_bench_test.go
+++ b/internal/node/fleet/viewversions_bench_test.go
@@ -39,7 +39,7 @@
 		record += time.Since(began)
 		bytes += heap() - before
 		began = time.Now()
-		if len(v.announcements(0)) != adapters {
+		if len(v.announcements()) != adapters {
 			b.Fatal("announcements are missing")
 		}
 		list += time.Since(began)
