Demo: ports of daemons are none that the system draws for other sockets

The demo found a free port, closed it and started the daemon, and another socket with a port that the system drew, of the demos that run beside, took it in between.

Ports of daemons are drawn below the range of the system. No check changes.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -291,13 +292,23 @@
 	return l.Addr().String(), nil
 }
 
-// freeUDPAddr returns a loopback address with a free UDP port. Another process may take the
-// port until the daemon binds it.
+const (
+	// firstPeerPort and peerPorts are the ports of daemons. They lie below the range from which systems draw ports for
+	// other sockets: one of these could take a port until the daemon binds it.
+	firstPeerPort = 20000
+	peerPorts     = 12000
+	maxPortTries  = 100
+)
+
+// freeUDPAddr returns a loopback address with a free UDP port. Another demo may take the port until the daemon binds it.
 func freeUDPAddr() (string, error) {
-	conn, err := net.ListenPacket("udp", loopback+":0")
-	if err != nil {
-		return "", err
+	var err error
+	for range maxPortTries {
+		var conn net.PacketConn
+		if conn, err = net.ListenPacket("udp", fmt.Sprintf("%s:%d", loopback, firstPeerPort+rand.IntN(peerPorts))); err == nil {
+			defer conn.Close()
+			return conn.LocalAddr().String(), nil
+		}
 	}
-	defer conn.Close()
-	return conn.LocalAddr().String(), nil
+	return "", fmt.Errorf("no free port for a daemon: %w", err)
 }
