--- a/internal/node/fleet/takeover_test.go
+++ b/internal/node/fleet/takeover_test.go
@@ -312,7 +312,7 @@
 				n.opts.Store, n.opts.Engines = store, emptyEngines{}
 			}
 			before := make(map[state.UpstreamID]Holder)
-			s.checkLeases(seed, func(_ int, cut func(vm string, d time.Duration)) {
+			held := s.checkLeases(seed, func(_ int, cut func(vm string, d time.Duration)) {
 				store.executeLate()
 				for id, h := range store.holders {
 					if b := before[id]; b.PreviousVM != "" && b.PreviousVM == h.VM {
@@ -324,6 +324,7 @@
 					cut(vm, time.Duration(1+rng.IntN(25))*time.Second)
 				}
 			})
+			s.Assert(held, qt.Equals, 4, qt.Commentf("seed %d: each engine has had a lease holder", seed))
 		})
 	}
 	qt.Check(t, returns > 0, qt.IsTrue)
