--- a/review/_harness3/standin/world.go
+++ b/review/_harness3/standin/world.go
@@ -80,8 +80,6 @@
 // are claimed within 4.
 const trafficDelay = 4 * time.Second
 
-const memoryLimitMB = 284 // limits.memory_mb of commonSettings
-
 // Names of the deployment.
 const (
 	host  = "clubs.example"
@@ -222,6 +220,7 @@
 	w                  *world
 	name, ip, settings string
 	front, ready       string
+	peerAddr           string // receives messages of other daemons
 	log                *os.File
 
 	mu     sync.Mutex
@@ -237,7 +236,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &daemon{w: w, name: name, ip: ip, front: fmt.Sprintf("%s:%d", ip, first+rangeSize), ready: fmt.Sprintf("%s:%d", ip, first+rangeSize+1)}
+	d := &daemon{w: w, name: name, ip: ip, front: fmt.Sprintf("%s:%d", ip, first+rangeSize), ready: fmt.Sprintf("%s:%d", ip, first+rangeSize+1), peerAddr: fmt.Sprintf("%s:%d", ip, first)}
 	text := fmt.Sprintf("node_name=%s\nip=%s\nzone=%s\nlisten.front=%s\nlisten.ready=%s\nport_range=%d,%d\nseeds=\nbootstrap=%t\nprovider.address=%s\n%s",
 		name, ip, zone, d.front, d.ready, first, first+rangeSize-1, bootstrap, w.storeAt, commonSettings)
 	d.settings = filepath.Join(w.dir, name+".conf")
@@ -325,24 +324,6 @@
 	<-exited
 }
 
-// memory returns a field of the process's status in MB, such as VmRSS.
-func (d *daemon) memory(field string) int {
-	d.mu.Lock()
-	pid := d.cmd.Process.Pid
-	d.mu.Unlock()
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(data)) {
-		if rest, ok := strings.CutPrefix(line, field+":"); ok {
-			kilobytes, _ := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(rest), " kB")) // 0 if it is no number
-			return kilobytes >> 10
-		}
-	}
-	return 0
-}
-
 // freePorts returns the first of n ports in a row that are free at an address, below those that the
 // system gives to outgoing connections.
 func freePorts(ip string, n int) (int, error) {
@@ -412,3 +393,11 @@
 	a.err, a.took = err, time.Since(begin)
 	return a
 }
+
+// errText returns the text of an error, or nothing.
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
