Streams: whole events don't wait for the rest of the next one

Callers saw: an event that arrived together with a part of the next one came only with the whole of that, and never if the stream broke off there; where the response had no earlier event, its head was lost as well.

Cause: events were flushed only when nothing was left in the read buffer, and an abort drops what was not flushed.

Change: they are flushed unless the buffer holds the end of another event, and before an attempt is given up.

Failed before: TestWholeEventsAreForwardedWhileThePartOfAnotherIsReceived (the first event came after 1 s, with the second one).

--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -620,3 +620,35 @@
 	resp, _, _ = w.do("/fixed/", "q")
 	w.Assert(resp.StatusCode, qt.Equals, http.StatusBadGateway)
 }
+
+// TestWholeEventsAreForwardedWhileThePartOfAnotherIsReceived guards against whole events that reach the caller only with the
+// next one, or not at all if the stream breaks off in that.
+func TestWholeEventsAreForwardedWhileThePartOfAnotherIsReceived(t *testing.T) {
+	received := make(chan struct{})
+	u := serveUpstream(t, "a", func(_ int, r *http.Request, w net.Conn) {
+		streamHead(r, w)
+		chunk(w, "id: 1\ndata: one\n\nid: 2\ndata: tw")
+		select {
+		case <-received:
+		case <-time.After(time.Second):
+		}
+		chunk(w, "o\n\nid: 3\ndata: three\n\nid: 4\nda")
+		_ = w.Close()
+	})
+	w := newFixture(t, u)
+	begin := time.Now()
+	resp, err := http.DefaultClient.Do(w.request("/fixed/", "x"))
+	w.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	reader := bufio.NewReader(resp.Body)
+	for _, want := range []string{"id: 1\n", "data: one\n", "\n"} {
+		line, err := reader.ReadString('\n')
+		w.Assert(err, qt.IsNil)
+		w.Assert(line, qt.Equals, want)
+	}
+	w.Check(time.Since(begin) < 500*time.Millisecond, qt.IsTrue)
+	close(received)
+	rest, err := io.ReadAll(reader)
+	w.Check(err, qt.IsNotNil)
+	w.Check(string(rest), qt.Equals, "id: 2\ndata: two\n\nid: 3\ndata: three\n\n")
+}
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -96,6 +96,12 @@
 	}
 }
 
+// hasBufferedEvent reports whether the buffer of a reader contains the end of an event, so that readEvent would not wait.
+func hasBufferedEvent(r *bufio.Reader) bool {
+	buffered, _ := r.Peek(r.Buffered()) // can't fail
+	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
+}
+
 // forwardStream forwards the events of a response as they are received, except events that the
 // caller already has. It watches for stalls, and records the outcome.
 func (x *exchange) forwardStream(resp *http.Response, a ResponseMetadata) outcome {
@@ -111,6 +117,9 @@
 			break
 		}
 		if err != nil {
+			if c.responseStarted {
+				_ = flush.Flush() // if the caller has left, its context says so
+			}
 			return x.abort("read event", err)
 		}
 		now := c.g.opts.Clock()
@@ -141,7 +150,7 @@
 		if e.id >= 0 {
 			c.lastEvent = e.id
 		}
-		if reader.Buffered() == 0 {
+		if !hasBufferedEvent(reader) {
 			if err := flush.Flush(); err != nil {
 				x.reset()
 				c.logOutcome(decisionlog.CallerLeft, 0)
