Streams: what is a stream is decided by the route, not by the service

Callers saw: on a stream route to a service without models, or on the share of a split route that goes to one, a response that broke off inside an event came as a complete 200 with a length. No event came before the last one, a broken stream was not resumed, a stalled one not watched, and the request line named no pauses.

Cause: handleResponse forwarded a response as a stream only if the route is one and the service has models. Any other response was read whole, and the end of a connection ends a body that has neither a length nor chunks.

Change: the condition asks for the route alone. What a decision learns from streams is kept apart, as the same cause was behind it: the time until a plain service sends the first event is learned from first events (its whole time refused streams longer than 1.2 s at idle upstreams), its mean stream time serves the shutdown, and its pauses hold no prompts back. This works because everything else in the path of a stream (limits, watches, resumption, shutdown, retries) already asks for the route.

Failed before: all of appstream_test.go but whole streams and errors, among them TestAStreamOfAServiceWithoutModelsThatBreaksOffDoesNotLookComplete in its 8 cases of such a service and TestABrokenStreamOfAServiceWithoutModelsIsResumed where the response has no length and no chunks.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -24,8 +24,13 @@
 	// initialStreamTime is the prior for the time from the first to the last event of a
 	// stream. The estimated wait for a slot is a fraction of it.
 	initialStreamTime = 2 * time.Second
+	// initialServiceTime is the prior for the time of a plain request and for the time to the first event of a plain
+	// service's stream, in seconds.
+	initialServiceTime = 0.05
 	// streamTimeGain is the weight of a new sample in the mean stream time.
 	streamTimeGain = 0.02
+	// fillWeight is the weight of the share of an upstream's slots that is taken in the estimates of a plain service.
+	fillWeight = 0.2
 	// kvMemoryPenalty is added to the estimate of an engine whose KV memory is exhausted.
 	kvMemoryPenalty = time.Second
 	// otherZonePenalty is added to the estimate of an upstream in another zone.
@@ -97,6 +102,8 @@
 	// IsScheduled is set if the engine's lease holder has scheduled the prompt, so that the prompt
 	// limit of this daemon does not apply.
 	IsScheduled bool
+	// IsStream is set if the response is a stream, of which only the first event must come in time.
+	IsStream bool
 	// ReplicaRatio is how many replicas the adapter should have for each one that it has. Values of
 	// 1 and below ask for none.
 	ReplicaRatio float64
@@ -116,7 +123,8 @@
 type health struct {
 	failureRate         float64 // moving average of outcomes, 1 for a failure
 	latencyRatio        float64 // moving average of actual over estimated time to the first event
-	serviceTime         float64 // moving average of the time of a plain request, in seconds
+	serviceTime         float64 // moving average of the time of a plain request, in seconds; of a stream, until its last event
+	firstEventTime      float64 // moving average of the time to the first event of a plain service's stream, in seconds
 	consecutiveFailures int
 	ejectedUntil        time.Time
 	lastProgress        time.Time // when the last bytes came from the upstream
@@ -137,17 +145,19 @@
 	peers          map[state.DaemonID]*peerInFlight
 	peerSums       map[state.UpstreamID]InFlight
 	nextExpiry     time.Time     // no report in peerSums expires earlier
-	meanStreamTime time.Duration // from the first event of a stream to its last
-	health         map[state.UpstreamID]*health
-	recent         map[state.UpstreamID]recentTokens // tokens of this daemon, and of peers that send notices
-	reportRecent   bool                              // reports contain the recent tokens
-	limits         map[string]*promptLimit           // by service
-	waiters        map[state.UpstreamID][]waiter     // by engine
-	waitsFor       map[uint64]state.UpstreamID       // engine by ticket
-	rates          map[state.UpstreamID]*rateLimit   // that upstreams named
-	memory         map[string]int                    // of an engine in tokens, by service
-	daemons        int                               // that share the limits of upstreams
-	position       int                               // of this daemon among them, from 0
+	meanStreamTime time.Duration // from the first event of an engine's stream to its last
+	// meanPlainStreamTime is meanStreamTime for the streams of plain services.
+	meanPlainStreamTime time.Duration
+	health              map[state.UpstreamID]*health
+	recent              map[state.UpstreamID]recentTokens // tokens of this daemon, and of peers that send notices
+	reportRecent        bool                              // reports contain the recent tokens
+	limits              map[string]*promptLimit           // by service
+	waiters             map[state.UpstreamID][]waiter     // by engine
+	waitsFor            map[uint64]state.UpstreamID       // engine by ticket
+	rates               map[state.UpstreamID]*rateLimit   // that upstreams named
+	memory              map[string]int                    // of an engine in tokens, by service
+	daemons             int                               // that share the limits of upstreams
+	position            int                               // of this daemon among them, from 0
 }
 
 // NewTracker returns a tracker without requests.
@@ -156,15 +166,15 @@
 		own:            make(map[state.UpstreamID]*InFlight),
 		peers:          make(map[state.DaemonID]*peerInFlight),
 		peerSums:       make(map[state.UpstreamID]InFlight),
-		meanStreamTime: initialStreamTime,
-		health:         make(map[state.UpstreamID]*health),
-		reportRecent:   true,
-		recent:         make(map[state.UpstreamID]recentTokens),
-		limits:         make(map[string]*promptLimit),
-		waiters:        make(map[state.UpstreamID][]waiter),
-		waitsFor:       make(map[uint64]state.UpstreamID),
-		rates:          make(map[state.UpstreamID]*rateLimit),
-		memory:         make(map[string]int),
+		meanStreamTime: initialStreamTime, meanPlainStreamTime: initialStreamTime,
+		health:       make(map[state.UpstreamID]*health),
+		reportRecent: true,
+		recent:       make(map[state.UpstreamID]recentTokens),
+		limits:       make(map[string]*promptLimit),
+		waiters:      make(map[state.UpstreamID][]waiter),
+		waitsFor:     make(map[uint64]state.UpstreamID),
+		rates:        make(map[state.UpstreamID]*rateLimit),
+		memory:       make(map[string]int),
 	}
 }
 
@@ -292,7 +302,7 @@
 func (t *Tracker) healthOf(id state.UpstreamID) *health {
 	h := t.health[id]
 	if h == nil {
-		h = &health{latencyRatio: 1, serviceTime: 0.05}
+		h = &health{latencyRatio: 1, serviceTime: initialServiceTime, firstEventTime: initialServiceTime}
 		t.health[id] = h
 	}
 	return h
@@ -357,12 +367,28 @@
 	h.latencyRatio += gain * (min(max(sample, minLatencyRatio), maxLatencyRatio) - h.latencyRatio)
 }
 
-// ObserveStreamTime updates the mean time of streams from the first event to the last one.
+// ObservePlainFirstEvent updates the mean time from the request to the first event of a plain service's stream.
+func (t *Tracker) ObservePlainFirstEvent(id state.UpstreamID, actual time.Duration) {
+	h := t.healthOf(id)
+	h.firstEventTime += gain * (actual.Seconds() - h.firstEventTime)
+}
+
+// ObservePlainStream updates the mean time of an upstream's requests with a stream of a plain service, which took
+// whole, and the mean time of such streams after their first event.
+func (t *Tracker) ObservePlainStream(id state.UpstreamID, whole, afterFirstEvent time.Duration) {
+	t.ObserveServiceTime(id, whole)
+	t.meanPlainStreamTime += time.Duration(streamTimeGain * float64(afterFirstEvent-t.meanPlainStreamTime))
+}
+
+// MeanPlainStreamTime returns the mean time of plain services' streams from the first event to the last one.
+func (t *Tracker) MeanPlainStreamTime() time.Duration { return t.meanPlainStreamTime }
+
+// ObserveStreamTime updates the mean time of engines' streams from the first event to the last one.
 func (t *Tracker) ObserveStreamTime(actual time.Duration) {
 	t.meanStreamTime += time.Duration(streamTimeGain * float64(actual-t.meanStreamTime))
 }
 
-// MeanStreamTime returns the mean time of streams from the first event to the last one.
+// MeanStreamTime returns the mean time of engines' streams from the first event to the last one.
 func (t *Tracker) MeanStreamTime() time.Duration { return t.meanStreamTime }
 
 // ObserveServiceTime updates the mean time of plain requests at an upstream.
@@ -412,16 +438,27 @@
 
 // EstimateResponse estimates the time until an upstream of a plain service has responded.
 func (t *Tracker) EstimateResponse(now time.Time, u *upstreams.Upstream) time.Duration {
-	w := t.InFlight(now, u.ID)
+	waiting, fill := t.plainQueue(now, u)
+	// The share of the fill prefers upstreams with fewer requests.
+	return time.Duration((1 + waiting + fillWeight*fill) * t.healthOf(u.ID).serviceTime * float64(time.Second))
+}
+
+// EstimatePlainFirstEvent estimates the time until an upstream of a plain service sends the first event of a stream.
+func (t *Tracker) EstimatePlainFirstEvent(now time.Time, u *upstreams.Upstream) time.Duration {
+	waiting, fill := t.plainQueue(now, u)
+	h := t.healthOf(u.ID)
+	return time.Duration((waiting*h.serviceTime + (1+fillWeight*fill)*h.firstEventTime) * float64(time.Second))
+}
+
+// plainQueue returns the requests of an upstream of a plain service that wait, and all of them, relative to its slots.
+func (t *Tracker) plainQueue(now time.Time, u *upstreams.Upstream) (waiting, fill float64) {
 	h := t.healthOf(u.ID)
-	busy := w.Requests
+	busy := t.InFlight(now, u.ID).Requests
 	if h.hasReportedLoad && now.Sub(h.reportedAt) < reportedLoadTTL {
 		busy = max(busy, h.reportedLoad.Running+h.reportedLoad.Waiting)
 	}
 	slots := max(u.Slots, 1)
-	rounds := 1 + math.Max(0, float64(busy-slots+1))/float64(slots)
-	rounds += 0.2 * float64(busy) / float64(slots) // prefers upstreams with fewer requests
-	return time.Duration(rounds * h.serviceTime * float64(time.Second))
+	return math.Max(0, float64(busy-slots+1)) / float64(slots), float64(busy) / float64(slots)
 }
 
 // Penalty returns the time that is added to the estimate of an upstream to compare it with
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -294,3 +294,28 @@
 	d = choose(NewTracker(), request, list)
 	c.Assert(d.Upstream, qt.IsNotNil, qt.Commentf("idle engines load it"))
 }
+
+// Guards against plain services' streams that are refused at an idle upstream because their whole time is taken for the time
+// until they begin, and against streams that are sent to a full upstream as if it was idle.
+func TestAStreamOfAPlainServiceIsRefusedOnlyForItsWaitingTime(t *testing.T) {
+	c := qt.New(t)
+	tr, now := NewTracker(), time.Unix(100, 0)
+	u := &upstreams.Upstream{ID: "a", Service: "app", Zone: "z", Slots: 2}
+	for range 50 {
+		tr.ObservePlainFirstEvent("a", 20*time.Millisecond)
+		tr.ObservePlainStream("a", 30*time.Second, 30*time.Second)
+	}
+	r, lim := Request{IsStream: true, Zone: "z"}, Limits{LatencyObjective: 500 * time.Millisecond, MaxStartDelay: 1200 * time.Millisecond}
+	for range 2 {
+		d := tr.ChoosePlain(now, r, []Candidate{{Upstream: u, Resident: true}}, lim, 0)
+		c.Check(d.Upstream, qt.Equals, u)
+		c.Check(d.Estimate < 50*time.Millisecond, qt.IsTrue, qt.Commentf("estimate %v", d.Estimate))
+		tr.Begin(now, "a", r)
+		if tr.InFlight(now, "a").Requests == 2 {
+			break
+		}
+	}
+	c.Check(tr.ChoosePlain(now, r, []Candidate{{Upstream: u, Resident: true}}, lim, 0).Upstream, qt.IsNil)
+	c.Check(tr.MeanPlainStreamTime() > 15*time.Second, qt.IsTrue)
+	c.Check(tr.MeanStreamTime(), qt.Equals, initialStreamTime)
+}
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -292,7 +292,12 @@
 			if pass == 0 && t.IsEjected(now, c.Upstream.ID) {
 				continue
 			}
-			estimate := t.EstimateResponse(now, c.Upstream) + t.rateWait(now, c.Upstream.ID, &r)
+			estimate := t.rateWait(now, c.Upstream.ID, &r)
+			if r.IsStream {
+				estimate += t.EstimatePlainFirstEvent(now, c.Upstream)
+			} else {
+				estimate += t.EstimateResponse(now, c.Upstream)
+			}
 			if cost := estimate + t.Penalty(c.Upstream, r.Zone); cost < bestCost {
 				best, bestCost, bestEstimate = c, cost, estimate
 			}
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -126,7 +126,7 @@
 	c.engine = table.Config.Services[c.service].Engine
 	c.lastEvent = c.meta.LastEvent
 	c.precedence = table.Precedence(c.account, c.route)
-	c.request = balance.Request{Rank: c.precedence.Rank, TokensIn: c.meta.TokensIn, TokensOut: c.meta.TokensOut, Ticket: c.g.tickets.Add(1)}
+	c.request = balance.Request{Rank: c.precedence.Rank, IsStream: c.route.Kind == routes.Stream, Ticket: c.g.tickets.Add(1)}
 	c.request.TokensIn, c.request.TokensOut = c.plausibleTokens(c.meta.TokensIn), c.plausibleTokens(c.meta.TokensOut)
 	// Less urgent ranks yield to more urgent ones that arrive somewhat later.
 	c.request.StartBy = c.arrival.Add(c.route.Goal * time.Duration(2+c.precedence.Rank) / 2)
--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -132,8 +132,9 @@
 }
 
 // newFixture returns a fixture with the routes /plain/ (idempotent), /once/ (not idempotent),
-// /stream/ (a resumable stream) and /fixed/ (a stream that is not resumable). Without
-// upstreams it has no configuration.
+// /stream/ (a resumable stream) and /fixed/ (a stream that is not resumable). /appstream/ and
+// /appfixed/ are such streams of the service without models, and /split/ is a resumable stream that
+// is split over both services. Without upstreams it has no configuration.
 func newFixture(t testing.TB, list ...*upstream) *fixture {
 	return newFixtureWith(t, fleet.ViewOptions{}, nil, list...)
 }
@@ -170,11 +171,15 @@
 			Goal: 150 * time.Millisecond, Attempts: 2, Targets: []routes.Target{{Service: service, Weight: 1}},
 		}
 	}
+	appFixed, split := route("/appfixed/", routes.Stream, "app", false), route("/split/", routes.Stream, "llm", true)
+	appFixed.GapGoal = 50 * time.Millisecond
+	split.Targets = append(split.Targets, routes.Target{Service: "app", Weight: 1})
 	view.SetConfig(&routes.Config{
 		Version: 1,
 		Routes: []routes.Route{
 			route("/plain/", routes.Idempotent, "app", false), route("/once/", routes.NonIdempotent, "app", false),
 			route("/stream/", routes.Stream, "llm", true), route("/fixed/", routes.Stream, "llm", false),
+			route("/appstream/", routes.Stream, "app", true), appFixed, split,
 		},
 		Services: map[string]routes.Service{"app": {Name: "app"}, "llm": {Name: "llm", Engine: &routes.EngineSpec{Slots: 8, KVTokens: 1 << 20}}},
 	})
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -324,7 +324,7 @@
 	if success && (!a.Signed || resp.Header.Get("Content-Encoding") != "") {
 		return x.abort("check answer", errors.New("gateway: the response is unsigned or has a content encoding"))
 	}
-	if success && c.route.Kind == routes.Stream && c.engine != nil {
+	if success && c.route.Kind == routes.Stream {
 		return x.forwardStream(resp, a)
 	}
 	memory := c.memoryFor(c.g.opts.Responses)
--- a/internal/node/gateway/shutdown.go
+++ b/internal/node/gateway/shutdown.go
@@ -54,7 +54,13 @@
 	}
 	end := c.deadline
 	if c.route.Kind == routes.Stream {
-		c.g.opts.View.WithTracker(func(t *balance.Tracker) { end = c.g.opts.Clock().Add(t.MeanStreamTime()) })
+		c.g.opts.View.WithTracker(func(t *balance.Tracker) {
+			mean := t.MeanStreamTime()
+			if c.engine == nil {
+				mean = t.MeanPlainStreamTime()
+			}
+			end = c.g.opts.Clock().Add(mean)
+		})
 	}
 	if !end.After(endBy) {
 		return false
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -171,11 +171,15 @@
 	now := c.g.opts.Clock()
 	c.g.opts.View.WithTracker(func(t *balance.Tracker) {
 		t.RecordSuccess(now, x.u.ID)
-		if c.runs == 0 && x.hadFirstEvent {
+		switch {
+		case c.runs > 0 || !x.hadFirstEvent:
+		case c.engine == nil:
+			t.ObservePlainStream(x.u.ID, now.Sub(x.sentAt), now.Sub(x.firstEventAt))
+		default:
 			t.ObserveStreamTime(now.Sub(c.arrival) - c.firstEventDelay)
 		}
 	})
-	if c.runs == 0 && x.hadFirstEvent && c.route.GapGoal > 0 {
+	if c.engine != nil && c.runs == 0 && x.hadFirstEvent && c.route.GapGoal > 0 { // paces prompts
 		c.g.opts.View.ObserveStream(c.service, c.isStalled())
 	}
 	// A body that ends with its connection looks the same if the upstream crashed in it.
@@ -210,7 +214,8 @@
 	if pause > c.longestPause {
 		c.longestPause, c.longestPauseAt = pause, x.u.ID
 	}
-	if pause <= c.route.GapGoal && now.Sub(x.pauseSampledAt) < pauseSampleInterval {
+	// A plain service reads no prompts, so that none are held back because of its pauses.
+	if c.engine == nil || pause <= c.route.GapGoal && now.Sub(x.pauseSampledAt) < pauseSampleInterval {
 		return
 	}
 	x.pauseSampledAt = now
@@ -227,7 +232,10 @@
 	c.g.opts.View.WithTracker(func(t *balance.Tracker) {
 		t.FirstEvent(x.u.ID, c.request)
 		t.RecordProgress(now, x.u.ID)
-		if c.loadWait == 0 { // otherwise the estimate includes a load
+		switch {
+		case c.engine == nil:
+			t.ObservePlainFirstEvent(x.u.ID, took)
+		case c.loadWait == 0: // otherwise the estimate includes a load
 			t.ObserveFirstEvent(x.u.ID, c.placement.Estimate, took)
 		}
 	})
