Streams: the length of one response is not announced for a stream of several

Callers saw: a resumed stream whose first response had a length ended as complete after that many bytes, without its last events, if the other attempt sent more (a line with a version). A stream of which the caller named its last event looked broken off although it was whole.

Cause: startStream copied the Content-Length of the first response, while events come from several attempts, and those that the caller has are left out.

Change: the length is left out, so that the caller's stream ends with its last chunk.

Failed before: TestALengthOfAStreamIsNotThatOfItsParts in its 4 cases, with engines and with a service without models.

--- a/internal/node/gateway/appstream_test.go
+++ b/internal/node/gateway/appstream_test.go
@@ -164,6 +164,43 @@
 	close(received)
 }
 
+// A stream with a length was cut off once the caller had got as many bytes as the first response announced, or ended as broken
+// although it was whole: the length is not that of a stream that is resumed or of which the caller has a part.
+func TestALengthOfAStreamIsNotThatOfItsParts(t *testing.T) {
+	for _, path := range []string{"/stream/", "/appstream/"} {
+		t.Run("resumed"+path, func(t *testing.T) {
+			var sends atomic.Int32
+			respond := func(_ int, r *http.Request, conn net.Conn) {
+				body := eventsAfter(r)
+				if sends.Add(1) == 1 {
+					streamFramings["a length"](r, conn, body, body[:len(body)/2])
+					return
+				}
+				body = "x-weight-versions: 2\n" + body
+				streamFramings["a length"](r, conn, body, body)
+			}
+			w := newFixture(t, serveUpstream(t, "a", respond), serveUpstream(t, "b", respond))
+			_, text, err := w.do(path, "x")
+			w.Check(err, qt.IsNil)
+			w.Check(strings.Replace(text, "x-weight-versions: 2\n", "", 1), qt.Equals, threeEvents)
+		})
+		t.Run("continued"+path, func(t *testing.T) {
+			u := serveUpstream(t, "a", func(_ int, r *http.Request, conn net.Conn) {
+				streamFramings["a length"](r, conn, threeEvents, threeEvents)
+			})
+			w := newFixture(t, u)
+			r := w.request(path, "x")
+			r.Header.Set("Last-Event-Id", "2")
+			resp, err := http.DefaultClient.Do(r)
+			w.Assert(err, qt.IsNil)
+			defer resp.Body.Close()
+			text, err := io.ReadAll(resp.Body)
+			w.Check(err, qt.IsNil)
+			w.Check(string(text), qt.Equals, "id: 3\ndata: piece 3\n\n")
+		})
+	}
+}
+
 // A caller that resumes a stream may get to the other service of a split route, and must not get an event twice there.
 func TestACallerResumesAStreamAtEitherServiceOfASplitRoute(t *testing.T) {
 	u := serveUpstream(t, "a", func(_ int, r *http.Request, conn net.Conn) {
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -194,6 +194,8 @@
 func (x *exchange) startStream(resp *http.Response) {
 	c := x.c
 	x.copyHeaders(resp)
+	// Events may be left out because the caller has them, or come from another attempt.
+	c.w.Header().Del("Content-Length")
 	c.w.WriteHeader(resp.StatusCode)
 	c.responseStarted, c.streamHead = true, streamHeadOf(resp)
 }
