Streams: one whose events have no ID is not joined from two runs

Callers saw: a resumable stream whose events have no ID came twice from its begin after a break, as a whole response; after a stall too, if the stream had been in use for events before the first ID.

Cause: a stream is resumed after the last event ID that the caller has. Events without an ID are before or after it for all that the daemon knows, and the next run sends them again.

Change: once the caller has an event without an ID other than a comment, a break ends its response, and a pause does not move the stream to another upstream.

Failed before: TestAStreamWithoutEventIDsIsNotJoinedFromTwoRuns, its broken cases on both kinds of service. The case of the soak's broken builds that concerns repeats names the file where the condition is now.

--- a/internal/node/gateway/appstream_test.go
+++ b/internal/node/gateway/appstream_test.go
@@ -201,6 +201,30 @@
 	}
 }
 
+// A stream whose events have no ID can't be resumed: the caller got its first events twice.
+func TestAStreamWithoutEventIDsIsNotJoinedFromTwoRuns(t *testing.T) {
+	for _, path := range []string{"/stream/", "/appstream/"} {
+		for name, silence := range map[string]time.Duration{"broken": 0, "stalled": 1800 * time.Millisecond} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				respond := func(_ int, r *http.Request, conn net.Conn) {
+					streamHead(r, conn)
+					chunk(conn, ": no event\n\nid: 1\ndata: one\n\ndata: two\n\n")
+					time.Sleep(silence)
+					chunk(conn, "data: three\n\nda")
+					_ = conn.Close()
+				}
+				a, b := serveUpstream(t, "a", respond), serveUpstream(t, "b", respond)
+				w := newFixture(t, a, b)
+				_, text, err := w.do(path, "x")
+				w.Check(err, qt.IsNotNil)
+				w.Check(text, qt.Equals, ": no event\n\nid: 1\ndata: one\n\ndata: two\n\ndata: three\n\n")
+				w.Check(a.arrivals()+b.arrivals(), qt.Equals, 1)
+			})
+		}
+	}
+}
+
 // A caller that resumes a stream may get to the other service of a split route, and must not get an event twice there.
 func TestACallerResumesAStreamAtEitherServiceOfASplitRoute(t *testing.T) {
 	u := serveUpstream(t, "a", func(_ int, r *http.Request, conn net.Conn) {
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -52,6 +52,7 @@
 	failedLoads     int                       // load requests that were refused
 	retryTaken      atomic.Bool               // the next retry was already taken from the budget
 	responseStarted bool                      // the response headers were written
+	cannotResume    atomic.Bool               // the caller has an event without an ID, which a further attempt would repeat
 	streamHead      streamHead                // of the response that was begun, if it is a stream
 	lastWrite       time.Time                 // when an event was last written to the caller
 	longestPause    time.Duration             // between two events written to the caller
@@ -283,7 +284,7 @@
 				return
 			}
 		case broken:
-			if c.ctx.Err() == nil && (!c.route.Repeatable() || c.runs >= c.route.Attempts) {
+			if c.ctx.Err() == nil && !c.mayRunAgain() {
 				c.fail(decisionlog.UpstreamDisconnected)
 				return
 			}
@@ -292,6 +293,11 @@
 	}
 }
 
+// mayRunAgain reports whether a request whose last attempt broke off may be sent to another upstream.
+func (c *call) mayRunAgain() bool {
+	return c.route.Repeatable() && c.runs < c.route.Attempts && !c.cannotResume.Load()
+}
+
 // maxSends is the number of attempts after which a request that an upstream rejects is not
 // sent again.
 const maxSends = 4
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -33,6 +33,8 @@
 type event struct {
 	raw []byte
 	id  int // -1 if the event has no ID
+	// isComment is whether the event has no line but comments.
+	isComment bool
 }
 
 var (
@@ -68,7 +70,7 @@
 
 // readEvent reads one complete event. It returns io.EOF only between events.
 func readEvent(r *bufio.Reader) (event, error) {
-	e := event{id: -1}
+	e := event{id: -1, isComment: true}
 	for {
 		line, err := r.ReadSlice('\n')
 		if len(e.raw)+len(line) > maxEvent {
@@ -88,6 +90,7 @@
 		if len(text) == 0 {
 			return e, nil
 		}
+		e.isComment = e.isComment && text[0] == ':'
 		if rest, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			if id, err := strconv.Atoi(string(bytes.TrimSpace(rest))); err == nil {
 				e.id = id
@@ -149,6 +152,8 @@
 		x.recordEvent(now)
 		if e.id >= 0 {
 			c.lastEvent = e.id
+		} else if !e.isComment {
+			c.cannotResume.Store(true)
 		}
 		if !hasBufferedEvent(reader) {
 			if err := flush.Flush(); err != nil {
@@ -279,6 +284,9 @@
 func (x *exchange) checkStall(req fleet.PlacementRequest) time.Duration {
 	c := x.c
 	now := c.g.opts.Clock()
+	if c.cannotResume.Load() {
+		return stallCheckInterval
+	}
 	pause := now.Sub(time.Unix(0, x.lastEventAt.Load()))
 	if pause < stallTimeout {
 		return stallTimeout - pause
--- a/internal/soak/broken_test.go
+++ b/internal/soak/broken_test.go
@@ -24,8 +24,8 @@
 		name, file, from, to, guarantee string
 	}{
 		{
-			"repeats a non-idempotent request", "../node/gateway/gateway.go",
-			"(!c.route.Repeatable() || c.runs >= c.route.Attempts)", "c.runs >= c.route.Attempts",
+			"repeats a non-idempotent request", "../node/gateway/call.go",
+			"c.route.Repeatable() && c.runs < c.route.Attempts", "c.runs < c.route.Attempts",
 			"a non-idempotent request runs at most once",
 		},
 		{
