Aborted responses look broken off to HTTP/1.0 callers

Cause: a response to HTTP/1.0 has neither chunks nor, for a stream, a length, and net/http closes the connection in order after an abort.

Change: httpabort resets the connection of an HTTP/1.0 request whose handler panics. What was flushed before is still received; the caller gets the reset in place of the end.

--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/state/inflight"
 	"github.com/celerydeck/celerydeck/internal/transport/callers"
+	"github.com/celerydeck/celerydeck/internal/transport/httpabort"
 	"github.com/celerydeck/celerydeck/internal/transport/peer"
 	"github.com/celerydeck/celerydeck/internal/transport/platform"
 	"github.com/celerydeck/celerydeck/internal/transport/upstream"
@@ -246,6 +247,7 @@
 		NewID:   newID,
 	})
 	server := &http.Server{Handler: countRequests(d.requestsEnded, requests, r, api.Handler()), ReadHeaderTimeout: readHeaderTimeout}
+	httpabort.Attach(server)
 	lc.Append(fx.StartStopHook(
 		func() { go func() { _ = server.Serve(l) }() },
 		func() { _ = server.Close() },
--- a/internal/app/edge.go
+++ b/internal/app/edge.go
@@ -30,6 +30,7 @@
 	"github.com/celerydeck/celerydeck/internal/node/gateway"
 	"github.com/celerydeck/celerydeck/internal/state"
 	"github.com/celerydeck/celerydeck/internal/transport/frontconn"
+	"github.com/celerydeck/celerydeck/internal/transport/httpabort"
 	"github.com/celerydeck/celerydeck/internal/transport/httpconn"
 	"github.com/celerydeck/celerydeck/internal/transport/idleconn"
 	"github.com/celerydeck/celerydeck/internal/transport/peer"
@@ -378,6 +379,7 @@
 		Handler: g, ConnState: l.State, ReadHeaderTimeout: edgeHeaderTimeout, IdleTimeout: edgeIdleTimeout, MaxHeaderBytes: edgeHeaderBytes,
 	}
 	frontconn.Attach(server)
+	httpabort.Attach(server)
 	serveOn(lc, l, server)
 }
 
--- a/internal/transport/frontconn/conn.go
+++ b/internal/transport/frontconn/conn.go
@@ -73,6 +73,9 @@
 	return c
 }
 
+// NetConn returns the connection below this one.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // enter starts a phase.
 func (c *Conn) enter(p clientbudget.Phase, now int64) {
 	c.since.Store(now)
