Own interface: a plain stream that ends inside an event is not complete

Callers saw: a plain service's answer of type text/event-stream, with neither a length nor chunks, that broke off inside an event, as a complete answer.

Change: copyPlain's body ends with an error in that case, so that the caller's answer is cut before its last chunk, and a call with a key is not recorded as answered. Events were passed on as they arrive before.

--- a/internal/transport/upstream/plain.go
+++ b/internal/transport/upstream/plain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"math"
+	"mime"
 	"net/http"
 	"slices"
 	"strconv"
@@ -78,7 +79,46 @@
 	if err := sink.Head(head); err != nil {
 		return protocol.Errorf(protocol.KindCanceled, step, protocol.OutcomeUnknown, "caller disconnected: %v", err)
 	}
-	return copyPlain(u, call, resp.Body, sink)
+	body := io.Reader(resp.Body)
+	if isUnframedStream(resp) {
+		body = &eventStream{body: body}
+	}
+	return copyPlain(u, call, body, sink)
+}
+
+// isUnframedStream reports whether a response is a stream of events that ends with its connection.
+func isUnframedStream(resp *http.Response) bool {
+	mediaType, _, err := mime.ParseMediaType(resp.Header.Get(contentTypeHeader))
+	return err == nil && mediaType == "text/event-stream" && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// errTruncatedEvent is the error of a stream of events that ends within an event.
+var errTruncatedEvent = errors.New("upstream: the stream broke off within an event")
+
+// eventStream is the body of a stream of events. It ends with errTruncatedEvent in place of io.EOF if the body ends
+// within an event.
+type eventStream struct {
+	body     io.Reader
+	inEvent  bool // bytes were read since the last blank line
+	isInLine bool // bytes were read since the last line end
+}
+
+// Read implements io.Reader.
+func (s *eventStream) Read(p []byte) (int, error) {
+	n, err := s.body.Read(p)
+	for _, b := range p[:n] {
+		switch b {
+		case '\r': // also before a line feed
+		case '\n':
+			s.inEvent, s.isInLine = s.isInLine, false
+		default:
+			s.inEvent, s.isInLine = true, true
+		}
+	}
+	if errors.Is(err, io.EOF) && s.inEvent {
+		err = errTruncatedEvent
+	}
+	return n, err
 }
 
 // copyPlain passes the body of an answer to sink in chunks, each as soon as it arrives.
