--- a/internal/coordination/clientbudget/clientbudget_test.go
+++ b/internal/coordination/clientbudget/clientbudget_test.go
@@ -18,7 +18,8 @@
 		qt.Check(t, live+runtimeMemory < HeapLimit(memory), qt.IsTrue, qt.Commentf("%d MB: %d bytes", memoryMB, live))
 		qt.Check(t, HeapLimit(memory)+mappedMemory <= memory*8/10, qt.IsTrue)
 		qt.Check(t, 2*l.Connections+2*small.Connections < descriptors-reservedDescriptors, qt.IsTrue)
-		qt.Check(t, RequestCost(16384, 3500) <= Ceiling(l.HeadMemory, l.HeadMemory), qt.IsTrue)
+		qt.Check(t, RequestCost(16384, 3500, 0) <= Ceiling(l.HeadMemory, l.HeadMemory), qt.IsTrue)
+		qt.Check(t, RequestCost(16384, 10, 16384) <= Ceiling(l.HeadMemory, l.HeadMemory), qt.IsTrue)
 		qt.Check(t, 4<<20+1 <= Ceiling(l.BodyMemory, l.BodyMemory), qt.IsTrue)
 	}
 }
--- a/internal/coordination/clientbudget/limits.go
+++ b/internal/coordination/clientbudget/limits.go
@@ -104,12 +104,15 @@
 const (
 	fieldCost = 300
 	byteCost  = 3 // the text as received, as parsed, and as sent to the upstream
+	// itemCost is for an item of a list, as a prompt names its parts.
+	itemCost = 32
 	// requestCost is for the goroutines of a request and the connection to its upstream. Without it, 1,500 clients that
 	// pipeline took 149 MB of 184.
 	requestCost = 24 << 10
 )
 
-// RequestCost estimates the memory of a request whose head has the given size in bytes and number of lines.
-func RequestCost(size, lines int) int64 {
-	return requestCost + int64(size)*byteCost + int64(lines)*fieldCost
+// RequestCost estimates the memory of a request whose head has the given size in bytes, number of lines and number of items
+// in lists.
+func RequestCost(size, lines, items int) int64 {
+	return requestCost + int64(size)*byteCost + int64(lines)*fieldCost + int64(items)*itemCost
 }
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -56,10 +56,14 @@
 	RefusalTTL = 10 * time.Minute
 	recordTTL  = time.Hour // time from the last crash until a record may be evicted
 
-	maxRecords          = 4096
-	maxSurvivals        = 16384
+	// maxRecords and maxSurvivals bound the memory of a table. A request has at most some thousand prompt parts, as its
+	// head is limited.
+	maxRecords   = 1 << 16
+	maxSurvivals = 1 << 16
 	maxCrashesPerRecord = 256
-	maxRepeatedCrashes  = 256
+	minCompaction       = 1024 // of Table.single
+	// maxRepeatedTraits is the number of traits whose crashes RepeatedCrashes returns.
+	maxRepeatedTraits = 1 << 14
 )
 
 // Kind says what a trait identifies.
@@ -114,21 +118,48 @@
 	start    int64
 }
 
+// datedCrash is a crash that counts against a trait.
+type datedCrash struct {
+	boot boot
+	at   time.Time
+}
+
 // record holds the crashes that count against one trait.
 type record struct {
-	crashes   map[boot]time.Time // when each crash came
+	crashes   []datedCrash
 	lastCrash time.Time
 }
 
+// add adds a crash, and reports whether it is new and counts.
+func (r *record) add(c datedCrash) bool {
+	if slices.ContainsFunc(r.crashes, func(known datedCrash) bool { return known.boot == c.boot }) {
+		return false
+	}
+	if len(r.crashes) >= maxCrashesPerRecord {
+		return false
+	}
+	r.crashes = append(r.crashes, c)
+	if c.at.After(r.lastCrash) {
+		r.lastCrash = c.at
+	}
+	return true
+}
+
+// survival is when a run with a prompt part last got past its beginning.
+type survival struct {
+	at         time.Time
+	isRepeated bool // it was not the first one that the table knows
+}
+
 // unexplained returns the number of crashes that no refused prompt part explains, and when the
 // first of them came.
 func (r *record) unexplained(causes map[boot][]Trait) (count int, first time.Time) {
-	for b, at := range r.crashes {
-		if len(causes[b]) > 0 {
+	for _, c := range r.crashes {
+		if len(causes[c.boot]) > 0 {
 			continue
 		}
-		if count++; first.IsZero() || at.Before(first) {
-			first = at
+		if count++; first.IsZero() || c.at.Before(first) {
+			first = c.at
 		}
 	}
 	return count, first
@@ -144,8 +175,12 @@
 // Table holds the crashes that count against traits, and the traits that are refused because of
 // them. It is not safe for concurrent use.
 type Table struct {
-	records   map[Trait]*record
-	survivals map[Trait]time.Time // when a run with a prompt part last got past its beginning, at any daemon
+	records map[Trait]*record
+	// repeated are the records with two crashes or more. Only these can lead to a refusal, and there are few of them also
+	// if crashes break many requests that share nothing.
+	repeated  map[Trait]*record
+	single    []Trait            // of the other records, in the order of their first crash; also of some that are gone
+	survivals map[Trait]survival // at any daemon
 
 	refused     map[Trait]bool
 	causes      map[boot][]Trait    // the refused prompt parts that a crash counts against
@@ -158,7 +193,8 @@
 // New returns an empty table.
 func New() *Table {
 	return &Table{
-		records: make(map[Trait]*record), survivals: make(map[Trait]time.Time), refused: make(map[Trait]bool), trials: make(map[Trait]time.Time),
+		records: make(map[Trait]*record), repeated: make(map[Trait]*record), survivals: make(map[Trait]survival),
+		refused: make(map[Trait]bool), trials: make(map[Trait]time.Time),
 	}
 }
 
@@ -167,32 +203,41 @@
 func (t *Table) RecordCrash(now time.Time, c Crash) bool {
 	trait := c.Trait()
 	at := now.Add(-c.Age)
-	if !at.After(t.survivals[trait]) {
+	if !at.After(t.survivals[trait].at) {
 		return false
 	}
 	r := t.records[trait]
 	if r != nil && at.Sub(r.lastCrash) >= suspicionTTL && len(r.crashes) < crashLimit(trait.Kind) {
+		t.remove(trait)
 		r = nil
 	}
 	if r == nil {
 		if len(t.records) >= maxRecords {
 			t.evict(now)
 		}
-		r = &record{crashes: make(map[boot]time.Time)}
+		r = &record{}
 		t.records[trait] = r
+		t.single = append(t.single, trait)
+		if len(t.single) > 2*len(t.records)+minCompaction {
+			t.compactSingle(t.single)
+		}
 	}
-	b := boot{c.Upstream, c.Boot}
-	if _, ok := r.crashes[b]; ok || len(r.crashes) >= maxCrashesPerRecord {
+	if !r.add(datedCrash{boot: boot{c.Upstream, c.Boot}, at: at}) {
 		return false
 	}
-	r.crashes[b] = at
-	if at.After(r.lastCrash) {
-		r.lastCrash = at
+	if len(r.crashes) > 1 {
+		t.repeated[trait] = r
+		t.isStale = true
 	}
-	t.isStale = true
 	return true
 }
 
+// remove removes the record of a trait.
+func (t *Table) remove(trait Trait) {
+	delete(t.records, trait)
+	delete(t.repeated, trait)
+}
+
 // RecordSurvival records that a run of this daemon with a trait got past its beginning, which
 // removes the crashes that count against the trait. It reports whether there were any.
 func (t *Table) RecordSurvival(now time.Time, trait Trait) bool {
@@ -206,7 +251,7 @@
 // new, so that it is to be reported to further peers.
 func (t *Table) RecordPeerSurvival(now time.Time, report Survival) bool {
 	trait, at := report.Trait(), now.Add(-report.Age)
-	isNew := at.Sub(t.survivals[trait]) >= survivalReportInterval
+	isNew := at.Sub(t.survivals[trait].at) >= survivalReportInterval
 	t.setSurvival(now, trait, at)
 	return t.clear(trait, at) || isNew
 }
@@ -214,11 +259,11 @@
 // LastSurvival returns the last survival with the trait of a crash that a peer reports. It returns
 // false if that was so long before the crash that it does not matter.
 func (t *Table) LastSurvival(now time.Time, c Crash) (Survival, bool) {
-	at, ok := t.survivals[c.Trait()]
-	if !ok || now.Add(-c.Age).Sub(at) >= survivalTTL {
+	last, ok := t.survivals[c.Trait()]
+	if !ok || now.Add(-c.Age).Sub(last.at) >= survivalTTL {
 		return Survival{}, false
 	}
-	return Survival{Kind: c.Kind, ID: c.ID, Age: now.Sub(at)}, true
+	return Survival{Kind: c.Kind, ID: c.ID, Age: now.Sub(last.at)}, true
 }
 
 // setSurvival records a survival unless a later one is known. If there are too many, it evicts others
@@ -228,8 +273,8 @@
 	if !ok && len(t.survivals) >= maxSurvivals {
 		t.expireSurvivals(now)
 	}
-	if at.After(last) {
-		t.survivals[trait] = at
+	if at.After(last.at) {
+		t.survivals[trait] = survival{at: at, isRepeated: ok}
 	}
 }
 
@@ -241,15 +286,15 @@
 		return false
 	}
 	count := len(r.crashes)
-	maps.DeleteFunc(r.crashes, func(_ boot, at time.Time) bool { return !at.After(until) })
+	r.crashes = slices.DeleteFunc(r.crashes, func(c datedCrash) bool { return !c.at.After(until) })
 	if len(r.crashes) == count {
 		return false
 	}
-	t.isStale = true
-	if len(r.crashes) > 0 {
+	t.isStale = t.isStale || count > 1
+	if len(r.crashes) > 0 { // stays in repeated with one crash, as single no longer contains it
 		return true
 	}
-	delete(t.records, trait)
+	t.remove(trait)
 	if t.refused[trait] {
 		delete(t.refused, trait)
 		t.changes = append(t.changes, Change{Trait: trait})
@@ -271,8 +316,8 @@
 		return nil
 	}
 	list := make([]Crash, 0, len(r.crashes))
-	for b := range r.crashes {
-		list = append(list, Crash{ID: trait.ID, Kind: trait.Kind, Upstream: b.upstream, Boot: b.start})
+	for _, c := range r.crashes {
+		list = append(list, Crash{ID: trait.ID, Kind: trait.Kind, Upstream: c.boot.upstream, Boot: c.boot.start})
 	}
 	slices.SortFunc(list, compareCrashes)
 	return list
@@ -281,25 +326,42 @@
 // RepeatedCrashes returns crashes that are reported to the peers again and again, so that daemons
 // that were cut off or have started learn of them: those of refused traits, and of prompt parts
 // with at least two crashes that no refused part explains. It omits crashes that were recorded
-// less than ConfirmDelay ago.
+// less than ConfirmDelay ago. Of more than maxRepeatedTraits, it returns those of the refused traits first, and then those
+// of the traits with most crashes.
 func (t *Table) RepeatedCrashes(now time.Time) []Crash {
 	t.update(now)
-	var list []Crash
-	for trait, r := range t.records {
+	var traits []Trait
+	for trait, r := range t.repeated {
 		if age := now.Sub(r.lastCrash); age >= RefusalTTL {
 			continue
 		}
 		if count, _ := r.unexplained(t.causes); !t.refused[trait] && (trait.Kind == Content || count < 2) {
 			continue
 		}
-		for b, at := range r.crashes {
-			if now.Sub(at) >= ConfirmDelay {
-				list = append(list, Crash{ID: trait.ID, Kind: trait.Kind, Upstream: b.upstream, Boot: b.start, Age: now.Sub(at)})
+		traits = append(traits, trait)
+	}
+	if len(traits) > maxRepeatedTraits {
+		slices.SortFunc(traits, func(a, b Trait) int {
+			if t.refused[a] != t.refused[b] {
+				if t.refused[a] {
+					return -1
+				}
+				return 1
+			}
+			return cmp.Or(cmp.Compare(len(t.records[b].crashes), len(t.records[a].crashes)), compareTraits(a, b))
+		})
+		traits = traits[:maxRepeatedTraits]
+	}
+	var list []Crash
+	for _, trait := range traits {
+		for _, c := range t.records[trait].crashes {
+			if now.Sub(c.at) >= ConfirmDelay {
+				list = append(list, Crash{ID: trait.ID, Kind: trait.Kind, Upstream: c.boot.upstream, Boot: c.boot.start, Age: now.Sub(c.at)})
 			}
 		}
 	}
 	slices.SortFunc(list, compareCrashes)
-	return list[:min(len(list), maxRepeatedCrashes)]
+	return list
 }
 
 // compareCrashes orders those of prompt parts first.
@@ -319,22 +381,38 @@
 	return contentCrashLimit
 }
 
-// evict removes the expired records, and if none has expired the quarter of the records with the
-// oldest last crash, those of refused traits last.
+// evict makes room in a full table. It removes the records that are expired or whose crashes count no longer, and if that is
+// not enough those with one crash, the oldest first: the next crash under a trait that crashes upstreams is soon. Without such
+// records, it removes the quarter with the oldest last crash, those of refused traits last.
 func (t *Table) evict(now time.Time) {
 	t.update(now)
-	list := make([]Trait, 0, len(t.records))
 	for trait, r := range t.records {
-		if now.Sub(r.lastCrash) >= recordTTL {
-			delete(t.records, trait)
+		age := now.Sub(r.lastCrash)
+		if age >= recordTTL || age >= suspicionTTL && len(r.crashes) < crashLimit(trait.Kind) {
+			t.remove(trait)
 			delete(t.refused, trait)
-			continue
 		}
-		list = append(list, trait)
 	}
+	t.isStale = true
+	const room = maxRecords / 4
+	if len(t.records) <= maxRecords-room {
+		t.compactSingle(t.single)
+		return
+	}
+	i := 0
+	for ; i < len(t.single) && len(t.records) > maxRecords-room; i++ {
+		if t.isSingle(t.single[i]) {
+			t.remove(t.single[i])
+		}
+	}
+	t.compactSingle(t.single[i:])
 	if len(t.records) < maxRecords {
 		return
 	}
+	list := make([]Trait, 0, len(t.records))
+	for trait := range t.records {
+		list = append(list, trait)
+	}
 	slices.SortFunc(list, func(a, b Trait) int {
 		if t.refused[a] != t.refused[b] {
 			if t.refused[a] {
@@ -344,21 +422,44 @@
 		}
 		return cmp.Or(t.records[a].lastCrash.Compare(t.records[b].lastCrash), compareTraits(a, b))
 	})
-	for _, trait := range list[:maxRecords/4] {
-		delete(t.records, trait)
+	for _, trait := range list[:room] {
+		t.remove(trait)
 		delete(t.refused, trait)
 	}
-	t.isStale = true
 }
 
-// expireSurvivals removes the expired survivals, or all if none has expired.
-func (t *Table) expireSurvivals(now time.Time) {
-	for trait, at := range t.survivals {
-		if now.Sub(at) >= survivalTTL {
-			delete(t.survivals, trait)
+// compactSingle sets single to those of the given traits that have a record with one crash, each once.
+func (t *Table) compactSingle(list []Trait) {
+	kept := make([]Trait, 0, len(list))
+	isKept := make(map[Trait]bool, len(list))
+	for _, trait := range list {
+		if t.isSingle(trait) && !isKept[trait] {
+			kept, isKept[trait] = append(kept, trait), true
 		}
 	}
-	if len(t.survivals) >= maxSurvivals {
-		clear(t.survivals)
+	t.single = kept
+}
+
+// isSingle reports whether a trait has a record with one crash only.
+func (t *Table) isSingle(trait Trait) bool {
+	return t.records[trait] != nil && t.repeated[trait] == nil
+}
+
+// expireSurvivals makes room in a full table of survivals. It removes the expired ones, and if that is not enough those of
+// parts that survived only once: what protects a part that many requests share is seen again soon.
+func (t *Table) expireSurvivals(now time.Time) {
+	maps.DeleteFunc(t.survivals, func(_ Trait, s survival) bool { return now.Sub(s.at) >= survivalTTL })
+	const room = maxSurvivals / 4
+	if len(t.survivals) > maxSurvivals-room {
+		maps.DeleteFunc(t.survivals, func(_ Trait, s survival) bool { return !s.isRepeated })
+	}
+	if len(t.survivals) <= maxSurvivals-room {
+		return
+	}
+	list := slices.SortedFunc(maps.Keys(t.survivals), func(a, b Trait) int {
+		return cmp.Or(t.survivals[a].at.Compare(t.survivals[b].at), compareTraits(a, b))
+	})
+	for _, trait := range list[:room] {
+		delete(t.survivals, trait)
 	}
 }
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -1,8 +1,10 @@
 package quarantine
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -237,3 +239,181 @@
 	wait, isTrial := table.Admit(now, []Trait{part(1), {Content, 9}})
 	c.Assert(wait > 0 && !isTrial, qt.IsTrue)
 }
+
+// longPrompt is the number of shared parts of the longest prompt that a request head of 16,384 bytes has room for.
+const longPrompt = 5400
+
+// recordCrash records that an upstream crashed under a request with the given prompt parts.
+func (t *Table) recordCrash(now time.Time, parts []uint64, upstream string) {
+	for _, id := range parts {
+		t.RecordCrash(now, crash(part(id), upstream))
+	}
+}
+
+func (t *Table) recordSurvival(now time.Time, parts []uint64) {
+	for _, id := range parts {
+		t.RecordSurvival(now, part(id))
+	}
+}
+
+// idsFrom returns consecutive IDs.
+func idsFrom(first uint64, count int) []uint64 {
+	list := make([]uint64, count)
+	for i := range list {
+		list[i] = first + uint64(i)
+	}
+	return list
+}
+
+// TestTheCrashingPartOfALongPromptIsRefused guards against parts that are forgotten between two crashes because a prompt has
+// many: the crashing one has the lowest ID of all, which a full table dropped first. Requests that share the other parts
+// stay served.
+func TestTheCrashingPartOfALongPromptIsRefused(t *testing.T) {
+	c := qt.New(t)
+	table, now := New(), start
+	shared := idsFrom(1000, longPrompt)
+	for i := range 5 {
+		table.recordCrash(now, append([]uint64{1}, shared...), fmt.Sprint(i))
+		now = now.Add(time.Second)
+		table.recordSurvival(now, shared)
+		now = now.Add(time.Millisecond)
+	}
+	c.Check(table.Refused(now), qt.DeepEquals, []Trait{part(1)})
+	sound := make([]Trait, 0, longPrompt)
+	for _, id := range shared {
+		sound = append(sound, part(id))
+	}
+	wait, isTrial := table.Admit(now, sound)
+	c.Check(wait == 0 && !isTrial, qt.IsTrue)
+	c.Check(table.IsRefused(now, append(sound, part(1))), qt.IsTrue)
+}
+
+// TestACrowdOfLongPromptsLeavesRefusalsAndSurvivals guards against tables that grow with a crowd of long prompts that share
+// nothing, and against a crowd that makes a daemon forget the crashes of the crashing part or the survivals of popular ones.
+func TestACrowdOfLongPromptsLeavesRefusalsAndSurvivals(t *testing.T) {
+	c := qt.New(t)
+	table, now := New(), start
+	next := uint64(1 << 20)
+	crowd := func() []uint64 {
+		next += longPrompt
+		return idsFrom(next, longPrompt)
+	}
+	popular := []uint64{100, 101}
+	for i := range 6 {
+		upstream := fmt.Sprint(i)
+		for range 4 { // they crash beside the request with the part
+			table.recordCrash(now, crowd(), upstream)
+		}
+		table.recordCrash(now, append([]uint64{1}, popular...), upstream)
+		for range 4 {
+			table.recordCrash(now, crowd(), upstream)
+		}
+		for range 20 {
+			now = now.Add(50 * time.Millisecond)
+			table.recordSurvival(now, crowd())
+			table.recordSurvival(now, popular)
+		}
+		now = now.Add(time.Millisecond)
+	}
+	c.Check(len(table.records) <= maxRecords, qt.IsTrue)
+	c.Check(len(table.survivals) <= maxSurvivals, qt.IsTrue)
+	c.Check(len(table.single) <= 2*maxRecords+minCompaction, qt.IsTrue)
+	c.Check(table.Refused(now), qt.DeepEquals, []Trait{part(1)})
+	for i := range 4 { // upstreams crash at once for another reason
+		table.recordCrash(now, popular, fmt.Sprint("outage", i))
+	}
+	now = now.Add(servedConfirmDelay)
+	c.Check(table.Refused(now), qt.DeepEquals, []Trait{part(1)})
+}
+
+// TestTheListOfSingleCrashesIsBounded guards against memory that grows with parts that crash upstreams and survive by turns.
+func TestTheListOfSingleCrashesIsBounded(t *testing.T) {
+	table, now := New(), start
+	for i := range 10 * minCompaction {
+		now = now.Add(time.Millisecond)
+		table.RecordCrash(now, crash(part(1), fmt.Sprint(i)))
+		table.RecordSurvival(now, part(1))
+	}
+	qt.Check(t, len(table.single) <= 2*minCompaction, qt.IsTrue)
+}
+
+// TestRepeatedCrashesAreBounded guards against messages that grow with the parts that were in the same crashes, and against
+// refused ones that are left out of them.
+func TestRepeatedCrashesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	table := New()
+	for i := range 3 {
+		table.RecordCrash(start, crash(part(1<<40), fmt.Sprint(i)))
+		if i < 2 {
+			table.recordCrash(start, idsFrom(1, 2*maxRepeatedTraits), fmt.Sprint("other", i))
+		}
+	}
+	now := start.Add(ConfirmDelay)
+	groups := GroupCrashes(table.RepeatedCrashes(now))
+	total, hasRefused := 0, false
+	for _, g := range groups {
+		total += len(g.IDs)
+		hasRefused = hasRefused || slices.Contains(g.IDs, 1<<40) && len(g.Crashes) == 3
+	}
+	c.Check(groups, qt.HasLen, 2)
+	c.Check(total <= maxRepeatedTraits, qt.IsTrue)
+	c.Check(hasRefused, qt.IsTrue)
+}
+
+func TestGroupsContainTheSameCrashesAndSurvivals(t *testing.T) {
+	c := qt.New(t)
+	var crashes []Crash
+	var survivals []Survival
+	for i := range uint64(20) {
+		kind := Kind(i % 2)
+		for j := range i % 4 {
+			crashes = append(crashes, Crash{ID: i, Kind: kind, Upstream: state.UpstreamID(fmt.Sprint("u", j)), Boot: int64(j), Age: time.Duration(j)})
+		}
+		survivals = append(survivals, Survival{ID: i, Kind: kind, Age: time.Duration(i % 3)})
+	}
+	groups := GroupCrashes(crashes)
+	c.Check(groups, qt.HasLen, 3)
+	byTrait := func(a, b Crash) int {
+		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Upstream, b.Upstream))
+	}
+	c.Check(slices.SortedFunc(slices.Values(UngroupCrashes(groups)), byTrait), qt.DeepEquals, crashes)
+	c.Check(slices.SortedFunc(slices.Values(UngroupSurvivals(GroupSurvivals(survivals))), func(a, b Survival) int { return cmp.Compare(a.ID, b.ID) }), qt.DeepEquals, survivals)
+	c.Check(Digest(crashes), qt.Equals, Digest(UngroupCrashes(groups)))
+	c.Check(Digest(crashes), qt.Not(qt.Equals), Digest(crashes[1:]))
+	c.Check(Digest(nil), qt.Not(qt.Equals), uint64(0))
+}
+
+// BenchmarkLongPrompts measures what a table does for a request with 3 shared parts, and with as many as a head has room
+// for: whether it is refused, while another part is, and its survival and its crash.
+func BenchmarkLongPrompts(b *testing.B) {
+	for _, count := range []int{3, longPrompt} {
+		table := New()
+		for i := range 3 {
+			table.RecordCrash(start, crash(part(1), fmt.Sprint(i)))
+		}
+		now := start.Add(time.Second)
+		ids := idsFrom(1000, count)
+		var traits []Trait
+		for _, id := range ids {
+			traits = append(traits, part(id))
+		}
+		b.Run(fmt.Sprint("admit/", count), func(b *testing.B) {
+			for b.Loop() {
+				table.Admit(now, traits)
+			}
+		})
+		b.Run(fmt.Sprint("survival/", count), func(b *testing.B) {
+			for b.Loop() {
+				table.recordSurvival(now, ids)
+			}
+		})
+		b.Run(fmt.Sprint("crash/", count), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time.Second)
+				table.recordCrash(now, ids, "u")
+				table.recordSurvival(now, ids)
+			}
+		})
+	}
+}
--- a/internal/coordination/quarantine/refusal.go
+++ b/internal/coordination/quarantine/refusal.go
@@ -46,15 +46,17 @@
 // refusedAmong returns the refused prompt parts among traits, and how long the request is refused
 // because of them. If a content is refused as well, it returns no parts.
 func (t *Table) refusedAmong(now time.Time, traits []Trait) (parts []Trait, wait time.Duration) {
+	t.update(now)
+	if len(t.refused) == 0 { // as nearly always
+		return nil, 0
+	}
 	hasRefusedContent := false
 	for _, trait := range traits {
-		r := t.records[trait]
-		if r == nil {
+		if !t.refused[trait] {
 			continue
 		}
-		t.update(now)
-		left := RefusalTTL - now.Sub(r.lastCrash)
-		if !t.refused[trait] || left <= 0 {
+		left := RefusalTTL - now.Sub(t.records[trait].lastCrash)
+		if left <= 0 {
 			continue
 		}
 		wait = max(wait, left)
@@ -76,24 +78,24 @@
 	if len(parts) == 0 {
 		return false
 	}
-	due := make(map[boot]bool)
+	own := make(map[boot]int)                // number of the given parts that were in each crash
+	seen := make(map[Trait]bool, len(parts)) // a prompt may contain a part twice
 	for _, trait := range parts {
-		for b := range t.records[trait].crashes {
-			if isSubset(t.causes[b], parts) {
-				due[b] = true
-			}
+		if seen[trait] {
+			continue
+		}
+		seen[trait] = true
+		for _, c := range t.records[trait].crashes {
+			own[c.boot]++
 		}
 	}
-	return len(due) < partCrashLimit
-}
-
-func isSubset(list, of []Trait) bool {
-	for _, trait := range list {
-		if !slices.Contains(of, trait) {
-			return false
+	due := 0
+	for b, count := range own {
+		if count == len(t.causes[b]) {
+			due++
 		}
 	}
-	return true
+	return due < partCrashLimit
 }
 
 // Refused returns the refused traits, ordered by kind and ID.
@@ -126,12 +128,12 @@
 		}
 		for _, trait := range parts {
 			t.refused[trait] = true
-			for b := range t.records[trait].crashes {
-				t.causes[b] = append(t.causes[b], trait)
+			for _, c := range t.records[trait].crashes {
+				t.causes[c.boot] = append(t.causes[c.boot], trait)
 			}
 		}
 	}
-	for trait, r := range t.records {
+	for trait, r := range t.repeated {
 		if trait.Kind != Content {
 			continue
 		}
@@ -164,13 +166,13 @@
 	var parts []Trait
 	most := 0
 	t.nextRefusal = time.Time{}
-	for trait, r := range t.records {
+	for trait, r := range t.repeated {
 		if trait.Kind != PromptPart || t.refused[trait] {
 			continue
 		}
 		count, first := r.unexplained(t.causes)
 		limit, delay := partCrashLimit, ConfirmDelay
-		if served, ok := t.survivals[trait]; ok && first.Sub(served) < survivalTTL {
+		if served, ok := t.survivals[trait]; ok && first.Sub(served.at) < survivalTTL {
 			limit, delay = servedCrashLimit, servedConfirmDelay
 		}
 		if count < limit || count < most {
--- a/internal/crowdtest/crowd_test.go
+++ b/internal/crowdtest/crowd_test.go
@@ -22,6 +22,7 @@
 	crowd       = 500
 	fields      = 3500 // empty fields of one name that fit into headLimit
 	otherFields = 2200 // empty fields of different names that fit into headLimit
+	promptParts = 1900 // parts of a prompt, with names of up to 7 digits, that fit into headLimit
 	repeats     = 20   // requests of a client that sends several
 	pipelined   = 2000 // requests of a client that sends them without reading the responses
 	tries       = 100  // of the ordinary request
@@ -143,6 +144,27 @@
 	})
 }
 
+// Guards against a daemon that runs out of memory because of prompts of as many parts as a head has room for.
+func TestPromptsOfManyPartsThatNobodyShares(t *testing.T) {
+	against(t, "/book/x", func(i int, conn net.Conn, path string) {
+		r := bufio.NewReader(conn)
+		_ = conn.SetReadDeadline(time.Now().Add(sendTimeout))
+		for n := range repeats {
+			var parts strings.Builder
+			for k := range promptParts {
+				fmt.Fprintf(&parts, "%x,", (i*repeats+n)<<13+k)
+			}
+			write(conn, head(i, "GET", path), "X-Prompt-Prefix: ", parts.String(), "0\r\n\r\n")
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+		}
+	})
+}
+
 // Guards against bodies that are never complete and take the memory of all ordinary ones.
 func TestAnnouncedBodiesThatStopShortOfTheirEnd(t *testing.T) {
 	body := strings.Repeat("x", maxBody-1)
--- a/internal/node/fleet/gossip.go
+++ b/internal/node/fleet/gossip.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
-	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
 	"github.com/celerydeck/celerydeck/internal/coordination/relays"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
@@ -29,32 +28,11 @@
 	// minStall is the least time without a round of gossip after which this daemon counts as suspended or
 	// starved. Rounds follow each other every gossipInterval.
 	minStall = time.Second
-	// crashReportTTL is how long a daemon includes a crash or a survival in its messages.
-	crashReportTTL = 2 * time.Second
-	// maxCrashReports is the maximum number of crashes, and of survivals, in a message.
-	maxCrashReports = 256
-	// crashRepeatInterval is the minimum time between two messages to a peer that repeat older
-	// crashes.
-	crashRepeatInterval = time.Second
 	// relayTotalsID stands in place of a daemon's ID for the sum of the requests in flight of
 	// all other daemons, as a relay reports it.
 	relayTotalsID = state.DaemonID("relay")
 )
 
-// crashReport is a crash of an upstream, with its age when this daemon observed it or received it
-// from a peer, and when that was.
-type crashReport struct {
-	quarantine.Crash
-	at time.Time
-}
-
-// survivalReport is a survival that this daemon or a peer observed, with its age when this daemon
-// learned of it, and when that was.
-type survivalReport struct {
-	quarantine.Survival
-	at time.Time
-}
-
 // pendingDemand is the demand for adapters that is not yet sent to one lease holder: by
 // engine, the adapters in use and the adapters that requests found missing.
 type pendingDemand struct {
@@ -113,12 +91,12 @@
 	now := n.opts.Clock()
 	n.noticeStall(now)
 	for _, s := range out.Crashes {
-		n.crashes = append(n.crashes, crashReport{s, now})
+		n.reports.addCrash(now, s)
 	}
 	for _, s := range out.Survivals {
-		n.addSurvival(now, s)
+		n.reports.addSurvival(now, s)
 	}
-	n.expireCrashReports(now)
+	n.expireReports(now, out.DroppedReports)
 	n.expireLapsed(now)
 	n.applyDemand(protocol.Demand{InUse: out.InUse, Missing: out.Missing})
 	n.updateLostPeers(now)
@@ -144,8 +122,7 @@
 		if m == nil || m.callInFlight {
 			continue
 		}
-		push := &protocol.FleetPush{States: []protocol.DaemonState{own}, Crashes: n.recentCrashes(now), Survivals: n.recentSurvivals(now), Revisions: n.currentRevisions(now)}
-		push.RepeatedCrashes = n.repeatedCrashesFor(now, m)
+		push := &protocol.FleetPush{States: []protocol.DaemonState{own}, Crashes: n.crashReportsFor(now, m), Revisions: n.currentRevisions(now)}
 		push.RecentVersions = n.recentVersionsFor(now, m)
 		if isRelay {
 			push.States = append(push.States, n.relayedStates(now, m.Zone)...)
@@ -160,25 +137,6 @@
 	return list
 }
 
-// expireCrashReports drops the crashes and survivals that are older than crashReportTTL, and those
-// beyond maxCrashReports: crashes of contents before those of prompt parts, older ones first. The
-// caller holds the lock.
-func (n *Node) expireCrashReports(now time.Time) {
-	n.crashes = slices.DeleteFunc(n.crashes, func(s crashReport) bool { return now.Sub(s.at) > crashReportTTL })
-	n.survivals = slices.DeleteFunc(n.survivals, func(s survivalReport) bool { return now.Sub(s.at) > crashReportTTL })
-	if excess := len(n.crashes) - maxCrashReports; excess > 0 {
-		n.crashes = slices.DeleteFunc(n.crashes, func(s crashReport) bool {
-			if excess <= 0 || s.Kind != quarantine.Content {
-				return false
-			}
-			excess--
-			return true
-		})
-	}
-	n.crashes = n.crashes[max(0, len(n.crashes)-maxCrashReports):]
-	n.survivals = n.survivals[max(0, len(n.survivals)-maxCrashReports):]
-}
-
 // roundsPerCrossZoneMessage returns after how many rounds a relay sends to other zones again:
 // in a small fleet in each round, otherwise in every second round, as traffic between zones
 // is billed. The caller holds the lock.
@@ -235,45 +193,6 @@
 	return list
 }
 
-// recentCrashes returns the crashes to include in messages, with their present age. The caller holds
-// the lock.
-func (n *Node) recentCrashes(now time.Time) []quarantine.Crash {
-	var list []quarantine.Crash
-	for _, r := range n.crashes[max(0, len(n.crashes)-maxCrashReports):] {
-		r.Age += now.Sub(r.at)
-		list = append(list, r.Crash)
-	}
-	return list
-}
-
-// addSurvival adds a survival to those in messages, in place of an earlier one of the trait. The
-// caller holds the lock.
-func (n *Node) addSurvival(now time.Time, s quarantine.Survival) {
-	n.survivals = slices.DeleteFunc(n.survivals, func(r survivalReport) bool { return r.Trait() == s.Trait() })
-	n.survivals = append(n.survivals, survivalReport{s, now})
-}
-
-// recentSurvivals returns the survivals to include in messages, with their present age. The caller
-// holds the lock.
-func (n *Node) recentSurvivals(now time.Time) []quarantine.Survival {
-	var list []quarantine.Survival
-	for _, r := range n.survivals[max(0, len(n.survivals)-maxCrashReports):] {
-		r.Age += now.Sub(r.at)
-		list = append(list, r.Survival)
-	}
-	return list
-}
-
-// repeatedCrashesFor returns the older crashes to include in a message to a peer. The caller holds
-// the lock.
-func (n *Node) repeatedCrashesFor(now time.Time, to *member) []quarantine.Crash {
-	if now.Sub(to.crashesRepeatedAt) < crashRepeatInterval {
-		return nil
-	}
-	to.crashesRepeatedAt = now
-	return n.opts.View.RepeatedCrashes()
-}
-
 // currentRevisions returns the revisions of this daemon's copies of the store's objects, with
 // the age of the list of upstreams and the time of reads before it. The caller holds the lock.
 func (n *Node) currentRevisions(now time.Time) protocol.StoreRevisions {
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -65,8 +65,7 @@
 	contacted    bool      // a message of this incarnation of the peer was received
 	failures     int       // consecutive unanswered messages
 	callInFlight bool
-	// crashesRepeatedAt is when a message to the peer last repeated older crashes.
-	crashesRepeatedAt time.Time
+	reports      reportProgress
 	// needsVersionsUntil is until when messages to the peer contain recent versions.
 	needsVersionsUntil time.Time
 	lost               bool      // silent, and logged as lost
@@ -125,8 +124,8 @@
 	refreshRequested chan struct{}
 	watchCancels     map[string]context.CancelFunc
 	demand           map[string]*pendingDemand // by VM of the lease holder
-	crashes          []crashReport
-	survivals        []survivalReport
+	reports          reportQueue
+	repeated         repeatedCrashes
 	appliedRefusals  map[string]uint64 // revision of each applied record by prompt part; used by pollRecords only
 	// modelLoads are the times of recent orders to load model weights.
 	modelLoads []time.Time
--- a/internal/node/fleet/push.go
+++ b/internal/node/fleet/push.go
@@ -7,7 +7,6 @@
 
 	"github.com/celerydeck/celerydeck/internal/coordination/balance"
 	"github.com/celerydeck/celerydeck/internal/coordination/continuity"
-	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
 	"github.com/celerydeck/celerydeck/internal/coordination/relays"
 	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
@@ -33,10 +32,10 @@
 	isRelay := slices.Contains(relays.Of(caller.Zone, n.relayView(now)), caller.VM)
 	n.markDirect(now, caller, isRelay, push.States)
 	n.applyDemand(push.Demand)
-	n.applyCrashes(now, push.Crashes, push.Survivals, push.RepeatedCrashes)
+	n.applyCrashReports(now, caller, &push.Crashes)
 	n.applyRevisions(now, caller.VM, push.Revisions)
 	reply := &protocol.FleetReply{
-		Crashes: n.recentCrashes(now), Survivals: n.recentSurvivals(now), RepeatedCrashes: n.repeatedCrashesFor(now, caller),
+		Crashes:   n.crashReportsFor(now, caller),
 		Revisions: n.currentRevisions(now), Demand: n.drainDemandFor(caller), RecentVersions: n.recentVersionsFor(now, caller),
 	}
 	if isRelay {
@@ -191,7 +190,7 @@
 	n.markDirect(now, m, true, reply.States)
 	n.applyStates(now, reply.States)
 	n.applyDemand(reply.Demand)
-	n.applyCrashes(now, reply.Crashes, reply.Survivals, reply.RepeatedCrashes)
+	n.applyCrashReports(now, m, &reply.Crashes)
 	n.applyRevisions(now, m.VM, reply.Revisions)
 	if reply.MessageAges == nil { // a reply to a relay contains states, not a digest
 		n.sumAccountsForSelf(now)
@@ -233,24 +232,6 @@
 	}
 }
 
-// applyCrashes records the crashes and survivals that peers report, and queues the new ones to be
-// gossiped further. The caller holds the lock.
-func (n *Node) applyCrashes(now time.Time, crashes []quarantine.Crash, survivals []quarantine.Survival, repeated []quarantine.Crash) {
-	for _, c := range crashes {
-		if n.opts.View.RecordPeerCrash(c) {
-			n.crashes = append(n.crashes, crashReport{c, now})
-		}
-	}
-	for _, s := range survivals {
-		if n.opts.View.RecordPeerSurvival(s) {
-			n.addSurvival(now, s)
-		}
-	}
-	for _, c := range repeated { // each daemon repeats them itself
-		n.opts.View.RecordPeerCrash(c)
-	}
-}
-
 // applyRevisions restarts the watches of objects that are newer at a peer than at this daemon.
 // If the peer confirmed a list of upstreams that this daemon has as well, it also confirms
 // the list here. The caller holds the lock.
--- a/internal/node/fleet/quarantine.go
+++ b/internal/node/fleet/quarantine.go
@@ -15,8 +15,12 @@
 	defer v.mu.Unlock()
 	now := v.opts.Clock()
 	for _, c := range list {
-		if v.crashes.RecordCrash(now, c) {
-			v.newCrashes = append(v.newCrashes, crashReport{c, now})
+		switch {
+		case !v.crashes.RecordCrash(now, c):
+		case len(v.newCrashes) >= maxQueuedReports:
+			v.droppedReports++
+		default:
+			v.newCrashes = append(v.newCrashes, crashReport{Crash: c, at: now})
 		}
 	}
 }
--- a/internal/node/fleet/quarantine_test.go
+++ b/internal/node/fleet/quarantine_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/celerydeck/celerydeck/internal/coordination/quarantine"
+	"github.com/celerydeck/celerydeck/internal/protocol"
 	"github.com/celerydeck/celerydeck/internal/state"
 )
 
@@ -81,7 +82,7 @@
 	s.crash("z0-00", "e1")
 	s.rounds(int(30 * time.Second / gossipInterval))
 	for vm, n := range s.nodes {
-		s.Check(len(n.crashes)+len(n.survivals), qt.Equals, 0, qt.Commentf(vm))
+		s.Check(n.reports.reports, qt.HasLen, 0, qt.Commentf(vm))
 	}
 }
 
@@ -91,7 +92,7 @@
 	s := newSim(t, 3, 2)
 	s.rounds(3)
 	s.crash("z0-00", "e1")
-	for id := range uint64(3 * maxCrashReports) {
+	for id := range uint64(3 * maxReports) {
 		s.nodes["z0-00"].opts.View.RecordCrashes([]quarantine.Crash{{ID: 100 + id, Upstream: "e1"}})
 	}
 	s.crash("z0-00", "e2")
@@ -99,9 +100,16 @@
 	s.rounds(15) // 3 s
 	s.Check(s.refusing(crashingPart), qt.Equals, 6)
 	s.nodes["z0-00"].opts.View.RecordCrashes([]quarantine.Crash{{ID: 1, Upstream: "e9"}})
-	for id := range uint64(3 * maxCrashReports) {
+	for id := range uint64(3 * maxQueuedReports) {
 		s.nodes["z0-00"].opts.View.RecordCrashes([]quarantine.Crash{{ID: 5000 + id, Upstream: "e9"}})
 	}
-	s.rounds(1)
-	s.Check(len(s.nodes["z0-00"].crashes) <= maxCrashReports, qt.IsTrue)
+	for range 10 {
+		s.rounds(1)
+		for vm, n := range s.nodes {
+			s.Check(len(n.reports.reports) <= maxQueuedReports, qt.IsTrue, qt.Commentf(vm))
+		}
+		var message protocol.CrashReports
+		s.nodes["z0-00"].reports.after(s.now, 0, &message)
+		s.Check(len(quarantine.UngroupCrashes(message.Crashes)) <= maxReports, qt.IsTrue)
+	}
 }
--- a/internal/node/fleet/store.go
+++ b/internal/node/fleet/store.go
@@ -27,10 +27,12 @@
 // Holder is the record of the lease holder of an engine.
 type Holder = protocol.LeaseHolder
 
-// Refusal is the record of a prompt part that the daemons refuse, with the crashes of upstreams
+// Refusal is the record of prompt parts that the daemons refuse, with the crashes of upstreams
 // that are the reason.
 type Refusal struct {
-	Part      string         `json:"part"` // hexadecimal
+	Part string `json:"part"` // hexadecimal
+	// Others are further parts with the same crashes: the base64 form of their numbers, 8 bytes each, in order.
+	Others    string         `json:"others,omitempty"`
 	Crashes   []RefusalCrash `json:"crashes"`
 	RefusedAt int64          `json:"refused_at"` // Unix milliseconds
 
--- a/internal/node/fleet/view.go
+++ b/internal/node/fleet/view.go
@@ -110,6 +110,7 @@
 	signals         *eligibility.Table // what upstreams said in their responses
 	crashes         *quarantine.Table
 	newCrashes      []crashReport                            // not yet sent to the peers
+	droppedReports  int                                      // of crashes, for lack of room in newCrashes
 	newSurvivals    map[quarantine.Trait]time.Time           // when they came; not yet sent to the peers
 	adapterRequests map[engineAdapter]int                    // requests in flight
 	newlyUsed       map[state.UpstreamID][]upstreams.Adapter // not yet sent to the lease holders
@@ -336,11 +337,13 @@
 // upstreams that they crashed and, by engine, the adapters in use and the adapters that
 // requests found missing.
 type Outgoing struct {
-	InFlight  map[state.UpstreamID]balance.InFlight
-	Crashes   []quarantine.Crash
-	Survivals []quarantine.Survival // of traits of which peers may have recorded crashes
-	InUse     map[state.UpstreamID][]upstreams.Adapter
-	Missing   map[state.UpstreamID][]upstreams.Adapter
+	InFlight map[state.UpstreamID]balance.InFlight
+	Crashes  []quarantine.Crash
+	// DroppedReports is the number of crashes that are not reported, as there were too many.
+	DroppedReports int
+	Survivals      []quarantine.Survival // of traits of which peers may have recorded crashes
+	InUse          map[state.UpstreamID][]upstreams.Adapter
+	Missing        map[state.UpstreamID][]upstreams.Adapter
 }
 
 // DrainOutgoing returns the requests in flight and the adapters in use. It returns and removes
@@ -350,7 +353,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.opts.Clock()
-	out := Outgoing{InFlight: v.tracker.OwnInFlight(now), InUse: v.newlyUsed, Missing: v.newlyMissing}
+	out := Outgoing{InFlight: v.tracker.OwnInFlight(now), InUse: v.newlyUsed, Missing: v.newlyMissing, DroppedReports: v.droppedReports}
 	for _, c := range v.newCrashes {
 		c.Age = now.Sub(c.at)
 		out.Crashes = append(out.Crashes, c.Crash)
@@ -364,7 +367,7 @@
 	for model, n := range v.modelRequests {
 		v.modelRequests[model] = n * modelRequestsDecay
 	}
-	v.newCrashes = nil
+	v.newCrashes, v.droppedReports = nil, 0
 	clear(v.newSurvivals)
 	v.newlyMissing = make(map[state.UpstreamID][]upstreams.Adapter)
 	v.newlyUsed = make(map[state.UpstreamID][]upstreams.Adapter)
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -120,6 +121,8 @@
 	_, _ = h.WriteString(c.r.RequestURI)
 	_, _ = h.Write(c.body)
 	c.traits = append(c.traits, quarantine.Trait{Kind: quarantine.Content, ID: h.Sum64()})
+	c.meta.SharedParts = withoutRepeats(c.meta.SharedParts)
+	c.traits = slices.Grow(c.traits, len(c.meta.SharedParts))
 	for _, id := range c.meta.SharedParts {
 		c.traits = append(c.traits, quarantine.Trait{Kind: quarantine.PromptPart, ID: id})
 	}
@@ -134,6 +137,25 @@
 	c.excluded = make(map[state.UpstreamID]bool)
 }
 
+// withoutRepeats returns a list with only the first of equal IDs.
+func withoutRepeats(list []uint64) []uint64 {
+	sorted := slices.Clone(list)
+	slices.Sort(sorted)
+	sorted = slices.Compact(sorted)
+	if len(sorted) == len(list) { // as nearly always
+		return list
+	}
+	seen := make(map[uint64]bool, len(sorted))
+	kept := make([]uint64, 0, len(sorted))
+	for _, id := range list {
+		if !seen[id] {
+			seen[id] = true
+			kept = append(kept, id)
+		}
+	}
+	return kept
+}
+
 // plausibleTokens bounds a number of tokens that the caller names by the memory of an engine. A false
 // number could otherwise keep the requests of others from the engine.
 func (c *call) plausibleTokens(n int) int {
--- a/internal/node/gateway/crash.go
+++ b/internal/node/gateway/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"strconv"
 	"strings"
@@ -136,11 +137,18 @@
 	g.opts.View.RecordCrashes(crashes)
 }
 
-// formatParts returns the IDs of prompt parts in hexadecimal, separated by commas.
+// maxLoggedParts limits the length of a log line. Parts that are refused have a line each.
+const maxLoggedParts = 64
+
+// formatParts returns the IDs of prompt parts in hexadecimal, separated by commas. Of more than maxLoggedParts, it
+// returns the first ones and the number of the others.
 func formatParts(parts []uint64) string {
-	text := make([]string, len(parts))
-	for i, id := range parts {
-		text[i] = strconv.FormatUint(id, 16)
+	var text []string
+	for _, id := range parts[:min(len(parts), maxLoggedParts)] {
+		text = append(text, strconv.FormatUint(id, 16))
+	}
+	if more := len(parts) - len(text); more > 0 {
+		text = append(text, fmt.Sprintf("and %d more", more))
 	}
 	return strings.Join(text, ",")
 }
--- a/internal/node/gateway/crashingpart_test.go
+++ b/internal/node/gateway/crashingpart_test.go
@@ -97,6 +97,15 @@
 	return resp.StatusCode
 }
 
+// manyParts returns the first parts of a prompt.
+func manyParts(count int) string {
+	var text strings.Builder
+	for i := range count {
+		fmt.Fprintf(&text, "a%x:1,", i)
+	}
+	return text.String()
+}
+
 // TestRequestsThatShareACrashingPromptPartAreQuarantined guards against requests that crash one
 // engine after the other because they share a part of their prompts and nothing else.
 func TestRequestsThatShareACrashingPromptPartAreQuarantined(t *testing.T) {
@@ -104,6 +113,10 @@
 		"first":  "%[1]s:800,5c1e07a2:410,%[2]x:250",
 		"middle": "5c1e07a2:800,%[1]s:410,%[2]x:250",
 		"later":  "5c1e07a2:800,77:100,%[1]s:410,%[2]x:250",
+		// Parts behind the 64th were ignored.
+		"behind 66": manyParts(66) + "%[1]s:410,%[2]x:250",
+		// As long as the usual limit of a request head allows.
+		"behind 2000": manyParts(2000) + "%[1]s:410,%[2]x:250",
 	}
 	for _, path := range []string{"/stream/", "/plain/"} {
 		for position, prompt := range prompts {
--- a/internal/node/suspects/messages.go
+++ b/internal/node/suspects/messages.go
@@ -105,10 +105,10 @@
 // completions, not long before these crashes or after them, of requests with their messages. The caller
 // holds mu.
 func (n *Node) mergeMessageCrashes(msg protocol.Suspects) []quarantine.Survival {
-	n.recordPeerSurvivals(msg.Survivals)
+	n.recordPeerSurvivals(quarantine.UngroupSurvivals(msg.Survivals))
 	now := n.opts.Clock()
 	var survivals []quarantine.Survival
-	for _, c := range msg.MessageCrashes {
+	for _, c := range quarantine.UngroupCrashes(msg.MessageCrashes) {
 		if last, ok := n.messages.LastSurvival(now, c); ok {
 			survivals = append(survivals, last)
 		}
--- a/internal/node/suspects/node.go
+++ b/internal/node/suspects/node.go
@@ -189,7 +189,7 @@
 	crashes := n.recordMessageCrashes(id, sharedMessages)
 	n.mu.Unlock()
 	statelog.Info("Upstream crashed", "upstream", id.Upstream, "boot", id.Boot, "suspects", len(changed))
-	n.broadcast(ctx, protocol.Suspects{Entries: changed, MessageCrashes: crashes})
+	n.broadcast(ctx, protocol.Suspects{Entries: changed, MessageCrashes: quarantine.GroupCrashes(crashes)})
 	n.wg.Go(n.save)
 }
 
@@ -198,7 +198,7 @@
 func (n *Node) Completed(ctx context.Context, f core.Fingerprint, sharedMessages []uint64, alone bool) {
 	n.mu.Lock()
 	entry, cleared := n.table.RecordCompletion(n.opts.Clock(), f, alone)
-	msg := protocol.Suspects{Survivals: n.recordSurvivals(sharedMessages)}
+	msg := protocol.Suspects{Survivals: quarantine.GroupSurvivals(n.recordSurvivals(sharedMessages))}
 	n.mu.Unlock()
 	if cleared {
 		msg.Entries = []core.Entry{entry}
@@ -215,14 +215,14 @@
 	defer n.mu.Unlock()
 	n.markRefused(n.table.Merge(msg.Entries))
 	now := n.opts.Clock()
-	reply := protocol.Suspects{Digest: digest(n.table.Entries()), Survivals: n.mergeMessageCrashes(msg)}
+	reply := protocol.Suspects{Digest: digest(n.table.Entries()), Survivals: quarantine.GroupSurvivals(n.mergeMessageCrashes(msg))}
 	if len(msg.Entries)+len(msg.MessageCrashes)+len(msg.Survivals) > 0 {
 		return reply
 	}
 	if msg.Digest != reply.Digest {
 		reply.Entries = n.table.Entries()
 	}
-	reply.MessageCrashes = n.messages.RepeatedCrashes(now)
+	reply.MessageCrashes = quarantine.GroupCrashes(n.messages.RepeatedCrashes(now))
 	return reply
 }
 
@@ -279,7 +279,7 @@
 // not longer than broadcastTimeout. It passes on the survivals that the replies report.
 func (n *Node) broadcast(ctx context.Context, msg protocol.Suspects) {
 	if survivals := n.exchangeWithAll(ctx, msg); len(survivals) > 0 {
-		n.exchangeWithAll(ctx, protocol.Suspects{Survivals: survivals})
+		n.exchangeWithAll(ctx, protocol.Suspects{Survivals: quarantine.GroupSurvivals(survivals)})
 	}
 }
 
@@ -302,7 +302,7 @@
 			}
 			n.mu.Lock()
 			defer n.mu.Unlock()
-			survivals = append(survivals, n.recordPeerSurvivals(reply.Survivals)...)
+			survivals = append(survivals, n.recordPeerSurvivals(quarantine.UngroupSurvivals(reply.Survivals))...)
 		})
 	}
 	wg.Wait()
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -77,20 +77,31 @@
 	ConfigAge time.Duration `cbor:"7,keyasint"`
 }
 
+// CrashReports are what a daemon tells a peer of requests that crash upstreams.
+type CrashReports struct {
+	Crashes []quarantine.CrashGroup `cbor:"1,keyasint,omitempty"`
+	// Survivals are traits of requests that got past the beginning of their run, of which
+	// peers may have recorded crashes.
+	Survivals []quarantine.SurvivalGroup `cbor:"2,keyasint,omitempty"`
+	// Sequence is the number of the last of the sender's reports that the receiver has with this message, and Ack the
+	// Sequence of the last message of the receiver that the sender has received. Reports up to Ack are not sent again.
+	Sequence uint64 `cbor:"3,keyasint,omitempty"`
+	Ack      uint64 `cbor:"4,keyasint,omitempty"`
+	// Repeated are older crashes, for peers that were cut off or have started, and RepeatedDigest is the hash of all
+	// crashes that the sender would repeat. Zero stands for a message that does not name it.
+	Repeated       []quarantine.CrashGroup `cbor:"5,keyasint,omitempty"`
+	RepeatedDigest uint64                  `cbor:"6,keyasint,omitempty"`
+}
+
 // FleetPush is the gossip message that a daemon sends to a relay several times a second.
 type FleetPush struct {
 	// States contains the sender's state. If the sender is a relay, it also contains the
 	// states that other daemons reported to the relay.
-	States    []DaemonState      `cbor:"1,keyasint"`
-	Demand    Demand             `cbor:"2,keyasint"`
-	Crashes   []quarantine.Crash `cbor:"3,keyasint,omitempty"`
-	Revisions StoreRevisions     `cbor:"4,keyasint"`
-	Update    StoreUpdate        `cbor:"5,keyasint"`
-	// Survivals are traits of requests that got past the beginning of their run, of which
-	// peers may have recorded crashes.
-	Survivals []quarantine.Survival `cbor:"6,keyasint,omitempty"`
-	// RepeatedCrashes are older crashes, for peers that were cut off or have started.
-	RepeatedCrashes []quarantine.Crash `cbor:"7,keyasint,omitempty"`
+	States    []DaemonState  `cbor:"1,keyasint"`
+	Demand    Demand         `cbor:"2,keyasint"`
+	Revisions StoreRevisions `cbor:"4,keyasint"`
+	Update    StoreUpdate    `cbor:"5,keyasint"`
+	Crashes   CrashReports   `cbor:"9,keyasint"`
 	// RecentVersions are versions of adapters that were announced lately, for peers that were cut off or have
 	// started: they may know these versions, but not their ages.
 	RecentVersions []upstreams.Version `cbor:"8,keyasint,omitempty"`
@@ -98,10 +109,9 @@
 
 // FleetReply answers a FleetPush.
 type FleetReply struct {
-	States    []DaemonState      `cbor:"1,keyasint,omitempty"` // only in replies to a relay, as in FleetPush
-	Demand    Demand             `cbor:"2,keyasint"`           // at engines whose leases the receiver of the reply holds
-	Crashes   []quarantine.Crash `cbor:"3,keyasint,omitempty"`
-	Revisions StoreRevisions     `cbor:"4,keyasint"`
+	States    []DaemonState  `cbor:"1,keyasint,omitempty"` // only in replies to a relay, as in FleetPush
+	Demand    Demand         `cbor:"2,keyasint"`           // at engines whose leases the receiver of the reply holds
+	Revisions StoreRevisions `cbor:"4,keyasint"`
 	// TotalInFlight sums the requests of all daemons other than the receiver of the
 	// reply. It is empty in replies to a relay.
 	TotalInFlight map[state.UpstreamID]balance.InFlight `cbor:"5,keyasint,omitempty"`
@@ -109,9 +119,8 @@
 	// MessageAges is the time since the last message of each VM.
 	MessageAges map[string]time.Duration `cbor:"7,keyasint,omitempty"`
 
-	Update          StoreUpdate           `cbor:"8,keyasint"`
-	Survivals       []quarantine.Survival `cbor:"9,keyasint,omitempty"`  // as in FleetPush
-	RepeatedCrashes []quarantine.Crash    `cbor:"10,keyasint,omitempty"` // as in FleetPush
+	Update  StoreUpdate  `cbor:"8,keyasint"`
+	Crashes CrashReports `cbor:"22,keyasint"` // as in FleetPush
 	// RateLimits are the limits that upstreams have recently named in responses to any daemon.
 	// It is empty in replies to a relay.
 	RateLimits map[state.UpstreamID]balance.RateLimit `cbor:"11,keyasint,omitempty"`
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -214,9 +214,9 @@
 	Digest  uint64           `cbor:"1,keyasint"`
 	Entries []suspects.Entry `cbor:"2,keyasint,omitempty"`
 	// MessageCrashes are crashes that count against shared messages.
-	MessageCrashes []quarantine.Crash `cbor:"3,keyasint,omitempty"`
+	MessageCrashes []quarantine.CrashGroup `cbor:"5,keyasint,omitempty"`
 	// Survivals are shared messages that requests completed with.
-	Survivals []quarantine.Survival `cbor:"4,keyasint,omitempty"`
+	Survivals []quarantine.SurvivalGroup `cbor:"6,keyasint,omitempty"`
 }
 
 // PermitRequest asks the daemon that tracks a fingerprint for a permit to run a request,
--- a/internal/transport/frontconn/conn.go
+++ b/internal/transport/frontconn/conn.go
@@ -285,7 +285,7 @@
 
 // admitHead reserves the memory for a whole head. It refuses the request if there is none.
 func (c *Conn) admitHead() bool {
-	cost := min(clientbudget.RequestCost(c.head.size, c.head.lines), c.guard.limits.HeadMemory*3/4)
+	cost := min(clientbudget.RequestCost(c.head.size, c.head.lines, c.head.items), c.guard.limits.HeadMemory*3/4)
 	c.head = scanner{}
 	if !c.guard.take(c, clientbudget.Heads, cost, c.held[clientbudget.Heads].Load(), headWait) {
 		c.refuse(clientbudget.HeadsShort, *c.guard.refusal.Load())
--- a/internal/transport/frontconn/scanner.go
+++ b/internal/transport/frontconn/scanner.go
@@ -2,10 +2,13 @@
 
 import "bytes"
 
+var comma = []byte(",")
+
 // scanner finds the end of a request head, which is the first empty line after others. Empty lines before a
 // head belong to it: net/http skips some.
 type scanner struct {
 	size, lines int
+	items       int  // commas, which separate the items of lists
 	inLine      bool // the current line has a byte other than its end
 	hasText     bool // there was a line that is not empty
 }
@@ -26,10 +29,12 @@
 			s.hasText = true
 		} else if s.hasText {
 			s.size += pos
+			s.items += bytes.Count(p[:pos], comma)
 			return pos
 		}
 	}
 	s.size += len(p)
+	s.items += bytes.Count(p, comma)
 	return 0
 }
 
