--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -60,6 +60,7 @@
 	// head is limited.
 	maxRecords   = 1 << 16
 	maxSurvivals = 1 << 16
+	// maxCrashesPerRecord is the number of crashes that count against a trait at a time. A further one replaces the oldest.
 	maxCrashesPerRecord = 256
 	minCompaction       = 1024 // of Table.single
 	// maxRepeatedTraits is the number of traits whose crashes RepeatedCrashes returns.
@@ -136,7 +137,16 @@
 		return false
 	}
 	if len(r.crashes) >= maxCrashesPerRecord {
-		return false
+		oldest := 0
+		for i := range r.crashes {
+			if r.crashes[i].at.Before(r.crashes[oldest].at) {
+				oldest = i
+			}
+		}
+		if !c.at.After(r.crashes[oldest].at) {
+			return false
+		}
+		r.crashes = slices.Delete(r.crashes, oldest, oldest+1)
 	}
 	r.crashes = append(r.crashes, c)
 	if c.at.After(r.lastCrash) {
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -326,6 +326,26 @@
 	c.Check(table.Refused(now), qt.DeepEquals, []Trait{part(1)})
 }
 
+// TestAPartThatCrashesUpstreamsForDaysStaysRefused guards against a record that takes no further crashes once it is full: the
+// refusal ended for good, and each request with the part crashed an upstream.
+func TestAPartThatCrashesUpstreamsForDaysStaysRefused(t *testing.T) {
+	c := qt.New(t)
+	table, now := New(), start
+	for i := range partCrashLimit {
+		table.RecordCrash(now, crash(part(1), fmt.Sprint(i)))
+	}
+	for i := range 2 * maxCrashesPerRecord {
+		now = now.Add(RefusalTTL)
+		table.RecordCrash(now, crash(part(1), fmt.Sprint(partCrashLimit+i)))
+	}
+	now = now.Add(ConfirmDelay)
+	c.Check(table.isRefused(now, part(1)), qt.IsTrue)
+	c.Check(len(table.records[part(1)].crashes) <= maxCrashesPerRecord, qt.IsTrue)
+	old := crash(part(1), "0")
+	old.Age = now.Sub(start)
+	c.Check(table.RecordCrash(now, old), qt.IsFalse)
+}
+
 // TestTheListOfSingleCrashesIsBounded guards against memory that grows with parts that crash upstreams and survive by turns.
 func TestTheListOfSingleCrashesIsBounded(t *testing.T) {
 	table, now := New(), start
