Own interface: conversations are judged whole, however many messages they have

Callers would see (by a test; no report): a conversation whose message behind the 64th crashes engines crashes one after the other, as requests that continue it are never alike.

Cause: the cap of 64 of the users' platform stood here as well (maxSharedMessages).

Change: all messages but the last count, up to 65,536, more than which are a clear error; tables have as much room.

Failed before: TestAllMessagesButTheLastAreShared (64 of 5,000). It passes, and TestAMessageFarBackInALongConversationStaysRefused.

--- a/internal/node/suspects/messages.go
+++ b/internal/node/suspects/messages.go
@@ -61,6 +61,9 @@
 	return list
 }
 
+// maxReportedCrashes is the number of crashes in a message to other daemons: as many as their tables keep.
+const maxReportedCrashes = 1 << 16
+
 // recordMessageCrashes records a crash under requests with the given messages, and returns what is
 // new for the other daemons. The caller holds mu.
 func (n *Node) recordMessageCrashes(id core.CrashID, messages []uint64) []quarantine.Crash {
@@ -72,6 +75,10 @@
 			list = append(list, c)
 		}
 	}
+	if dropped := len(list) - maxReportedCrashes; dropped > 0 {
+		statelog.Info("Crashes not reported", "daemon", n.opts.Self, "upstream", id.Upstream, "count", dropped)
+		list = list[dropped:]
+	}
 	return list
 }
 
--- a/internal/node/suspects/node_test.go
+++ b/internal/node/suspects/node_test.go
@@ -186,3 +186,42 @@
 	c.Assert(n.Refusal(9, []uint64{40, 41}) != nil, qt.IsTrue)
 	c.Assert(n.Refusal(9, []uint64{40}) == nil, qt.IsTrue)
 }
+
+// TestAMessageFarBackInALongConversationStaysRefused guards against messages behind the 64th, which were not recognized, and
+// against a record of its own for each message of a long conversation.
+func TestAMessageFarBackInALongConversationStaysRefused(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_800_000_000, 0).UTC()
+	store := &memoryStore{objects: make(map[string]platform.Object)}
+	clock := func() time.Time { return now }
+	n := newNode(store, clock)
+	conversation := make([]uint64, 3000)
+	for i := range conversation {
+		conversation[i] = uint64(1000 + i)
+	}
+	for i := range 3 {
+		n.recordMessageCrashes(crashID(i), conversation)
+	}
+	now = now.Add(quarantine.ConfirmDelay)
+	c.Assert(n.refusesMessage(conversation), qt.IsTrue)
+	n.saveMessages()
+	c.Check(n.unsavedMessages, qt.HasLen, 0)
+	c.Check(store.objects, qt.HasLen, 1)
+	restarted := newNode(store, clock)
+	restarted.loadMessages()
+	c.Check(restarted.refusesMessage(conversation), qt.IsTrue)
+	_, err := restarted.Admit(t.Context(), 1, conversation)
+	c.Check(err != nil, qt.IsTrue)
+
+	restarted.recordSurvivals(conversation[:2999]) // of a trial without the last one
+	c.Check(restarted.refusesMessage(conversation[:2999]), qt.IsFalse)
+	restarted.mu.Lock()
+	restarted.noteMessageChanges()
+	restarted.mu.Unlock()
+	restarted.saveMessages()
+	c.Check(restarted.unsavedMessages, qt.HasLen, 0)
+	c.Check(store.objects, qt.HasLen, 1)
+	again := newNode(store, clock)
+	again.loadMessages()
+	c.Check(again.RefusedMessages(), qt.DeepEquals, []uint64{3999})
+}
--- a/internal/transport/callers/callers_test.go
+++ b/internal/transport/callers/callers_test.go
@@ -115,6 +115,7 @@
 		{"null", request{"POST", completions, "null", nil}, 400, protocol.KindBadRequest},
 		{"no prompt", request{"POST", completions, `{"model":"advice/blitz"}`, nil}, 400, protocol.KindBadRequest},
 		{"no messages", request{"POST", chat, `{"model":"advice/blitz","messages":[]}`, nil}, 400, protocol.KindBadRequest},
+		{"too many messages", request{"POST", chat, `{"model":"advice/blitz","messages":["",` + strings.Repeat(`"",`, callers.MaxMessages-1) + `""]}`, nil}, 400, protocol.KindBadRequest},
 		{"two choices", request{"POST", completions, `{"model":"advice/blitz","prompt":"x","n":2}`, nil}, 400, protocol.KindBadRequest},
 		{"negative tokens", request{"POST", completions, `{"model":"advice/blitz","prompt":"x","max_tokens":-1}`, nil}, 400, protocol.KindBadRequest},
 		{"model without adapter", request{"POST", completions, `{"model":"advice","prompt":"x"}`, nil}, 400, protocol.KindBadRequest},
@@ -161,6 +162,23 @@
 
 // TestStatusesThatClientsRetryAreOnlyForRequestsThatDidNotRun combines each kind of error
 // with each outcome.
+// Messages behind the 64th were left out, so that no crash counted against them.
+func TestAllMessagesButTheLastAreShared(t *testing.T) {
+	c := qt.New(t)
+	g := &gateway{}
+	var messages strings.Builder
+	for i := range 5000 {
+		fmt.Fprintf(&messages, `{"role":"user","content":"%d"},`, i)
+	}
+	body := `{"model":"advice/blitz","messages":[` + messages.String() + `{"role":"user","content":"last"}]}`
+	c.Assert(request{"POST", "/v1/chat/completions", body, nil}.send(newHandler(g, true)).Code, qt.Equals, http.StatusOK)
+	shared := make(map[uint64]bool)
+	for _, id := range g.last.Model.SharedMessages {
+		shared[id] = true
+	}
+	c.Check(shared, qt.HasLen, 5000)
+}
+
 func TestStatusesThatClientsRetryAreOnlyForRequestsThatDidNotRun(t *testing.T) {
 	kinds := []protocol.ErrorKind{
 		protocol.KindBadRequest, protocol.KindNotFound, protocol.KindConflict, protocol.KindTooLarge, protocol.KindOverloaded,
--- a/internal/transport/callers/request.go
+++ b/internal/transport/callers/request.go
@@ -209,6 +209,8 @@
 		return notRunError(protocol.KindBadRequest, stepParse, "n must be 1")
 	case chat && len(req.Messages) == 0:
 		return notRunError(protocol.KindBadRequest, stepParse, "messages must not be empty")
+	case len(req.Messages) > MaxMessages:
+		return notRunError(protocol.KindBadRequest, stepParse, "a request has at most %d messages", MaxMessages)
 	case !chat && len(req.Prompt) == 0:
 		return notRunError(protocol.KindBadRequest, stepParse, "prompt must not be empty")
 	}
@@ -247,17 +249,20 @@
 	return xxhash.Sum64(req.Prompt[:min(len(req.Prompt), prefixBytes)])
 }
 
-// maxSharedMessages is the number of messages of a conversation, from the first, by which
-// requests that crash upstreams are recognized.
-const maxSharedMessages = 64
+// MaxMessages is the maximum number of messages of a conversation. Requests that crash upstreams are recognized by each of
+// them.
+const MaxMessages = 1 << 16
 
 // sharedMessages returns cryptographic hashes of the messages that other requests may share. The
 // last message is the caller's own.
 func (req completionRequest) sharedMessages() []uint64 {
-	var list []uint64
-	for i := 0; i < len(req.Messages)-1 && i < maxSharedMessages; i++ {
+	if len(req.Messages) < 2 {
+		return nil
+	}
+	list := make([]uint64, len(req.Messages)-1)
+	for i := range list {
 		sum := sha256.Sum256(req.Messages[i])
-		list = append(list, binary.BigEndian.Uint64(sum[:]))
+		list[i] = binary.BigEndian.Uint64(sum[:])
 	}
 	return list
 }
