Streams: events of more than 128 kB are forwarded

Callers would see (by a test; no report): a stream that breaks off at its first event of more than 128 kB, again after each resumption. At services without models such events came whole as long as their streams were read like plain responses.

Cause: a fixed cap on the size of an event, whatever a response may have.

Change: an event may be as long as a plain response, 8 MB. Beyond 128 kB it takes from the memory of responses, and a lack of memory is no failure of the upstream.

Failed before: TestLongEventsAreForwardedWhole on both kinds of service.

--- a/internal/node/gateway/appstream_test.go
+++ b/internal/node/gateway/appstream_test.go
@@ -277,6 +277,36 @@
 	w.Check(lines.String(), qt.Contains, `"last_event":2`)
 }
 
+// Events of more than 128 kB broke a stream off; at a service without models they came whole before it had streams.
+func TestLongEventsAreForwardedWhole(t *testing.T) {
+	long := "id: 2\ndata: " + strings.Repeat("x", 1<<20) + "\n\n"
+	whole := "id: 1\ndata: one\n\n" + long + "id: 3\ndata: three\n\n"
+	for _, path := range []string{"/appfixed/", "/fixed/"} {
+		u := serveUpstream(t, "a", func(_ int, r *http.Request, conn net.Conn) { streamFramings["neither"](r, conn, whole, whole) })
+		w := newFixture(t, u)
+		_, text, err := w.do(path, "x")
+		w.Check(err, qt.IsNil)
+		w.Check(text == whole, qt.IsTrue, qt.Commentf("%d of %d bytes", len(text), len(whole)))
+	}
+}
+
+// An event without an end must not take more memory than a response may.
+func TestAnEventWithoutAnEndBreaksTheStreamOff(t *testing.T) {
+	u := serveUpstream(t, "a", func(_ int, r *http.Request, conn net.Conn) {
+		writeStream(r, conn, "HTTP/1.1", "", "id: 1\ndata: one\n\nid: 2\ndata: ")
+		part := []byte(strings.Repeat("x", 1<<20))
+		for range 64 {
+			if _, err := conn.Write(part); err != nil {
+				return
+			}
+		}
+	})
+	w := newFixture(t, u)
+	_, text, err := w.do("/appfixed/", "x")
+	w.Check(err, qt.IsNotNil)
+	w.Check(text, qt.Equals, "id: 1\ndata: one\n\n")
+}
+
 // A stalled stream of a service without models was not watched.
 func TestAStalledStreamOfAServiceWithoutModelsIsResumed(t *testing.T) {
 	var sends atomic.Int32
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -16,8 +16,10 @@
 )
 
 const (
-	eventBuffer = 4 << 10   // bytes of the buffer for reading a stream
-	maxEvent    = 128 << 10 // bytes of one event
+	eventBuffer = 4 << 10 // bytes of the buffer for reading a stream
+	// maxFreeEvent is the size in bytes up to which an event takes no memory of responses.
+	maxFreeEvent = 128 << 10
+	maxEvent     = maxBufferedBody // bytes of one event
 	// stallTimeout is the pause after which a stream is resumed at another upstream if this
 	// daemon receives nothing else from the stream's upstream either.
 	stallTimeout = time.Second
@@ -68,13 +70,43 @@
 	return broken
 }
 
-// readEvent reads one complete event. It returns io.EOF only between events.
-func readEvent(r *bufio.Reader) (event, error) {
+// eventReader reads the events of a stream.
+type eventReader struct {
+	*bufio.Reader
+	memory bodyMemory // for long events
+	held   int64      // bytes of memory that the last event takes
+}
+
+// release returns the memory of the last event.
+func (r *eventReader) release() {
+	r.memory.pool.Release(r.memory.conn, r.held)
+	r.held = 0
+}
+
+// reserve takes memory for an event that is to have the given size in bytes.
+func (r *eventReader) reserve(size int) error {
+	if size > maxEvent {
+		return errEventTooLong
+	}
+	if size <= maxFreeEvent || int64(size) <= r.held {
+		return nil
+	}
+	more := max(int64(size), 2*r.held, 2*maxFreeEvent) - r.held
+	if !r.memory.pool.Take(r.memory.conn, more, r.held, r.memory.wait) {
+		return errBodyMemory
+	}
+	r.held += more
+	return nil
+}
+
+// next reads one complete event. It returns io.EOF only between events.
+func (r *eventReader) next() (event, error) {
+	r.release()
 	e := event{id: -1, isComment: true}
 	for {
 		line, err := r.ReadSlice('\n')
-		if len(e.raw)+len(line) > maxEvent {
-			return event{id: -1}, errEventTooLong
+		if err := r.reserve(len(e.raw) + len(line)); err != nil {
+			return event{id: -1}, err
 		}
 		e.raw = append(e.raw, line...)
 		if errors.Is(err, bufio.ErrBufferFull) {
@@ -113,12 +145,20 @@
 	last := c.g.opts.Clock()
 	x.stopResponseWatch()
 	defer x.watchStall()()
-	reader := bufio.NewReaderSize(resp.Body, eventBuffer)
+	reader := &eventReader{Reader: bufio.NewReaderSize(resp.Body, eventBuffer), memory: c.memoryFor(c.g.opts.Responses)}
+	defer reader.release()
 	for {
-		e, err := readEvent(reader)
+		e, err := reader.next()
 		if errors.Is(err, io.EOF) {
 			break
 		}
+		if errors.Is(err, errBodyMemory) { // not a failure of the upstream
+			x.reset()
+			c.runs++
+			c.logStep("read event", x.u, x.connFate(), err)
+			c.fail(decisionlog.BodyMemoryExhausted)
+			return delivered
+		}
 		if err != nil {
 			if c.responseStarted {
 				_ = flush.Flush() // if the caller has left, its context says so
@@ -155,7 +195,7 @@
 		} else if !e.isComment {
 			c.cannotResume.Store(true)
 		}
-		if !hasBufferedEvent(reader) {
+		if !hasBufferedEvent(reader.Reader) {
 			if err := flush.Flush(); err != nil {
 				x.reset()
 				c.logOutcome(decisionlog.CallerLeft, 0)
