Soak: a stream route split over services of both kinds, and long prompts

One stream in three goes to a route whose second service has no models; its stand-in answers with and without chunks, and breaks off one stream in four inside an event. One prompt in four has 1,200 parts before the others, also of requests with the crashing part.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -90,7 +90,7 @@
 func (c *checker) checkUnknownRequests() {
 	for _, r := range c.h.Executions {
 		a := c.requests[r.RequestID]
-		ok := a != nil && a.Path == r.Path && a.Body == r.Body && (a.Class != ClassChat || strings.HasSuffix(a.Model, "/"+r.Adapter))
+		ok := a != nil && a.Path == r.Path && a.Body == r.Body && (r.Service != engineService || strings.HasSuffix(a.Model, "/"+r.Adapter))
 		c.expect("upstreams run only requests that callers sent, unchanged", ok, "%s ran %q at %s", r.Upstream, r.RequestID, c.at(r.At))
 	}
 }
@@ -132,7 +132,7 @@
 		}
 		c.expect("a success is an upstream's answer to the same request", ans.Signed && ans.RequestID == id && len(c.executions[id]) > 0,
 			"%s: signed %v, answer to %q, %d executions", id, ans.Signed, ans.RequestID, len(c.executions[id]))
-		if a.Class == ClassChat {
+		if a.Stream {
 			whole := true
 			for i, event := range ans.Events {
 				whole = whole && i == event
@@ -159,6 +159,8 @@
 		switch a.Class {
 		case ClassChat:
 			ok = r.Service == engineService
+		case ClassAsk:
+			ok = r.Service == engineService || r.Service == serviceName(0)
 		case ClassFixed:
 			ok = r.Service == serviceName(0)
 		case ClassRead, ClassCharge:
@@ -235,7 +237,7 @@
 func (c *checker) checkVersionDelay() {
 	for _, r := range c.h.Executions {
 		a := c.requests[r.RequestID]
-		if a == nil || a.Class != ClassChat || !c.h.onlyPlannedStops(r.At.Add(-maxVersionDelay-settleTime), r.At) || !c.h.settled(a.Daemon, r.Upstream, r.At, r.At) {
+		if a == nil || r.Service != engineService || !c.h.onlyPlannedStops(r.At.Add(-maxVersionDelay-settleTime), r.At) || !c.h.settled(a.Daemon, r.Upstream, r.At, r.At) {
 			continue
 		}
 		newest := 1
@@ -306,7 +308,11 @@
 		if !ans.Written || ans.Complete || isTimeout(ans.Err) {
 			continue
 		}
-		ran := len(c.executions[id]) > 0
+		runs := c.executions[id]
+		ran := len(runs) > 0
+		if ran && runs[len(runs)-1].BrokeOff { // the answer must look broken off
+			continue
+		}
 		if ran && ans.Reused && c.h.settled(a.Daemon, c.executions[id][0].Upstream, ans.StartedAt, ans.EndedAt) {
 			closed++
 			last = fmt.Sprintf("%s, %s at daemon %d from %s to %s, ran at %s, status %d, %d events: %v", id, a.Class, a.Daemon, c.at(ans.StartedAt), c.at(ans.EndedAt),
--- a/internal/soak/crashingpart.go
+++ b/internal/soak/crashingpart.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,9 +27,29 @@
 	minSoundServed      = 0.5
 )
 
-// prompt returns the prompt of a request: two shared parts and one of its own.
+// longPromptParts and longPromptPeriod are how many parts a long prompt has before the others, which all long prompts share,
+// and that one prompt in so many is long.
+const (
+	longPromptParts  = 1200
+	longPromptPeriod = 4
+)
+
+// conversation is the start of long prompts.
+var conversation = func() string {
+	var text strings.Builder
+	for i := range longPromptParts {
+		fmt.Fprintf(&text, "%x:1,", 0xc0000+i)
+	}
+	return text.String()
+}()
+
+// prompt returns the prompt of a request: two shared parts and one of its own, after a conversation if it is long.
 func prompt(secondPart string, number, sequence int) string {
-	return fmt.Sprintf("%s:300,%s:200,%x:100", firstPromptPart, secondPart, number<<20|sequence)
+	text := fmt.Sprintf("%s:300,%s:200,%x:100", firstPromptPart, secondPart, number<<20|sequence)
+	if sequence%longPromptPeriod == longPromptPeriod-1 {
+		return conversation + text
+	}
+	return text
 }
 
 // soundPart returns the second prompt part of a caller's request that crashes no engine.
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -121,6 +121,7 @@
 	for i := range serviceCount * f.size.Services {
 		id := fmt.Sprintf("w-%d", i)
 		s := webservice.New(id, serviceName(i), serviceTime)
+		s.SetStreams(webservice.Streams{Prefix: "/" + string(ClassAsk) + "/", Events: streamEvents, Interval: eventInterval})
 		if err := f.addUpstream(&upstream{name: id, id: id, service: serviceName(i), web: s}, s); err != nil {
 			return err
 		}
@@ -188,6 +189,7 @@
 	c := ConfigWrite{Version: f.version, Service: movingService, Sent: time.Now()}
 	operator.PutConfig(f.store, f.version, hostName, []operator.Route{
 		{Name: string(ClassChat), Kind: "stream", Service: engineService, Timeout: chatDeadline, Attempts: maxAttempts},
+		{Name: string(ClassAsk), Kind: "stream", Service: engineService, Second: serviceName(0), Timeout: chatDeadline, Attempts: maxAttempts},
 		{Name: string(ClassRead), Kind: "idempotent", Service: movingService, Timeout: callDeadline, Attempts: maxAttempts},
 		{Name: string(ClassCharge), Kind: "non_idempotent", Service: movingService, Timeout: callDeadline, Attempts: maxAttempts},
 		{Name: string(ClassFixed), Kind: "idempotent", Service: serviceName(0), Timeout: callDeadline, Attempts: maxAttempts},
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -17,6 +17,7 @@
 	ClassFixed  Class = "fixed"  // idempotent; same service in all configurations
 	ClassCharge Class = "charge" // non-idempotent; each configuration moves it to another service
 	ClassChat   Class = "chat"   // resumable stream from a model engine
+	ClassAsk    Class = "ask"    // resumable stream; half of the requests go to a service without models
 )
 
 // ClientRequest is a request with the answer that its caller received.
@@ -39,6 +40,7 @@
 	Adapter   string
 	Version   int
 	At        time.Time
+	BrokeOff  bool // the upstream broke its answer off, where that is not a fault of a link
 }
 
 // ConfigWrite is a configuration that was written to the object store.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -35,6 +36,7 @@
 	engineUnlistedTime    = 400 * time.Millisecond // from the restart of an engine until it is listed
 	lostOrders            = 3
 	minDrainTime          = 3 * time.Second
+	askPeriod             = 3 // one stream in this many is of ClassAsk
 	requestsPerConnection = 8 // on average, a caller opens a new connection once per this many requests
 )
 
@@ -121,7 +123,7 @@
 	for _, u := range f.upstreams {
 		if u.web != nil {
 			for _, r := range u.web.Runs() {
-				h.Executions = append(h.Executions, Execution{RequestID: r.RequestID, Upstream: u.name, Service: u.service, Path: r.Path, Body: r.Body, At: r.At})
+				h.Executions = append(h.Executions, Execution{RequestID: r.RequestID, Upstream: u.name, Service: u.service, Path: r.Path, Body: r.Body, At: r.At, BrokeOff: r.BrokeOff})
 			}
 			continue
 		}
@@ -214,6 +216,10 @@
 	}
 	if a.Class == ClassChat {
 		a.Stream, a.Deadline, a.Prompt = true, chatDeadline, prompt(soundPart(sequence), number, sequence)
+		if sequence%askPeriod == 0 {
+			a.Class = ClassAsk
+			a.Path = "/" + string(ClassAsk) + strings.TrimPrefix(a.Path, "/"+string(ClassChat))
+		}
 		// Most requests go to a few adapters.
 		a.Model = model + "/" + adapterName(min(r.IntN(adapterCount), r.IntN(adapterCount)))
 	}
--- a/internal/standin/operator/operator.go
+++ b/internal/standin/operator/operator.go
@@ -13,6 +13,7 @@
 	Name     string // also the first element of the path
 	Kind     string
 	Service  string
+	Second   string // another service that gets half of the requests; empty for none
 	Timeout  time.Duration
 	Attempts int
 }
@@ -33,10 +34,15 @@
 	routeList := []any{}
 	for _, r := range routes {
 		ms := int(r.Timeout.Milliseconds())
-		routeList = append(routeList, map[string]any{
+		route := map[string]any{
 			"name": r.Name, "host": host, "path_prefix": "/" + r.Name + "/", "kind": r.Kind, "timeout_ms": ms, "goal_ms": ms / 2,
 			"priority": 0, "service": r.Service, "attempts": r.Attempts, "resumable": r.Kind == "stream", "gap_aim_ms": 250,
-		})
+		}
+		if r.Second != "" {
+			delete(route, "service")
+			route["backends"] = []any{map[string]any{"service": r.Service, "weight": 1}, map[string]any{"service": r.Second, "weight": 1}}
+		}
+		routeList = append(routeList, route)
 	}
 	services := []any{map[string]any{"name": e.Service, "max_conns": maxConns, "backend": map[string]any{
 		"slots": e.Slots, "kv_capacity": 100000, "weights_mb": 1000, "lora_slots": e.AdapterSlots, "loads_per_s": 2,
