Soak: a stream that ends within a line has ended in order; quarantine changes and crashes in parts

The stand-in of callers took a response that ended within a line for one that broke off, so that the soak missed streams that look complete.

The page of the capacity gets a part on prompts.

--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -14,6 +14,7 @@
 	writePlatform(&b, t)
 	writeRequests(&b, t, s)
 	writeEdge(&b, t)
+	writePrompts(&b, s.Prompts)
 	writeOperators(&b, t)
 	writeDay(&b, t)
 	return b.String()
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -40,6 +40,7 @@
 	ChunkBytes           float64 // of a chunk between daemons
 	LoadReportBytes      float64 // of the load of one upstream, its running and queued requests
 	LoadReportSeconds    float64 // of CPU to encode and decode the load of one upstream
+	Prompts              PromptSlopes
 }
 
 // Measure measures all slopes on this machine.
@@ -51,6 +52,7 @@
 	s.measureOwner()
 	s.measureChunk()
 	s.LoadReportBytes, s.LoadReportSeconds = loadReportBytes(), loadReportSeconds()
+	s.Prompts = measurePrompts()
 	return s
 }
 
--- a/internal/node/fleet/quarantine.go
+++ b/internal/node/fleet/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"strconv"
 	"time"
 
@@ -11,9 +12,18 @@
 // RecordCrashes records crashes of upstreams under requests of this daemon, and queues the new
 // ones for the peers.
 func (v *View) RecordCrashes(list []quarantine.Crash) {
+	now := v.opts.Clock()
+	for part := range slices.Chunk(list, recordedTogether) { // other requests need the lock
+		v.recordCrashes(now, part)
+	}
+}
+
+// recordedTogether is the number of crashes that are recorded without a break.
+const recordedTogether = 256
+
+func (v *View) recordCrashes(now time.Time, list []quarantine.Crash) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	now := v.opts.Clock()
 	for _, c := range list {
 		switch {
 		case !v.crashes.RecordCrash(now, c):
@@ -98,10 +108,19 @@
 	return wait
 }
 
+// maxLoggedChanges is the number of traits whose changes are logged one by one. Of a long prompt, thousands may change together;
+// the report of the daemon names them all.
+const maxLoggedChanges = 64
+
 // logQuarantineChanges logs the traits that are refused from now on or no longer. The caller holds
 // the lock.
 func (v *View) logQuarantineChanges() {
-	for _, c := range v.crashes.Changes() {
+	changes := v.crashes.Changes()
+	if more := len(changes) - maxLoggedChanges; more > 0 {
+		changes = changes[:maxLoggedChanges]
+		v.opts.Log.Event("further quarantine changes", slog.Int("count", more))
+	}
+	for _, c := range changes {
 		event := "quarantine ended"
 		if c.Refused {
 			event = "quarantined"
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -137,7 +137,7 @@
 	lines := bufio.NewReader(body)
 	for {
 		line, err := lines.ReadString('\n')
-		if err == io.EOF && line == "" {
+		if errors.Is(err, io.EOF) { // also within a line: the response has ended in order
 			return ids, nil
 		}
 		if err != nil {
