Quarantine: repeats of many crashes that are lost follow after 2 s, not 10

A daemon that starts gets more than 256 older crashes once, and again after 10 s if it does not name their digest then. A lost message would have left it without the refused parts for so long. The pause starts at 2 s and doubles up to 10 s.

TestRepeatsThatAreLostFollowSoon.

--- a/internal/node/fleet/crashreports.go
+++ b/internal/node/fleet/crashreports.go
@@ -21,9 +21,10 @@
 	// crashes.
 	crashRepeatInterval = time.Second
 	// maxFreeRepeats is the number of older crashes that are repeated whatever the peer knows. More are repeated only to
-	// a peer that knows others, and if that does not change it, once in repeatAgainInterval.
-	maxFreeRepeats      = 256
-	repeatAgainInterval = 10 * time.Second
+	// a peer that knows others. If that does not change it, the pause until they are repeated again doubles each time, up
+	// to maxRepeatPause.
+	maxFreeRepeats = 256
+	maxRepeatPause = 10 * time.Second
 )
 
 // crashReport is a crash or a survival that this daemon or a peer observed, with its age when this daemon learned of it.
@@ -115,9 +116,24 @@
 	repeatedAt   time.Time
 	digest       uint64 // of the crashes that the peer would repeat, as of its last message that names it
 	// sentDigest and heardDigest are this daemon's and the peer's digests when more than maxFreeRepeats crashes were last
-	// repeated.
+	// repeated, at sentAt. They are repeated again after sentPause, unless one of the digests has changed.
 	sentDigest, heardDigest uint64
 	sentAt                  time.Time
+	sentPause               time.Duration
+}
+
+// mustRepeat reports whether more than maxFreeRepeats crashes with a digest are to be repeated to the peer now.
+func (p *reportProgress) mustRepeat(now time.Time, digest uint64) bool {
+	if p.digest == digest {
+		return false
+	}
+	if p.sentDigest != digest || p.heardDigest != p.digest {
+		p.sentDigest, p.heardDigest, p.sentPause = digest, p.digest, crashRepeatInterval
+	} else if now.Sub(p.sentAt) < p.sentPause {
+		return false
+	}
+	p.sentAt, p.sentPause = now, min(2*p.sentPause, maxRepeatPause)
+	return true
 }
 
 // expireReports drops expired reports, and logs how many were dropped for lack of room: by the view and since the last
@@ -144,12 +160,8 @@
 	}
 	r := n.repeated
 	m.RepeatedDigest = r.digest
-	if len(r.list) > maxFreeRepeats {
-		isSame := p.sentDigest == r.digest && p.heardDigest == p.digest
-		if p.digest == r.digest || isSame && now.Sub(p.sentAt) < repeatAgainInterval {
-			return m
-		}
-		p.sentDigest, p.heardDigest, p.sentAt = r.digest, p.digest, now
+	if len(r.list) > maxFreeRepeats && !p.mustRepeat(now, r.digest) {
+		return m
 	}
 	list := slices.Clone(r.list)
 	for i := range list {
--- a/internal/node/fleet/longprompt_test.go
+++ b/internal/node/fleet/longprompt_test.go
@@ -176,3 +176,23 @@
 	t.Logf("%d bytes after a restart", sum)
 	s.Check(s.refusing(crashingPart), qt.Equals, 9)
 }
+
+// TestRepeatsThatAreLostFollowSoon guards against a daemon that lacks refused parts for long because one message was lost, and
+// against messages that repeat thousands of parts each second to a daemon that has dropped some of them.
+func TestRepeatsThatAreLostFollowSoon(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	var p reportProgress
+	var sent []time.Duration
+	for at := time.Duration(0); at < time.Minute; at += crashRepeatInterval {
+		if p.mustRepeat(now.Add(at), 7) {
+			sent = append(sent, at)
+		}
+	}
+	c.Check(sent[:4], qt.DeepEquals, []time.Duration{0, 2 * time.Second, 6 * time.Second, 14 * time.Second})
+	c.Check(len(sent) <= 10, qt.IsTrue, qt.Commentf("%v", sent))
+	p.digest = 8 // the peer has learned others
+	c.Check(p.mustRepeat(now.Add(time.Minute), 7), qt.IsTrue)
+	p.digest = 7
+	c.Check(p.mustRepeat(now.Add(2*time.Minute), 7), qt.IsFalse)
+}
