--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -131,7 +131,8 @@
 	}
 }
 
-// hasBufferedEvent reports whether the buffer of a reader contains the end of an event, so that readEvent would not wait.
+// hasBufferedEvent reports whether the buffer of a reader contains the end of an event, so that eventReader.next would not
+// wait.
 func hasBufferedEvent(r *bufio.Reader) bool {
 	buffered, _ := r.Peek(r.Buffered()) // can't fail
 	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
