--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -18,7 +18,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -186,9 +185,9 @@
 // them. It is not safe for concurrent use.
 type Table struct {
 	records map[Trait]*record
-	// repeated are the records with two crashes or more. Only these can lead to a refusal, and there are few of them also
+	// recurring are the records with two crashes or more. Only these can lead to a refusal, and there are few of them also
 	// if crashes break many requests that share nothing.
-	repeated  map[Trait]*record
+	recurring map[Trait]*record
 	single    []Trait            // of the other records, in the order of their first crash; also of some that are gone
 	survivals map[Trait]survival // at any daemon
 
@@ -203,7 +202,7 @@
 // New returns an empty table.
 func New() *Table {
 	return &Table{
-		records: make(map[Trait]*record), repeated: make(map[Trait]*record), survivals: make(map[Trait]survival),
+		records: make(map[Trait]*record), recurring: make(map[Trait]*record), survivals: make(map[Trait]survival),
 		refused: make(map[Trait]bool), trials: make(map[Trait]time.Time),
 	}
 }
@@ -236,7 +235,7 @@
 		return false
 	}
 	if len(r.crashes) > 1 {
-		t.repeated[trait] = r
+		t.recurring[trait] = r
 		t.isStale = true
 	}
 	return true
@@ -245,7 +244,7 @@
 // remove removes the record of a trait.
 func (t *Table) remove(trait Trait) {
 	delete(t.records, trait)
-	delete(t.repeated, trait)
+	delete(t.recurring, trait)
 }
 
 // RecordSurvival records that a run of this daemon with a trait got past its beginning, which
@@ -301,7 +300,7 @@
 		return false
 	}
 	t.isStale = t.isStale || count > 1
-	if len(r.crashes) > 0 { // stays in repeated with one crash, as single no longer contains it
+	if len(r.crashes) > 0 { // stays in recurring with one crash, as single no longer contains it
 		return true
 	}
 	t.remove(trait)
@@ -341,7 +340,7 @@
 func (t *Table) RepeatedCrashes(now time.Time) []Crash {
 	t.update(now)
 	var traits []Trait
-	for trait, r := range t.repeated {
+	for trait, r := range t.recurring {
 		if age := now.Sub(r.lastCrash); age >= RefusalTTL {
 			continue
 		}
@@ -390,86 +389,3 @@
 	}
 	return contentCrashLimit
 }
-
-// evict makes room in a full table. It removes the records that are expired or whose crashes count no longer, and if that is
-// not enough those with one crash, the oldest first: the next crash under a trait that crashes upstreams is soon. Without such
-// records, it removes the quarter with the oldest last crash, those of refused traits last.
-func (t *Table) evict(now time.Time) {
-	t.update(now)
-	for trait, r := range t.records {
-		age := now.Sub(r.lastCrash)
-		if age >= recordTTL || age >= suspicionTTL && len(r.crashes) < crashLimit(trait.Kind) {
-			t.remove(trait)
-			delete(t.refused, trait)
-		}
-	}
-	t.isStale = true
-	const room = maxRecords / 4
-	if len(t.records) <= maxRecords-room {
-		t.compactSingle(t.single)
-		return
-	}
-	i := 0
-	for ; i < len(t.single) && len(t.records) > maxRecords-room; i++ {
-		if t.isSingle(t.single[i]) {
-			t.remove(t.single[i])
-		}
-	}
-	t.compactSingle(t.single[i:])
-	if len(t.records) < maxRecords {
-		return
-	}
-	list := make([]Trait, 0, len(t.records))
-	for trait := range t.records {
-		list = append(list, trait)
-	}
-	slices.SortFunc(list, func(a, b Trait) int {
-		if t.refused[a] != t.refused[b] {
-			if t.refused[a] {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(t.records[a].lastCrash.Compare(t.records[b].lastCrash), compareTraits(a, b))
-	})
-	for _, trait := range list[:room] {
-		t.remove(trait)
-		delete(t.refused, trait)
-	}
-}
-
-// compactSingle sets single to those of the given traits that have a record with one crash, each once.
-func (t *Table) compactSingle(list []Trait) {
-	kept := make([]Trait, 0, len(list))
-	isKept := make(map[Trait]bool, len(list))
-	for _, trait := range list {
-		if t.isSingle(trait) && !isKept[trait] {
-			kept, isKept[trait] = append(kept, trait), true
-		}
-	}
-	t.single = kept
-}
-
-// isSingle reports whether a trait has a record with one crash only.
-func (t *Table) isSingle(trait Trait) bool {
-	return t.records[trait] != nil && t.repeated[trait] == nil
-}
-
-// expireSurvivals makes room in a full table of survivals. It removes the expired ones, and if that is not enough those of
-// parts that survived only once: what protects a part that many requests share is seen again soon.
-func (t *Table) expireSurvivals(now time.Time) {
-	maps.DeleteFunc(t.survivals, func(_ Trait, s survival) bool { return now.Sub(s.at) >= survivalTTL })
-	const room = maxSurvivals / 4
-	if len(t.survivals) > maxSurvivals-room {
-		maps.DeleteFunc(t.survivals, func(_ Trait, s survival) bool { return !s.isRepeated })
-	}
-	if len(t.survivals) <= maxSurvivals-room {
-		return
-	}
-	list := slices.SortedFunc(maps.Keys(t.survivals), func(a, b Trait) int {
-		return cmp.Or(t.survivals[a].at.Compare(t.survivals[b].at), compareTraits(a, b))
-	})
-	for _, trait := range list[:room] {
-		delete(t.survivals, trait)
-	}
-}
--- a/internal/coordination/quarantine/refusal.go
+++ b/internal/coordination/quarantine/refusal.go
@@ -133,7 +133,7 @@
 			}
 		}
 	}
-	for trait, r := range t.repeated {
+	for trait, r := range t.recurring {
 		if trait.Kind != Content {
 			continue
 		}
@@ -166,7 +166,7 @@
 	var parts []Trait
 	most := 0
 	t.nextRefusal = time.Time{}
-	for trait, r := range t.repeated {
+	for trait, r := range t.recurring {
 		if trait.Kind != PromptPart || t.refused[trait] {
 			continue
 		}
