Streams: one that has begun outlasts rejections

Callers saw: a stream broke off in its middle, seconds before its deadline, although an engine was about to have its adapter. The stream's run was cut at 31.543 s, another engine rejected it three times within 230 ms as the adapter was not there yet, and the connection closed.

Cause: maxSends, a cap of four sends for any request that is rejected, also where the response has begun. Everywhere else such a stream is tried until its deadline.

Change: a stream that the caller is receiving waits as it does when there is no upstream, and is sent again.

Failed before: TestABrokenStreamOutlastsRejections.

--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -301,10 +301,14 @@
 			c.holdTime += c.hold
 			c.sleep(min(c.hold, max(0, c.timeLeft()-minTimeLeft)))
 		case notRun:
-			if c.ctx.Err() == nil && c.sends >= maxSends {
+			if c.ctx.Err() != nil || c.sends < maxSends {
+				continue
+			}
+			if !c.responseStarted {
 				c.fail(decisionlog.Rejected)
 				return
 			}
+			c.sleep(resumeRetryInterval)
 		case broken:
 			if c.ctx.Err() == nil && !c.mayRunAgain() {
 				c.fail(decisionlog.UpstreamDisconnected)
@@ -321,7 +325,7 @@
 }
 
 // maxSends is the number of attempts after which a request that an upstream rejects is not
-// sent again.
+// sent again, unless it is a stream that the caller is receiving.
 const maxSends = 4
 
 // resumeRetryInterval is the pause between attempts to resume a broken stream. The attempts
--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -381,6 +381,30 @@
 	w.Assert(text, qt.Equals, "id: 1\ndata: one\n\nid: 2\ndata: two\n\n")
 }
 
+// A stream was moved to an engine that still loaded its adapter. After three rejections there the gateway broke the stream off,
+// although the deadline was seconds away.
+func TestABrokenStreamOutlastsRejections(t *testing.T) {
+	u := serveUpstream(t, "a", func(n int, r *http.Request, w net.Conn) {
+		switch {
+		case n == 1:
+			streamHead(r, w)
+			chunk(w, "id: 1\ndata: one\n\n")
+			time.Sleep(10 * time.Millisecond)
+			_ = w.Close()
+		case n < 8:
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 503 Full\r\nX-Request-Id: %s\r\n%sX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Request-Id"), signed)
+		default:
+			streamHead(r, w)
+			chunk(w, "id: 2\ndata: two\n\n")
+			_, _ = io.WriteString(w, "0\r\n\r\n")
+		}
+	})
+	w := newFixture(t, u)
+	_, text, err := w.do("/stream/", "x")
+	w.Check(err, qt.IsNil)
+	w.Check(text, qt.Equals, "id: 1\ndata: one\n\nid: 2\ndata: two\n\n")
+}
+
 // A stream of an overloaded engine paused for a second. The gateway closed its connection to
 // resume the stream at another engine, but no other engine had capacity, and the stream was
 // lost.
