Tests: a daemon of a test whose ports were taken starts on others

A port that is found free may be taken by another test program before the daemon binds it. The daemon is started again on other ports, at most three times; a daemon that ends for any other reason, or is not ready, fails the test as before.

--- a/internal/app/process_test.go
+++ b/internal/app/process_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -120,8 +121,39 @@
 	return binary, nil
 })
 
+// maxPortTries is how often a daemon is started on other ports, as another process has taken one that was free just before.
+const maxPortTries = 3
+
 // startProcess starts a daemon on free loopback ports and waits until it is ready.
 func (p *platformStandIn) startProcess(t *testing.T, settings string) *process {
+	for try := 1; ; try++ {
+		d := p.launch(t, settings)
+		for end := time.Now().Add(20 * time.Second); !d.isReady() && !d.hasNoPort(); time.Sleep(20 * time.Millisecond) {
+			if time.Now().After(end) {
+				p.Fatal("the daemon is not ready within 20 s")
+			}
+		}
+		if !d.hasNoPort() {
+			return d
+		}
+		if try == maxPortTries {
+			p.Fatalf("no free ports in %d tries", try)
+		}
+	}
+}
+
+// hasNoPort reports whether the process has ended because a port was taken.
+func (d *process) hasNoPort() bool {
+	select {
+	case <-d.exited:
+		return strings.Contains(d.log.String(), "address already in use")
+	default:
+		return false
+	}
+}
+
+// launch starts the process of a daemon on free loopback ports.
+func (p *platformStandIn) launch(t *testing.T, settings string) *process {
 	dir := t.TempDir()
 	binary, err := daemonBinary()
 	p.Assert(err, qt.IsNil)
@@ -147,11 +179,6 @@
 			t.Logf("log of the daemon:\n%s", tail(d.log.String(), 8<<10))
 		}
 	})
-	for end := time.Now().Add(20 * time.Second); !d.isReady(); time.Sleep(20 * time.Millisecond) {
-		if time.Now().After(end) {
-			p.Fatal("the daemon is not ready within 20 s")
-		}
-	}
 	return d
 }
 
